--- /dev/null
+++ b/sardinesaddle/admin.py
@@ -0,0 +1,88 @@
+"""The operators' pages of one process: status, metrics and health.
+
+``/status`` is what ``sardinesaddle status`` prints, ``/metrics`` is for Prometheus,
+and ``/healthz`` tells the platform's balancer whether to send calls here.
+"""
+
+import abc
+import collections.abc
+import json
+
+import aiohttp.web
+
+from sardinesaddle import metrics
+
+
+class Role(abc.ABC):
+    """What the pages show of an entry or a sidecar."""
+
+    @abc.abstractmethod
+    def describe(self) -> dict[str, object]:
+        """Return the status page's content."""
+
+    @abc.abstractmethod
+    def is_healthy(self) -> bool:
+        """Tell whether new work may be sent here."""
+
+
+class Admin:
+    """Serves the pages of one process."""
+
+    def __init__(
+        self, role: Role, counts: metrics.Metrics, host: str, port: int
+    ) -> None:
+        self._role = role
+        self._metrics = counts
+        self._host = host
+        self._port = port
+        self._runner: aiohttp.web.AppRunner | None = None
+        self.port = port
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        app = aiohttp.web.Application()
+        pages: dict[
+            str,
+            collections.abc.Callable[
+                [aiohttp.web.Request],
+                collections.abc.Awaitable[aiohttp.web.StreamResponse],
+            ],
+        ] = {
+            "/status": self._show_status,
+            "/metrics": self._show_metrics,
+            "/healthz": self._show_health,
+        }
+        for path, handler in pages.items():
+            app.router.add_get(path, handler)
+        self._runner = aiohttp.web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await aiohttp.web.TCPSite(self._runner, self._host, self._port).start()
+        self.port = self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _show_status(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.StreamResponse:
+        """Return the status as JSON."""
+        text = json.dumps(self._role.describe())
+        return aiohttp.web.Response(text=text, content_type="application/json")
+
+    async def _show_metrics(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.StreamResponse:
+        """Return the metrics as text."""
+        body, headers = self._metrics.render()
+        return aiohttp.web.Response(body=body, headers=headers)
+
+    async def _show_health(
+        self, request: aiohttp.web.Request
+    ) -> aiohttp.web.StreamResponse:
+        """Return 200 while new work may be sent here, else 503."""
+        healthy = self._role.is_healthy()
+        return aiohttp.web.Response(
+            status=200 if healthy else 503, text="ok\n" if healthy else "not ready\n"
+        )
--- /dev/null
+++ b/sardinesaddle/answer.py
@@ -0,0 +1,102 @@
+"""The answer of one call, kept so that it can be sent again from any offset.
+
+A target's answer is a status, headers and a sequence of bytes. The sidecar appends
+to the answer as bytes arrive and sends slices to every attempt that waits for it.
+A new connection, or a second attempt with the same key, reads from the offset it
+names. The end mark carries the length and a digest of all bytes, so the reader can
+prove that it holds the whole answer.
+
+An answer that nobody may resume can drop the bytes that its reader acknowledged.
+"""
+
+import enum
+import typing
+
+import xxhash
+
+from sardinesaddle import errorcodes
+
+MAX_KEPT_BYTES: typing.Final = 4 * 1024 * 1024
+
+
+class Phase(enum.Enum):
+    """How far an answer has come."""
+
+    WAITING = "waiting"
+    HEADED = "headed"
+    ENDED = "ended"
+    FAILED = "failed"
+
+
+class Answer:
+    """A growing answer; offsets count body bytes from zero."""
+
+    __slots__ = (
+        "_data",
+        "_digest",
+        "_dropped",
+        "headers",
+        "phase",
+        "refusal",
+        "status",
+    )
+
+    def __init__(self) -> None:
+        self.phase = Phase.WAITING
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self.refusal: errorcodes.Refusal | None = None
+        self._data = bytearray()
+        self._dropped = 0
+        self._digest = xxhash.xxh64()
+
+    @property
+    def length(self) -> int:
+        """The number of body bytes that have arrived."""
+        return self._dropped + len(self._data)
+
+    @property
+    def first_offset(self) -> int:
+        """The lowest offset that can still be read."""
+        return self._dropped
+
+    @property
+    def digest(self) -> int:
+        """The digest of all body bytes that have arrived."""
+        return self._digest.intdigest()
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing more will be appended."""
+        return self.phase in (Phase.ENDED, Phase.FAILED)
+
+    def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Record the status and the headers."""
+        self.status = status
+        self.headers = headers
+        self.phase = Phase.HEADED
+
+    def append(self, data: bytes) -> None:
+        """Add body bytes."""
+        self._data += data
+        self._digest.update(data)
+
+    def end(self) -> None:
+        """Mark the answer whole."""
+        self.phase = Phase.ENDED
+
+    def fail(self, refusal: errorcodes.Refusal) -> None:
+        """Mark the answer as one that will never be whole."""
+        self.refusal = refusal
+        self.phase = Phase.FAILED
+
+    def read(self, offset: int, limit: int) -> bytes:
+        """Return up to ``limit`` bytes from ``offset``."""
+        start = offset - self._dropped
+        return bytes(self._data[start : start + limit])
+
+    def drop_before(self, offset: int) -> None:
+        """Forget bytes below an offset that no reader will ask for."""
+        count = min(max(offset - self._dropped, 0), len(self._data))
+        del self._data[:count]
+        self._dropped += count
--- /dev/null
+++ b/sardinesaddle/call.py
@@ -0,0 +1,75 @@
+"""One caller's request on its way through the filters of an entry."""
+
+from sardinesaddle import errorcodes, keys, table
+
+
+class Call:
+    """A request; each filter fills in the fields that it decides.
+
+    Times are in seconds on the loop's clock.
+    """
+
+    __slots__ = (
+        "account",
+        "arrived_at",
+        "body",
+        "deadline_at",
+        "fingerprint",
+        "headers",
+        "ident",
+        "is_idempotent",
+        "key",
+        "key_text",
+        "limit",
+        "method",
+        "offset",
+        "path",
+        "prefix",
+        "service",
+        "traceparent",
+    )
+
+    def __init__(
+        self,
+        ident: str,
+        arrived_at: float,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        self.ident = ident
+        self.arrived_at = arrived_at
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.account = ""
+        self.deadline_at = 0.0
+        self.fingerprint = 0
+        self.is_idempotent = True
+        self.key: keys.Key | None = None
+        self.key_text = ""
+        self.limit: table.LimitRow | None = None
+        self.offset = 0
+        self.prefix = 0
+        self.service: table.ServiceRow | None = None
+        self.traceparent = ""
+
+    @property
+    def ran_before_sending(self) -> errorcodes.Ran:
+        """What may be said of the request before any attempt has left.
+
+        A key may have been used through another entry, so nothing is known of it.
+        """
+        if self.key_text:
+            return errorcodes.Ran.UNKNOWN
+        return errorcodes.Ran.NOT_RUN
+
+    def get_header(self, name: str) -> str:
+        """Return the first value of a header, or nothing."""
+        lower = name.lower()
+        for known, value in self.headers:
+            if known.lower() == lower:
+                return value
+        return ""
--- /dev/null
+++ b/sardinesaddle/configuration.py
@@ -0,0 +1,228 @@
+"""Puts published revisions of the table in force, and never goes back.
+
+Events are manifests and shards, from the configuration service or from a peer, and
+the revisions that peers name in their heartbeats. Actions ask a peer for a manifest
+or a shard, adopt a table, or report why a revision is refused. Whether a revision is
+accepted depends on its content alone, so all processes decide alike; the revision
+before a refused one stays in force.
+
+Two operators may publish different content under one revision. Versions are
+therefore ordered by revision and then by a tag of the manifest's bytes, so that all
+processes settle on the same one of the two.
+
+A starting process is ready only after it has asked the peers it can reach, so that
+a stale configuration service cannot take it below the revision of the fleet.
+"""
+
+import dataclasses
+import typing
+
+from sardinesaddle import manifest, table
+
+REQUEST_TIMEOUT_S: typing.Final = 1.0
+JOIN_WAIT_S: typing.Final = 2.0
+MAX_SHARDS: typing.Final = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchManifest:
+    """Ask this source for its manifest."""
+
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchShard:
+    """Ask this source for a shard."""
+
+    source: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adopt:
+    """Put a table in force."""
+
+    tab: table.Table
+    published: manifest.Manifest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Tell the operators why a revision is not put in force."""
+
+    revision: int
+    faults: list[str]
+
+
+Action = FetchManifest | FetchShard | Adopt | Report
+
+
+class Configuration:
+    """The revision in force in one process, and the one it is fetching."""
+
+    def __init__(self, now: float) -> None:
+        self.tab: table.Table | None = None
+        self.published: manifest.Manifest | None = None
+        self.manifest_data = b""
+        self._shards: dict[str, bytes] = {}
+        self._parsed: dict[str, table.Rows] = {}
+        self._pending: manifest.Manifest | None = None
+        self._pending_data = b""
+        self._refused: set[int] = set()
+        self._sources: dict[str, int] = {}
+        self._asked_at: dict[str, float] = {}
+        self._started_at = now
+        self._has_heard_peer = False
+        self.adoptions = 0
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; zero before the first."""
+        return 0 if self.tab is None else self.tab.revision
+
+    @property
+    def version(self) -> int:
+        """The version in force: the revision and the tag of its content."""
+        if self.published is None:
+            return 0
+        return manifest.compute_version(self.revision, self.manifest_data)
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the process may serve with what is in force."""
+        if self.tab is None:
+            return False
+        waited = now - self._started_at >= JOIN_WAIT_S
+        if not self._has_heard_peer:
+            return waited
+        return waited or self.version >= max(self._sources.values(), default=0)
+
+    def on_peer_version(self, now: float, source: str, version: int) -> list[Action]:
+        """Take note of the version that a peer has in force."""
+        self._has_heard_peer = True
+        self._sources[source] = version
+        if version <= self._find_newest() or version in self._refused:
+            return self._continue(now)
+        return self._ask(now, f"manifest {source}", FetchManifest(source))
+
+    def on_peer_gone(self, source: str) -> None:
+        """Take note that a peer cannot be asked any more."""
+        self._sources.pop(source, None)
+
+    def on_manifest(self, now: float, source: str, data: bytes) -> list[Action]:
+        """Take a manifest from the service or a peer."""
+        if not data:
+            return []
+        parsed = manifest.parse_manifest(data)
+        if isinstance(parsed, manifest.ParseFault):
+            return [Report(0, [parsed.reason])]
+        version = manifest.compute_version(parsed.revision, data)
+        self._sources[source] = max(self._sources.get(source, 0), version)
+        if version <= self._find_newest():
+            return self._report_race(parsed, data) + self._continue(now)
+        if version in self._refused:
+            return []
+        if len(parsed.shards) > MAX_SHARDS:
+            self._refused.add(version)
+            text = f"{len(parsed.shards)} shards are over the limit of {MAX_SHARDS}"
+            return [Report(parsed.revision, [text])]
+        self._pending = parsed
+        self._pending_data = data
+        self._asked_at.clear()
+        return self._continue(now)
+
+    def _find_newest(self) -> int:
+        """Return the version in force or being fetched, whichever is higher."""
+        if self._pending is None:
+            return self.version
+        pending = manifest.compute_version(self._pending.revision, self._pending_data)
+        return max(self.version, pending)
+
+    def _report_race(self, parsed: manifest.Manifest, data: bytes) -> list[Action]:
+        """Report a revision that was published twice with different content."""
+        if parsed.revision != self.revision or data == self.manifest_data:
+            return []
+        text = "this revision was published twice; publish a higher one"
+        return [Report(parsed.revision, [text])]
+
+    def on_shard(self, now: float, digest: str, data: bytes) -> list[Action]:
+        """Take a shard; a peer's word for its digest is not trusted."""
+        self._asked_at.pop(f"shard {digest}", None)
+        if not data or self._pending is None or digest not in self._pending.shards:
+            return []
+        if manifest.compute_digest(data) != digest:
+            return [Report(self._pending.revision, [f"shard {digest} is corrupt"])]
+        self._shards[digest] = data
+        return self._continue(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Ask again for what has not come."""
+        return self._continue(now)
+
+    def find_shard(self, digest: str) -> bytes:
+        """Return a shard for a peer, or nothing."""
+        return self._shards.get(digest, b"")
+
+    def _ask(self, now: float, what: str, action: Action) -> list[Action]:
+        """Return the request unless it was made a moment ago."""
+        if now - self._asked_at.get(what, -1e9) < REQUEST_TIMEOUT_S:
+            return []
+        self._asked_at[what] = now
+        return [action]
+
+    def _continue(self, now: float) -> list[Action]:
+        """Ask for missing shards, or decide when all are here."""
+        pending = self._pending
+        if pending is None:
+            return []
+        missing = [digest for digest in pending.shards if digest not in self._shards]
+        if not missing:
+            return self._decide(pending)
+        wanted = manifest.compute_version(pending.revision, self._pending_data)
+        able = sorted(s for s, v in self._sources.items() if v >= wanted)
+        actions: list[Action] = []
+        for index, digest in enumerate(missing):
+            if able:
+                # Each repetition asks another source, in case one has gone.
+                turn = int(now / REQUEST_TIMEOUT_S) + index
+                source = able[turn % len(able)]
+                what = f"shard {digest}"
+                actions += self._ask(now, what, FetchShard(source, digest))
+        return actions
+
+    def _decide(self, pending: manifest.Manifest) -> list[Action]:
+        """Accept or refuse the pending revision by its content."""
+        self._pending = None
+        faults: list[str] = []
+        parts: list[table.Rows] = []
+        for digest in pending.shards:
+            rows = self._parse(digest)
+            if isinstance(rows, manifest.ParseFault):
+                faults.append(f"shard {digest[:12]}: {rows.reason}")
+            else:
+                parts.append(rows)
+        whole = table.join_rows(parts)
+        faults += [fault.render() for fault in table.check_rows(whole)]
+        if faults:
+            version = manifest.compute_version(pending.revision, self._pending_data)
+            self._refused.add(version)
+            return [Report(pending.revision, faults)]
+        self.published = pending
+        self.manifest_data = self._pending_data
+        self.tab = table.Table(pending.revision, whole)
+        self.adoptions += 1
+        keep = set(pending.shards)
+        self._shards = {d: s for d, s in self._shards.items() if d in keep}
+        self._parsed = {d: p for d, p in self._parsed.items() if d in keep}
+        self._refused = {v for v in self._refused if v > self.version}
+        return [Adopt(self.tab, pending)]
+
+    def _parse(self, digest: str) -> table.Rows | manifest.ParseFault:
+        """Return a shard's rows; an unchanged shard is parsed once."""
+        known = self._parsed.get(digest)
+        if known is not None:
+            return known
+        rows = manifest.parse_shard(self._shards[digest])
+        if isinstance(rows, table.Rows):
+            self._parsed[digest] = rows
+        return rows
--- /dev/null
+++ b/sardinesaddle/confsync.py
@@ -0,0 +1,161 @@
+"""Runs the configuration decisions of one process.
+
+Readers watch the configuration service. Every process exchanges manifests and
+shards with its peers over the links that it has anyway. The decisions are those of
+the class ``configuration.Configuration``.
+"""
+
+import abc
+import asyncio
+import collections.abc
+import typing
+
+import loguru
+
+from sardinesaddle import configuration, manifest, platforms, table, wire
+
+SERVICE: typing.Final = "configuration service"
+TICK_S: typing.Final = 0.5
+RETRY_FIRST_S: typing.Final = 0.25
+RETRY_LIMIT_S: typing.Final = 4.0
+MIN_WATCH_PERIOD_S: typing.Final = 0.2
+
+
+class Channels(abc.ABC):
+    """Sends to peers by name."""
+
+    @abc.abstractmethod
+    def send_to_peer(self, name: str, msg: wire.Message) -> None:
+        """Send a message if the peer is connected."""
+
+
+class ConfigSync:
+    """Connects the configuration decisions to the service and the peers."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        source: platforms.ConfigSource,
+        is_reader: bool,
+        channels: Channels,
+        on_adopt: collections.abc.Callable[[table.Table, manifest.Manifest], None],
+    ) -> None:
+        self._loop = loop
+        self._source = source
+        self._is_reader = is_reader
+        self._channels = channels
+        self._on_adopt = on_adopt
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reported: set[str] = set()
+        self.conf = configuration.Configuration(loop.time())
+        self.reads = 0
+
+    def start(self) -> None:
+        """Begin to watch and to tick."""
+        self._spawn(self._tick())
+        if self._is_reader:
+            self._spawn(self._watch())
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, coro: collections.abc.Coroutine[None, None, None]) -> None:
+        """Run a task until it ends or the process stops."""
+        task = self._loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick(self) -> None:
+        """Repeat what has not been answered."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._act(self.conf.tick(self._loop.time()))
+
+    async def _watch(self) -> None:
+        """Read the manifest whenever it changes."""
+        tag = ""
+        failures = 0
+        while True:
+            began_at = self._loop.time()
+            self.reads += 1
+            value = await self._source.watch(manifest.MANIFEST_NAME, tag)
+            if isinstance(value, platforms.Unavailable):
+                failures += 1
+                delay_s = min(RETRY_FIRST_S * 2 ** (failures - 1), RETRY_LIMIT_S)
+                self._report("service", f"event=config_unavailable {value.reason!r}")
+                await asyncio.sleep(delay_s)
+                continue
+            failures = 0
+            self._reported.clear()
+            if value.tag != tag:
+                tag = value.tag
+                now = self._loop.time()
+                self._act(self.conf.on_manifest(now, SERVICE, value.data))
+            spent_s = self._loop.time() - began_at
+            await asyncio.sleep(max(MIN_WATCH_PERIOD_S - spent_s, 0))
+
+    async def _read_shard(self, digest: str) -> None:
+        """Read one shard from the service."""
+        self.reads += 1
+        value = await self._source.read(digest)
+        if isinstance(value, platforms.Value):
+            self._act(self.conf.on_shard(self._loop.time(), digest, value.data))
+
+    def on_peer_heartbeat(self, name: str, version: int) -> None:
+        """Take note of the version that a peer has in force."""
+        self._act(self.conf.on_peer_version(self._loop.time(), name, version))
+
+    def on_peer_gone(self, name: str) -> None:
+        """Take note that a peer is not connected any more."""
+        self.conf.on_peer_gone(name)
+
+    def on_peer_message(self, name: str, msg: wire.Message) -> bool:
+        """Handle a message about the configuration; return whether it was one."""
+        now = self._loop.time()
+        if isinstance(msg, wire.AskManifest):
+            reply = wire.ManifestData(self.conf.manifest_data)
+            self._channels.send_to_peer(name, reply)
+        elif isinstance(msg, wire.ManifestData):
+            self._act(self.conf.on_manifest(now, name, msg.data))
+        elif isinstance(msg, wire.AskShard):
+            data = self.conf.find_shard(msg.digest)
+            self._channels.send_to_peer(name, wire.ShardData(msg.digest, data))
+        elif isinstance(msg, wire.ShardData):
+            self._act(self.conf.on_shard(now, msg.digest, msg.data))
+        else:
+            return False
+        return True
+
+    def _act(self, actions: list[configuration.Action]) -> None:
+        """Carry out the decisions."""
+        for action in actions:
+            if isinstance(action, configuration.FetchManifest):
+                self._channels.send_to_peer(action.source, wire.AskManifest())
+            elif isinstance(action, configuration.FetchShard):
+                self._fetch_shard(action)
+            elif isinstance(action, configuration.Report):
+                for fault in action.faults:
+                    text = f"event=revision_refused revision={action.revision}"
+                    self._report(fault, f"{text} fault={fault!r}")
+            else:
+                loguru.logger.info(
+                    "event=revision_adopted revision={} rows={}",
+                    action.tab.revision,
+                    len(action.tab.rows.limits),
+                )
+                self._on_adopt(action.tab, action.published)
+
+    def _fetch_shard(self, action: configuration.FetchShard) -> None:
+        """Ask the service or a peer for a shard."""
+        if action.source == SERVICE:
+            self._spawn(self._read_shard(action.digest))
+        else:
+            self._channels.send_to_peer(action.source, wire.AskShard(action.digest))
+
+    def _report(self, ident: str, line: str) -> None:
+        """Log a fault once, not at every repetition."""
+        if ident not in self._reported:
+            self._reported.add(ident)
+            loguru.logger.warning("{}", line)
--- /dev/null
+++ b/sardinesaddle/desk.py
@@ -0,0 +1,651 @@
+"""The sidecar's decisions on calls, from arrival to the acknowledged answer.
+
+The desk holds every call that its target has been or will be given. An attempt is
+one entry's wait for a call; several attempts may wait for one call, and an attempt
+may move from a lost connection to a new one. Events come in with the time; actions
+go out: replies to entries, and orders to run or cancel a call.
+
+The order of decisions for a new attempt is: tombstone, journal, draining, deadline,
+room in the queue. Everything that is refused before the call is given to the target
+was not run, and the journal refuses the attempt if it arrives again.
+"""
+
+import dataclasses
+import typing
+
+from sardinesaddle import (
+    answer,
+    callqueue,
+    errorcodes,
+    estimate,
+    homes,
+    journal,
+    keys,
+    wire,
+)
+
+CHUNK_BYTES: typing.Final = 64 * 1024
+LINGER_S: typing.Final = 30.0
+MAX_KEPT_ANSWER_BYTES: typing.Final = 32 * 1024 * 1024
+DEFAULT_SHARE: typing.Final = 1.0
+REPLY_MARGIN_S: typing.Final = 0.02
+
+AttemptId = tuple[int, int]
+RETRY_AFTER_DRAIN_S: typing.Final = 0.1
+
+
+class Call:
+    """One call that the target runs at most once."""
+
+    __slots__ = (
+        "account",
+        "answer",
+        "attempts",
+        "cost",
+        "deadline_at",
+        "ended_at",
+        "key",
+        "number",
+        "priority",
+        "queued_at",
+        "share",
+        "started_at",
+        "state",
+        "submit",
+    )
+
+    def __init__(
+        self, number: int, now: float, submit: wire.Submit, key: keys.Key | None
+    ) -> None:
+        self.number = number
+        self.submit = submit
+        self.key = key
+        self.account = submit.account
+        self.priority = submit.priority
+        self.share = DEFAULT_SHARE
+        self.cost = 1.0
+        self.deadline_at = now + submit.budget_ms / 1000.0
+        self.queued_at = now
+        self.started_at = -1.0
+        self.ended_at = -1.0
+        self.state = journal.State.QUEUED
+        self.answer = answer.Answer()
+        self.attempts: list[Attempt] = []
+
+
+class Attempt:
+    """One entry's wait for a call: what was sent and what may be sent."""
+
+    __slots__ = ("call", "ident", "is_headed", "is_over", "limit", "sent")
+
+    def __init__(self, ident: AttemptId, call: Call, offset: int, limit: int) -> None:
+        self.ident = ident
+        self.call = call
+        self.sent = offset
+        self.limit = limit
+        self.is_headed = False
+        self.is_over = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Send a message to the entry of this incarnation."""
+
+    entry: int
+    msg: wire.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Give the call to the target."""
+
+    call: Call
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRun:
+    """Tell the target that nobody waits for the call."""
+
+    call: Call
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskHomes:
+    """Ask earlier homes to release a key, then offer the attempt again."""
+
+    entry: int
+    submit: wire.Submit
+    key: keys.OpaqueKey
+    homes: tuple[str, ...]
+
+
+Action = Reply | Run | CancelRun | AskHomes
+
+
+def make_refused(attempt: int, refusal: errorcodes.Refusal) -> wire.Refused:
+    """Return the message that carries a refusal."""
+    return wire.Refused(
+        attempt,
+        refusal.code.name,
+        refusal.ran.value,
+        refusal.detail,
+        round(refusal.retry_after_s * 1000),
+    )
+
+
+class Desk:
+    """Decides on every call of one target."""
+
+    def __init__(
+        self,
+        target: str,
+        incarnation: int,
+        now: float,
+        secret: bytes,
+        slots: int,
+        max_queued: int,
+        horizon_s: float,
+    ) -> None:
+        self.target = target
+        self.journal = journal.Journal(target, incarnation, now, horizon_s)
+        self.homes = homes.HomeHistory(horizon_s)
+        self.queue: callqueue.CallQueue[Call] = callqueue.CallQueue(max_queued)
+        self.slots = slots
+        self.running: dict[int, Call] = {}
+        self.is_leaving = False
+        self.is_paused = False
+        self.shares: dict[str, float] = {}
+        self._secret = secret
+        self._calls: dict[int, Call] = {}
+        self._attempts: dict[AttemptId, Attempt] = {}
+        self._open_by_entry: dict[int, int] = {}
+        self._released: dict[keys.OpaqueKey, set[str]] = {}
+        self._durations: dict[str, estimate.DurationEstimate] = {}
+        self._next_number = 1
+        self._kept_bytes = 0
+        self._horizon_s = horizon_s
+        # Attempts that ran and were dropped unacknowledged, and until when each is
+        # kept; after that, every number up to the floor counts as possibly run.
+        self._ran: dict[AttemptId, float] = {}
+        self._ran_floor: dict[int, int] = {}
+
+    # Arrival.
+
+    def on_submit(self, now: float, entry: int, msg: wire.Submit) -> list[Action]:
+        """Decide on an attempt that arrived."""
+        ident = (entry, msg.attempt)
+        if ident in self._attempts:
+            return [Reply(entry, wire.Accepted(msg.attempt))]
+        key: keys.Key | None = None
+        if msg.key:
+            parsed = keys.parse_key(self._secret, msg.account, msg.service, msg.key)
+            if isinstance(parsed, errorcodes.Refusal):
+                return [Reply(entry, make_refused(msg.attempt, parsed))]
+            key = parsed
+        earlier: tuple[str, ...] | None = ()
+        if isinstance(key, keys.OpaqueKey):
+            refusal = self._check_home(msg, key)
+            if refusal is not None:
+                return [Reply(entry, make_refused(msg.attempt, refusal))]
+            earlier = self._list_unreleased(now, key)
+        decision = self.journal.offer(now, ident, key, msg.fingerprint, earlier)
+        if isinstance(decision, errorcodes.Refusal):
+            return [Reply(entry, make_refused(msg.attempt, decision))]
+        if isinstance(decision, journal.Consult):
+            assert isinstance(key, keys.OpaqueKey)
+            return [AskHomes(entry, msg, key, decision.homes)]
+        if isinstance(decision, journal.Join):
+            return self._join(entry, msg, self._calls[decision.call])
+        return self._start(now, entry, msg, key)
+
+    def _check_home(
+        self, msg: wire.Submit, key: keys.OpaqueKey
+    ) -> errorcodes.Refusal | None:
+        """Refuse an opaque key whose home is another target."""
+        home = self.homes.find_home(key)
+        if home == self.target:
+            return None
+        return errorcodes.Refusal(
+            errorcodes.KEY_ELSEWHERE,
+            errorcodes.Ran.UNKNOWN,
+            f"the key's home is {home!r} at this sidecar's revision",
+            1.0,
+        )
+
+    def _list_unreleased(
+        self, now: float, key: keys.OpaqueKey
+    ) -> tuple[str, ...] | None:
+        """Return the earlier homes that have not released the key."""
+        earlier = self.homes.list_earlier_homes(now, key, self.target)
+        if earlier is None:
+            return None
+        released = self._released.get(key, set())
+        return tuple(home for home in earlier if home not in released)
+
+    def on_released(
+        self,
+        now: float,
+        entry: int,
+        msg: wire.Submit,
+        key: keys.OpaqueKey,
+        home: str,
+        free: bool,
+    ) -> list[Action]:
+        """Take an earlier home's answer and offer the attempt again."""
+        if not free:
+            refusal = errorcodes.Refusal(
+                errorcodes.KEY_ELSEWHERE,
+                errorcodes.Ran.UNKNOWN,
+                f"the key's earlier home {home!r} has not released it",
+                1.0,
+            )
+            return [Reply(entry, make_refused(msg.attempt, refusal))]
+        self.note_release(key, home)
+        return self.on_submit(now, entry, msg)
+
+    def note_release(self, key: keys.OpaqueKey, home: str) -> None:
+        """Remember that an earlier home gave up a key."""
+        self._released.setdefault(key, set()).add(home)
+
+    def _join(self, entry: int, msg: wire.Submit, call: Call) -> list[Action]:
+        """Let an attempt wait for a call that is already here."""
+        if call.answer.first_offset > msg.offset:
+            refusal = errorcodes.Refusal(
+                errorcodes.OUTCOME_UNKNOWN,
+                errorcodes.Ran.DONE,
+                "the call ran; its answer is too large to be kept",
+            )
+            return [Reply(entry, make_refused(msg.attempt, refusal))]
+        attempt = self._add_attempt(entry, msg, call)
+        actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
+        return actions + self._pump_attempt(attempt)
+
+    def _add_attempt(self, entry: int, msg: wire.Submit, call: Call) -> Attempt:
+        """Register a wait for a call."""
+        ident = (entry, msg.attempt)
+        attempt = Attempt(ident, call, msg.offset, msg.offset + msg.window)
+        self._attempts[ident] = attempt
+        self._open_by_entry[entry] = self._open_by_entry.get(entry, 0) + 1
+        call.attempts.append(attempt)
+        return attempt
+
+    def _start(
+        self, now: float, entry: int, msg: wire.Submit, key: keys.Key | None
+    ) -> list[Action]:
+        """Queue a new call, or refuse it as not run."""
+        refusal = self._check_room(now, msg)
+        if refusal is not None:
+            return [Reply(entry, make_refused(msg.attempt, refusal))]
+        call = Call(self._next_number, now, msg, key)
+        self._next_number += 1
+        call.share = self.shares.get(msg.account, DEFAULT_SHARE)
+        call.cost = max(self.estimate_duration(msg.service), 1e-3)
+        evicted = self.queue.push(call)
+        if evicted is call:
+            return [Reply(entry, make_refused(msg.attempt, self._refuse_full()))]
+        self._calls[call.number] = call
+        if key is not None:
+            self.journal.accept(now, key, call.number, msg.fingerprint)
+        self._add_attempt(entry, msg, call)
+        actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
+        if evicted is not None:
+            actions += self._refuse_queued(now, evicted, self._refuse_full())
+        return actions + self.start_ready(now)
+
+    def _check_room(self, now: float, msg: wire.Submit) -> errorcodes.Refusal | None:
+        """Refuse a new call that must not or cannot be run in time."""
+        not_run = errorcodes.Ran.NOT_RUN
+        if self.is_leaving:
+            return errorcodes.Refusal(
+                errorcodes.DRAINING, not_run, "", RETRY_AFTER_DRAIN_S
+            )
+        if self._kept_bytes > MAX_KEPT_ANSWER_BYTES:
+            return errorcodes.Refusal(
+                errorcodes.OVERLOADED, not_run, "kept answers fill the memory", 1.0
+            )
+        wait_s = self.estimate_wait()
+        if self._is_too_late(msg, wait_s):
+            return errorcodes.Refusal(
+                errorcodes.DEADLINE_UNREACHABLE,
+                not_run,
+                f"the wait is about {wait_s:.3f} s",
+                wait_s,
+            )
+        return None
+
+    def _is_too_late(self, msg: wire.Submit, wait_s: float) -> bool:
+        """Tell whether an answer is unlikely to arrive within the budget."""
+        if len(self.running) < self.slots and not len(self.queue):
+            wait_s = 0.0
+        known = self._durations.get(msg.service)
+        if known is None or known.count < 8:
+            return msg.budget_ms <= 0
+        return wait_s + known.mean_s > msg.budget_ms / 1000.0
+
+    def _refuse_full(self) -> errorcodes.Refusal:
+        """Return the refusal for a full queue."""
+        return errorcodes.Refusal(
+            errorcodes.OVERLOADED,
+            errorcodes.Ran.NOT_RUN,
+            "the target's queue is full",
+            max(self.estimate_wait(), 0.1),
+        )
+
+    # Time and load.
+
+    def estimate_duration(self, service: str) -> float:
+        """Return the mean time in seconds that a call of the service runs."""
+        known = self._durations.get(service)
+        return 0.05 if known is None else known.mean_s
+
+    def estimate_wait(self) -> float:
+        """Return the seconds that a new call of low priority would wait."""
+        if len(self.running) < self.slots and not len(self.queue):
+            return 0.0
+        return self.queue.total_cost / self.slots
+
+    def tick(self, now: float) -> list[Action]:
+        """Refuse queued calls that are too late; drop what nobody can ask for."""
+        actions: list[Action] = []
+        for call in self.queue.list_items():
+            if call.deadline_at - REPLY_MARGIN_S <= now:
+                refusal = errorcodes.Refusal(
+                    errorcodes.DEADLINE_PASSED, errorcodes.Ran.NOT_RUN, "", 0.0
+                )
+                actions += self._refuse_queued(now, call, refusal)
+        for number in self.journal.expire(now):
+            self._drop_call(self._calls.get(number))
+        for call in list(self._calls.values()):
+            if call.key is None and 0 <= call.ended_at < now - LINGER_S:
+                self._remember_attempts(now, call)
+                self._drop_call(call)
+        self._expire_ran(now)
+        return actions
+
+    def _remember_attempts(self, now: float, call: Call) -> None:
+        """Remember that attempts ran whose answer nobody acknowledged."""
+        for attempt in call.attempts:
+            self._ran[attempt.ident] = now + self._horizon_s
+
+    def _expire_ran(self, now: float) -> None:
+        """Fold old attempts that ran into one number for each entry."""
+        for ident in [i for i, until in self._ran.items() if until <= now]:
+            del self._ran[ident]
+            entry, number = ident
+            self._ran_floor[entry] = max(self._ran_floor.get(entry, 0), number)
+
+    def _may_have_run(self, ident: AttemptId) -> bool:
+        """Tell whether an attempt that holds no call here may have run."""
+        return ident in self._ran or ident[1] <= self._ran_floor.get(ident[0], 0)
+
+    def start_ready(self, now: float) -> list[Action]:
+        """Run queued calls while the target has free slots."""
+        actions: list[Action] = []
+        while len(self.running) < self.slots and not self.is_paused:
+            call = self.queue.pop()
+            if call is None:
+                break
+            if call.deadline_at <= now:
+                refusal = errorcodes.Refusal(
+                    errorcodes.DEADLINE_PASSED, errorcodes.Ran.NOT_RUN
+                )
+                actions += self._refuse_queued(now, call, refusal)
+                continue
+            call.state = journal.State.RUNNING
+            call.started_at = now
+            if call.key is not None:
+                self.journal.mark_running(call.key)
+            self.running[call.number] = call
+            actions.append(Run(call))
+        return actions
+
+    def _refuse_queued(
+        self, now: float, call: Call, refusal: errorcodes.Refusal
+    ) -> list[Action]:
+        """Refuse a call that was never given to the target."""
+        self.queue.remove(call)
+        if call.key is not None:
+            self.journal.forget_queued(call.key)
+        actions: list[Action] = []
+        for attempt in list(call.attempts):
+            self.journal.withdraw(now, attempt.ident, None)
+            msg = make_refused(attempt.ident[1], refusal)
+            actions.append(Reply(attempt.ident[0], msg))
+            self._drop_attempt(attempt)
+        self._calls.pop(call.number, None)
+        return actions
+
+    # The target's answer.
+
+    def on_target_head(
+        self, call: Call, status: int, headers: list[tuple[str, str]]
+    ) -> list[Action]:
+        """Take the status and headers from the target."""
+        call.answer.begin(status, headers)
+        return self._pump_call(call)
+
+    def on_target_data(self, call: Call, data: bytes) -> list[Action]:
+        """Take body bytes from the target."""
+        call.answer.append(data)
+        self._kept_bytes += len(data)
+        if call.key is not None and call.answer.length > answer.MAX_KEPT_BYTES:
+            self._trim(call, call.answer.length - answer.MAX_KEPT_BYTES)
+        return self._pump_call(call)
+
+    def on_target_end(self, now: float, call: Call) -> list[Action]:
+        """Take the end of the target's answer."""
+        call.answer.end()
+        self._add_duration(now, call)
+        return self._finish_run(now, call, journal.State.DONE)
+
+    def on_target_failed(
+        self, now: float, call: Call, refusal: errorcodes.Refusal
+    ) -> list[Action]:
+        """Take the failure of a call; NOT_RUN only if the target never got it."""
+        call.answer.fail(refusal)
+        state = journal.State.UNKNOWN
+        if refusal.ran is errorcodes.Ran.NOT_RUN and call.key is not None:
+            # Nothing reached the target, so the key may be used again.
+            call.state = journal.State.QUEUED
+            self.journal.reopen(call.key)
+        return self._finish_run(now, call, state)
+
+    def _add_duration(self, now: float, call: Call) -> None:
+        """Learn from the time that the call ran."""
+        known = self._durations.setdefault(
+            call.submit.service, estimate.DurationEstimate()
+        )
+        known.add(now - call.started_at)
+
+    def _finish_run(self, now: float, call: Call, state: journal.State) -> list[Action]:
+        """Free the slot and tell every attempt."""
+        self.running.pop(call.number, None)
+        call.ended_at = now
+        if call.key is not None and call.state is journal.State.RUNNING:
+            if state is journal.State.DONE:
+                self.journal.mark_done(call.key)
+            else:
+                self.journal.mark_unknown(call.key)
+        elif call.key is not None:
+            self.journal.forget_queued(call.key)
+            call.key = None
+        call.state = state
+        actions = self._pump_call(call)
+        if not call.attempts and call.key is None:
+            self._drop_call(call)
+        return actions + self.start_ready(now)
+
+    # Sending the answer to the attempts.
+
+    def _pump_call(self, call: Call) -> list[Action]:
+        """Send what every attempt of the call may have."""
+        actions: list[Action] = []
+        for attempt in list(call.attempts):
+            actions += self._pump_attempt(attempt)
+        return actions
+
+    def _pump_attempt(self, attempt: Attempt) -> list[Action]:
+        """Send an attempt the next parts of its answer."""
+        if attempt.is_over:
+            return []
+        entry, number = attempt.ident
+        kept = attempt.call.answer
+        actions: list[Action] = []
+        if not attempt.is_headed and kept.phase is not answer.Phase.WAITING:
+            if kept.status:
+                head = wire.Head(number, kept.status, kept.headers)
+                actions.append(Reply(entry, head))
+            attempt.is_headed = True
+        while attempt.sent < min(kept.length, attempt.limit):
+            count = min(CHUNK_BYTES, attempt.limit - attempt.sent)
+            data = kept.read(attempt.sent, count)
+            actions.append(Reply(entry, wire.Data(number, attempt.sent, data)))
+            attempt.sent += len(data)
+        if kept.is_final and attempt.sent >= kept.length:
+            attempt.is_over = True
+            actions.append(Reply(entry, self._make_last(number, kept)))
+        return actions
+
+    def _make_last(self, number: int, kept: answer.Answer) -> wire.Message:
+        """Return the end mark, or the refusal that ends the answer."""
+        if kept.refusal is not None:
+            return make_refused(number, kept.refusal)
+        return wire.End(number, kept.length, kept.digest)
+
+    def on_credit(self, entry: int, msg: wire.Credit) -> list[Action]:
+        """Take note of what the reader holds and what it can take."""
+        attempt = self._attempts.get((entry, msg.attempt))
+        if attempt is None:
+            return []
+        call = attempt.call
+        attempt.limit = max(attempt.limit, msg.limit)
+        if attempt.is_over and msg.offset >= call.answer.length:
+            self._drop_attempt(attempt)
+            if call.key is None and not call.attempts:
+                self._drop_call(call)
+            return []
+        if call.key is None and len(call.attempts) == 1:
+            self._trim(call, msg.offset)
+        return self._pump_attempt(attempt)
+
+    def is_backlogged(self, call: Call) -> bool:
+        """Tell whether the target should wait for its readers."""
+        if call.key is not None:
+            return False
+        return any(a.limit <= call.answer.length for a in call.attempts)
+
+    def on_resume(self, now: float, entry: int, msg: wire.Resume) -> list[Action]:
+        """Continue an attempt on a new connection."""
+        ident = (entry, msg.attempt)
+        attempt = self._attempts.get(ident)
+        if attempt is None or attempt.call.answer.first_offset > msg.offset:
+            # The attempt never arrived, or was answered and acknowledged.
+            self.journal.withdraw(now, ident, None)
+            refusal = errorcodes.Refusal(errorcodes.TOMBSTONED, errorcodes.Ran.NOT_RUN)
+            if attempt is not None or self._may_have_run(ident):
+                refusal = errorcodes.Refusal(
+                    errorcodes.OUTCOME_UNKNOWN, errorcodes.Ran.UNKNOWN
+                )
+            return [Reply(entry, make_refused(msg.attempt, refusal))]
+        attempt.sent = msg.offset
+        attempt.limit = msg.limit
+        attempt.is_headed = False
+        attempt.is_over = False
+        actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
+        return actions + self._pump_attempt(attempt)
+
+    # Withdrawal.
+
+    def on_cancel(self, now: float, entry: int, number: int) -> list[Action]:
+        """Take note that an attempt's caller has gone."""
+        attempt = self._attempts.get((entry, number))
+        if attempt is None:
+            self.journal.withdraw(now, (entry, number), None)
+            return []
+        call = attempt.call
+        if call.state is not journal.State.QUEUED:
+            self._ran[attempt.ident] = now + self._horizon_s
+        self._drop_attempt(attempt)
+        if call.attempts or call.key is not None:
+            return []
+        if call.state is journal.State.QUEUED:
+            return self._refuse_queued(now, call, self._refuse_full())
+        if call.state is journal.State.RUNNING and call.submit.idempotent:
+            return [CancelRun(call)]
+        return []
+
+    def on_withdraw(self, now: float, entry: int, msg: wire.Withdraw) -> list[Action]:
+        """Make sure that an attempt will not run, or say that it may have."""
+        ident = (entry, msg.attempt)
+        attempt = self._attempts.get(ident)
+        ran = errorcodes.Ran.UNKNOWN
+        if attempt is not None:
+            call = attempt.call
+            self._drop_attempt(attempt)
+            if call.state is journal.State.QUEUED and not call.attempts:
+                self._refuse_queued(now, call, self._refuse_full())
+                attempt = None
+            elif call.state is journal.State.DONE:
+                ran = errorcodes.Ran.DONE
+        if attempt is None:
+            ran = self._withdraw_unknown(now, ident, msg)
+        return [Reply(entry, wire.Withdrawn(msg.attempt, ran.value))]
+
+    def _withdraw_unknown(
+        self, now: float, ident: AttemptId, msg: wire.Withdraw
+    ) -> errorcodes.Ran:
+        """Leave a tombstone for an attempt that holds no call here."""
+        if self._may_have_run(ident):
+            return errorcodes.Ran.UNKNOWN
+        if not msg.key:
+            return self.journal.withdraw(now, ident, None)
+        key = keys.parse_key(self._secret, msg.account, msg.service, msg.key)
+        if isinstance(key, errorcodes.Refusal):
+            return errorcodes.Ran.UNKNOWN
+        earlier: tuple[str, ...] | None = ()
+        if isinstance(key, keys.OpaqueKey):
+            earlier = self._list_unreleased(now, key)
+        return self.journal.withdraw(now, ident, key, earlier)
+
+    def release_key(self, now: float, key: keys.OpaqueKey) -> bool:
+        """Give up a key to its new home; return whether no call used it."""
+        return self.journal.release(now, key)
+
+    # Memory.
+
+    def _trim(self, call: Call, offset: int) -> None:
+        """Drop the answer's bytes below an offset."""
+        before = call.answer.first_offset
+        call.answer.drop_before(offset)
+        self._kept_bytes -= call.answer.first_offset - before
+
+    def _drop_attempt(self, attempt: Attempt) -> None:
+        """Forget one wait for a call."""
+        if self._attempts.pop(attempt.ident, None) is None:
+            return
+        attempt.call.attempts.remove(attempt)
+        entry = attempt.ident[0]
+        self._open_by_entry[entry] -= 1
+        if not self._open_by_entry[entry]:
+            del self._open_by_entry[entry]
+
+    def _drop_call(self, call: Call | None) -> None:
+        """Forget a call and its answer."""
+        if call is None or self._calls.pop(call.number, None) is None:
+            return
+        self._kept_bytes -= call.answer.length - call.answer.first_offset
+        for attempt in list(call.attempts):
+            self._drop_attempt(attempt)
+
+    def has_attempts(self, entry: int) -> bool:
+        """Tell whether attempts of an entry are open."""
+        return self._open_by_entry.get(entry, 0) > 0
+
+    def list_calls(self) -> list[Call]:
+        """Return every call that is held."""
+        return list(self._calls.values())
+
+    @property
+    def kept_bytes(self) -> int:
+        """The answer bytes that are held for readers and resends."""
+        return self._kept_bytes
--- /dev/null
+++ b/sardinesaddle/dispatch.py
@@ -0,0 +1,177 @@
+"""Decides what an entry does with one request, from route to final answer.
+
+The dispatch is a state machine for one request. It is told what happens to its
+attempts and answers with the next step: send an attempt, wait, pass the answer on,
+or finish with a refusal. The rules are:
+
+* a request that may be repeated goes to another target when an attempt fails, as
+  long as the caller has got no byte, time is left and the retry budget allows it;
+* a request that may not be repeated is sent again only when the sidecar confirmed
+  that the attempt did not run and will not run;
+* a keyed request goes to its key's target or nowhere;
+* "not run" is passed on only if no attempt left this entry and no key could have
+  been used through another, or if the sidecar confirmed it for every attempt.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from sardinesaddle import errorcodes, retries
+
+LOST_PATIENCE_S: typing.Final = 1.0
+
+
+class Step(enum.Enum):
+    """What the entry does next."""
+
+    SEND = "send"
+    WAIT = "wait"
+    FINISH = "finish"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """The next step; a delay in seconds before it, or the refusal to finish with."""
+
+    step: Step
+    delay_s: float = 0.0
+    refusal: errorcodes.Refusal | None = None
+
+
+WAIT: typing.Final = Decision(Step.WAIT)
+
+
+class Dispatch:
+    """The state of one request at its entry."""
+
+    __slots__ = (
+        "_budget",
+        "_is_idempotent",
+        "_is_keyed",
+        "_unconfirmed",
+        "attempts",
+        "deadline_at",
+        "excluded",
+        "has_begun",
+    )
+
+    def __init__(
+        self,
+        is_idempotent: bool,
+        is_keyed: bool,
+        deadline_at: float,
+        budget: retries.RetryBudget,
+    ) -> None:
+        self._is_idempotent = is_idempotent
+        self._is_keyed = is_keyed
+        self._budget = budget
+        # Attempts that left this entry and were not confirmed as not run.
+        self._unconfirmed = 0
+        self.deadline_at = deadline_at
+        self.attempts = 0
+        self.excluded: set[str] = set()
+        self.has_begun = False
+
+    @property
+    def ran(self) -> errorcodes.Ran:
+        """What this entry knows by itself of the request's execution."""
+        if self._unconfirmed or self._is_keyed:
+            return errorcodes.Ran.UNKNOWN
+        return errorcodes.Ran.NOT_RUN
+
+    def on_sent(self, target: str) -> None:
+        """Take note that an attempt left this entry."""
+        self.attempts += 1
+        self._unconfirmed += 1
+        self.excluded.add(target)
+        if self.attempts == 1:
+            self._budget.earn()
+
+    def on_begun(self) -> None:
+        """Take note that the caller got the first part of the answer."""
+        self.has_begun = True
+
+    def on_no_target(self, now: float, draw: float) -> Decision:
+        """Decide when no target is usable, or the key's target is not there."""
+        delay_s = retries.compute_backoff(4, draw)
+        if now + delay_s >= self.deadline_at:
+            return self._finish(errorcodes.NO_TARGET, self.ran, "", 1.0)
+        return Decision(Step.SEND, delay_s)
+
+    def on_refused(
+        self, now: float, refusal: errorcodes.Refusal, draw: float
+    ) -> Decision:
+        """Decide on a sidecar's refusal."""
+        confirmed = refusal.ran is errorcodes.Ran.NOT_RUN
+        if confirmed:
+            self._unconfirmed -= 1
+        if refusal.code is errorcodes.TOMBSTONED:
+            # Only this attempt is known not to have run, not the whole key.
+            return self._try_again(now, draw, errorcodes.OUTCOME_UNKNOWN, refusal)
+        if self._is_keyed:
+            if refusal.code is errorcodes.KEY_ELSEWHERE and refusal.retry_after_s:
+                return self._wait_for_home(now, refusal)
+            return Decision(Step.FINISH, refusal=refusal)
+        if refusal.code in (errorcodes.KEY_MISMATCH, errorcodes.QUARANTINED):
+            return Decision(Step.FINISH, refusal=refusal)
+        if confirmed or self._is_idempotent:
+            return self._try_again(now, draw, refusal.code, refusal)
+        return self._finish(refusal.code, self.ran, refusal.detail)
+
+    def _wait_for_home(self, now: float, refusal: errorcodes.Refusal) -> Decision:
+        """Offer an opaque key again once its home may have settled."""
+        delay_s = min(refusal.retry_after_s, 1.0)
+        if now + delay_s >= self.deadline_at or self.attempts >= retries.MAX_ATTEMPTS:
+            return Decision(Step.FINISH, refusal=refusal)
+        return Decision(Step.SEND, delay_s)
+
+    def on_lost(self, now: float, draw: float) -> Decision:
+        """Decide when the target's sidecar restarted or stays out of reach."""
+        if self._is_idempotent and not self._is_keyed:
+            return self._try_again(now, draw, errorcodes.TARGET_FAILED, None)
+        return self._finish(
+            errorcodes.OUTCOME_UNKNOWN,
+            errorcodes.Ran.UNKNOWN,
+            "the target was lost after the request was sent",
+        )
+
+    def may_abandon(self) -> bool:
+        """Tell whether a silent attempt may be left for another target."""
+        return self._is_idempotent and not self._is_keyed and not self.has_begun
+
+    def on_deadline(self) -> Decision:
+        """Decide when the caller's deadline passes."""
+        return self._finish(errorcodes.DEADLINE_PASSED, self.ran, "")
+
+    def _try_again(
+        self,
+        now: float,
+        draw: float,
+        code: errorcodes.ErrorCode,
+        refusal: errorcodes.Refusal | None,
+    ) -> Decision:
+        """Send another attempt if the answer has not begun and limits allow it."""
+        detail = refusal.detail if refusal else ""
+        after_s = refusal.retry_after_s if refusal else 0.0
+        if self.has_begun or self.attempts >= retries.MAX_ATTEMPTS:
+            return self._finish(code, self.ran, detail, after_s)
+        delay_s = retries.compute_backoff(self.attempts, draw)
+        if now + delay_s >= self.deadline_at:
+            return self._finish(code, self.ran, detail, after_s)
+        if not self._budget.spend():
+            text = detail or "the last attempt failed"
+            spent = errorcodes.RETRY_BUDGET_SPENT
+            return self._finish(spent, self.ran, text, max(after_s, 0.5))
+        return Decision(Step.SEND, delay_s)
+
+    def _finish(
+        self,
+        code: errorcodes.ErrorCode,
+        ran: errorcodes.Ran,
+        detail: str,
+        after_s: float = 0.0,
+    ) -> Decision:
+        """End with a refusal."""
+        refusal = errorcodes.Refusal(code, ran, detail, after_s)
+        return Decision(Step.FINISH, refusal=refusal)
--- /dev/null
+++ b/sardinesaddle/filters.py
@@ -0,0 +1,226 @@
+"""The filters that a request passes at an entry before it is dispatched.
+
+Each filter is a plain class that completes the call or refuses it. They run in
+order: identify the account, classify the service, read the key, admit within the
+limits, set the deadline.
+"""
+
+import abc
+import json
+import typing
+
+import msgspec
+import xxhash
+
+from sardinesaddle import call, errorcodes, hashing, keys, limits, table
+
+DEADLINE_HEADER: typing.Final = "X-Deadline-Ms"
+KEY_HEADER: typing.Final = "Idempotency-Key"
+OFFSET_HEADER: typing.Final = "X-Resume-Offset"
+PREFIX_CHARS: typing.Final = 256
+PREFIX_MESSAGES: typing.Final = 2
+MIN_BUDGET_S: typing.Final = 0.001
+MAX_BUDGET_S: typing.Final = 7 * 86_400.0
+MODEL_PATH_PREFIX: typing.Final = "/v1/"
+
+
+class Message(msgspec.Struct, frozen=True):
+    """A chat message; content may be text or a list of parts."""
+
+    content: str | list[object] | None = None
+
+
+class ModelBody(msgspec.Struct, frozen=True):
+    """The fields of a model call that routing reads."""
+
+    model: str
+    messages: list[Message] = []
+    prompt: str | list[object] | None = None
+
+
+class Filter(abc.ABC):
+    """One step of the pipe that a request passes."""
+
+    @abc.abstractmethod
+    def apply(
+        self, now: float, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Complete the call, or return why it is refused."""
+
+
+class Identify(Filter):
+    """Finds the account of the bearer token."""
+
+    def apply(
+        self, now: float, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Set the account."""
+        scheme, _, token = req.get_header("Authorization").partition(" ")
+        account = tab.find_account(token) if scheme.lower() == "bearer" else None
+        if account is None:
+            return errorcodes.Refusal(
+                errorcodes.UNAUTHENTICATED, errorcodes.Ran.NOT_RUN
+            )
+        req.account = account
+        return None
+
+
+class Classify(Filter):
+    """Finds the service and whether the call may be repeated."""
+
+    def apply(
+        self, now: float, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Set the service, the fingerprint and the prompt prefix."""
+        req.fingerprint = compute_fingerprint(req)
+        if req.path.startswith(MODEL_PATH_PREFIX):
+            refusal = self._classify_model(tab, req)
+        else:
+            refusal = self._classify_plain(tab, req)
+        if refusal is None and req.service is not None:
+            req.is_idempotent = tab.is_idempotent(req.service, req.method)
+        return refusal
+
+    def _classify_model(
+        self, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Find the service of the model that the body names."""
+        try:
+            body = msgspec.json.decode(req.body, type=ModelBody)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            return errorcodes.Refusal(
+                errorcodes.BAD_REQUEST, errorcodes.Ran.NOT_RUN, f"the body: {exc}"
+            )
+        req.service = tab.find_model_service(body.model)
+        if req.service is None:
+            return refuse_service(f"model {body.model!r}")
+        req.prefix = compute_prefix(body)
+        return None
+
+    def _classify_plain(
+        self, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Find the plain service of the path."""
+        req.service = tab.find_plain_service(req.path)
+        if req.service is None:
+            return refuse_service(f"path {req.path.partition('?')[0]!r}")
+        return None
+
+
+class ReadKey(Filter):
+    """Reads the Idempotency-Key, and asks for one where it is needed."""
+
+    def __init__(self, secret: bytes) -> None:
+        self._secret = secret
+
+    def apply(
+        self, now: float, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Set the key."""
+        assert req.service is not None
+        text = req.get_header(KEY_HEADER)
+        if not text:
+            if req.is_idempotent:
+                return None
+            return errorcodes.Refusal(errorcodes.KEY_REQUIRED, errorcodes.Ran.NOT_RUN)
+        parsed = keys.parse_key(self._secret, req.account, req.service.service, text)
+        if isinstance(parsed, errorcodes.Refusal):
+            return parsed
+        req.key = parsed
+        req.key_text = text
+        return self._read_offset(req)
+
+    def _read_offset(self, req: call.Call) -> errorcodes.Refusal | None:
+        """Read from where the caller wants to go on with a keyed answer."""
+        text = req.get_header(OFFSET_HEADER)
+        if not text:
+            return None
+        if not text.isascii() or not text.isdigit() or len(text) > 12:
+            return errorcodes.Refusal(
+                errorcodes.BAD_REQUEST,
+                errorcodes.Ran.NOT_RUN,
+                f"{OFFSET_HEADER} must be a number of bytes",
+            )
+        req.offset = int(text)
+        return None
+
+
+class SetDeadline(Filter):
+    """Finds the limit row and the deadline."""
+
+    def __init__(self, place: str) -> None:
+        self._place = place
+
+    def apply(
+        self, now: float, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Set the limit row and the deadline."""
+        assert req.service is not None
+        name = req.service.service
+        req.limit = tab.find_limit(name, req.account, self._place)
+        if req.limit is None:
+            return errorcodes.Refusal(
+                errorcodes.NOT_ALLOWED,
+                req.ran_before_sending,
+                f"account {req.account!r}, service {name!r}",
+            )
+        budget_s = req.limit.deadline_s
+        text = req.get_header(DEADLINE_HEADER)
+        if text:
+            if not text.isascii() or not text.isdigit() or len(text) > 12:
+                return errorcodes.Refusal(
+                    errorcodes.BAD_REQUEST,
+                    errorcodes.Ran.NOT_RUN,
+                    f"{DEADLINE_HEADER} must be a number of milliseconds",
+                )
+            budget_s = int(text) / 1000.0
+        if budget_s < MIN_BUDGET_S:
+            return errorcodes.Refusal(
+                errorcodes.DEADLINE_UNREACHABLE, req.ran_before_sending
+            )
+        req.deadline_at = req.arrived_at + min(budget_s, MAX_BUDGET_S)
+        return None
+
+
+class Admit(Filter):
+    """Holds the account to its limits."""
+
+    def __init__(self, admission: limits.Admission) -> None:
+        self._admission = admission
+
+    def apply(
+        self, now: float, tab: table.Table, req: call.Call
+    ) -> errorcodes.Refusal | None:
+        """Admit the call; the entry releases it when it ends."""
+        assert req.limit is not None
+        return self._admission.admit(
+            now, req.account, req.limit, req.ran_before_sending
+        )
+
+
+def refuse_service(what: str) -> errorcodes.Refusal:
+    """Return the refusal for a call that no service takes."""
+    return errorcodes.Refusal(
+        errorcodes.NO_SERVICE, errorcodes.Ran.NOT_RUN, f"{what} is not in the table"
+    )
+
+
+def compute_fingerprint(req: call.Call) -> int:
+    """Return a digest of what the call would do, equal for equal requests."""
+    digest = xxhash.xxh64(f"{req.method} {req.path}\0".encode())
+    digest.update(req.body)
+    return digest.intdigest() >> 1
+
+
+def compute_prefix(body: ModelBody) -> int:
+    """Return a digest of the start of the prompt, never zero.
+
+    The first message is often an application's fixed instruction; with the second
+    it names the conversation, whose prefix one target may hold in its cache.
+    """
+    contents = [one.content for one in body.messages[:PREFIX_MESSAGES]]
+    if not contents:
+        contents = [body.prompt]
+    parts = [c if isinstance(c, str) else json.dumps(c) for c in contents]
+    text = "\0".join(part[:PREFIX_CHARS] for part in parts)
+    return hashing.hash_text(f"{body.model}\0{text}") >> 1 | 1
--- /dev/null
+++ b/sardinesaddle/httpplatform.py
@@ -0,0 +1,99 @@
+"""The platform's services over HTTP, read with aiohttp.
+
+The forms here are those of the stand-ins. A value of the configuration service is
+``GET /v1/values/NAME``; with ``?after=TAG`` the call waits for another tag. The
+host list is ``GET /v1/hosts``. Every call has a time limit.
+"""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from sardinesaddle import manifest, membership, platforms
+
+READ_TIMEOUT_S: typing.Final = 2.0
+WATCH_TIMEOUT_S: typing.Final = 30.0
+MAX_HOSTS_BYTES: typing.Final = 4 * 1024 * 1024
+
+_FAILURES: typing.Final = (aiohttp.ClientError, OSError, asyncio.TimeoutError)
+
+
+class HostRow(msgspec.Struct, frozen=True):
+    """A row of the host list as the platform publishes it."""
+
+    name: str
+    host: str
+    port: int
+    place: str
+    state: typing.Literal["live", "leaving"]
+
+
+async def read_bounded(resp: aiohttp.ClientResponse, limit: int) -> bytes | None:
+    """Return a body of at most ``limit`` bytes, or None if it is larger."""
+    data = bytearray()
+    async for chunk in resp.content.iter_chunked(64 * 1024):
+        data += chunk
+        if len(data) > limit:
+            return None
+    return bytes(data)
+
+
+class HttpConfigSource(platforms.ConfigSource):
+    """Reads the configuration service."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def read(self, name: str) -> platforms.Value | platforms.Unavailable:
+        """Return the value with this name."""
+        return await self._get(f"/v1/values/{name}", READ_TIMEOUT_S)
+
+    async def watch(
+        self, name: str, tag: str
+    ) -> platforms.Value | platforms.Unavailable:
+        """Return the value once it differs from the tag, or after a while."""
+        path = f"/v1/values/{name}?after={tag}"
+        return await self._get(path, WATCH_TIMEOUT_S)
+
+    async def _get(
+        self, path: str, timeout_s: float
+    ) -> platforms.Value | platforms.Unavailable:
+        """Read one value."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.get(self._url + path, timeout=timeout) as resp:
+                if resp.status != 200:
+                    return platforms.Unavailable(f"status {resp.status} for {path}")
+                data = await read_bounded(resp, manifest.MAX_VALUE_BYTES)
+                tag = resp.headers.get("ETag", "")
+        except _FAILURES as exc:
+            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+        if data is None:
+            limit = manifest.MAX_VALUE_BYTES
+            return platforms.Unavailable(f"{path} is over {limit} bytes")
+        return platforms.Value(data, tag)
+
+
+class HttpHostSource(platforms.HostSource):
+    """Reads the host list."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/") + "/v1/hosts"
+
+    async def list_hosts(self) -> list[membership.Host] | platforms.Unavailable:
+        """Return the hosts as the platform lists them."""
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        try:
+            async with self._session.get(self._url, timeout=timeout) as resp:
+                data = await read_bounded(resp, MAX_HOSTS_BYTES)
+            rows = msgspec.json.decode(data or b"", type=list[HostRow])
+        except (*_FAILURES, msgspec.DecodeError) as exc:
+            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+        return [
+            membership.Host(r.name, r.host, r.port, r.place, r.state == "leaving")
+            for r in rows
+        ]
--- /dev/null
+++ b/sardinesaddle/httptarget.py
@@ -0,0 +1,171 @@
+"""A target that speaks HTTP: the stand-in's form of an engine or plain service.
+
+A call is sent once. Whether any byte of it can have reached the target decides what
+the journal records, so only a failure to connect counts as not sent.
+"""
+
+import collections.abc
+import typing
+
+import aiohttp
+import msgspec
+
+from sardinesaddle import platforms
+
+CONNECT_TIMEOUT_S: typing.Final = 1.0
+SILENCE_TIMEOUT_S: typing.Final = 60.0
+ORDER_TIMEOUT_S: typing.Final = 5.0
+CHUNK_BYTES: typing.Final = 16 * 1024
+DROPPED_HEADERS: typing.Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "date",
+        "server",
+    }
+)
+
+
+class LoadBody(msgspec.Struct, frozen=True):
+    """The form of a load report."""
+
+    running: int
+    waiting: int
+    cached_prefixes: list[int] = []
+
+
+class CacheEventBody(msgspec.Struct, frozen=True):
+    """The form of a cache event."""
+
+    sequence: int
+    prefix: int
+    is_held: bool
+
+
+def make_timeout(total_s: float | None) -> aiohttp.ClientTimeout:
+    """Return the time limits of a call to the target."""
+    return aiohttp.ClientTimeout(
+        total=total_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_TIMEOUT_S
+    )
+
+
+class HttpTarget(platforms.Target):
+    """Speaks HTTP to the target at a base address.
+
+    ``single_use`` opens a connection for each call. It carries the calls that may
+    not be repeated: aiohttp sends some methods again when a kept connection turns
+    out to be closed, and a kept connection that has gone silent would leave the
+    outcome of such a call unknown.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        single_use: aiohttp.ClientSession,
+        url: str,
+    ) -> None:
+        self._session = session
+        self._single_use = single_use
+        self._url = url.rstrip("/")
+
+    async def run(
+        self, req: platforms.TargetRequest
+    ) -> collections.abc.AsyncGenerator[platforms.TargetEvent, None]:
+        """Run a call and yield its answer."""
+        headers = [*req.headers, ("X-Priority", str(req.priority))]
+        session = self._session if req.is_idempotent else self._single_use
+        try:
+            async with session.request(
+                req.method,
+                self._url + req.path,
+                headers=headers,
+                data=req.body or None,
+                timeout=make_timeout(None),
+                allow_redirects=False,
+            ) as resp:
+                kept = [
+                    (str(name), value)
+                    for name, value in resp.headers.items()
+                    if name.lower() not in DROPPED_HEADERS
+                ]
+                yield platforms.TargetHead(resp.status, kept)
+                async for chunk in resp.content.iter_any():
+                    yield platforms.TargetData(chunk)
+                yield platforms.TargetEnd()
+        except aiohttp.ClientConnectorError as exc:
+            yield platforms.TargetFailure(str(exc), was_sent=False)
+        except aiohttp.ConnectionTimeoutError as exc:
+            yield platforms.TargetFailure(str(exc), was_sent=False)
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            reason = f"{type(exc).__name__}: {exc}"
+            yield platforms.TargetFailure(reason, was_sent=True)
+
+    async def _get(self, path: str) -> bytes | platforms.Unavailable:
+        """Read one of the target's own pages."""
+        try:
+            async with self._session.get(
+                self._url + path, timeout=make_timeout(ORDER_TIMEOUT_S)
+            ) as resp:
+                if resp.status != 200:
+                    return platforms.Unavailable(f"status {resp.status}")
+                return await resp.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+
+    async def read_load(self) -> platforms.LoadReport | platforms.Unavailable:
+        """Return the target's lagging load report."""
+        data = await self._get("/control/load")
+        if isinstance(data, platforms.Unavailable):
+            return data
+        try:
+            body = msgspec.json.decode(data, type=LoadBody)
+        except msgspec.DecodeError as exc:
+            return platforms.Unavailable(str(exc))
+        return platforms.LoadReport(body.running, body.waiting, body.cached_prefixes)
+
+    async def read_cache_events(
+        self, after: int
+    ) -> list[platforms.CacheEvent] | platforms.Unavailable:
+        """Return cache events past a sequence number."""
+        data = await self._get(f"/control/cache-events?after={after}")
+        if isinstance(data, platforms.Unavailable):
+            return data
+        try:
+            rows = msgspec.json.decode(data, type=list[CacheEventBody])
+        except msgspec.DecodeError as exc:
+            return platforms.Unavailable(str(exc))
+        return [platforms.CacheEvent(r.sequence, r.prefix, r.is_held) for r in rows]
+
+    async def give_order(self, order: platforms.Order) -> bool | platforms.Unavailable:
+        """Give an order; False means that the target refused its fence."""
+        body = msgspec.json.encode(order)
+        status = await self._post("/control/orders", body)
+        if isinstance(status, platforms.Unavailable):
+            return status
+        return status != 409
+
+    async def export_cache(self, prefix: int) -> bytes | platforms.Unavailable:
+        """Return the KV cache of a prefix."""
+        return await self._get(f"/control/kv/{prefix}")
+
+    async def import_cache(
+        self, prefix: int, data: bytes
+    ) -> bool | platforms.Unavailable:
+        """Give the target the KV cache of a prefix."""
+        status = await self._post(f"/control/kv/{prefix}", data)
+        if isinstance(status, platforms.Unavailable):
+            return status
+        return status == 200
+
+    async def _post(self, path: str, body: bytes) -> int | platforms.Unavailable:
+        """Send something to the target; return the status."""
+        try:
+            async with self._session.post(
+                self._url + path, data=body, timeout=make_timeout(ORDER_TIMEOUT_S)
+            ) as resp:
+                await resp.read()
+                return resp.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
--- /dev/null
+++ b/sardinesaddle/journal.py
@@ -0,0 +1,291 @@
+"""The sidecar's record of keyed calls: what makes work run at most once.
+
+Every attempt passes ``offer`` before any work starts. For a keyed attempt the
+journal answers with one of four actions:
+
+* start: no call with this key was ever accepted here, and none can have been
+  accepted elsewhere or by an earlier incarnation;
+* join: a call with this key is queued, running or done; the attempt gets its answer;
+* consult: the table moved the key's home, so earlier homes must first release it;
+* refuse: the call is not started, and the refusal says what is known.
+
+Nothing is stored, so a restart empties the journal. A minted key names the
+incarnation that may run it; an opaque key is refused until the journal has lived
+through one retry horizon, because its call may have run before the restart.
+
+``withdraw`` is how "not run" becomes true: it leaves a tombstone for the attempt,
+which refuses the attempt if it arrives late.
+
+Time is in seconds on the sidecar's own clock.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from sardinesaddle import errorcodes, keys
+
+RETRY_HORIZON_S: typing.Final = 600.0
+MAX_KEY_LIFETIME_S: typing.Final = 86_400.0
+
+
+class State(enum.Enum):
+    """The states of a journal record."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    RELEASED = "released"
+
+
+class Record:
+    """What the journal holds for one key."""
+
+    __slots__ = ("call", "expires_at", "fingerprint", "state")
+
+    def __init__(
+        self, state: State, call: int, fingerprint: int, expires_at: float
+    ) -> None:
+        self.state = state
+        self.call = call
+        self.fingerprint = fingerprint
+        self.expires_at = expires_at
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Accept the attempt as a new call."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """Give the attempt the answer of the call with this number."""
+
+    call: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Consult:
+    """Ask these earlier homes to release the key, then offer it again."""
+
+    homes: tuple[str, ...]
+
+
+Decision = Start | Join | Consult | errorcodes.Refusal
+
+
+class Journal:
+    """Decides which keyed attempts start a call."""
+
+    __slots__ = (
+        "_horizon_s",
+        "_records",
+        "_started_at",
+        "_tombstones",
+        "incarnation",
+        "target",
+    )
+
+    def __init__(
+        self,
+        target: str,
+        incarnation: int,
+        started_at: float,
+        horizon_s: float = RETRY_HORIZON_S,
+    ) -> None:
+        self.target = target
+        self.incarnation = incarnation
+        self._started_at = started_at
+        self._horizon_s = horizon_s
+        self._records: dict[keys.Key, Record] = {}
+        self._tombstones: dict[tuple[int, int], float] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def offer(
+        self,
+        now: float,
+        attempt: tuple[int, int],
+        key: keys.Key | None,
+        fingerprint: int = 0,
+        earlier_homes: tuple[str, ...] | None = (),
+    ) -> Decision:
+        """Decide what to do with an attempt that arrived.
+
+        ``earlier_homes`` are the homes of an opaque key under tables that were in
+        force during the last horizon and have not released it; None means that
+        they are not known.
+        """
+        if attempt in self._tombstones:
+            return errorcodes.Refusal(errorcodes.TOMBSTONED, errorcodes.Ran.NOT_RUN)
+        if key is None:
+            return Start()
+        if isinstance(key, keys.MintedKey):
+            refusal = self._check_minted(now, key)
+        else:
+            refusal = None
+        if refusal is not None:
+            return refusal
+        record = self._records.get(key)
+        if record is not None:
+            return self._decide_known(record, fingerprint)
+        if isinstance(key, keys.OpaqueKey):
+            return self._decide_new_opaque(now, earlier_homes)
+        return Start()
+
+    def _check_minted(
+        self, now: float, key: keys.MintedKey
+    ) -> errorcodes.Refusal | None:
+        """Refuse a minted key of another target, another life or the past."""
+        if key.target != self.target:
+            return errorcodes.Refusal(
+                errorcodes.KEY_ELSEWHERE,
+                errorcodes.Ran.UNKNOWN,
+                f"the key belongs to target {key.target!r}",
+            )
+        if key.incarnation != self.incarnation:
+            return errorcodes.Refusal(errorcodes.KEY_FORGOTTEN, errorcodes.Ran.UNKNOWN)
+        if self._compute_expiry(now, key) <= now:
+            return errorcodes.Refusal(errorcodes.KEY_EXPIRED, errorcodes.Ran.UNKNOWN)
+        return None
+
+    def _decide_known(self, record: Record, fingerprint: int) -> Decision:
+        """Decide for a key that the journal holds."""
+        if record.state is State.RELEASED:
+            return errorcodes.Refusal(
+                errorcodes.KEY_ELSEWHERE,
+                errorcodes.Ran.UNKNOWN,
+                "the key was released to another target",
+                1.0,
+            )
+        if record.fingerprint != fingerprint:
+            return errorcodes.Refusal(errorcodes.KEY_MISMATCH, errorcodes.Ran.NOT_RUN)
+        if record.state is State.UNKNOWN:
+            return errorcodes.Refusal(
+                errorcodes.OUTCOME_UNKNOWN, errorcodes.Ran.UNKNOWN
+            )
+        return Join(record.call)
+
+    def _decide_new_opaque(
+        self, now: float, earlier_homes: tuple[str, ...] | None
+    ) -> Decision:
+        """Decide for an opaque key that the journal does not hold."""
+        age_s = now - self._started_at
+        if age_s < self._horizon_s:
+            return errorcodes.Refusal(
+                errorcodes.KEY_FORGOTTEN,
+                errorcodes.Ran.UNKNOWN,
+                "the sidecar restarted less than a retry horizon ago",
+                self._horizon_s - age_s,
+            )
+        if earlier_homes is None:
+            return errorcodes.Refusal(
+                errorcodes.KEY_ELSEWHERE,
+                errorcodes.Ran.UNKNOWN,
+                "this sidecar missed revisions that moved the service's keys",
+                self._horizon_s,
+            )
+        if earlier_homes:
+            return Consult(earlier_homes)
+        return Start()
+
+    def _compute_expiry(self, now: float, key: keys.Key) -> float:
+        """Return when the key's record may be dropped."""
+        if isinstance(key, keys.MintedKey):
+            return self._started_at + key.expires_ms / 1000.0
+        return now + MAX_KEY_LIFETIME_S
+
+    def accept(self, now: float, key: keys.Key, call: int, fingerprint: int) -> None:
+        """Record that a started attempt became a queued call."""
+        expires_at = self._compute_expiry(now, key)
+        self._records[key] = Record(State.QUEUED, call, fingerprint, expires_at)
+
+    def mark_running(self, key: keys.Key) -> None:
+        """Record that the call is being given to the target."""
+        self._records[key].state = State.RUNNING
+
+    def mark_done(self, key: keys.Key) -> None:
+        """Record that the whole answer is kept."""
+        self._records[key].state = State.DONE
+
+    def mark_unknown(self, key: keys.Key) -> None:
+        """Record that the target's answer was lost after the call was sent."""
+        self._records[key].state = State.UNKNOWN
+
+    def reopen(self, key: keys.Key) -> None:
+        """Record that a running call never reached the target after all."""
+        self._records[key].state = State.QUEUED
+
+    def forget_queued(self, key: keys.Key) -> None:
+        """Drop a call that was refused before it was given to the target."""
+        record = self._records.get(key)
+        if record is not None and record.state is State.QUEUED:
+            del self._records[key]
+
+    def withdraw(
+        self,
+        now: float,
+        attempt: tuple[int, int],
+        key: keys.Key | None,
+        earlier_homes: tuple[str, ...] | None = (),
+    ) -> errorcodes.Ran:
+        """Leave a tombstone for the attempt; return what is known of its call.
+
+        The caller must have removed the attempt's own queued call first. The
+        result NOT_RUN may be passed on to the caller as it is.
+        """
+        self._tombstones[attempt] = now + self._horizon_s
+        if key is None:
+            return errorcodes.Ran.NOT_RUN
+        if isinstance(key, keys.MintedKey) and key.incarnation != self.incarnation:
+            return errorcodes.Ran.UNKNOWN
+        record = self._records.get(key)
+        if record is not None:
+            if record.state is State.DONE:
+                return errorcodes.Ran.DONE
+            return errorcodes.Ran.UNKNOWN
+        is_young = now - self._started_at < self._horizon_s
+        if isinstance(key, keys.OpaqueKey) and (is_young or earlier_homes != ()):
+            # An earlier attempt may have run before a restart or at another home.
+            return errorcodes.Ran.UNKNOWN
+        return errorcodes.Ran.NOT_RUN
+
+    def release(self, now: float, key: keys.OpaqueKey) -> bool:
+        """Give up the key for good if no call used it; return whether it is free.
+
+        A journal that is younger than the horizon cannot know, and refuses.
+        """
+        record = self._records.get(key)
+        if record is not None:
+            return record.state is State.RELEASED
+        if now - self._started_at < self._horizon_s:
+            return False
+        expires_at = now + MAX_KEY_LIFETIME_S
+        self._records[key] = Record(State.RELEASED, 0, 0, expires_at)
+        return True
+
+    def expire(self, now: float) -> list[int]:
+        """Drop records past their lifetime; return their calls."""
+        expired = [k for k, r in self._records.items() if self._may_drop(r, now)]
+        calls = [self._records[key].call for key in expired]
+        for key in expired:
+            del self._records[key]
+        stale = [a for a, at in self._tombstones.items() if at <= now]
+        for attempt in stale:
+            del self._tombstones[attempt]
+        return calls
+
+    def _may_drop(self, record: Record, now: float) -> bool:
+        """Tell whether a record's key can no longer be run."""
+        if record.state in (State.QUEUED, State.RUNNING):
+            return False
+        return record.expires_at <= now
+
+    def count_by_state(self) -> dict[str, int]:
+        """Return the number of records in each state, for status pages."""
+        counts = {state.value: 0 for state in State}
+        for record in self._records.values():
+            counts[record.state.value] += 1
+        return counts
--- /dev/null
+++ b/sardinesaddle/limits.py
@@ -0,0 +1,115 @@
+"""Limits of an account at one entry: a token bucket and a count in progress.
+
+The bucket holds what the account may start now. Its rate is the entry's share of
+the row's rate; the module ``leases`` moves shares between entries.
+"""
+
+import typing
+
+from sardinesaddle import errorcodes, table
+
+MIN_RETRY_AFTER_S: typing.Final = 0.05
+
+
+class Bucket:
+    """A token bucket; time is passed in, in seconds."""
+
+    __slots__ = ("_at", "_level", "burst", "rate")
+
+    def __init__(self, now: float, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self._level = burst
+        self._at = now
+
+    def resize(self, now: float, rate: float, burst: float) -> None:
+        """Change the rate and the burst; the level never rises by it."""
+        self._refill(now)
+        self.rate = rate
+        self.burst = burst
+        self._level = min(self._level, burst)
+
+    def _refill(self, now: float) -> None:
+        """Add what has accrued."""
+        if now > self._at:
+            self._level = min(self.burst, self._level + (now - self._at) * self.rate)
+            self._at = now
+
+    def take(self, now: float, count: float = 1.0) -> bool:
+        """Take tokens; return False if there are too few."""
+        self._refill(now)
+        if self._level < count:
+            return False
+        self._level -= count
+        return True
+
+    def take_up_to(self, now: float, count: float) -> int:
+        """Take as many whole tokens as there are, up to ``count``."""
+        self._refill(now)
+        taken = int(min(self._level, count))
+        self._level -= taken
+        return taken
+
+    def compute_delay(self, now: float, count: float = 1.0) -> float:
+        """Return the seconds until that many tokens are there."""
+        self._refill(now)
+        if self._level >= count:
+            return 0.0
+        if self.rate <= 0:
+            return 60.0
+        return (count - self._level) / self.rate
+
+
+class Admission:
+    """Admits calls of each account and service at one entry."""
+
+    __slots__ = ("_buckets", "_in_progress", "_rate_share")
+
+    def __init__(self, rate_share: float = 1.0) -> None:
+        self._rate_share = rate_share
+        self._buckets: dict[tuple[str, str], Bucket] = {}
+        self._in_progress: dict[tuple[str, str], int] = {}
+
+    def admit(
+        self, now: float, account: str, row: table.LimitRow, ran: errorcodes.Ran
+    ) -> errorcodes.Refusal | None:
+        """Admit a call or refuse it; every admitted call must be released."""
+        ident = (row.service, account)
+        held = self._in_progress.get(ident, 0)
+        if held >= row.concurrency:
+            return errorcodes.Refusal(
+                errorcodes.CONCURRENCY_LIMITED,
+                ran,
+                f"{held} calls are in progress; the limit is {row.concurrency}",
+                MIN_RETRY_AFTER_S,
+            )
+        rate = row.rate * self._rate_share
+        bucket = self._buckets.get(ident)
+        if bucket is None:
+            bucket = Bucket(now, rate, row.burst)
+            self._buckets[ident] = bucket
+        elif bucket.rate != rate or bucket.burst != row.burst:
+            bucket.resize(now, rate, row.burst)
+        if not bucket.take(now):
+            delay_s = max(bucket.compute_delay(now), MIN_RETRY_AFTER_S)
+            return errorcodes.Refusal(
+                errorcodes.RATE_LIMITED,
+                ran,
+                f"the limit is {row.rate:g} calls a second",
+                delay_s,
+            )
+        self._in_progress[ident] = held + 1
+        return None
+
+    def release(self, account: str, service: str) -> None:
+        """Take note that an admitted call ended."""
+        ident = (service, account)
+        held = self._in_progress.get(ident, 0) - 1
+        if held > 0:
+            self._in_progress[ident] = held
+        else:
+            self._in_progress.pop(ident, None)
+
+    def count_in_progress(self) -> dict[str, int]:
+        """Return the calls in progress for each service and account."""
+        return {f"{s}/{a}": n for (s, a), n in sorted(self._in_progress.items())}
--- /dev/null
+++ b/sardinesaddle/link.py
@@ -0,0 +1,203 @@
+"""One authenticated connection between two processes of the system.
+
+The link reads frames, runs the handshake, sends heartbeats and notices silence. It
+hands every message to its owner and holds no state of any request: when a link is
+lost, the owner opens another and continues there.
+"""
+
+import abc
+import asyncio
+import typing
+
+from sardinesaddle import frames, handshake, wire
+
+HANDSHAKE_TIMEOUT_S: typing.Final = 3.0
+HEARTBEAT_BUSY_S: typing.Final = 1.0
+HEARTBEAT_IDLE_S: typing.Final = 4.0
+SILENCE_BUSY_S: typing.Final = 3.0
+SILENCE_IDLE_S: typing.Final = 12.0
+MAX_WRITE_BUFFER_BYTES: typing.Final = 8 * 1024 * 1024
+
+
+class Owner(abc.ABC):
+    """What a link reports to."""
+
+    @abc.abstractmethod
+    def on_open(self, link: "Link") -> None:
+        """Take note that the handshake succeeded."""
+
+    @abc.abstractmethod
+    def on_message(self, link: "Link", msg: wire.Message) -> None:
+        """Handle a message."""
+
+    @abc.abstractmethod
+    def on_closed(self, link: "Link", reason: str) -> None:
+        """Take note that the connection ended."""
+
+    @abc.abstractmethod
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Return this process's state for the peer."""
+
+    @abc.abstractmethod
+    def is_busy(self, link: "Link") -> bool:
+        """Tell whether work in progress depends on the link."""
+
+
+class Link(asyncio.Protocol):
+    """A connection, from the first byte to its end."""
+
+    def __init__(
+        self,
+        owner: Owner,
+        loop: asyncio.AbstractEventLoop,
+        client: handshake.ClientHandshake | None = None,
+        server: handshake.ServerHandshake | None = None,
+    ) -> None:
+        self._owner = owner
+        self._loop = loop
+        self._client = client
+        self._server = server
+        self._reader = frames.FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._reason = "the peer closed the connection"
+        self._opened_at = loop.time()
+        self._heard_at = loop.time()
+        self._sent_at = loop.time()
+        self._busy_since = loop.time()
+        self._is_closed = False
+        self.peer: handshake.Peer | None = None
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the handshake."""
+        # The transports of uvloop are no subclasses of asyncio's.
+        self._transport = typing.cast("asyncio.Transport", transport)
+        self._heard_at = self._loop.time()
+        if self._client is not None:
+            self.send(self._client.hello)
+        self._timer = self._loop.call_later(HEARTBEAT_BUSY_S, self._tick)
+
+    def data_received(self, data: bytes) -> None:
+        """Read the frames that are complete."""
+        self._heard_at = self._loop.time()
+        self.bytes_in += len(data)
+        self._reader.feed(data)
+        while not self._is_closed:
+            msg = self._reader.read_message()
+            if msg is None:
+                return
+            if isinstance(msg, frames.FrameFault):
+                self.close(msg.reason)
+                return
+            self._handle(msg)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection once."""
+        self._finish(self._reason if exc is None else str(exc))
+
+    def send(self, msg: wire.Message) -> None:
+        """Queue a message; a peer that does not read loses its connection."""
+        if self._is_closed or self._transport is None:
+            return
+        frame = frames.encode_frame(msg)
+        self.bytes_out += len(frame)
+        self._sent_at = self._loop.time()
+        self._transport.write(frame)
+        if self._transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+            self.close("the peer does not read")
+
+    def close(self, reason: str) -> None:
+        """End the connection at once."""
+        self._reason = reason
+        if self._transport is not None:
+            self._transport.abort()
+        self._finish(reason)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the handshake is done and the connection stands."""
+        return self.peer is not None and not self._is_closed
+
+    def silent_for_s(self) -> float:
+        """Return the seconds since the peer was last heard."""
+        return self._loop.time() - self._heard_at
+
+    def _handle(self, msg: wire.Message) -> None:
+        """Pass a message to the owner, or to the handshake before it is done."""
+        if self.peer is not None:
+            self._owner.on_message(self, msg)
+            return
+        if self._client is not None:
+            self._shake_client(self._client, msg)
+        elif self._server is not None:
+            self._shake_server(self._server, msg)
+
+    def _shake_client(
+        self, client: handshake.ClientHandshake, msg: wire.Message
+    ) -> None:
+        """Take the connecting side's next step."""
+        result = client.answer(msg)
+        if isinstance(result, handshake.HandshakeFault):
+            self.close(result.reason)
+            return
+        proof, peer = result
+        self.send(proof)
+        self._open(peer)
+
+    def _shake_server(
+        self, server: handshake.ServerHandshake, msg: wire.Message
+    ) -> None:
+        """Take the accepting side's next step."""
+        result = (
+            server.welcome(msg) if isinstance(msg, wire.Hello) else server.finish(msg)
+        )
+        if isinstance(result, handshake.HandshakeFault):
+            self.send(wire.Rejected(result.reason))
+            if self._transport is not None:
+                self._reason = result.reason
+                self._transport.close()
+            return
+        if isinstance(result, wire.Welcome):
+            self.send(result)
+            return
+        self._open(result)
+
+    def _open(self, peer: handshake.Peer) -> None:
+        """Report the peer and lift the frame bound."""
+        self.peer = peer
+        self._reader.max_frame_bytes = frames.MAX_FRAME_BYTES
+        self._owner.on_open(self)
+        self.send(self._owner.make_heartbeat())
+
+    def _tick(self) -> None:
+        """Send a heartbeat when due and close the link when it is silent."""
+        if self._is_closed:
+            return
+        now = self._loop.time()
+        self._timer = self._loop.call_later(HEARTBEAT_BUSY_S, self._tick)
+        if self.peer is None:
+            if now - self._opened_at > HANDSHAKE_TIMEOUT_S:
+                self.close("the handshake took too long")
+            return
+        busy = self._owner.is_busy(self)
+        if not busy:
+            self._busy_since = now
+        # The peer's next heartbeat may still follow the idle period when work starts.
+        silent_since = max(self._heard_at, self._busy_since) if busy else self._heard_at
+        if now - silent_since > (SILENCE_BUSY_S if busy else SILENCE_IDLE_S):
+            self.close("the peer was silent")
+            return
+        period_s = HEARTBEAT_BUSY_S if busy else HEARTBEAT_IDLE_S
+        if now - self._sent_at >= period_s - HEARTBEAT_BUSY_S / 2:
+            self.send(self._owner.make_heartbeat())
+
+    def _finish(self, reason: str) -> None:
+        """Stop the timer and tell the owner, once."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._owner.on_closed(self, reason)
--- /dev/null
+++ b/sardinesaddle/main.py
@@ -0,0 +1,205 @@
+"""The command line: one program, one word for each job.
+
+``sardinesaddle --help`` lists the words; ``sardinesaddle WORD --help`` is the help
+page of one. A wrong word, a missing file or a bad setting gives one line on standard
+error that names the remedy, and a non-zero exit status.
+"""
+
+import difflib
+import inspect
+import json
+import sys
+import typing
+
+import fire
+import fire.core
+
+import sardinesaddle
+from sardinesaddle import settings
+
+EXIT_FAILED: typing.Final = 1
+EXIT_USAGE: typing.Final = 2
+
+
+class CommandError(Exception):
+    """A command cannot do its job; the text names the remedy."""
+
+
+def print_line(text: str) -> None:
+    """Write one line of a command's result."""
+    sys.stdout.write(text + "\n")
+
+
+def load_checked(
+    path: str, kind: type[settings.Settings]
+) -> tuple[settings.Settings, bytes]:
+    """Read the settings and the secret of a role."""
+    cfg = settings.load_settings(path, kind)
+    if isinstance(cfg, settings.SettingsFault):
+        raise CommandError(cfg.text)
+    secret_file: str = cfg.secret_file  # type: ignore[attr-defined]
+    secret = settings.load_secret(secret_file)
+    if isinstance(secret, settings.SettingsFault):
+        raise CommandError(secret.text)
+    return cfg, secret
+
+
+class TableCommands:
+    """Check, split and explain the operators' table."""
+
+    def check(self, file: str) -> None:
+        """Check a table and list every fault with its sheet and row.
+
+        FILE is JSON with comments; its sheets are accounts, services, targets,
+        limits and groups.
+        """
+        from sardinesaddle import tabletool
+
+        rows = tabletool.load_rows(file)
+        if isinstance(rows, tabletool.TableFaults):
+            raise CommandError("\n".join(rows.lines))
+        print_line(f"{file}: {tabletool.describe_rows(rows)}; no faults")
+
+    def split(self, file: str, out: str, before: str = "") -> None:
+        """Split a table into a manifest and shards for publishing.
+
+        FILE is the table; OUT is a directory that gets one file for each value to
+        publish. BEFORE is the directory of the revision that this one follows.
+        Publish the shards first and the value 'manifest' last.
+        """
+        from sardinesaddle import tabletool
+
+        result = tabletool.split_table(file, out, before)
+        if isinstance(result, tabletool.TableFaults):
+            raise CommandError("\n".join(result.lines))
+        print_line(result)
+
+    def explain(self, file: str, service: str, account: str, place: str) -> None:
+        """Show the row that decides for a service, client account and place."""
+        from sardinesaddle import tabletool
+
+        rows = tabletool.load_rows(file)
+        if isinstance(rows, tabletool.TableFaults):
+            raise CommandError("\n".join(rows.lines))
+        text = tabletool.explain_row(rows, service, account, place)
+        if isinstance(text, tabletool.TableFaults):
+            raise CommandError("\n".join(text.lines))
+        print_line(text)
+
+
+class Commands:
+    """A load balancer for expert-parallel model groups."""
+
+    def __init__(self) -> None:
+        self.table = TableCommands()
+
+    def entry(self, settings_file: str) -> None:
+        """Run an entry: take calls over HTTP and route them to targets.
+
+        SETTINGS_FILE is JSON with comments; see docs/OPERATORS.md. SIGTERM drains
+        the entry and ends it with status 0.
+        """
+        from sardinesaddle import build, logs
+
+        cfg, secret = load_checked(settings_file, settings.EntrySettings)
+        logs.start_logging("entry", cfg.log_level)
+        build.run_role(lambda: build.EntryProcess(cfg, secret))
+
+    def sidecar(self, settings_file: str) -> None:
+        """Run the sidecar beside a target: the only process that gives it work.
+
+        SETTINGS_FILE is JSON with comments; see docs/OPERATORS.md. SIGTERM drains
+        the sidecar and ends it with status 0.
+        """
+        from sardinesaddle import build, logs
+
+        cfg, secret = load_checked(settings_file, settings.SidecarSettings)
+        logs.start_logging("sidecar", cfg.log_level)
+        build.run_role(lambda: build.SidecarProcess(cfg, secret))
+
+    def check(self, role: str, settings_file: str) -> None:
+        """Check a settings file without starting anything.
+
+        ROLE is 'entry' or 'sidecar'.
+        """
+        if role == "entry":
+            load_checked(settings_file, settings.EntrySettings)
+        elif role == "sidecar":
+            load_checked(settings_file, settings.SidecarSettings)
+        else:
+            raise CommandError(f"role {role!r} does not exist; use entry or sidecar")
+        print_line(f"{settings_file}: valid settings of role {role}")
+
+    def status(self, url: str) -> None:
+        """Show what a process sees now: revision, targets, drains, limits.
+
+        URL is the admin address of an entry or a sidecar.
+        """
+        from sardinesaddle import statuspage
+
+        page = statuspage.fetch_status(url)
+        if isinstance(page, statuspage.StatusFault):
+            raise CommandError(page.text)
+        print_line(json.dumps(page, indent=2))
+
+    def standins(self, port: int = 9000) -> None:
+        """Run the stand-ins of a small deployment as one process of their own.
+
+        PORT and the ports after it are used; settings files for one entry and one
+        sidecar are written to the directory 'quickstart'.
+        """
+        from sardinesaddle.standins import quickstart
+
+        quickstart.run(port)
+
+    def version(self) -> None:
+        """Print the version."""
+        print_line(sardinesaddle.VERSION)
+
+
+def check_words(words: list[str], commands: object, path: str) -> None:
+    """Refuse a word that names no command, with the nearest one that does."""
+    if not words or words[0].startswith("-"):
+        return
+    names = [
+        name for name, _ in inspect.getmembers(commands) if not name.startswith("_")
+    ]
+    word = words[0]
+    if word not in names:
+        near = difflib.get_close_matches(word, names, n=1)
+        hint = f"; did you mean {near[0]!r}?" if near else ""
+        known = ", ".join(names)
+        raise CommandError(f"{path} has no command {word!r}{hint} (known: {known})")
+    inner = getattr(commands, word)
+    if not callable(inner):
+        check_words(words[1:], inner, f"{path} {word}")
+
+
+def main() -> None:
+    """Run the command line."""
+    words = sys.argv[1:]
+    commands = Commands()
+    try:
+        check_words(words, commands, "sardinesaddle")
+        if not words or words == ["--help"] or words == ["-h"]:
+            print_help(commands)
+            return
+        fire.Fire(commands, command=words, name="sardinesaddle")
+    except CommandError as exc:
+        sys.stderr.write(f"sardinesaddle: {exc}\n")
+        sys.exit(EXIT_FAILED)
+    except fire.core.FireExit as exc:
+        sys.exit(exc.code)
+
+
+def print_help(commands: Commands) -> None:
+    """Print one line for each command."""
+    print_line("sardinesaddle WORD [ARGUMENTS]; WORD --help is the help page of one.")
+    for name, member in inspect.getmembers(commands):
+        if not name.startswith("_"):
+            text = (inspect.getdoc(member) or "").partition("\n")[0]
+            print_line(f"  {name:10} {text}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sardinesaddle/manifest.py
@@ -0,0 +1,112 @@
+"""The published form of a table: a manifest and shards named by their content.
+
+A shard is plain JSON with some rows of the table. Its name is the SHA-256 digest
+of its bytes, so a shard never changes and may come from any peer. The manifest
+holds the revision, the digests of all shards, and for each service the last
+revisions at which its set of targets changed; a sidecar needs these to know
+whether it missed a move of the homes of opaque keys.
+"""
+
+import hashlib
+import typing
+
+import msgspec
+
+from sardinesaddle import table
+
+MANIFEST_NAME: typing.Final = "manifest"
+ROWS_PER_SHARD: typing.Final = 2000
+MAX_VALUE_BYTES: typing.Final = 1024 * 1024
+KEPT_HOME_CHANGES: typing.Final = 8
+VERSION_TAG_BYTES: typing.Final = 3
+
+
+class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A revision of the table, by reference."""
+
+    revision: int
+    shards: list[str]
+    home_changes: dict[str, list[int]] = {}
+
+
+class ParseFault(msgspec.Struct, frozen=True):
+    """A sentinel: published content cannot be read, with the reason."""
+
+    reason: str
+
+
+def compute_digest(data: bytes) -> str:
+    """Return the name of a shard."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def compute_version(revision: int, data: bytes) -> int:
+    """Return a number that orders manifests by revision, then by content."""
+    tag = int.from_bytes(hashlib.sha256(data).digest()[:VERSION_TAG_BYTES], "big")
+    return revision << 8 * VERSION_TAG_BYTES | tag
+
+
+def parse_manifest(data: bytes) -> Manifest | ParseFault:
+    """Read a published manifest."""
+    try:
+        manifest = msgspec.json.decode(data, type=Manifest)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return ParseFault(f"the manifest cannot be read: {exc}")
+    if manifest.revision < 1:
+        return ParseFault(f"revision {manifest.revision} must be 1 or more")
+    return manifest
+
+
+def parse_shard(data: bytes) -> table.Rows | ParseFault:
+    """Read a published shard."""
+    try:
+        return msgspec.json.decode(data, type=table.Rows)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return ParseFault(f"a shard cannot be read: {exc}")
+
+
+def split_rows(rows: table.Rows) -> list[bytes]:
+    """Return the shards of a table; equal rows give equal shards.
+
+    Rows are grouped by sheet, and limits by service, so that an edit of one row
+    changes one shard.
+    """
+    shards = [
+        msgspec.json.encode(table.Rows(accounts=rows.accounts)),
+        msgspec.json.encode(table.Rows(services=rows.services, groups=rows.groups)),
+    ]
+    for start in range(0, len(rows.targets), ROWS_PER_SHARD):
+        part = rows.targets[start : start + ROWS_PER_SHARD]
+        shards.append(msgspec.json.encode(table.Rows(targets=part)))
+    by_service: dict[str, list[table.LimitRow]] = {}
+    for row in rows.limits:
+        by_service.setdefault(row.service, []).append(row)
+    for service in sorted(by_service):
+        limits = by_service[service]
+        for start in range(0, len(limits), ROWS_PER_SHARD):
+            part_limits = limits[start : start + ROWS_PER_SHARD]
+            shards.append(msgspec.json.encode(table.Rows(limits=part_limits)))
+    return shards
+
+
+def list_homes(rows: table.Rows, service: str) -> list[tuple[str, str]]:
+    """Return what decides the homes of a service's opaque keys."""
+    return sorted((r.target, r.state) for r in rows.targets if r.service == service)
+
+
+def publish_rows(
+    rows: table.Rows, revision: int, before: tuple[Manifest, table.Rows] | None
+) -> tuple[Manifest, dict[str, bytes]]:
+    """Return the manifest and the shards that publish a table.
+
+    ``before`` is the published revision that this one follows.
+    """
+    shards = {compute_digest(data): data for data in split_rows(rows)}
+    changes: dict[str, list[int]] = {}
+    for row in rows.services:
+        name = row.service
+        known = before[0].home_changes.get(name, []) if before else []
+        if before is None or list_homes(before[1], name) != list_homes(rows, name):
+            known = [*known, revision][-KEPT_HOME_CHANGES:]
+        changes[name] = list(known)
+    return Manifest(revision, sorted(shards), changes), shards
--- /dev/null
+++ b/sardinesaddle/peers.py
@@ -0,0 +1,165 @@
+"""The sidecars that an entry is connected to.
+
+The table says which targets exist and which service they serve; the host list says
+where they are. A target that both name gets a peer. The host list lags, so a peer is
+dropped only when the list has lost it and its connection is down; a leaving mark in
+the list ends new work there, as the sidecar's own mark does.
+"""
+
+import asyncio
+import typing
+
+import loguru
+
+from sardinesaddle import confsync, membership, peer, platforms, subset, table, wire
+
+HOSTS_RETRY_S: typing.Final = 1.0
+
+
+class Peers(confsync.Channels):
+    """Opens and closes the connections of one entry."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        listener: peer.Listener,
+        hosts: platforms.HostSource,
+        hello: wire.Hello,
+        secret: bytes,
+        subset_size: int,
+        period_s: float,
+    ) -> None:
+        self._loop = loop
+        self._listener = listener
+        self._hosts = hosts
+        self._hello = hello
+        self._secret = secret
+        self._subset_size = subset_size
+        self._period_s = period_s
+        self._rows: list[membership.Host] = []
+        self._tab: table.Table | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.fleet = membership.Fleet()
+        self.by_name: dict[str, peer.SidecarPeer] = {}
+
+    def start(self) -> None:
+        """Begin to read the host list."""
+        self._task = self._loop.create_task(self._poll())
+
+    def stop(self) -> None:
+        """Close every connection."""
+        if self._task is not None:
+            self._task.cancel()
+        for one in self.by_name.values():
+            one.stop()
+
+    async def _poll(self) -> None:
+        """Read the host list again and again."""
+        while True:
+            rows = await self._hosts.list_hosts()
+            if isinstance(rows, platforms.Unavailable):
+                loguru.logger.warning(
+                    "event=hosts_unavailable reason={!r}", rows.reason
+                )
+                await asyncio.sleep(HOSTS_RETRY_S)
+                continue
+            self._rows = rows
+            self._match()
+            # Without a table there is nothing to match yet, so the list is read soon.
+            period_s = self._period_s if self._tab is not None else HOSTS_RETRY_S
+            await asyncio.sleep(period_s)
+
+    def adopt(self, tab: table.Table) -> None:
+        """Take over a new table."""
+        self._tab = tab
+        for one in self.by_name.values():
+            row = tab.targets.get(one.view.name)
+            one.view.weight = compute_weight(row)
+            self.fleet.move(one.view, row.service if row is not None else "")
+        self._match()
+
+    def _match(self) -> None:
+        """Open and close connections so that they fit the table and the list."""
+        wanted = self._choose_wanted()
+        for name, one in list(self.by_name.items()):
+            row = wanted.get(name)
+            moved = row is not None and (row.host, row.port) != (one.host, one.port)
+            if (row is None or moved) and not one.view.is_linked and not one.attempts:
+                one.stop()
+                self.fleet.remove(name)
+                del self.by_name[name]
+        for name, row in wanted.items():
+            known = self.by_name.get(name)
+            if known is None:
+                self._open(row)
+            elif row.is_leaving:
+                known.view.is_leaving = True
+
+    def _choose_wanted(self) -> dict[str, membership.Host]:
+        """Return the hosts that this entry should be connected to."""
+        if self._tab is None:
+            # Any sidecar can say what table is in force.
+            return {row.name: row for row in self._rows[: self._subset_size]}
+        known = {row.name: row for row in self._rows if row.name in self._tab.targets}
+        wanted: dict[str, membership.Host] = {}
+        for service in self._tab.services:
+            rows = self._tab.list_service_targets(service)
+            names = [row.target for row in rows if row.target in known]
+            chosen = subset.choose_subset(self._hello.name, names, self._subset_size)
+            wanted.update({name: known[name] for name in chosen})
+        return wanted
+
+    def connect(self, name: str) -> peer.SidecarPeer | None:
+        """Return the peer of a target, opening a connection if it has none.
+
+        A key may name a target outside this entry's subset.
+        """
+        known = self.by_name.get(name)
+        if known is not None:
+            return known
+        row = next((row for row in self._rows if row.name == name), None)
+        if row is None:
+            return None
+        return self._open(row)
+
+    def _open(self, row: membership.Host) -> peer.SidecarPeer:
+        """Open a connection to a target's sidecar."""
+        known = self._tab.targets.get(row.name) if self._tab is not None else None
+        view = membership.TargetView(
+            row.name,
+            known.service if known is not None else "",
+            row.place,
+            compute_weight(known),
+        )
+        view.is_leaving = row.is_leaving
+        one = peer.SidecarPeer(
+            self._loop,
+            self._listener,
+            view,
+            row.host,
+            row.port,
+            self._hello,
+            self._secret,
+        )
+        self.fleet.add(view)
+        self.by_name[row.name] = one
+        one.start()
+        return one
+
+    def send_to_peer(self, name: str, msg: wire.Message) -> None:
+        """Send a message if the peer is connected."""
+        one = self.by_name.get(name)
+        if one is not None:
+            one.send(msg)
+
+    def send_to_all(self, msg: wire.Message) -> None:
+        """Send a message to every connected sidecar."""
+        for one in self.by_name.values():
+            one.send(msg)
+
+
+def compute_weight(row: table.TargetRow | None) -> float:
+    """Return the weight of a target; zero ends new work there."""
+    if row is None or row.state == "dead":
+        return 0.0
+    return row.weight
--- /dev/null
+++ b/sardinesaddle/settings.py
@@ -0,0 +1,150 @@
+"""Settings of a process: JSON with comments, checked field by field.
+
+A settings file is read once, at the start. Every fault names the file, the path of
+the field and the remedy; an unknown field is reported with the nearest known name.
+"""
+
+import difflib
+import pathlib
+import typing
+
+import json5
+import msgspec
+
+MIN_SECRET_BYTES: typing.Final = 16
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An address to listen on; port 0 lets the system choose one."""
+
+    host: str = "127.0.0.1"
+    port: typing.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+
+
+class Platform(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the platform's services are.
+
+    ``reader`` makes this process watch the configuration service; the others learn
+    revisions from their peers.
+    """
+
+    config_url: str
+    hosts_url: str
+    reader: bool = False
+    hosts_period_s: typing.Annotated[float, msgspec.Meta(gt=0)] = 5.0
+
+
+class Tracing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where finished spans go: a file, an OTLP/HTTP receiver, or nowhere."""
+
+    file: str = ""
+    otlp_url: str = ""
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an entry.
+
+    ``drain_reachable_s`` is how long a stopping entry still accepts calls, so that
+    the platform's balancer can take it out first. ``peers`` are sidecar addresses
+    (``host:port``) to ask for the configuration before the host list is known.
+    """
+
+    name: str
+    place: str
+    secret_file: str
+    platform: Platform
+    listen: Listen = Listen()
+    admin: Listen = Listen()
+    tracing: Tracing = Tracing()
+    drain_reachable_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 5.0
+    subset_size: typing.Annotated[int, msgspec.Meta(ge=1)] = 64
+    max_calls: typing.Annotated[int, msgspec.Meta(ge=1)] = 400
+    log_level: str = "INFO"
+
+
+class SidecarSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a sidecar; ``target_url`` is the base address of its target."""
+
+    target: str
+    place: str
+    secret_file: str
+    platform: Platform
+    target_url: str
+    listen: Listen = Listen()
+    admin: Listen = Listen()
+    tracing: Tracing = Tracing()
+    slots: typing.Annotated[int, msgspec.Meta(ge=1)] = 16
+    max_queued: typing.Annotated[int, msgspec.Meta(ge=1)] = 256
+    retry_horizon_s: typing.Annotated[float, msgspec.Meta(ge=1)] = 600.0
+    log_level: str = "INFO"
+
+
+class SettingsFault(msgspec.Struct, frozen=True):
+    """A sentinel: the settings cannot be used, with the path and the remedy."""
+
+    text: str
+
+
+Settings = typing.TypeVar("Settings")
+
+
+def read_json_text(path: str) -> object | SettingsFault:
+    """Read a file of JSON with comments."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except FileNotFoundError:
+        return SettingsFault(f"{path}: no such file; give the path of a settings file")
+    except (OSError, UnicodeDecodeError) as exc:
+        return SettingsFault(f"{path}: cannot be read: {exc}")
+    try:
+        parsed: object = json5.loads(text)
+    except ValueError as exc:
+        return SettingsFault(f"{path}: not JSON with comments: {exc}")
+    return parsed
+
+
+def load_settings(path: str, kind: type[Settings]) -> Settings | SettingsFault:
+    """Read and check a settings file."""
+    parsed = read_json_text(path)
+    if isinstance(parsed, SettingsFault):
+        return parsed
+    unknown = find_unknown_field(parsed, kind, "$")
+    if unknown is not None:
+        return SettingsFault(f"{path}: {unknown}")
+    try:
+        return msgspec.convert(parsed, kind)
+    except msgspec.ValidationError as exc:
+        return SettingsFault(f"{path}: {exc}; correct the field")
+
+
+def find_unknown_field(value: object, kind: typing.Any, path: str) -> str | None:
+    """Return a message for the first field that the type does not have."""
+    if not (isinstance(kind, type) and issubclass(kind, msgspec.Struct)):
+        return None
+    if not isinstance(value, dict):
+        return None
+    known = {field.name: field.type for field in msgspec.structs.fields(kind)}
+    for name, inner in value.items():
+        if name not in known:
+            near = difflib.get_close_matches(str(name), known, n=1, cutoff=0.5)
+            hint = f"; did you mean {near[0]!r}?" if near else ""
+            names = ", ".join(sorted(known))
+            return f"{path}.{name}: unknown field{hint} (known: {names})"
+        text = find_unknown_field(inner, known[name], f"{path}.{name}")
+        if text is not None:
+            return text
+    return None
+
+
+def load_secret(path: str) -> bytes | SettingsFault:
+    """Read the shared secret of the fleet."""
+    try:
+        secret = pathlib.Path(path).read_bytes().strip()
+    except OSError as exc:
+        return SettingsFault(f"{path}: the secret cannot be read: {exc.strerror}")
+    if len(secret) < MIN_SECRET_BYTES:
+        return SettingsFault(
+            f"{path}: the secret has {len(secret)} bytes;"
+            f" write at least {MIN_SECRET_BYTES} random bytes"
+        )
+    return secret
--- /dev/null
+++ b/sardinesaddle/sidecar.py
@@ -0,0 +1,497 @@
+"""The sidecar's shell: links from entries on one side, the target on the other.
+
+The sidecar listens on a fixed port that only one process can bind, so while a paused
+predecessor lives, a successor on the same host cannot start. Every message becomes
+an event of the desk, and every action of the desk becomes a message or a call of
+the target.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import secrets
+import socket
+import typing
+
+import loguru
+
+from sardinesaddle import (
+    answer,
+    confsync,
+    desk,
+    errorcodes,
+    handshake,
+    journal,
+    keys,
+    link,
+    manifest,
+    metrics,
+    platforms,
+    settings,
+    table,
+    tracing,
+    wire,
+)
+
+TICK_S: typing.Final = 0.05
+RELEASE_TIMEOUT_S: typing.Final = 2.0
+BACKLOG_WAIT_S: typing.Final = 0.05
+DRAIN_POLL_S: typing.Final = 0.05
+DRAIN_LINGER_S: typing.Final = 1.0
+STATUS_SERVER_ERROR: typing.Final = 500
+
+
+class EntryLinks(link.Owner):
+    """The links from entries and from other sidecars, newest generation first."""
+
+    def __init__(self, sidecar: "Sidecar") -> None:
+        self._sidecar = sidecar
+        self.by_entry: dict[int, link.Link] = {}
+        self._generations: dict[int, int] = {}
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    def on_open(self, opened: link.Link) -> None:
+        """Replace older links of the same process; refuse ones that come late."""
+        peer = opened.peer
+        assert peer is not None
+        if peer.generation <= self._generations.get(peer.incarnation, 0):
+            opened.close("a newer connection of this process is known")
+            return
+        self._generations[peer.incarnation] = peer.generation
+        older = self.by_entry.get(peer.incarnation)
+        self.by_entry[peer.incarnation] = opened
+        if older is not None:
+            older.close("the peer opened a newer connection")
+
+    def on_closed(self, closed: link.Link, reason: str) -> None:
+        """Forget a link; its attempts wait to be resumed."""
+        self.bytes_in += closed.bytes_in
+        self.bytes_out += closed.bytes_out
+        peer = closed.peer
+        if peer is None:
+            loguru.logger.info("event=peer_rejected reason={!r}", reason)
+            return
+        if self.by_entry.get(peer.incarnation) is closed:
+            del self.by_entry[peer.incarnation]
+            self._sidecar.on_entry_gone(peer)
+
+    def on_message(self, current: link.Link, msg: wire.Message) -> None:
+        """Pass a message on, unless its link has been replaced."""
+        peer = current.peer
+        if peer is not None and self.by_entry.get(peer.incarnation) is current:
+            self._sidecar.on_entry_message(peer, msg)
+
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Return the sidecar's state."""
+        return self._sidecar.make_heartbeat()
+
+    def is_busy(self, current: link.Link) -> bool:
+        """Tell whether attempts of this entry are open."""
+        peer = current.peer
+        return peer is not None and self._sidecar.has_attempts(peer.incarnation)
+
+    def find_by_name(self, name: str) -> link.Link | None:
+        """Return a link of the process with this name."""
+        for current in self.by_entry.values():
+            if current.peer is not None and current.peer.name == name:
+                return current
+        return None
+
+    def send_to_all(self, msg: wire.Message) -> None:
+        """Send a message on every link."""
+        for current in list(self.by_entry.values()):
+            current.send(msg)
+
+    def count_bytes(self) -> tuple[int, int]:
+        """Return the bytes received and sent on all links."""
+        links = list(self.by_entry.values())
+        total_in = self.bytes_in + sum(one.bytes_in for one in links)
+        return total_in, self.bytes_out + sum(one.bytes_out for one in links)
+
+
+class Releaser:
+    """Asks earlier homes to release keys, over short connections."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        secret: bytes,
+        name: str,
+        incarnation: int,
+        hosts: platforms.HostSource,
+    ) -> None:
+        self._loop = loop
+        self._secret = secret
+        self._name = name
+        self._incarnation = incarnation
+        self._hosts = hosts
+
+    async def ask(self, home: str, key: keys.OpaqueKey) -> bool:
+        """Return whether the earlier home released the key."""
+        rows = await self._hosts.list_hosts()
+        if isinstance(rows, platforms.Unavailable):
+            return False
+        row = next((r for r in rows if r.name == home), None)
+        if row is None:
+            return False
+        call = ReleaseCall(self._loop, key)
+        hello = wire.Hello(
+            wire.PROTOCOL_VERSION,
+            self._name,
+            secrets.randbits(63),
+            1,
+            secrets.token_bytes(handshake.NONCE_BYTES),
+        )
+        client = handshake.ClientHandshake(self._secret, hello, home)
+        conn = link.Link(call, self._loop, client=client)
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                await self._loop.create_connection(lambda: conn, row.host, row.port)
+                return await call.result
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            conn.close("the release was asked for")
+
+
+class ReleaseCall(link.Owner):
+    """One question to an earlier home."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, key: keys.OpaqueKey) -> None:
+        self._key = key
+        self.result: asyncio.Future[bool] = loop.create_future()
+
+    def on_open(self, opened: link.Link) -> None:
+        """Send the question."""
+        key = self._key
+        opened.send(wire.AskRelease(1, key.account, key.service, key.text))
+
+    def on_message(self, current: link.Link, msg: wire.Message) -> None:
+        """Take the answer."""
+        if isinstance(msg, wire.Release) and not self.result.done():
+            self.result.set_result(msg.free)
+
+    def on_closed(self, closed: link.Link, reason: str) -> None:
+        """Count a lost connection as a refusal."""
+        if not self.result.done():
+            self.result.set_result(False)
+
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Return an empty state."""
+        return wire.Heartbeat(0, 0, False, 0, 0, 0)
+
+    def is_busy(self, current: link.Link) -> bool:
+        """Tell that an answer is awaited."""
+        return True
+
+
+class Sidecar(confsync.Channels):
+    """The process beside one target."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        cfg: settings.SidecarSettings,
+        secret: bytes,
+        incarnation: int,
+        target: platforms.Target,
+        source: platforms.ConfigSource,
+        hosts: platforms.HostSource,
+        tracer: tracing.Tracer,
+    ) -> None:
+        self._loop = loop
+        self._cfg = cfg
+        self._secret = secret
+        self._target = target
+        self._tracer = tracer
+        self._started_at = loop.time()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._runs: dict[int, asyncio.Task[None]] = {}
+        self.incarnation = incarnation
+        self.links = EntryLinks(self)
+        self.desk = desk.Desk(
+            cfg.target,
+            incarnation,
+            loop.time(),
+            secret,
+            cfg.slots,
+            cfg.max_queued,
+            cfg.retry_horizon_s,
+        )
+        self.sync = confsync.ConfigSync(
+            loop, source, cfg.platform.reader, self, self._adopt
+        )
+        self._releaser = Releaser(loop, secret, cfg.target, incarnation, hosts)
+        self.metrics = metrics.SidecarMetrics(cfg.target)
+        self.port = cfg.listen.port
+
+    # Life cycle.
+
+    async def start(self) -> None:
+        """Bind the port and begin to serve."""
+        self._server = await self._loop.create_server(
+            self._make_link,
+            self._cfg.listen.host,
+            self._cfg.listen.port,
+            reuse_address=True,
+            reuse_port=False,
+            family=socket.AF_INET,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.sync.start()
+        self._spawn(self._tick())
+        loguru.logger.info(
+            "event=sidecar_started target={} port={} incarnation={:x}",
+            self._cfg.target,
+            self.port,
+            self.incarnation,
+        )
+
+    def _make_link(self) -> link.Link:
+        """Return the protocol of a new connection."""
+        server = handshake.ServerHandshake(
+            self._secret,
+            self._cfg.target,
+            self.incarnation,
+            secrets.token_bytes(handshake.NONCE_BYTES),
+        )
+        return link.Link(self.links, self._loop, server=server)
+
+    def begin_drain(self) -> None:
+        """Take no new calls, and say so on every link at once."""
+        if self.desk.is_leaving:
+            return
+        self.desk.is_leaving = True
+        loguru.logger.info("event=drain_begun target={}", self._cfg.target)
+        self.links.send_to_all(self.make_heartbeat())
+
+    async def drain(self) -> None:
+        """Finish every call and its answer; then close."""
+        self.begin_drain()
+        while self.describe_wait():
+            await asyncio.sleep(DRAIN_POLL_S)
+        await asyncio.sleep(DRAIN_LINGER_S)
+        await self.stop()
+
+    def describe_wait(self) -> str:
+        """Return what a drain still waits for, or nothing."""
+        parts = []
+        if self.desk.running:
+            parts.append(f"running={len(self.desk.running)}")
+        if len(self.desk.queue):
+            parts.append(f"queued={len(self.desk.queue)}")
+        unread = sum(
+            1 for c in self.desk.list_calls() for a in c.attempts if not a.is_over
+        )
+        if unread:
+            parts.append(f"unread_answers={unread}")
+        return " ".join(parts)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        self.sync.stop()
+        if self._server is not None:
+            self._server.close()
+        for current in list(self.links.by_entry.values()):
+            current.close("this process is stopping")
+        tasks = [*self._tasks, *self._runs.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _spawn(
+        self, coro: collections.abc.Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
+        """Run a task until it ends or the process stops."""
+        task = self._loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _tick(self) -> None:
+        """Let time pass for the desk."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._act(self.desk.tick(self._loop.time()))
+
+    # Configuration.
+
+    def _adopt(self, tab: table.Table, published: manifest.Manifest) -> None:
+        """Put a table in force."""
+        self.desk.homes.adopt(self._loop.time(), tab, published)
+        self.desk.shares = {name: row.share for name, row in tab.accounts.items()}
+        self.links.send_to_all(self.make_heartbeat())
+
+    def send_to_peer(self, name: str, msg: wire.Message) -> None:
+        """Send a message if the peer is connected."""
+        current = self.links.find_by_name(name)
+        if current is not None:
+            current.send(msg)
+
+    # Entries.
+
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Return the sidecar's state."""
+        uptime_s = self._loop.time() - self._started_at
+        return wire.Heartbeat(
+            int(uptime_s * 1000),
+            self.sync.conf.version,
+            self.desk.is_leaving,
+            len(self.desk.running),
+            len(self.desk.queue),
+            round(self.desk.estimate_wait() * 1000),
+        )
+
+    def has_attempts(self, entry: int) -> bool:
+        """Tell whether attempts of an entry are open."""
+        return self.desk.has_attempts(entry)
+
+    def on_entry_gone(self, peer: handshake.Peer) -> None:
+        """Take note that a process is not connected any more."""
+        self.sync.on_peer_gone(peer.name)
+
+    def on_entry_message(self, peer: handshake.Peer, msg: wire.Message) -> None:
+        """Turn a message into an event of the desk."""
+        now = self._loop.time()
+        entry = peer.incarnation
+        if isinstance(msg, wire.Submit):
+            self.metrics.count_submit()
+            self._act(self.desk.on_submit(now, entry, msg))
+        elif isinstance(msg, wire.Credit):
+            self._act(self.desk.on_credit(entry, msg))
+        elif isinstance(msg, wire.Resume):
+            self._act(self.desk.on_resume(now, entry, msg))
+        elif isinstance(msg, wire.Cancel):
+            self._act(self.desk.on_cancel(now, entry, msg.attempt))
+        elif isinstance(msg, wire.Withdraw):
+            self._act(self.desk.on_withdraw(now, entry, msg))
+        elif isinstance(msg, wire.AskRelease):
+            key = keys.OpaqueKey(msg.account, msg.service, msg.text)
+            free = self.desk.release_key(now, key)
+            self._send(entry, wire.Release(msg.number, free))
+        elif isinstance(msg, wire.Heartbeat):
+            self.sync.on_peer_heartbeat(peer.name, msg.version)
+        else:
+            self.sync.on_peer_message(peer.name, msg)
+
+    def _send(self, entry: int, msg: wire.Message) -> None:
+        """Send to an entry if it is connected; it resumes what it misses."""
+        current = self.links.by_entry.get(entry)
+        if current is not None:
+            current.send(msg)
+
+    # Actions.
+
+    def _act(self, actions: list[desk.Action]) -> None:
+        """Carry out the desk's decisions."""
+        for action in actions:
+            if isinstance(action, desk.Reply):
+                if isinstance(action.msg, wire.Refused):
+                    self.metrics.count_refusal(action.msg.code)
+                self._send(action.entry, action.msg)
+            elif isinstance(action, desk.Run):
+                call = action.call
+                self._runs[call.number] = self._loop.create_task(self._run(call))
+            elif isinstance(action, desk.CancelRun):
+                task = self._runs.get(action.call.number)
+                if task is not None:
+                    task.cancel()
+            else:
+                self._spawn(self._ask_homes(action))
+
+    async def _ask_homes(self, action: desk.AskHomes) -> None:
+        """Ask each earlier home for a key; offer the attempt when all agree."""
+        for home in action.homes:
+            free = await self._releaser.ask(home, action.key)
+            now = self._loop.time()
+            args = (action.entry, action.submit, action.key, home, free)
+            if not free or home == action.homes[-1]:
+                self._act(self.desk.on_released(now, *args))
+                return
+            self.desk.note_release(action.key, home)
+
+    async def _run(self, call: desk.Call) -> None:
+        """Give a call to the target and relay its answer."""
+        submit = call.submit
+        span = self._tracer.start("sidecar.run", submit.trace)
+        span.set("target", self._cfg.target)
+        span.set("service", submit.service)
+        req = platforms.TargetRequest(
+            call.number,
+            submit.method,
+            submit.path,
+            [*submit.headers, ("traceparent", span.traceparent)],
+            submit.body,
+            submit.priority,
+            submit.idempotent,
+        )
+        try:
+            async with contextlib.aclosing(self._target.run(req)) as events:
+                async for event in events:
+                    await self._take_target_event(call, event)
+        except asyncio.CancelledError:
+            self._fail(call, "the call was cancelled", errorcodes.Ran.UNKNOWN)
+            raise
+        finally:
+            if not call.answer.is_final:
+                self._fail(call, "the target gave no end", errorcodes.Ran.UNKNOWN)
+            self._runs.pop(call.number, None)
+            span.set("status", call.answer.status)
+            span.end()
+            self.metrics.add_run(self._loop.time() - call.started_at)
+
+    async def _take_target_event(
+        self, call: desk.Call, event: platforms.TargetEvent
+    ) -> None:
+        """Turn a target's event into one of the desk."""
+        now = self._loop.time()
+        if isinstance(event, platforms.TargetHead):
+            self._act(self.desk.on_target_head(call, event.status, event.headers))
+        elif isinstance(event, platforms.TargetData):
+            for start in range(0, len(event.data), desk.CHUNK_BYTES):
+                part = event.data[start : start + desk.CHUNK_BYTES]
+                self._act(self.desk.on_target_data(call, part))
+            while self.desk.is_backlogged(call):
+                await asyncio.sleep(BACKLOG_WAIT_S)
+        elif isinstance(event, platforms.TargetEnd):
+            self._act(self.desk.on_target_end(now, call))
+        elif event.was_sent:
+            self._fail(call, event.reason, errorcodes.Ran.UNKNOWN)
+        else:
+            self._fail(call, event.reason, errorcodes.Ran.NOT_RUN)
+
+    def _fail(self, call: desk.Call, reason: str, ran: errorcodes.Ran) -> None:
+        """End a call that has no whole answer."""
+        if call.answer.phase in (answer.Phase.ENDED, answer.Phase.FAILED):
+            return
+        refusal = errorcodes.Refusal(errorcodes.TARGET_FAILED, ran, reason)
+        self._act(self.desk.on_target_failed(self._loop.time(), call, refusal))
+
+    # Status.
+
+    def describe(self) -> dict[str, object]:
+        """Return what ``sardinesaddle status`` shows."""
+        bytes_in, bytes_out = self.links.count_bytes()
+        return {
+            "role": "sidecar",
+            "target": self._cfg.target,
+            "place": self._cfg.place,
+            "incarnation": f"{self.incarnation:x}",
+            "revision": self.sync.conf.revision,
+            "ready": self.sync.conf.is_ready(self._loop.time()),
+            "leaving": self.desk.is_leaving,
+            "waits_for": self.describe_wait(),
+            "running": len(self.desk.running),
+            "queued": len(self.desk.queue),
+            "slots": self.desk.slots,
+            "journal": self.desk.journal.count_by_state(),
+            "kept_answer_bytes": self.desk.kept_bytes,
+            "entries": sorted(
+                one.peer.name for one in self.links.by_entry.values() if one.peer
+            ),
+            "bytes_in": bytes_in,
+            "bytes_out": bytes_out,
+            "states": [state.value for state in journal.State],
+        }
--- /dev/null
+++ b/sardinesaddle/standins/configservice.py
@@ -0,0 +1,87 @@
+"""A stand-in for the configuration service: it is read and watched, never written.
+
+The operators' tool publishes through ``publish``, which is no part of the service's
+interface. The service can be made stale, and every call is counted.
+"""
+
+import asyncio
+import hashlib
+import typing
+
+import aiohttp.web
+import msgspec
+
+from sardinesaddle import manifest, table
+from sardinesaddle.standins import httpserver
+
+WATCH_S: typing.Final = 20.0
+
+
+class ConfigService(httpserver.HttpServer):
+    """Holds published values in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._values: dict[str, bytes] = {}
+        self._stale: dict[str, bytes] | None = None
+        self._changed = asyncio.Event()
+        self._last: tuple[manifest.Manifest, table.Rows] | None = None
+        self.reads = 0
+
+    def publish(self, rows: table.Rows) -> int:
+        """Publish a table as the operators' tool does; return its revision."""
+        revision = 1 if self._last is None else self._last[0].revision + 1
+        published, shards = manifest.publish_rows(rows, revision, self._last)
+        self._last = (published, rows)
+        self.put_manifest(published, shards)
+        return revision
+
+    def put_manifest(
+        self, published: manifest.Manifest, shards: dict[str, bytes]
+    ) -> None:
+        """Publish shards, then the manifest that names them."""
+        self._values.update(shards)
+        self._values[manifest.MANIFEST_NAME] = msgspec.json.encode(published)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def freeze(self) -> None:
+        """Answer from now on with what is published now."""
+        self._stale = dict(self._values)
+
+    def thaw(self) -> None:
+        """Answer with the newest values again."""
+        self._stale = None
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _find(self, name: str) -> bytes | None:
+        """Return a value as the service shows it."""
+        values = self._values if self._stale is None else self._stale
+        return values.get(name)
+
+    def make_app(self) -> aiohttp.web.Application:
+        """Return the application."""
+        app = aiohttp.web.Application()
+        app.router.add_get("/v1/values/{name}", self._read)
+        return app
+
+    async def _read(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Answer a read or a watch."""
+        self.reads += 1
+        name = request.match_info["name"]
+        after = request.query.get("after")
+        deadline = asyncio.get_running_loop().time() + WATCH_S
+        while True:
+            data = self._find(name)
+            tag = hashlib.sha256(data or b"").hexdigest()[:16]
+            if after is None or tag != after:
+                break
+            left_s = deadline - asyncio.get_running_loop().time()
+            try:
+                await asyncio.wait_for(self._changed.wait(), max(left_s, 0.001))
+            except TimeoutError:
+                break
+        if data is None:
+            return aiohttp.web.Response(status=404, text="no such value\n")
+        return aiohttp.web.Response(body=data, headers={"ETag": tag})
--- /dev/null
+++ b/sardinesaddle/standins/quickstart.py
@@ -0,0 +1,98 @@
+"""Runs stand-ins in a process of their own, for the README's quick start.
+
+It writes a secret, a table and the settings files of one entry and one sidecar, so
+that the two roles can be started by hand as separate processes.
+"""
+
+import asyncio
+import json
+import pathlib
+import secrets
+import signal
+import typing
+
+import aiomisc
+import msgspec
+
+from sardinesaddle import manifest, table
+from sardinesaddle.standins import configservice, deployment, hostlist, targets
+
+FOLDER: typing.Final = pathlib.Path("quickstart")
+TARGET_NAMES: typing.Final = ("quick-engine-0", "quick-plain-0")
+SHAPE: typing.Final = deployment.Shape(
+    "quick", ("here",), "sermon-text", "summaries", 1, "ledger", 1, ("alice",)
+)
+
+
+def write_settings(name: str, comment: str, content: dict[str, object]) -> None:
+    """Write one settings file."""
+    text = f"// {comment}\n" + json.dumps(content, indent=2) + "\n"
+    (FOLDER / f"{name}.json").write_text(text)
+
+
+def write_files(port: int) -> table.Rows:
+    """Write the secret, the table and the settings; return the table."""
+    FOLDER.mkdir(exist_ok=True)
+    secret_file = FOLDER / "secret"
+    if not secret_file.exists():
+        secret_file.write_text(secrets.token_hex(32))
+    rows = deployment.make_rows(SHAPE)
+    (FOLDER / "table.json").write_bytes(msgspec.json.encode(rows))
+    platform = {
+        "config_url": f"http://127.0.0.1:{port}",
+        "hosts_url": f"http://127.0.0.1:{port + 1}",
+        "reader": True,
+    }
+    common = {"place": "here", "secret_file": str(secret_file), "platform": platform}
+    write_settings(
+        "entry",
+        "An entry of the quick start.",
+        {
+            "name": "entry-0",
+            **common,
+            "listen": {"port": port + 10},
+            "admin": {"port": port + 11},
+        },
+    )
+    for index, name in enumerate(TARGET_NAMES):
+        write_settings(
+            f"sidecar-{index}",
+            f"The sidecar beside {name}.",
+            {
+                "target": name,
+                **common,
+                "target_url": f"http://127.0.0.1:{port + 2 + index}",
+                "listen": {"port": port + 20 + index},
+                "admin": {"port": port + 30 + index},
+            },
+        )
+    return rows
+
+
+async def serve(port: int) -> None:
+    """Run the stand-ins until a signal."""
+    rows = write_files(port)
+    config = configservice.ConfigService()
+    config.publish(rows)
+    hosts = hostlist.HostList()
+    for index, name in enumerate(TARGET_NAMES):
+        hosts.put(name, port + 20 + index, "here")
+    engine = targets.Engine(TARGET_NAMES[0])
+    plain = targets.PlainService(TARGET_NAMES[1])
+    servers = (config, hosts, engine, plain)
+    for offset, server in enumerate(servers):
+        await server.start(port + offset)
+    print(f"stand-ins run; settings are in {FOLDER}/; {manifest.MANIFEST_NAME} is 1")
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await stopping.wait()
+    for server in servers:
+        await server.stop()
+
+
+def run(port: int) -> None:
+    """Run the stand-ins on a loop of their own."""
+    with aiomisc.entrypoint(log_config=False, pool_size=1) as loop:
+        loop.run_until_complete(serve(port))
--- /dev/null
+++ b/sardinesaddle/standins/targets.py
@@ -0,0 +1,274 @@
+"""Stand-ins for the targets: a model engine and a plain service.
+
+Both count, by the header ``X-Call-Id`` that test callers send, how often each call
+was run. The engine answers chat completions with server-sent events, a token at a
+time for each running call; it keeps prompt prefixes in a bounded cache, reports its
+load with a lag, publishes cache events late, and takes orders with fences. The
+text of an answer follows from its request, so a caller can tell a whole answer of
+its own from any other. A body that holds the poison mark crashes the engine.
+"""
+
+import asyncio
+import collections
+import json
+import typing
+
+import aiohttp.web
+import msgspec
+
+from sardinesaddle import hashing, platforms
+from sardinesaddle.standins import httpserver
+
+POISON_MARK: typing.Final = b"POISON"
+CALL_ID_HEADER: typing.Final = "X-Call-Id"
+MAX_CACHED_PREFIXES: typing.Final = 32
+
+
+def make_tokens(text: str, count: int) -> list[str]:
+    """Return the tokens that answer a prompt."""
+    seed = f"{hashing.hash_text(text):016x}"[:8]
+    return [f"{seed}-{index} " for index in range(count)]
+
+
+class CountingTarget(httpserver.HttpServer):
+    """A target that counts the runs of each call."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__()
+        self.name = name
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.completed: collections.Counter[str] = collections.Counter()
+        self.cancelled: collections.Counter[str] = collections.Counter()
+        self.running = 0
+        self.max_running = 0
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.crashes = 0
+
+    def freeze(self) -> None:
+        """Make no progress until thawed; connections stay open."""
+        self.gate.clear()
+
+    def thaw(self) -> None:
+        """Go on."""
+        self.gate.set()
+
+    async def crash(self, down_s: float) -> None:
+        """Lose all connections and stay down for a while."""
+        self.crashes += 1
+        await self.stop()
+        await asyncio.sleep(down_s)
+        await self.start()
+
+    def begin(self, request: aiohttp.web.Request) -> str:
+        """Count the start of a run; return the call's name."""
+        ident = request.headers.get(CALL_ID_HEADER, "")
+        self.runs[ident] += 1
+        self.running += 1
+        self.max_running = max(self.max_running, self.running)
+        return ident
+
+    def end(self, ident: str, is_whole: bool) -> None:
+        """Count the end of a run."""
+        self.running -= 1
+        if is_whole:
+            self.completed[ident] += 1
+        else:
+            self.cancelled[ident] += 1
+
+
+class PlainService(CountingTarget):
+    """A plain service: lookups by GET, records by POST."""
+
+    def __init__(self, name: str, work_s: float = 0.005) -> None:
+        super().__init__(name)
+        self.work_s = work_s
+        self.records: collections.Counter[str] = collections.Counter()
+
+    def make_app(self) -> aiohttp.web.Application:
+        """Return the application."""
+        app = aiohttp.web.Application()
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _serve(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Run one call."""
+        body = await request.read()
+        ident = self.begin(request)
+        is_whole = False
+        try:
+            await self.gate.wait()
+            if request.method == "POST":
+                self.records[ident] += 1
+            if self.work_s:
+                await asyncio.sleep(self.work_s)
+            is_whole = True
+            return aiohttp.web.json_response(
+                {
+                    "call": ident,
+                    "path": request.path,
+                    "target": self.name,
+                    "bytes": len(body),
+                }
+            )
+        finally:
+            self.end(ident, is_whole)
+
+
+class Engine(CountingTarget):
+    """A model engine with slots, a prefix cache and a speed."""
+
+    def __init__(
+        self,
+        name: str,
+        token_s: float = 0.005,
+        prompt_s: float = 0.02,
+        checks_fences: bool = True,
+    ) -> None:
+        super().__init__(name)
+        self.token_s = token_s
+        self.prompt_s = prompt_s
+        self.checks_fences = checks_fences
+        self.fence = 0
+        self.orders: list[platforms.Order] = []
+        self.cache: collections.OrderedDict[str, bool] = collections.OrderedDict()
+        self.events: list[dict[str, int | bool]] = []
+        self.hits = 0
+        self.misses = 0
+        self._crash_task: asyncio.Task[None] | None = None
+
+    def make_app(self) -> aiohttp.web.Application:
+        """Return the application."""
+        app = aiohttp.web.Application()
+        app.router.add_post("/v1/chat/completions", self._chat)
+        app.router.add_get("/control/load", self._load)
+        app.router.add_get("/control/cache-events", self._cache_events)
+        app.router.add_post("/control/orders", self._order)
+        app.router.add_get("/control/kv/{prefix}", self._export)
+        app.router.add_post("/control/kv/{prefix}", self._import)
+        return app
+
+    async def _chat(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
+        """Answer a chat completion, whole or as a stream."""
+        data = await request.read()
+        body = json.loads(data)
+        ident = self.begin(request)
+        is_whole = False
+        try:
+            if POISON_MARK in data:
+                self._crash_task = asyncio.create_task(self.crash(0.5))
+                await asyncio.sleep(60)
+            prompt = json.dumps(body.get("messages", []))
+            await self._prefill(prompt)
+            tokens = make_tokens(prompt, int(body.get("max_tokens", 16)))
+            if body.get("stream"):
+                resp = await self._stream(request, body, tokens)
+            else:
+                for _ in tokens:
+                    await self._step()
+                resp = aiohttp.web.json_response(
+                    make_completion(ident, body["model"], "".join(tokens))
+                )
+            is_whole = True
+            return resp
+        finally:
+            self.end(ident, is_whole)
+
+    async def _prefill(self, prompt: str) -> None:
+        """Take the time of the prompt, unless its prefix is cached."""
+        prefix = prompt[:256]
+        if prefix in self.cache:
+            self.hits += 1
+            self.cache.move_to_end(prefix)
+        else:
+            self.misses += 1
+            await asyncio.sleep(self.prompt_s)
+            self.cache[prefix] = True
+            if len(self.cache) > MAX_CACHED_PREFIXES:
+                self.cache.popitem(last=False)
+        number = hashing.hash_text(prefix) >> 1
+        self.events.append(
+            {"sequence": len(self.events) + 1, "prefix": number, "is_held": True}
+        )
+
+    async def _step(self) -> None:
+        """Take the time of one token."""
+        await self.gate.wait()
+        if self.token_s:
+            await asyncio.sleep(self.token_s)
+
+    async def _stream(
+        self,
+        request: aiohttp.web.Request,
+        body: dict[str, typing.Any],
+        tokens: list[str],
+    ) -> aiohttp.web.StreamResponse:
+        """Send one event for each token."""
+        resp = aiohttp.web.StreamResponse()
+        resp.content_type = "text/event-stream"
+        await resp.prepare(request)
+        for token in tokens:
+            await self._step()
+            chunk = make_chunk(body["model"], token)
+            await resp.write(b"data: " + json.dumps(chunk).encode() + b"\n\n")
+        await resp.write(b"data: [DONE]\n\n")
+        await resp.write_eof()
+        return resp
+
+    async def _load(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Report the load."""
+        return aiohttp.web.json_response({"running": self.running, "waiting": 0})
+
+    async def _cache_events(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Report cache events past a number; every seventh is missing."""
+        after = int(request.query.get("after", "0"))
+        rows = [e for e in self.events[after:] if int(e["sequence"]) % 7]
+        return aiohttp.web.json_response(rows)
+
+    async def _order(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Take an order, or refuse its fence if this engine checks fences."""
+        order = msgspec.json.decode(await request.read(), type=platforms.Order)
+        if self.checks_fences and order.fence < self.fence:
+            return aiohttp.web.Response(status=409, text="old fence\n")
+        self.fence = max(self.fence, order.fence)
+        self.orders.append(order)
+        return aiohttp.web.Response(text="done\n")
+
+    async def _export(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Export the KV cache of a prefix."""
+        return aiohttp.web.Response(body=request.match_info["prefix"].encode() * 16)
+
+    async def _import(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Import the KV cache of a prefix."""
+        await request.read()
+        self.cache[request.match_info["prefix"]] = True
+        return aiohttp.web.Response(text="done\n")
+
+
+def make_completion(ident: str, model: str, text: str) -> dict[str, object]:
+    """Return the body of a whole chat completion."""
+    return {
+        "id": f"chatcmpl-{ident}",
+        "object": "chat.completion",
+        "created": 0,
+        "model": model,
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "stop",
+            }
+        ],
+        "usage": {"prompt_tokens": 1, "completion_tokens": 1, "total_tokens": 2},
+    }
+
+
+def make_chunk(model: str, token: str) -> dict[str, object]:
+    """Return the body of one streamed token."""
+    return {
+        "id": "chatcmpl-stream",
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": model,
+        "choices": [{"index": 0, "delta": {"content": token}, "finish_reason": None}],
+    }
--- /dev/null
+++ b/sardinesaddle/table.py
@@ -0,0 +1,282 @@
+"""The operators' table: typed rows and the compiled form that requests use.
+
+The table has four sheets. ``accounts`` names the client accounts and the digests of
+their tokens. ``services`` says how a call reaches a service and whether its calls
+are idempotent. ``targets`` names the targets that may serve a service, by place.
+``limits`` holds one row per service, client account and place; an account or place
+of ``*`` stands for all that have no row of their own.
+
+A table is accepted or refused by its content alone. ``check_rows`` reports each
+fault with its sheet, line and remedy, in the same way in every process.
+"""
+
+import collections
+import hashlib
+import hmac
+import typing
+
+import msgspec
+
+ANY: typing.Final = "*"
+MAX_PRIORITY: typing.Final = 9
+ALWAYS_IDEMPOTENT_METHODS: typing.Final = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+class AccountRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A client account; digests are SHA-256 of its tokens, in hexadecimal."""
+
+    account: str
+    token_digests: list[str]
+    share: float = 1.0
+
+
+class ServiceRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service: a model, by name, or a plain service, by path prefix."""
+
+    service: str
+    kind: typing.Literal["model", "plain"]
+    model: str = ""
+    prefix: str = ""
+    idempotent: bool = True
+    version: str = ""
+
+
+class TargetRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A target of a service; ``dead`` is the operators' word that it is gone."""
+
+    target: str
+    service: str
+    place: str
+    weight: float = 1.0
+    state: typing.Literal["active", "dead"] = "active"
+    checks_orders: bool = False
+    group: str = ""
+
+
+class LimitRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Weights and limits of one service, client account and place.
+
+    ``rate`` is in requests a second, ``burst`` in requests, ``deadline_s`` in
+    seconds; a lower ``priority`` is served first. ``weight`` is the share of the
+    account's calls that this place takes.
+    """
+
+    service: str
+    account: str = ANY
+    place: str = ANY
+    weight: float = 1.0
+    rate: float = 1000.0
+    burst: float = 100.0
+    concurrency: int = 1000
+    priority: int = 5
+    deadline_s: float = 30.0
+
+
+class GroupRow(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A lock-step group and its map policy."""
+
+    group: str
+    experts: int
+    skew_weight: float = 1.0
+    move_weight: float = 1.0
+
+
+class Rows(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The rows of a table, or of one shard of it."""
+
+    accounts: list[AccountRow] = []
+    services: list[ServiceRow] = []
+    targets: list[TargetRow] = []
+    limits: list[LimitRow] = []
+    groups: list[GroupRow] = []
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """Why a table is refused; ``line`` counts the rows of the sheet from one."""
+
+    sheet: str
+    line: int
+    text: str
+
+    def render(self) -> str:
+        """Return one line for logs and terminals."""
+        return f"sheet {self.sheet!r}, row {self.line}: {self.text}"
+
+
+def join_rows(parts: typing.Iterable[Rows]) -> Rows:
+    """Return the rows of all shards in one object."""
+    whole = Rows([], [], [], [], [])
+    for part in parts:
+        whole.accounts.extend(part.accounts)
+        whole.services.extend(part.services)
+        whole.targets.extend(part.targets)
+        whole.limits.extend(part.limits)
+        whole.groups.extend(part.groups)
+    return whole
+
+
+def check_rows(rows: Rows) -> list[Fault]:
+    """Return every fault of a table, in the order of its rows."""
+    faults: list[Fault] = []
+    services = {row.service for row in rows.services}
+    accounts = {row.account for row in rows.accounts} | {ANY}
+    places = {row.place for row in rows.targets} | {ANY}
+    groups = {row.group for row in rows.groups}
+    _check_unique(faults, "accounts", [row.account for row in rows.accounts])
+    _check_unique(faults, "services", [row.service for row in rows.services])
+    _check_unique(faults, "targets", [row.target for row in rows.targets])
+    _check_unique(faults, "groups", [row.group for row in rows.groups])
+    _check_unique(
+        faults, "limits", [f"{r.service}/{r.account}/{r.place}" for r in rows.limits]
+    )
+    _check_unique(
+        faults, "accounts", [d for row in rows.accounts for d in row.token_digests]
+    )
+    for line, service in enumerate(rows.services, 1):
+        _check_service(faults, line, service)
+    for line, target in enumerate(rows.targets, 1):
+        if target.service not in services:
+            text = f"service {target.service!r} does not exist in sheet 'services'"
+            faults.append(Fault("targets", line, text))
+        if not 0 <= target.weight <= 1000:
+            text = f"weight {target.weight} must be 0 to 1000"
+            faults.append(Fault("targets", line, text))
+        if target.group and target.group not in groups:
+            text = f"group {target.group!r} does not exist in sheet 'groups'"
+            faults.append(Fault("targets", line, text))
+    for line, limit in enumerate(rows.limits, 1):
+        _check_limit(faults, line, limit, services, accounts, places)
+    return faults
+
+
+def _check_unique(faults: list[Fault], sheet: str, names: list[str]) -> None:
+    """Report names that stand twice."""
+    seen: set[str] = set()
+    for line, name in enumerate(names, 1):
+        if not name:
+            faults.append(Fault(sheet, line, "the name is empty; give it one"))
+        elif name in seen:
+            text = f"{name!r} stands twice; remove one of the rows"
+            faults.append(Fault(sheet, line, text))
+        seen.add(name)
+
+
+def _check_service(faults: list[Fault], line: int, row: ServiceRow) -> None:
+    """Report a service that no call could reach."""
+    if row.kind == "model" and not row.model:
+        text = f"service {row.service!r} of kind 'model' needs the field 'model'"
+        faults.append(Fault("services", line, text))
+    if row.kind == "plain" and not row.prefix.startswith("/"):
+        text = f"service {row.service!r} of kind 'plain' needs a 'prefix' with '/'"
+        faults.append(Fault("services", line, text))
+    if row.kind == "plain" and row.prefix.startswith("/v1/"):
+        text = f"prefix {row.prefix!r} is taken by the system; choose another"
+        faults.append(Fault("services", line, text))
+
+
+def _check_limit(
+    faults: list[Fault],
+    line: int,
+    row: LimitRow,
+    services: set[str],
+    accounts: set[str],
+    places: set[str],
+) -> None:
+    """Report a limit row that names nothing or holds a bad number."""
+
+    def report(text: str) -> None:
+        faults.append(Fault("limits", line, text))
+
+    if row.service not in services:
+        report(f"service {row.service!r} does not exist in sheet 'services'")
+    if row.account not in accounts:
+        report(f"account {row.account!r} does not exist in sheet 'accounts'")
+    if row.place not in places:
+        report(f"place {row.place!r} does not exist in sheet 'targets'")
+    if not 0 <= row.priority <= MAX_PRIORITY:
+        report(f"priority {row.priority} must be 0 to {MAX_PRIORITY}")
+    if row.rate < 0 or row.burst < 1 or row.concurrency < 0:
+        report("rate, burst and concurrency must be 0 or more, burst 1 or more")
+    if row.deadline_s <= 0:
+        report(f"deadline_s {row.deadline_s} must be above 0")
+    if row.weight < 0:
+        report(f"weight {row.weight} must be 0 or more")
+
+
+class Table:
+    """A table that was accepted, indexed for requests."""
+
+    __slots__ = (
+        "_limits",
+        "_models",
+        "_prefixes",
+        "_tokens",
+        "accounts",
+        "groups",
+        "revision",
+        "rows",
+        "services",
+        "targets",
+        "targets_by_service",
+    )
+
+    def __init__(self, revision: int, rows: Rows) -> None:
+        self.revision = revision
+        self.rows = rows
+        self.accounts = {row.account: row for row in rows.accounts}
+        self.services = {row.service: row for row in rows.services}
+        self.targets = {row.target: row for row in rows.targets}
+        self.groups = {row.group: row for row in rows.groups}
+        self.targets_by_service: dict[str, list[TargetRow]] = collections.defaultdict(
+            list
+        )
+        for target in rows.targets:
+            self.targets_by_service[target.service].append(target)
+        self._tokens = {
+            digest: row.account for row in rows.accounts for digest in row.token_digests
+        }
+        self._models = {r.model: r for r in rows.services if r.kind == "model"}
+        plain = [r for r in rows.services if r.kind == "plain"]
+        self._prefixes = sorted(plain, key=lambda r: -len(r.prefix))
+        self._limits = {(r.service, r.account, r.place): r for r in rows.limits}
+
+    def find_account(self, token: str) -> str | None:
+        """Return the account of a bearer token."""
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        for known, account in self._tokens_like(digest):
+            if hmac.compare_digest(known, digest):
+                return account
+        return None
+
+    def _tokens_like(self, digest: str) -> list[tuple[str, str]]:
+        """Return the candidates for a digest; the index reveals only a digest."""
+        account = self._tokens.get(digest)
+        return [] if account is None else [(digest, account)]
+
+    def find_model_service(self, model: str) -> ServiceRow | None:
+        """Return the service of a model."""
+        return self._models.get(model)
+
+    def find_plain_service(self, path: str) -> ServiceRow | None:
+        """Return the plain service with the longest prefix of the path."""
+        for row in self._prefixes:
+            if path.startswith(row.prefix):
+                return row
+        return None
+
+    def find_limit(self, service: str, account: str, place: str) -> LimitRow | None:
+        """Return the most specific limit row, or None if the table has none."""
+        for row_account in (account, ANY):
+            for row_place in (place, ANY):
+                row = self._limits.get((service, row_account, row_place))
+                if row is not None:
+                    return row
+        return None
+
+    def list_service_targets(self, service: str) -> list[TargetRow]:
+        """Return the target rows of a service."""
+        return self.targets_by_service.get(service, [])
+
+    def is_idempotent(self, service: ServiceRow, method: str) -> bool:
+        """Tell whether a call may be run more than once."""
+        return service.idempotent or method in ALWAYS_IDEMPOTENT_METHODS
--- /dev/null
+++ b/sardinesaddle/tabletool.py
@@ -0,0 +1,114 @@
+"""The operators' commands for the table: check, split and explain.
+
+The table is one file of JSON with comments. ``split_table`` writes what is to be
+published, one file for each value; publishing is the operators' own.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+
+from sardinesaddle import manifest, settings, table
+
+
+class TableFaults(typing.NamedTuple):
+    """A sentinel: the table cannot be used, with a line for each fault."""
+
+    lines: list[str]
+
+
+def load_rows(file: str) -> table.Rows | TableFaults:
+    """Read and check a table."""
+    parsed = settings.read_json_text(file)
+    if isinstance(parsed, settings.SettingsFault):
+        return TableFaults([parsed.text])
+    unknown = settings.find_unknown_field(parsed, table.Rows, "$")
+    if unknown is not None:
+        return TableFaults([f"{file}: {unknown}"])
+    try:
+        rows = msgspec.convert(parsed, table.Rows)
+    except msgspec.ValidationError as exc:
+        return TableFaults([f"{file}: {exc}; correct the field"])
+    faults = table.check_rows(rows)
+    if faults:
+        return TableFaults([f"{file}: {fault.render()}" for fault in faults])
+    return rows
+
+
+def describe_rows(rows: table.Rows) -> str:
+    """Return how many rows each sheet has."""
+    sheets = ("accounts", "services", "targets", "limits", "groups")
+    return ", ".join(f"{len(getattr(rows, name))} {name}" for name in sheets)
+
+
+def read_published(
+    directory: str,
+) -> tuple[manifest.Manifest, table.Rows] | TableFaults:
+    """Read back what an earlier split wrote."""
+    folder = pathlib.Path(directory)
+    try:
+        published = manifest.parse_manifest(
+            (folder / manifest.MANIFEST_NAME).read_bytes()
+        )
+        if isinstance(published, manifest.ParseFault):
+            return TableFaults([f"{directory}: {published.reason}"])
+        parts = []
+        for digest in published.shards:
+            rows = manifest.parse_shard((folder / digest).read_bytes())
+            if isinstance(rows, manifest.ParseFault):
+                return TableFaults([f"{directory}/{digest}: {rows.reason}"])
+            parts.append(rows)
+    except OSError as exc:
+        return TableFaults([f"{exc.filename}: {exc.strerror}; give an earlier OUT"])
+    return published, table.join_rows(parts)
+
+
+def split_table(file: str, out: str, before: str) -> str | TableFaults:
+    """Write the manifest and the shards; return a line that says so."""
+    rows = load_rows(file)
+    if isinstance(rows, TableFaults):
+        return rows
+    earlier: tuple[manifest.Manifest, table.Rows] | None = None
+    if before:
+        found = read_published(before)
+        if isinstance(found, TableFaults):
+            return found
+        earlier = found
+    revision = 1 if earlier is None else earlier[0].revision + 1
+    published, shards = manifest.publish_rows(rows, revision, earlier)
+    for digest, data in shards.items():
+        if len(data) > manifest.MAX_VALUE_BYTES:
+            limit = manifest.MAX_VALUE_BYTES
+            return TableFaults([f"shard {digest} has {len(data)} bytes, over {limit}"])
+    folder = pathlib.Path(out)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        for digest, data in shards.items():
+            (folder / digest).write_bytes(data)
+        path = folder / manifest.MANIFEST_NAME
+        path.write_bytes(msgspec.json.encode(published))
+    except OSError as exc:
+        return TableFaults([f"{out}: cannot be written: {exc.strerror}"])
+    kept = set(earlier[0].shards) & set(shards) if earlier else set()
+    return (
+        f"{out}: revision {revision}, {len(shards)} shards,"
+        f" {len(shards) - len(kept)} of them new"
+    )
+
+
+def explain_row(
+    rows: table.Rows, service: str, account: str, place: str
+) -> str | TableFaults:
+    """Return the row that decides, and why."""
+    tab = table.Table(1, rows)
+    if service not in tab.services:
+        return TableFaults([f"service {service!r} does not exist in sheet 'services'"])
+    row = tab.find_limit(service, account, place)
+    if row is None:
+        return TableFaults(
+            [f"no limit row for {service}/{account}/{place}: its calls are refused"]
+        )
+    line = rows.limits.index(row) + 1
+    text = msgspec.json.encode(row).decode()
+    return f"sheet 'limits', row {line} decides: {text}"
--- /dev/null
+++ b/sardinesaddle/tracing.py
@@ -0,0 +1,172 @@
+"""Spans for each hop, in W3C trace context, exported without threads.
+
+The OpenTelemetry SDK makes the spans. Its batch processor starts a thread, so a
+processor of our own only collects finished spans, and a task on the one loop sends
+them as OTLP over aiohttp, or writes them to a file, once a second. A full buffer
+drops the oldest spans and counts them.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import json
+import pathlib
+import re
+import secrets
+import typing
+
+import aiohttp
+import loguru
+import opentelemetry.context
+import opentelemetry.sdk.resources
+import opentelemetry.sdk.trace
+import opentelemetry.trace
+from opentelemetry.exporter.otlp.proto.common import trace_encoder
+
+EXPORT_PERIOD_S: typing.Final = 1.0
+EXPORT_TIMEOUT_S: typing.Final = 5.0
+MAX_BUFFERED_SPANS: typing.Final = 2048
+TRACEPARENT: typing.Final = re.compile(
+    r"\A[0-9a-f]{2}-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})\Z"
+)
+SAMPLED: typing.Final = 1
+
+
+class Collector(opentelemetry.sdk.trace.SpanProcessor):
+    """Keeps finished spans until they are exported."""
+
+    def __init__(self) -> None:
+        self.spans: collections.deque[opentelemetry.sdk.trace.ReadableSpan] = (
+            collections.deque(maxlen=MAX_BUFFERED_SPANS)
+        )
+        self.dropped = 0
+
+    def on_end(self, span: opentelemetry.sdk.trace.ReadableSpan) -> None:
+        """Keep a finished span."""
+        if len(self.spans) == MAX_BUFFERED_SPANS:
+            self.dropped += 1
+        self.spans.append(span)
+
+    def take(self) -> list[opentelemetry.sdk.trace.ReadableSpan]:
+        """Return all finished spans and forget them."""
+        spans = list(self.spans)
+        self.spans.clear()
+        return spans
+
+
+class Span:
+    """One hop of a request; without a recorder it only carries the context."""
+
+    __slots__ = ("_inner", "traceparent")
+
+    def __init__(
+        self, inner: opentelemetry.trace.Span | None, traceparent: str
+    ) -> None:
+        self._inner = inner
+        self.traceparent = traceparent
+
+    def set(self, name: str, value: str | int | float | bool) -> None:
+        """Record an attribute."""
+        if self._inner is not None:
+            self._inner.set_attribute(name, value)
+
+    def end(self) -> None:
+        """Finish the span."""
+        if self._inner is not None:
+            self._inner.end()
+
+
+class Tracer:
+    """Starts spans; records them only if they have somewhere to go."""
+
+    def __init__(self, role: str, name: str, is_recording: bool) -> None:
+        self.collector = Collector()
+        self._tracer: opentelemetry.trace.Tracer | None = None
+        if is_recording:
+            resource = opentelemetry.sdk.resources.Resource(
+                {"service.name": f"sardinesaddle-{role}", "service.instance.id": name}
+            )
+            provider = opentelemetry.sdk.trace.TracerProvider(
+                resource=resource, shutdown_on_exit=False
+            )
+            provider.add_span_processor(self.collector)
+            self._tracer = provider.get_tracer("sardinesaddle")
+
+    def start(self, name: str, traceparent: str) -> Span:
+        """Start a span below the caller's, or a new trace."""
+        match = TRACEPARENT.match(traceparent)
+        if self._tracer is None:
+            return Span(None, traceparent if match else make_traceparent())
+        context = opentelemetry.context.Context()
+        if match is not None:
+            parent = opentelemetry.trace.SpanContext(
+                int(match[1], 16),
+                int(match[2], 16),
+                is_remote=True,
+                trace_flags=opentelemetry.trace.TraceFlags(SAMPLED),
+            )
+            context = opentelemetry.trace.set_span_in_context(
+                opentelemetry.trace.NonRecordingSpan(parent), context
+            )
+        span = self._tracer.start_span(name, context=context)
+        ids = span.get_span_context()
+        return Span(span, f"00-{ids.trace_id:032x}-{ids.span_id:016x}-01")
+
+
+def make_traceparent() -> str:
+    """Return the context of a new trace that is not recorded."""
+    return f"00-{secrets.token_hex(16)}-{secrets.token_hex(8)}-00"
+
+
+def render_lines(
+    spans: collections.abc.Iterable[opentelemetry.sdk.trace.ReadableSpan],
+) -> str:
+    """Return finished spans as one JSON document a line."""
+    lines = []
+    for span in spans:
+        context = span.get_span_context()
+        assert context is not None
+        row = {
+            "trace": f"{context.trace_id:032x}",
+            "span": f"{context.span_id:016x}",
+            "parent": f"{span.parent.span_id:016x}" if span.parent else "",
+            "name": span.name,
+            "start_ns": span.start_time,
+            "end_ns": span.end_time,
+            **dict(span.attributes or {}),
+        }
+        lines.append(json.dumps(row) + "\n")
+    return "".join(lines)
+
+
+async def export_spans(
+    tracer: Tracer, session: aiohttp.ClientSession, otlp_url: str, file: str
+) -> None:
+    """Export finished spans until cancelled."""
+    while True:
+        await asyncio.sleep(EXPORT_PERIOD_S)
+        await export_once(tracer, session, otlp_url, file)
+
+
+async def export_once(
+    tracer: Tracer, session: aiohttp.ClientSession, otlp_url: str, file: str
+) -> None:
+    """Export the spans that are finished now."""
+    spans = tracer.collector.take()
+    if not spans:
+        return
+    if file:
+        with pathlib.Path(file).open("a", encoding="utf-8") as out:
+            out.write(render_lines(spans))
+    if not otlp_url:
+        return
+    body = trace_encoder.encode_spans(spans).SerializeToString()
+    headers = {"Content-Type": "application/x-protobuf"}
+    timeout = aiohttp.ClientTimeout(total=EXPORT_TIMEOUT_S)
+    try:
+        async with session.post(
+            otlp_url, data=body, headers=headers, timeout=timeout
+        ) as resp:
+            await resp.read()
+    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        loguru.logger.warning("event=trace_export_failed exc={!r}", exc)
--- /dev/null
+++ b/sardinesaddle/wire.py
@@ -0,0 +1,331 @@
+"""The messages that pass between the system's own processes.
+
+Each message is a msgpack array whose first element is its tag, so that a frame
+costs few bytes and decodes straight into a typed object. Attempts are named by a
+number that is unique within the sending incarnation. Offsets count the body bytes
+of one answer. Durations are in milliseconds; no message carries a time of day.
+"""
+
+import typing
+
+import msgspec
+
+PROTOCOL_VERSION: typing.Final = 1
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """The first message of the side that connects."""
+
+    version: int
+    name: str
+    incarnation: int
+    generation: int
+    nonce: bytes
+
+
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """The first message of the side that was connected to."""
+
+    version: int
+    name: str
+    incarnation: int
+    nonce: bytes
+    proof: bytes
+
+
+class Proof(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """The connecting side's proof that it holds the secret."""
+
+    proof: bytes
+
+
+class Rejected(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The reason for which a handshake was refused."""
+
+    reason: str
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A sign of life with the sender's state.
+
+    ``uptime_ms`` is the sender's clock since its start; ``version`` orders the
+    tables in force (see ``manifest.compute_version``); ``wait_ms`` is how long a
+    new request would wait in its queue.
+    """
+
+    uptime_ms: int
+    version: int
+    leaving: bool
+    running: int
+    queued: int
+    wait_ms: int
+
+
+class Submit(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """A request for the target, with everything the sidecar needs to run it."""
+
+    attempt: int
+    service: str
+    account: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    key: str
+    revision: int
+    priority: int
+    budget_ms: int
+    offset: int
+    window: int
+    idempotent: bool
+    fingerprint: int
+    trace: str
+    suspect: bool = False
+
+
+class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The sidecar took charge of an attempt."""
+
+    attempt: int
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The status and headers of an answer."""
+
+    attempt: int
+    status: int
+    headers: list[tuple[str, str]]
+
+
+class Data(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Body bytes of an answer."""
+
+    attempt: int
+    offset: int
+    data: bytes
+
+
+class End(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """The end mark of an answer."""
+
+    attempt: int
+    length: int
+    digest: int
+
+
+class Refused(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """The attempt ends without a whole answer."""
+
+    attempt: int
+    code: str
+    ran: str
+    detail: str
+    retry_after_ms: int
+
+
+class Credit(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """The reader holds all bytes below ``offset``; ``limit`` bounds what to send."""
+
+    attempt: int
+    offset: int
+    limit: int
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Nobody waits for the attempt any more."""
+
+    attempt: int
+
+
+class Resume(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Continue an attempt on this connection from an offset."""
+
+    attempt: int
+    offset: int
+    limit: int
+
+
+class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Refuse the attempt if it has not run, also when it arrives late."""
+
+    attempt: int
+    key: str
+    service: str
+    account: str
+
+
+class Withdrawn(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """What is known of a withdrawn attempt."""
+
+    attempt: int
+    ran: str
+
+
+class AskRelease(msgspec.Struct, frozen=True, array_like=True, tag=17):
+    """A key's new home asks an earlier home to give the key up."""
+
+    number: int
+    account: str
+    service: str
+    text: str
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """The earlier home's answer; ``free`` means that no call used the key."""
+
+    number: int
+    free: bool
+
+
+class AskManifest(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """Ask a peer for the manifest in force there."""
+
+
+class ManifestData(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """A manifest as it was published; empty when the peer has none."""
+
+    data: bytes
+
+
+class AskShard(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """Ask a peer for a shard by its digest."""
+
+    digest: str
+
+
+class ShardData(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """A shard's content; empty when the peer does not hold it."""
+
+    digest: str
+    data: bytes
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """Crashes that a request's fingerprint was seen to explain."""
+
+    fingerprint: int
+    crashes: int
+    age_ms: int
+
+
+class AskLease(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """An entry asks an issuer for part of an account's rate."""
+
+    account: str
+    service: str
+    wanted: int
+
+
+class Lease(msgspec.Struct, frozen=True, array_like=True, tag=25):
+    """Requests that the entry may admit within ``lifetime_ms`` of asking."""
+
+    account: str
+    service: str
+    granted: int
+    lifetime_ms: int
+
+
+class Prepare(msgspec.Struct, frozen=True, array_like=True, tag=26):
+    """A group leader asks a rank to load the weights of a map."""
+
+    group: str
+    epoch: int
+    version: int
+    experts: list[int]
+
+
+class Prepared(msgspec.Struct, frozen=True, array_like=True, tag=27):
+    """A rank has the weights of a map and accepts its first step."""
+
+    group: str
+    epoch: int
+    rank: int
+    version: int
+    first_step: int
+
+
+class Schedule(msgspec.Struct, frozen=True, array_like=True, tag=28):
+    """A group leader announces the first step of a prepared map."""
+
+    group: str
+    epoch: int
+    version: int
+    first_step: int
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag=29):
+    """Steps that a rank may run; pairs are (first step, map version)."""
+
+    group: str
+    epoch: int
+    last_step: int
+    maps: list[tuple[int, int]]
+
+
+class AskPromise(msgspec.Struct, frozen=True, array_like=True, tag=30):
+    """A new leader asks a rank for its promise to a higher epoch."""
+
+    group: str
+    epoch: int
+
+
+class Promise(msgspec.Struct, frozen=True, array_like=True, tag=31):
+    """A rank's promise, with the last grant it holds."""
+
+    group: str
+    epoch: int
+    rank: int
+    incarnation: int
+    last_step: int
+    maps: list[tuple[int, int]]
+    ran_step: int
+
+
+Message = (
+    Hello
+    | Welcome
+    | Proof
+    | Rejected
+    | Heartbeat
+    | Submit
+    | Accepted
+    | Head
+    | Data
+    | End
+    | Refused
+    | Credit
+    | Cancel
+    | Resume
+    | Withdraw
+    | Withdrawn
+    | AskRelease
+    | Release
+    | AskManifest
+    | ManifestData
+    | AskShard
+    | ShardData
+    | Suspicion
+    | AskLease
+    | Lease
+    | Prepare
+    | Prepared
+    | Schedule
+    | Grant
+    | AskPromise
+    | Promise
+)
+
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_DECODER: typing.Final[msgspec.msgpack.Decoder[Message]] = msgspec.msgpack.Decoder(
+    Message
+)
+
+
+def encode_message(msg: Message) -> bytes:
+    """Return the msgpack form of a message."""
+    return _ENCODER.encode(msg)
+
+
+def decode_message(payload: bytes | memoryview) -> Message:
+    """Return the message; raise ``msgspec.DecodeError`` if it is malformed."""
+    return _DECODER.decode(payload)
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the runners read their cases from ``test-data/unit``."""
--- /dev/null
+++ b/test/fleet.py
@@ -0,0 +1,139 @@
+"""Helpers that run a small deployment and call it as its users do."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import typing
+
+import aiohttp
+
+from sardinesaddle import build
+from sardinesaddle.standins import deployment
+
+SMALL: typing.Final = deployment.Shape(
+    "small",
+    ("one", "two"),
+    "sermon-text",
+    "summaries",
+    3,
+    "ledger",
+    2,
+    ("alice", "bob"),
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> typing.Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+class Caller:
+    """Calls the entries of a deployment."""
+
+    def __init__(self, dep: deployment.Deployment) -> None:
+        self.dep = dep
+        self.session = build.make_session()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        entry: int = 0,
+        account: str = "alice",
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send one call."""
+        token = deployment.make_token(account)
+        sent = {"Authorization": f"Bearer {token}", **(headers or {})}
+        async with self.session.request(
+            method,
+            self.dep.find_url(entry) + path,
+            data=None if body is None else json.dumps(body).encode(),
+            headers=sent,
+            timeout=aiohttp.ClientTimeout(total=None),
+        ) as resp:
+            data = await resp.read()
+            return Reply(resp.status, dict(resp.headers), data)
+
+    async def chat(
+        self,
+        text: str,
+        stream: bool = False,
+        tokens: int = 8,
+        entry: int = 0,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send a chat completion."""
+        body = make_chat(text, stream, tokens)
+        return await self.call(
+            "POST", "/v1/chat/completions", body, entry, headers=headers
+        )
+
+    async def mint(self, service: str = "ledger", entry: int = 0) -> str:
+        """Ask for a key."""
+        reply = await self.call("POST", "/v1/keys", {"service": service}, entry)
+        assert reply.status == 201, reply.body
+        key: str = reply.json["key"]
+        return key
+
+    async def record(
+        self, key: str, call_id: str, entry: int = 0, deadline_ms: int = 5000
+    ) -> Reply:
+        """Send a call that must not be repeated."""
+        headers = {
+            "Idempotency-Key": key,
+            "X-Call-Id": call_id,
+            "X-Deadline-Ms": str(deadline_ms),
+        }
+        return await self.call("POST", "/ledger/x", {"n": 1}, entry, headers=headers)
+
+
+def make_chat(text: str, stream: bool = False, tokens: int = 8) -> dict[str, object]:
+    """Return the body of a chat completion."""
+    return {
+        "model": "sermon-text",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+
+
+async def wait_until(
+    check: collections.abc.Callable[[], bool], limit_s: float = 30.0
+) -> None:
+    """Wait until a condition holds; fail after a time on the loop's clock."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + limit_s
+    while not check():
+        assert loop.time() < deadline, f"not true within {limit_s} s"
+        await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    shape: deployment.Shape = SMALL, **kwargs: typing.Any
+) -> collections.abc.AsyncIterator[Caller]:
+    """Run a deployment until the block ends."""
+    horizon_s = kwargs.pop("horizon_s", 600.0)
+    dep = deployment.Deployment(shape, **kwargs)
+    dep.horizon_s = horizon_s
+    await dep.start()
+    caller = Caller(dep)
+    try:
+        await wait_until(dep.is_ready)
+        yield caller
+    finally:
+        await caller.session.close()
+        await dep.stop()
