Bring about failures on the whole path, with processes that can be paused

Cause: pauses, cuts and silent connections could not be brought about in one process, so no rule was shown under them. Change: a driver runs every process on its own event loop and can pause each; its clock stands still or is the machine's. Ruled out: a paused loop left in the driver's poll made it spin without the clock moving (one test hung); paused loops now leave the poll.

--- a/sardinesaddle/standins/deployment.py
+++ b/sardinesaddle/standins/deployment.py
@@ -4,6 +4,7 @@
 bench build their fleets here.
 """
 
+import collections.abc
 import dataclasses
 import hashlib
 import pathlib
@@ -11,11 +12,13 @@
 import typing
 
 from sardinesaddle import build, settings, table
-from sardinesaddle.standins import configservice, hostlist, targets
+from sardinesaddle.standins import configservice, hostlist, network, targets, world
 
 SECRET: typing.Final = b"a secret for stand-ins only"
 HOSTS_PERIOD_S: typing.Final = 0.5
 
+Result = typing.TypeVar("Result")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shape:
@@ -103,10 +106,21 @@
 
 
 class Deployment:
-    """The processes and stand-ins of one deployment."""
+    """The processes and stand-ins of one deployment.
+
+    With a world, every process runs on a loop of its own and can be paused. Each
+    entry has its own view of the hosts, whose ports are those of cables, so that
+    any entry can be cut off from any sidecar.
+    """
 
     def __init__(
-        self, shape: Shape, token_s: float = 0.005, lag_s: float = 0.0
+        self,
+        shape: Shape,
+        token_s: float = 0.005,
+        lag_s: float = 0.0,
+        run_in: world.World | None = None,
+        horizon_s: float = 600.0,
+        trace_file: str = "",
     ) -> None:
         self.shape = shape
         self.rows = make_rows(shape)
@@ -115,27 +129,48 @@
         self.targets: dict[str, targets.CountingTarget] = {}
         self.sidecars: dict[str, build.SidecarProcess] = {}
         self.entries: list[build.EntryProcess] = []
-        self._token_s = token_s
+        self.cables: dict[tuple[int, str], network.Cable] = {}
+        self._entry_hosts = [hostlist.HostList(lag_s) for _ in range(shape.entries)]
         self._lag_s = lag_s
+        self._token_s = token_s
+        self._run_in = run_in
+        self._horizon_s = horizon_s
+        self._trace_file = trace_file
         self._scratch = tempfile.TemporaryDirectory(prefix="sardinesaddle-")
         self._secret_file = pathlib.Path(self._scratch.name) / "secret"
-        self.trace_file = ""
-        self.horizon_s = 600.0
+
+    async def _call(
+        self,
+        name: str,
+        make: collections.abc.Callable[
+            [], collections.abc.Coroutine[typing.Any, typing.Any, Result]
+        ],
+    ) -> Result:
+        """Run a coroutine in the loop of a process."""
+        if self._run_in is None:
+            return await make()
+        return await self._run_in.call(name, make)
 
     async def start(self) -> None:
         """Start the stand-ins, then the sidecars, then the entries."""
         self._secret_file.write_bytes(SECRET)
         await self.config.start()
-        await self.hosts.start()
+        for hosts in (self.hosts, *self._entry_hosts):
+            await hosts.start()
         self.config.publish(self.rows)
-        self.hosts.lag_s = 0.0
+        self._set_lag(0.0)
         for row in self.rows.targets:
             await self.start_target(row.target)
             await self.start_sidecar(row.target)
-        self.hosts.lag_s = self._lag_s
+        self._set_lag(self._lag_s)
         for index in range(self.shape.entries):
             await self.start_entry(index)
 
+    def _set_lag(self, lag_s: float) -> None:
+        """Set how late the host lists show a change."""
+        for hosts in (self.hosts, *self._entry_hosts):
+            hosts.lag_s = lag_s
+
     async def start_target(self, name: str) -> None:
         """Start the stand-in of a target."""
         if "-plain-" in name:
@@ -147,11 +182,9 @@
             )
         await self.targets[name].start()
 
-    def make_platform(self, is_reader: bool) -> settings.Platform:
+    def make_platform(self, hosts: hostlist.HostList, reads: bool) -> settings.Platform:
         """Return the platform's addresses for a process."""
-        return settings.Platform(
-            self.config.url, self.hosts.url, is_reader, HOSTS_PERIOD_S
-        )
+        return settings.Platform(self.config.url, hosts.url, reads, HOSTS_PERIOD_S)
 
     def find_place(self, target: str) -> str:
         """Return the place of a target."""
@@ -164,34 +197,109 @@
             name,
             self.find_place(name),
             str(self._secret_file),
-            self.make_platform(index < len(self.shape.places)),
+            self.make_platform(self.hosts, index < len(self.shape.places)),
             self.targets[name].url,
             listen=settings.Listen(port=port),
-            tracing=settings.Tracing(self.trace_file),
-            retry_horizon_s=self.horizon_s,
+            tracing=settings.Tracing(self._trace_file),
+            retry_horizon_s=self._horizon_s,
         )
-        proc = build.SidecarProcess(cfg, SECRET)
-        await proc.start()
+
+        async def start() -> build.SidecarProcess:
+            proc = build.SidecarProcess(cfg, SECRET)
+            await proc.start()
+            return proc
+
+        proc = await self._call(name, start)
         self.sidecars[name] = proc
         self.hosts.put(name, proc.sidecar.port, cfg.place)
+        for entry_index in range(self.shape.entries):
+            await self._lay_cable(entry_index, name, proc.sidecar.port)
         return proc
 
+    async def _lay_cable(self, entry: int, name: str, port: int) -> None:
+        """Connect an entry's view of a host to the sidecar's port."""
+        cable = self.cables.get((entry, name))
+        if cable is None:
+            cable = network.Cable(port)
+            await cable.start()
+            self.cables[entry, name] = cable
+            place = self.find_place(name)
+            self._entry_hosts[entry].put(name, cable.port, place)
+        cable.target_port = port
+
+    def mark_leaving(self, name: str) -> None:
+        """Mark a host as leaving in every host list."""
+        place = self.find_place(name)
+        self.hosts.put(name, self.sidecars[name].sidecar.port, place, "leaving")
+        for entry, hosts in enumerate(self._entry_hosts):
+            hosts.put(name, self.cables[entry, name].port, place, "leaving")
+
+    def list_cables(self, entry: int) -> list[network.Cable]:
+        """Return the cables of one entry."""
+        return [cable for (one, _), cable in self.cables.items() if one == entry]
+
+    async def kill_sidecar(self, name: str) -> int:
+        """End a sidecar at once, as a crash does; return its port."""
+        proc = self.sidecars.pop(name)
+        port = proc.sidecar.port
+        await self._call(name, proc.stop)
+        return port
+
+    async def drain_sidecar(self, name: str) -> int:
+        """Stop a sidecar as SIGTERM does; return its port."""
+        proc = self.sidecars.pop(name)
+        port = proc.sidecar.port
+        await self._call(name, proc.drain)
+        return port
+
+    def name_entry(self, index: int) -> str:
+        """Return the name of an entry."""
+        return f"{self.shape.name}-entry-{index}"
+
     async def start_entry(self, index: int) -> build.EntryProcess:
-        """Start an entry."""
+        """Start an entry, or start it again."""
         places = self.shape.places
         cfg = settings.EntrySettings(
-            f"{self.shape.name}-entry-{index}",
+            self.name_entry(index),
             places[index % len(places)],
             str(self._secret_file),
-            self.make_platform(is_reader=True),
-            tracing=settings.Tracing(self.trace_file),
+            self.make_platform(self._entry_hosts[index], reads=True),
+            tracing=settings.Tracing(self._trace_file),
             drain_reachable_s=0.2,
         )
-        proc = build.EntryProcess(cfg, SECRET, seed=index)
-        await proc.start()
-        self.entries.append(proc)
+
+        async def start() -> build.EntryProcess:
+            proc = build.EntryProcess(cfg, SECRET, seed=index)
+            await proc.start()
+            return proc
+
+        proc = await self._call(cfg.name, start)
+        if index < len(self.entries):
+            self.entries[index] = proc
+        else:
+            self.entries.append(proc)
         return proc
 
+    async def drain_entry(self, index: int) -> None:
+        """Stop an entry as SIGTERM does."""
+        proc = self.entries[index]
+        await self._call(self.name_entry(index), proc.drain)
+
+    async def kill_entry(self, index: int) -> None:
+        """End an entry at once."""
+        proc = self.entries[index]
+        await self._call(self.name_entry(index), proc.stop)
+
+    def pause(self, name: str) -> None:
+        """Pause a process."""
+        assert self._run_in is not None, "only a world can pause a process"
+        self._run_in.pause(name)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        assert self._run_in is not None, "only a world can pause a process"
+        self._run_in.resume(name)
+
     def is_ready(self) -> bool:
         """Tell whether every entry serves with every target linked."""
         return all(
@@ -205,15 +313,29 @@
         """Return the address of an entry."""
         return f"http://127.0.0.1:{self.entries[index].entry.port}"
 
+    def count_records(self, call_id: str) -> int:
+        """Return how often the plain services ran a call that records."""
+        plain = [
+            t for t in self.targets.values() if isinstance(t, targets.PlainService)
+        ]
+        return sum(target.records[call_id] for target in plain)
+
+    def count_runs(self, call_id: str) -> int:
+        """Return how often any target began a call."""
+        return sum(target.runs[call_id] for target in self.targets.values())
+
     async def stop(self) -> None:
         """Stop everything at once."""
-        for entry in self.entries:
-            await entry.stop()
-        for proc in self.sidecars.values():
-            await proc.stop()
+        for index, entry in enumerate(self.entries):
+            await self._call(self.name_entry(index), entry.stop)
+        for name, proc in self.sidecars.items():
+            await self._call(name, proc.stop)
         for target in self.targets.values():
             target.thaw()
             await target.stop()
-        await self.hosts.stop()
+        for cable in self.cables.values():
+            await cable.stop()
+        for hosts in (self.hosts, *self._entry_hosts):
+            await hosts.stop()
         await self.config.stop()
         self._scratch.cleanup()
--- /dev/null
+++ b/sardinesaddle/standins/world.py
@@ -0,0 +1,193 @@
+"""Several event loops on one thread, each of which can be paused.
+
+A process that is paused and wakes up late is the hardest failure to bring about in
+one test process. Here every process of the system gets an event loop of its own,
+and one driver runs the loops in turns. A paused loop runs nothing and reads nothing
+while time goes on for the others; when it wakes, its timers are late and its sockets
+hold what has arrived in the meantime.
+
+The clock is the machine's, or it stands still: then it moves only when no loop has
+anything to do, straight to the next timer, and a test of a minute takes a second.
+"""
+
+import asyncio
+import collections.abc
+import selectors
+import time
+import typing
+
+GRACE_S: typing.Final = 0.002
+MAX_REAL_WAIT_S: typing.Final = 0.05
+MAIN: typing.Final = "main"
+
+Result = typing.TypeVar("Result")
+
+
+class NodeSelector(selectors.EpollSelector):
+    """Polls without waiting; the driver does the waiting."""
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return the files that are ready now."""
+        return super().select(0)
+
+
+class NodeLoop(asyncio.SelectorEventLoop):
+    """The event loop of one process."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self._world = world
+        self._node_selector = NodeSelector()
+        super().__init__(self._node_selector)
+        self.name = name
+        self.is_paused = False
+
+    def time(self) -> float:
+        """Return the world's clock in seconds."""
+        return self._world.now
+
+    def fileno(self) -> int:
+        """Return a file that is ready when any socket of this loop is."""
+        return self._node_selector.fileno()
+
+    def has_ready(self) -> bool:
+        """Tell whether callbacks wait to be run."""
+        return bool(self._ready)  # type: ignore[attr-defined]
+
+    def find_next_timer(self) -> float | None:
+        """Return when the next timer is due."""
+        scheduled: list[asyncio.TimerHandle] = self._scheduled  # type: ignore[attr-defined]
+        if scheduled and not scheduled[0].cancelled():
+            return scheduled[0].when()
+        return min(
+            (one.when() for one in scheduled if not one.cancelled()), default=None
+        )
+
+    def run_turn(self) -> None:
+        """Run what is ready."""
+        asyncio._set_running_loop(self)
+        try:
+            self._run_once()  # type: ignore[attr-defined]
+        finally:
+            asyncio._set_running_loop(None)
+
+
+class World:
+    """Runs the loops in turns."""
+
+    def __init__(self, is_clock_paused: bool) -> None:
+        self._is_clock_paused = is_clock_paused
+        self._now = 0.0
+        self._epoll = selectors.EpollSelector()
+        self._loops: dict[str, NodeLoop] = {}
+        self.main = self.add_loop(MAIN)
+
+    @property
+    def now(self) -> float:
+        """The clock in seconds."""
+        return self._now if self._is_clock_paused else time.monotonic()
+
+    def add_loop(self, name: str) -> NodeLoop:
+        """Add the loop of a process."""
+        loop = NodeLoop(self, name)
+        self._loops[name] = loop
+        self._epoll.register(loop.fileno(), selectors.EVENT_READ, loop)
+        return loop
+
+    def get_loop(self, name: str) -> NodeLoop:
+        """Return the loop of a process, adding it if it is new."""
+        return self._loops.get(name) or self.add_loop(name)
+
+    def pause(self, name: str) -> None:
+        """Stop a process; nothing of it runs until it is resumed."""
+        loop = self._loops[name]
+        if not loop.is_paused:
+            loop.is_paused = True
+            self._epoll.unregister(loop.fileno())
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        loop = self._loops[name]
+        if loop.is_paused:
+            loop.is_paused = False
+            self._epoll.register(loop.fileno(), selectors.EVENT_READ, loop)
+
+    async def call(
+        self,
+        name: str,
+        make: collections.abc.Callable[
+            [], collections.abc.Coroutine[typing.Any, typing.Any, Result]
+        ],
+    ) -> Result:
+        """Run a coroutine in a process's loop and wait for it in the main one."""
+        done: asyncio.Future[None] = self.main.create_future()
+        task = self.get_loop(name).create_task(make())
+
+        def finish(_: "asyncio.Task[Result]") -> None:
+            if not done.done():
+                done.set_result(None)
+
+        task.add_done_callback(finish)
+        await done
+        return task.result()
+
+    def run(
+        self, coro: collections.abc.Coroutine[typing.Any, typing.Any, Result]
+    ) -> Result:
+        """Run the main coroutine to its end; then close every loop."""
+        task = self.main.create_task(coro)
+        try:
+            while not task.done():
+                self._turn()
+            return task.result()
+        finally:
+            self._close()
+
+    def _turn(self) -> None:
+        """Run every loop that has something to do, else let time pass."""
+        active = [loop for loop in self._loops.values() if not loop.is_paused]
+        busy = [loop for loop in active if loop.has_ready()]
+        wait_s = 0.0
+        if not busy:
+            timers = [loop.find_next_timer() for loop in active]
+            due = min((t for t in timers if t is not None), default=None)
+            wait_s = self._wait_for(due)
+        ready = {key.data for key, _ in self._epoll.select(wait_s)}
+        if not busy and not ready and self._is_clock_paused:
+            self._jump(active)
+        for loop in active:
+            timer = loop.find_next_timer()
+            is_due = timer is not None and timer <= self.now
+            if loop in ready or is_due or loop.has_ready():
+                loop.run_turn()
+
+    def _wait_for(self, due: float | None) -> float:
+        """Return how long to wait on the machine's clock for a socket."""
+        if self._is_clock_paused:
+            return GRACE_S
+        if due is None:
+            return MAX_REAL_WAIT_S
+        return min(max(due - self.now, 0.0), MAX_REAL_WAIT_S)
+
+    def _jump(self, active: list[NodeLoop]) -> None:
+        """Move the paused clock to the next timer."""
+        timers = [loop.find_next_timer() for loop in active]
+        due = min((t for t in timers if t is not None), default=None)
+        if due is not None and due > self._now:
+            self._now = due
+
+    def _close(self) -> None:
+        """Cancel what still runs and close the loops."""
+        for name, loop in self._loops.items():
+            self.resume(name)
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+        for _ in range(100):
+            for loop in self._loops.values():
+                if loop.has_ready():
+                    loop.run_turn()
+        for loop in self._loops.values():
+            self._epoll.unregister(loop.fileno())
+            loop.close()
+        self._epoll.close()
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from sardinesaddle import build
-from sardinesaddle.standins import deployment
+from sardinesaddle.standins import deployment, world
 
 SMALL: typing.Final = deployment.Shape(
     "small",
@@ -123,12 +123,12 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    shape: deployment.Shape = SMALL, **kwargs: typing.Any
+    run_in: world.World | None = None,
+    shape: deployment.Shape = SMALL,
+    **kwargs: typing.Any,
 ) -> collections.abc.AsyncIterator[Caller]:
     """Run a deployment until the block ends."""
-    horizon_s = kwargs.pop("horizon_s", 600.0)
-    dep = deployment.Deployment(shape, **kwargs)
-    dep.horizon_s = horizon_s
+    dep = deployment.Deployment(shape, run_in=run_in, **kwargs)
     await dep.start()
     caller = Caller(dep)
     try:
@@ -137,3 +137,19 @@
     finally:
         await caller.session.close()
         await dep.stop()
+
+
+Scenario = collections.abc.Callable[
+    [Caller], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+def play(scenario: Scenario, **kwargs: typing.Any) -> None:
+    """Run a scenario on the paused clock, every process on its own loop."""
+    run_in = world.World(is_clock_paused=True)
+
+    async def main() -> None:
+        async with running(run_in, **kwargs) as caller:
+            await scenario(caller)
+
+    run_in.run(main())
