Model-check once-only keys and configuration with the program's own classes

A second find, by reasoning on a partition longer than the horizon: an earlier home dropped by time alone may still run keys under its old table. The manifest carries past home sets, so a skipped revision is known. Conclusion: the guards are the ones that the code has, since the model runs it.

--- a/sardinesaddle/configuration.py
+++ b/sardinesaddle/configuration.py
@@ -65,10 +65,13 @@
         self.tab: table.Table | None = None
         self.published: manifest.Manifest | None = None
         self.manifest_data = b""
+        # The version in force: the revision and the tag of its content.
+        self.version = 0
         self._shards: dict[str, bytes] = {}
         self._parsed: dict[str, table.Rows] = {}
         self._pending: manifest.Manifest | None = None
         self._pending_data = b""
+        self._pending_version = 0
         self._refused: set[int] = set()
         self._sources: dict[str, int] = {}
         self._asked_at: dict[str, float] = {}
@@ -81,13 +84,6 @@
         """The revision in force; zero before the first."""
         return 0 if self.tab is None else self.tab.revision
 
-    @property
-    def version(self) -> int:
-        """The version in force: the revision and the tag of its content."""
-        if self.published is None:
-            return 0
-        return manifest.compute_version(self.revision, self.manifest_data)
-
     def is_ready(self, now: float) -> bool:
         """Tell whether the process may serve with what is in force."""
         if self.tab is None:
@@ -128,6 +124,7 @@
             return [Report(parsed.revision, [text])]
         self._pending = parsed
         self._pending_data = data
+        self._pending_version = version
         self._asked_at.clear()
         return self._continue(now)
 
@@ -135,8 +132,7 @@
         """Return the version in force or being fetched, whichever is higher."""
         if self._pending is None:
             return self.version
-        pending = manifest.compute_version(self._pending.revision, self._pending_data)
-        return max(self.version, pending)
+        return max(self.version, self._pending_version)
 
     def _report_race(self, parsed: manifest.Manifest, data: bytes) -> list[Action]:
         """Report a revision that was published twice with different content."""
@@ -150,11 +146,15 @@
         self._asked_at.pop(f"shard {digest}", None)
         if not data or self._pending is None or digest not in self._pending.shards:
             return []
-        if manifest.compute_digest(data) != digest:
+        if not self._is_shard(digest, data):
             return [Report(self._pending.revision, [f"shard {digest} is corrupt"])]
         self._shards[digest] = data
         return self._continue(now)
 
+    def _is_shard(self, digest: str, data: bytes) -> bool:
+        """Tell whether bytes are the shard that the digest names."""
+        return manifest.compute_digest(data) == digest
+
     def tick(self, now: float) -> list[Action]:
         """Ask again for what has not come."""
         return self._continue(now)
@@ -178,8 +178,7 @@
         missing = [digest for digest in pending.shards if digest not in self._shards]
         if not missing:
             return self._decide(pending)
-        wanted = manifest.compute_version(pending.revision, self._pending_data)
-        able = sorted(s for s, v in self._sources.items() if v >= wanted)
+        able = sorted(s for s, v in self._sources.items() if v >= self._pending_version)
         actions: list[Action] = []
         for index, digest in enumerate(missing):
             if able:
@@ -202,13 +201,13 @@
             else:
                 parts.append(rows)
         whole = table.join_rows(parts)
-        faults += [fault.render() for fault in table.check_rows(whole)]
+        faults += self._check(whole)
         if faults:
-            version = manifest.compute_version(pending.revision, self._pending_data)
-            self._refused.add(version)
+            self._refused.add(self._pending_version)
             return [Report(pending.revision, faults)]
         self.published = pending
         self.manifest_data = self._pending_data
+        self.version = self._pending_version
         self.tab = table.Table(pending.revision, whole)
         self.adoptions += 1
         keep = set(pending.shards)
@@ -217,6 +216,10 @@
         self._refused = {v for v in self._refused if v > self.version}
         return [Adopt(self.tab, pending)]
 
+    def _check(self, rows: table.Rows) -> list[str]:
+        """Return the faults of a table's content."""
+        return [fault.render() for fault in table.check_rows(rows)]
+
     def _parse(self, digest: str) -> table.Rows | manifest.ParseFault:
         """Return a shard's rows; an unchanged shard is parsed once."""
         known = self._parsed.get(digest)
--- a/sardinesaddle/desk.py
+++ b/sardinesaddle/desk.py
@@ -18,8 +18,8 @@
     callqueue,
     errorcodes,
     estimate,
-    homes,
     journal,
+    keygate,
     keys,
     wire,
 )
@@ -144,11 +144,13 @@
         secret: bytes,
         slots: int,
         max_queued: int,
-        horizon_s: float,
+        retry_horizon_s: float,
     ) -> None:
         self.target = target
-        self.journal = journal.Journal(target, incarnation, now, horizon_s)
-        self.homes = homes.HomeHistory(horizon_s)
+        horizon_s = retry_horizon_s + journal.MAX_MESSAGE_AGE_S
+        held = journal.Journal(target, incarnation, now, horizon_s)
+        self.gate = keygate.KeyGate(held, horizon_s)
+        self.journal = held
         self.queue: callqueue.CallQueue[Call] = callqueue.CallQueue(max_queued)
         self.slots = slots
         self.running: dict[int, Call] = {}
@@ -159,7 +161,6 @@
         self._calls: dict[int, Call] = {}
         self._attempts: dict[AttemptId, Attempt] = {}
         self._open_by_entry: dict[int, int] = {}
-        self._released: dict[keys.OpaqueKey, set[str]] = {}
         self._durations: dict[str, estimate.DurationEstimate] = {}
         self._next_number = 1
         self._kept_bytes = 0
@@ -182,13 +183,7 @@
             if isinstance(parsed, errorcodes.Refusal):
                 return [Reply(entry, make_refused(msg.attempt, parsed))]
             key = parsed
-        earlier: tuple[str, ...] | None = ()
-        if isinstance(key, keys.OpaqueKey):
-            refusal = self._check_home(msg, key)
-            if refusal is not None:
-                return [Reply(entry, make_refused(msg.attempt, refusal))]
-            earlier = self._list_unreleased(now, key)
-        decision = self.journal.offer(now, ident, key, msg.fingerprint, earlier)
+        decision = self.gate.offer(now, ident, key, msg.fingerprint)
         if isinstance(decision, errorcodes.Refusal):
             return [Reply(entry, make_refused(msg.attempt, decision))]
         if isinstance(decision, journal.Consult):
@@ -198,40 +193,18 @@
             return self._join(entry, msg, self._calls[decision.call])
         return self._start(now, entry, msg, key)
 
-    def _check_home(
-        self, msg: wire.Submit, key: keys.OpaqueKey
-    ) -> errorcodes.Refusal | None:
-        """Refuse an opaque key whose home is another target."""
-        home = self.homes.find_home(key)
-        if home == self.target:
-            return None
-        return errorcodes.Refusal(
-            errorcodes.KEY_ELSEWHERE,
-            errorcodes.Ran.UNKNOWN,
-            f"the key's home is {home!r} at this sidecar's revision",
-            1.0,
-        )
-
-    def _list_unreleased(
-        self, now: float, key: keys.OpaqueKey
-    ) -> tuple[str, ...] | None:
-        """Return the earlier homes that have not released the key."""
-        earlier = self.homes.list_earlier_homes(now, key, self.target)
-        if earlier is None:
-            return None
-        released = self._released.get(key, set())
-        return tuple(home for home in earlier if home not in released)
-
     def on_released(
         self,
         now: float,
-        entry: int,
-        msg: wire.Submit,
-        key: keys.OpaqueKey,
+        action: AskHomes,
         home: str,
-        free: bool,
+        release: wire.Release | None,
     ) -> list[Action]:
-        """Take an earlier home's answer and offer the attempt again."""
+        """Take an earlier home's answer; offer the attempt again after the last."""
+        free = release is not None and release.free
+        if release is not None:
+            revision = release.revision
+            self.gate.note_release(now, action.key, home, free, revision)
         if not free:
             refusal = errorcodes.Refusal(
                 errorcodes.KEY_ELSEWHERE,
@@ -239,13 +212,11 @@
                 f"the key's earlier home {home!r} has not released it",
                 1.0,
             )
-            return [Reply(entry, make_refused(msg.attempt, refusal))]
-        self.note_release(key, home)
-        return self.on_submit(now, entry, msg)
-
-    def note_release(self, key: keys.OpaqueKey, home: str) -> None:
-        """Remember that an earlier home gave up a key."""
-        self._released.setdefault(key, set()).add(home)
+            msg = make_refused(action.submit.attempt, refusal)
+            return [Reply(action.entry, msg)]
+        if home == action.homes[-1]:
+            return self.on_submit(now, action.entry, action.submit)
+        return []
 
     def _join(self, entry: int, msg: wire.Submit, call: Call) -> list[Action]:
         """Let an attempt wait for a call that is already here."""
@@ -275,6 +246,7 @@
         """Queue a new call, or refuse it as not run."""
         refusal = self._check_room(now, msg)
         if refusal is not None:
+            self.journal.withdraw(now, (entry, msg.attempt))
             return [Reply(entry, make_refused(msg.attempt, refusal))]
         call = Call(self._next_number, now, msg, key)
         self._next_number += 1
@@ -282,10 +254,12 @@
         call.cost = max(self.estimate_duration(msg.service), 1e-3)
         evicted = self.queue.push(call)
         if evicted is call:
+            self.journal.withdraw(now, (entry, msg.attempt))
             return [Reply(entry, make_refused(msg.attempt, self._refuse_full()))]
         self._calls[call.number] = call
         if key is not None:
             self.journal.accept(now, key, call.number, msg.fingerprint)
+            self.gate.forget_releases(key)
         self._add_attempt(entry, msg, call)
         actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
         if evicted is not None:
@@ -408,7 +382,7 @@
             self.journal.forget_queued(call.key)
         actions: list[Action] = []
         for attempt in list(call.attempts):
-            self.journal.withdraw(now, attempt.ident, None)
+            self.journal.withdraw(now, attempt.ident)
             msg = make_refused(attempt.ident[1], refusal)
             actions.append(Reply(attempt.ident[0], msg))
             self._drop_attempt(attempt)
@@ -540,7 +514,7 @@
         attempt = self._attempts.get(ident)
         if attempt is None or attempt.call.answer.first_offset > msg.offset:
             # The attempt never arrived, or was answered and acknowledged.
-            self.journal.withdraw(now, ident, None)
+            self.journal.withdraw(now, ident)
             refusal = errorcodes.Refusal(errorcodes.TOMBSTONED, errorcodes.Ran.NOT_RUN)
             if attempt is not None or self._may_have_run(ident):
                 refusal = errorcodes.Refusal(
@@ -560,7 +534,7 @@
         """Take note that an attempt's caller has gone."""
         attempt = self._attempts.get((entry, number))
         if attempt is None:
-            self.journal.withdraw(now, (entry, number), None)
+            self.journal.withdraw(now, (entry, number))
             return []
         call = attempt.call
         if call.state is not journal.State.QUEUED:
@@ -574,42 +548,11 @@
             return [CancelRun(call)]
         return []
 
-    def on_withdraw(self, now: float, entry: int, msg: wire.Withdraw) -> list[Action]:
-        """Make sure that an attempt will not run, or say that it may have."""
-        ident = (entry, msg.attempt)
-        attempt = self._attempts.get(ident)
-        ran = errorcodes.Ran.UNKNOWN
-        if attempt is not None:
-            call = attempt.call
-            self._drop_attempt(attempt)
-            if call.state is journal.State.QUEUED and not call.attempts:
-                self._refuse_queued(now, call, self._refuse_full())
-                attempt = None
-            elif call.state is journal.State.DONE:
-                ran = errorcodes.Ran.DONE
-        if attempt is None:
-            ran = self._withdraw_unknown(now, ident, msg)
-        return [Reply(entry, wire.Withdrawn(msg.attempt, ran.value))]
-
-    def _withdraw_unknown(
-        self, now: float, ident: AttemptId, msg: wire.Withdraw
-    ) -> errorcodes.Ran:
-        """Leave a tombstone for an attempt that holds no call here."""
-        if self._may_have_run(ident):
-            return errorcodes.Ran.UNKNOWN
-        if not msg.key:
-            return self.journal.withdraw(now, ident, None)
-        key = keys.parse_key(self._secret, msg.account, msg.service, msg.key)
-        if isinstance(key, errorcodes.Refusal):
-            return errorcodes.Ran.UNKNOWN
-        earlier: tuple[str, ...] | None = ()
-        if isinstance(key, keys.OpaqueKey):
-            earlier = self._list_unreleased(now, key)
-        return self.journal.withdraw(now, ident, key, earlier)
-
-    def release_key(self, now: float, key: keys.OpaqueKey) -> bool:
-        """Give up a key to its new home; return whether no call used it."""
-        return self.journal.release(now, key)
+    def release_key(self, now: float, msg: wire.AskRelease) -> wire.Release:
+        """Answer a key's new home; say which revision this target holds."""
+        key = keys.OpaqueKey(msg.account, msg.service, msg.text)
+        free = self.gate.release(now, key)
+        return wire.Release(msg.number, free, self.gate.homes.revision)
 
     # Memory.
 
--- a/sardinesaddle/journal.py
+++ b/sardinesaddle/journal.py
@@ -11,10 +11,12 @@
 
 Nothing is stored, so a restart empties the journal. A minted key names the
 incarnation that may run it; an opaque key is refused until the journal has lived
-through one retry horizon, because its call may have run before the restart.
+through one horizon, because its call may have run before the restart. The horizon is
+the time in which callers send a key again, and the age that a message can reach.
 
-``withdraw`` is how "not run" becomes true: it leaves a tombstone for the attempt,
-which refuses the attempt if it arrives late.
+``withdraw`` is how "not run" stays true: it leaves a tombstone for the attempt,
+which refuses the attempt if it arrives late. "Not run" is said of a keyed call only
+when ``offer`` answered ``Start``, so that no earlier attempt with the key ran either.
 
 Time is in seconds on the sidecar's own clock.
 """
@@ -26,6 +28,9 @@
 from sardinesaddle import errorcodes, keys
 
 RETRY_HORIZON_S: typing.Final = 600.0
+# A link is given up after 12 s of silence, or by the side that finds it was paused.
+MAX_MESSAGE_AGE_S: typing.Final = 15.0
+TOMBSTONE_S: typing.Final = 60.0
 MAX_KEY_LIFETIME_S: typing.Final = 86_400.0
 
 
@@ -72,6 +77,13 @@
     homes: tuple[str, ...]
 
 
+RecordSnapshot = tuple[keys.Key, str, int, int, float]
+JournalSnapshot = tuple[
+    int,
+    float,
+    tuple[RecordSnapshot, ...],
+    tuple[tuple[tuple[int, int], float], ...],
+]
 Decision = Start | Join | Consult | errorcodes.Refusal
 
 
@@ -92,7 +104,7 @@
         target: str,
         incarnation: int,
         started_at: float,
-        horizon_s: float = RETRY_HORIZON_S,
+        horizon_s: float = RETRY_HORIZON_S + MAX_MESSAGE_AGE_S,
     ) -> None:
         self.target = target
         self.incarnation = incarnation
@@ -110,13 +122,12 @@
         attempt: tuple[int, int],
         key: keys.Key | None,
         fingerprint: int = 0,
-        earlier_homes: tuple[str, ...] | None = (),
+        earlier_homes: tuple[str, ...] = (),
     ) -> Decision:
         """Decide what to do with an attempt that arrived.
 
-        ``earlier_homes`` are the homes of an opaque key under tables that were in
-        force during the last horizon and have not released it; None means that
-        they are not known.
+        ``earlier_homes`` are the homes that an opaque key had under earlier tables
+        and that have not released it.
         """
         if attempt in self._tombstones:
             return errorcodes.Refusal(errorcodes.TOMBSTONED, errorcodes.Ran.NOT_RUN)
@@ -169,7 +180,7 @@
         return Join(record.call)
 
     def _decide_new_opaque(
-        self, now: float, earlier_homes: tuple[str, ...] | None
+        self, now: float, earlier_homes: tuple[str, ...]
     ) -> Decision:
         """Decide for an opaque key that the journal does not hold."""
         age_s = now - self._started_at
@@ -180,13 +191,6 @@
                 "the sidecar restarted less than a retry horizon ago",
                 self._horizon_s - age_s,
             )
-        if earlier_homes is None:
-            return errorcodes.Refusal(
-                errorcodes.KEY_ELSEWHERE,
-                errorcodes.Ran.UNKNOWN,
-                "this sidecar missed revisions that moved the service's keys",
-                self._horizon_s,
-            )
         if earlier_homes:
             return Consult(earlier_homes)
         return Start()
@@ -224,33 +228,13 @@
         if record is not None and record.state is State.QUEUED:
             del self._records[key]
 
-    def withdraw(
-        self,
-        now: float,
-        attempt: tuple[int, int],
-        key: keys.Key | None,
-        earlier_homes: tuple[str, ...] | None = (),
-    ) -> errorcodes.Ran:
-        """Leave a tombstone for the attempt; return what is known of its call.
+    def withdraw(self, now: float, attempt: tuple[int, int]) -> None:
+        """Refuse the attempt if it arrives from now on.
 
-        The caller must have removed the attempt's own queued call first. The
-        result NOT_RUN may be passed on to the caller as it is.
+        A connection that is silent for longer than the tombstone lasts has been
+        replaced, and the replacement refuses its messages.
         """
-        self._tombstones[attempt] = now + self._horizon_s
-        if key is None:
-            return errorcodes.Ran.NOT_RUN
-        if isinstance(key, keys.MintedKey) and key.incarnation != self.incarnation:
-            return errorcodes.Ran.UNKNOWN
-        record = self._records.get(key)
-        if record is not None:
-            if record.state is State.DONE:
-                return errorcodes.Ran.DONE
-            return errorcodes.Ran.UNKNOWN
-        is_young = now - self._started_at < self._horizon_s
-        if isinstance(key, keys.OpaqueKey) and (is_young or earlier_homes != ()):
-            # An earlier attempt may have run before a restart or at another home.
-            return errorcodes.Ran.UNKNOWN
-        return errorcodes.Ran.NOT_RUN
+        self._tombstones[attempt] = now + TOMBSTONE_S
 
     def release(self, now: float, key: keys.OpaqueKey) -> bool:
         """Give up the key for good if no call used it; return whether it is free.
@@ -289,3 +273,25 @@
         for record in self._records.values():
             counts[record.state.value] += 1
         return counts
+
+    def take_snapshot(self) -> JournalSnapshot:
+        """Return the whole state as a value."""
+        records = (
+            (key, r.state.value, r.call, r.fingerprint, r.expires_at)
+            for key, r in self._records.items()
+        )
+        return (
+            self.incarnation,
+            self._started_at,
+            tuple(sorted(records, key=repr)),
+            tuple(sorted(self._tombstones.items())),
+        )
+
+    def restore(self, snapshot: JournalSnapshot) -> None:
+        """Take over a state that was taken before."""
+        self.incarnation, self._started_at, records, tombstones = snapshot
+        self._records = {
+            key: Record(State(state), call, fingerprint, expires_at)
+            for key, state, call, fingerprint, expires_at in records
+        }
+        self._tombstones = dict(tombstones)
--- a/sardinesaddle/link.py
+++ b/sardinesaddle/link.py
@@ -16,6 +16,7 @@
 HEARTBEAT_IDLE_S: typing.Final = 4.0
 SILENCE_BUSY_S: typing.Final = 3.0
 SILENCE_IDLE_S: typing.Final = 12.0
+PAUSE_LIMIT_S: typing.Final = 5.0
 MAX_WRITE_BUFFER_BYTES: typing.Final = 8 * 1024 * 1024
 
 
@@ -65,6 +66,7 @@
         self._heard_at = loop.time()
         self._sent_at = loop.time()
         self._busy_since = loop.time()
+        self._ticked_at = loop.time()
         self._is_closed = False
         self.peer: handshake.Peer | None = None
         self.bytes_in = 0
@@ -75,13 +77,19 @@
         # The transports of uvloop are no subclasses of asyncio's.
         self._transport = typing.cast("asyncio.Transport", transport)
         self._heard_at = self._loop.time()
+        self._ticked_at = self._heard_at
         if self._client is not None:
             self.send(self._client.hello)
         self._timer = self._loop.call_later(HEARTBEAT_BUSY_S, self._tick)
 
     def data_received(self, data: bytes) -> None:
         """Read the frames that are complete."""
-        self._heard_at = self._loop.time()
+        now = self._loop.time()
+        if now - self._ticked_at > PAUSE_LIMIT_S:
+            # What is read now may have been sent long ago; the peer has moved on.
+            self.close("this process was paused")
+            return
+        self._heard_at = now
         self.bytes_in += len(data)
         self._reader.feed(data)
         while not self._is_closed:
@@ -176,6 +184,10 @@
         if self._is_closed:
             return
         now = self._loop.time()
+        if now - self._ticked_at > PAUSE_LIMIT_S:
+            self.close("this process was paused")
+            return
+        self._ticked_at = now
         self._timer = self._loop.call_later(HEARTBEAT_BUSY_S, self._tick)
         if self.peer is None:
             if now - self._opened_at > HANDSHAKE_TIMEOUT_S:
--- a/sardinesaddle/main.py
+++ b/sardinesaddle/main.py
@@ -152,6 +152,16 @@
 
         quickstart.run(port)
 
+    def spec(self, mutants: bool = False) -> None:
+        """Check the protocols' models and print states and verdicts.
+
+        With --mutants each guard is broken in turn; every mutant must be caught.
+        """
+        from sardinesaddle.spec import runner
+
+        if not runner.run_spec(mutants):
+            sys.exit(EXIT_FAILED)
+
     def version(self) -> None:
         """Print the version."""
         print_line(sardinesaddle.VERSION)
--- a/sardinesaddle/manifest.py
+++ b/sardinesaddle/manifest.py
@@ -2,9 +2,9 @@
 
 A shard is plain JSON with some rows of the table. Its name is the SHA-256 digest
 of its bytes, so a shard never changes and may come from any peer. The manifest
-holds the revision, the digests of all shards, and for each service the last
-revisions at which its set of targets changed; a sidecar needs these to know
-whether it missed a move of the homes of opaque keys.
+holds the revision, the digests of all shards, and for each service whose calls may
+not be repeated the last sets of targets that it had; a sidecar that restarted or
+missed revisions learns from these where an opaque key may have been run.
 """
 
 import hashlib
@@ -17,16 +17,23 @@
 MANIFEST_NAME: typing.Final = "manifest"
 ROWS_PER_SHARD: typing.Final = 2000
 MAX_VALUE_BYTES: typing.Final = 1024 * 1024
-KEPT_HOME_CHANGES: typing.Final = 8
+KEPT_HOME_CHANGES: typing.Final = 32
 VERSION_TAG_BYTES: typing.Final = 3
 
 
+class HomeSet(msgspec.Struct, frozen=True, array_like=True):
+    """The active targets of a service from a revision on."""
+
+    revision: int
+    targets: list[str]
+
+
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A revision of the table, by reference."""
 
     revision: int
     shards: list[str]
-    home_changes: dict[str, list[int]] = {}
+    home_changes: dict[str, list[HomeSet]] = {}
 
 
 class ParseFault(msgspec.Struct, frozen=True):
@@ -89,24 +96,30 @@
     return shards
 
 
-def list_homes(rows: table.Rows, service: str) -> list[tuple[str, str]]:
-    """Return what decides the homes of a service's opaque keys."""
-    return sorted((r.target, r.state) for r in rows.targets if r.service == service)
+def list_active(rows: table.Rows, service: str) -> list[str]:
+    """Return the targets that can be homes of a service's opaque keys."""
+    return sorted(
+        row.target
+        for row in rows.targets
+        if row.service == service and row.state == "active"
+    )
 
 
 def publish_rows(
-    rows: table.Rows, revision: int, before: tuple[Manifest, table.Rows] | None
+    rows: table.Rows, revision: int, before: Manifest | None
 ) -> tuple[Manifest, dict[str, bytes]]:
     """Return the manifest and the shards that publish a table.
 
-    ``before`` is the published revision that this one follows.
+    ``before`` is the manifest that this one follows.
     """
     shards = {compute_digest(data): data for data in split_rows(rows)}
-    changes: dict[str, list[int]] = {}
+    changes: dict[str, list[HomeSet]] = {}
     for row in rows.services:
-        name = row.service
-        known = before[0].home_changes.get(name, []) if before else []
-        if before is None or list_homes(before[1], name) != list_homes(rows, name):
-            known = [*known, revision][-KEPT_HOME_CHANGES:]
-        changes[name] = list(known)
+        if row.idempotent:
+            continue
+        known = before.home_changes.get(row.service, []) if before else []
+        active = list_active(rows, row.service)
+        if not known or known[-1].targets != active:
+            known = [*known, HomeSet(revision, active)][-KEPT_HOME_CHANGES:]
+        changes[row.service] = list(known)
     return Manifest(revision, sorted(shards), changes), shards
--- a/sardinesaddle/sidecar.py
+++ b/sardinesaddle/sidecar.py
@@ -127,14 +127,14 @@
         self._incarnation = incarnation
         self._hosts = hosts
 
-    async def ask(self, home: str, key: keys.OpaqueKey) -> bool:
-        """Return whether the earlier home released the key."""
+    async def ask(self, home: str, key: keys.OpaqueKey) -> wire.Release | None:
+        """Return the earlier home's answer, or None if it gave none."""
         rows = await self._hosts.list_hosts()
         if isinstance(rows, platforms.Unavailable):
-            return False
+            return None
         row = next((r for r in rows if r.name == home), None)
         if row is None:
-            return False
+            return None
         call = ReleaseCall(self._loop, key)
         hello = wire.Hello(
             wire.PROTOCOL_VERSION,
@@ -150,7 +150,7 @@
                 await self._loop.create_connection(lambda: conn, row.host, row.port)
                 return await call.result
         except (OSError, TimeoutError):
-            return False
+            return None
         finally:
             conn.close("the release was asked for")
 
@@ -160,7 +160,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, key: keys.OpaqueKey) -> None:
         self._key = key
-        self.result: asyncio.Future[bool] = loop.create_future()
+        self.result: asyncio.Future[wire.Release | None] = loop.create_future()
 
     def on_open(self, opened: link.Link) -> None:
         """Send the question."""
@@ -170,12 +170,12 @@
     def on_message(self, current: link.Link, msg: wire.Message) -> None:
         """Take the answer."""
         if isinstance(msg, wire.Release) and not self.result.done():
-            self.result.set_result(msg.free)
+            self.result.set_result(msg)
 
     def on_closed(self, closed: link.Link, reason: str) -> None:
-        """Count a lost connection as a refusal."""
+        """Count a lost connection as no answer."""
         if not self.result.done():
-            self.result.set_result(False)
+            self.result.set_result(None)
 
     def make_heartbeat(self) -> wire.Heartbeat:
         """Return an empty state."""
@@ -320,7 +320,7 @@
 
     def _adopt(self, tab: table.Table, published: manifest.Manifest) -> None:
         """Put a table in force."""
-        self.desk.homes.adopt(self._loop.time(), tab, published)
+        self.desk.gate.homes.adopt(tab, published)
         self.desk.shares = {name: row.share for name, row in tab.accounts.items()}
         self.links.send_to_all(self.make_heartbeat())
 
@@ -365,12 +365,8 @@
             self._act(self.desk.on_resume(now, entry, msg))
         elif isinstance(msg, wire.Cancel):
             self._act(self.desk.on_cancel(now, entry, msg.attempt))
-        elif isinstance(msg, wire.Withdraw):
-            self._act(self.desk.on_withdraw(now, entry, msg))
         elif isinstance(msg, wire.AskRelease):
-            key = keys.OpaqueKey(msg.account, msg.service, msg.text)
-            free = self.desk.release_key(now, key)
-            self._send(entry, wire.Release(msg.number, free))
+            self._send(entry, self.desk.release_key(now, msg))
         elif isinstance(msg, wire.Heartbeat):
             self.sync.on_peer_heartbeat(peer.name, msg.version)
         else:
@@ -404,13 +400,11 @@
     async def _ask_homes(self, action: desk.AskHomes) -> None:
         """Ask each earlier home for a key; offer the attempt when all agree."""
         for home in action.homes:
-            free = await self._releaser.ask(home, action.key)
+            release = await self._releaser.ask(home, action.key)
             now = self._loop.time()
-            args = (action.entry, action.submit, action.key, home, free)
-            if not free or home == action.homes[-1]:
-                self._act(self.desk.on_released(now, *args))
+            self._act(self.desk.on_released(now, action, home, release))
+            if release is None or not release.free:
                 return
-            self.desk.note_release(action.key, home)
 
     async def _run(self, call: desk.Call) -> None:
         """Give a call to the target and relay its answer."""
--- a/sardinesaddle/tabletool.py
+++ b/sardinesaddle/tabletool.py
@@ -76,7 +76,9 @@
             return found
         earlier = found
     revision = 1 if earlier is None else earlier[0].revision + 1
-    published, shards = manifest.publish_rows(rows, revision, earlier)
+    published, shards = manifest.publish_rows(
+        rows, revision, earlier[0] if earlier else None
+    )
     for digest, data in shards.items():
         if len(data) > manifest.MAX_VALUE_BYTES:
             limit = manifest.MAX_VALUE_BYTES
--- a/sardinesaddle/wire.py
+++ b/sardinesaddle/wire.py
@@ -145,22 +145,6 @@
     limit: int
 
 
-class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=15):
-    """Refuse the attempt if it has not run, also when it arrives late."""
-
-    attempt: int
-    key: str
-    service: str
-    account: str
-
-
-class Withdrawn(msgspec.Struct, frozen=True, array_like=True, tag=16):
-    """What is known of a withdrawn attempt."""
-
-    attempt: int
-    ran: str
-
-
 class AskRelease(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """A key's new home asks an earlier home to give the key up."""
 
@@ -171,10 +155,14 @@
 
 
 class Release(msgspec.Struct, frozen=True, array_like=True, tag=18):
-    """The earlier home's answer; ``free`` means that no call used the key."""
+    """The earlier home's answer; ``free`` means that no call used the key.
+
+    ``revision`` is the table that the earlier home holds.
+    """
 
     number: int
     free: bool
+    revision: int
 
 
 class AskManifest(msgspec.Struct, frozen=True, array_like=True, tag=19):
@@ -296,8 +284,6 @@
     | Credit
     | Cancel
     | Resume
-    | Withdraw
-    | Withdrawn
     | AskRelease
     | Release
     | AskManifest
--- /dev/null
+++ b/test/test_spec.py
@@ -0,0 +1,29 @@
+"""The protocols' models hold, and every broken guard is caught."""
+
+import pytest
+
+from sardinesaddle.spec import model, runner
+
+MUTANTS = [
+    pytest.param(mutant, id=name)
+    for _, module in runner.SPECS
+    for name, mutant in module.list_mutants().items()
+]
+
+
+@pytest.mark.parametrize("make", [make for make, _ in runner.SPECS])
+def test_model_holds_in_every_reachable_state(make: type[model.Model]) -> None:
+    verdict = model.check_model(make())
+    assert verdict.is_exhaustive
+    assert not verdict.broken, verdict.trace
+
+
+@pytest.mark.parametrize("mutant", MUTANTS)
+def test_mutant_gives_a_counterexample(mutant: model.Model) -> None:
+    assert model.find_counterexample(mutant).broken
+
+
+def test_a_search_past_its_bound_shows_nothing() -> None:
+    make, _ = runner.SPECS[0]
+    verdict = model.check_model(make(), max_states=10)
+    assert not verdict.holds
