Test the wire, the callers' side and the commands; add the demo

Cause: the path had tests of failures only; bounds, refusals, hostile peers and the command line had none, and nothing ran both deployments at today's sizes.

--- a/sardinesaddle/main.py
+++ b/sardinesaddle/main.py
@@ -152,6 +152,20 @@
 
         quickstart.run(port)
 
+    def demo(self, failures: str = "all", seed: int = 1) -> None:
+        """Run both deployments in one process, with failures, and count.
+
+        FAILURES is 'all', 'none' or the name of one. The last line is JSON; the
+        exit status is 1 if a count that must be 0 is not.
+        """
+        from sardinesaddle import demo
+
+        result = demo.run_demo(failures, seed)
+        if isinstance(result, str):
+            raise CommandError(result)
+        if not result:
+            sys.exit(EXIT_FAILED)
+
     def spec(self, mutants: bool = False) -> None:
         """Check the protocols' models and print states and verdicts.
 
--- a/sardinesaddle/settings.py
+++ b/sardinesaddle/settings.py
@@ -119,6 +119,12 @@
 
 def find_unknown_field(value: object, kind: typing.Any, path: str) -> str | None:
     """Return a message for the first field that the type does not have."""
+    if isinstance(value, list) and typing.get_origin(kind) is list:
+        inner_kind = typing.get_args(kind)[0]
+        for index, one in enumerate(value):
+            text = find_unknown_field(one, inner_kind, f"{path}[{index}]")
+            if text is not None:
+                return text
     if not (isinstance(kind, type) and issubclass(kind, msgspec.Struct)):
         return None
     if not isinstance(value, dict):
--- /dev/null
+++ b/test/test_dispatch.py
@@ -0,0 +1,46 @@
+"""Data-driven cases of the dispatch of one request."""
+
+import pytest
+
+from sardinesaddle import dispatch, errorcodes, retries
+from test import casefile
+
+
+def render(decision: dispatch.Decision) -> str:
+    """Return the decision as one line."""
+    if decision.refusal is None:
+        return decision.step.value
+    return f"finish {decision.refusal.code.name} {decision.refusal.ran.value}"
+
+
+def play(lines: list[str]) -> list[str]:
+    """Run a case's events; return the decisions."""
+    kind = lines[0]
+    state = dispatch.Dispatch(
+        kind == "idempotent", kind == "keyed", 10.0, retries.RetryBudget()
+    )
+    out = []
+    for line in lines[1:]:
+        time, event, *args = line.split()
+        now = float(time)
+        if event == "sent":
+            state.on_sent(args[0])
+        elif event == "begun":
+            state.on_begun()
+        elif event == "lost":
+            out.append(render(state.on_lost(now, 0.0)))
+        elif event == "deadline":
+            out.append(render(state.on_deadline()))
+        else:
+            refusal = errorcodes.Refusal(
+                errorcodes.REGISTRY[args[0]], errorcodes.Ran(args[1])
+            )
+            out.append(render(state.on_refused(now, refusal, 0.0)))
+    return out
+
+
+@pytest.mark.parametrize(
+    "case", casefile.read_cases("dispatch.test"), ids=lambda case: case.name
+)
+def test_dispatch(case: casefile.Case) -> None:
+    assert play(case.lines) == case.out
--- /dev/null
+++ b/test/test_wire.py
@@ -0,0 +1,197 @@
+"""Frames, handshakes and links under malformed, truncated and replayed input."""
+
+import asyncio
+import typing
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from sardinesaddle import frames, handshake, link, wire
+from sardinesaddle.standins import world
+
+SECRET = b"0123456789abcdef"
+MESSAGES: list[wire.Message] = [
+    wire.Heartbeat(1, 2, True, 3, 4, 5),
+    wire.Data(7, 0, b"some bytes"),
+    wire.Refused(1, "overloaded", "not_run", "full", 100),
+    wire.Submit(
+        1, "s", "a", "POST", "/x", [("A", "b")], b"body", "", 1, 5, 100, 0, 10, True, 9,
+        "",
+    ),
+]  # fmt: skip
+
+
+def read_all(reader: frames.FrameReader) -> list[wire.Message | frames.FrameFault]:
+    """Return every message until the stream ends or is faulty."""
+    out: list[wire.Message | frames.FrameFault] = []
+    while (msg := reader.read_message()) is not None:
+        out.append(msg)
+        if isinstance(msg, frames.FrameFault):
+            break
+    return out
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(st.lists(st.sampled_from(MESSAGES)), st.integers(1, 50))
+def test_any_split_of_the_stream_gives_the_same_messages(
+    msgs: list[wire.Message], size: int
+) -> None:
+    stream = b"".join(frames.encode_frame(msg) for msg in msgs)
+    reader = frames.FrameReader(frames.MAX_FRAME_BYTES)
+    out: list[typing.Any] = []
+    for start in range(0, len(stream), size):
+        reader.feed(stream[start : start + size])
+        out += read_all(reader)
+    assert out == msgs
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+@hypothesis.given(st.binary(max_size=200))
+def test_random_bytes_give_messages_or_a_fault(data: bytes) -> None:
+    reader = frames.FrameReader(frames.MAX_FRAME_BYTES)
+    reader.feed(data)
+    for msg in read_all(reader):
+        if isinstance(msg, frames.FrameFault):
+            assert msg.reason
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(st.sampled_from(MESSAGES), st.integers(0, 60), st.integers(0, 255))
+def test_a_changed_byte_never_raises(
+    msg: wire.Message, position: int, value: int
+) -> None:
+    frame = bytearray(frames.encode_frame(msg))
+    frame[4 + position % (len(frame) - 4)] = value
+    reader = frames.FrameReader(frames.MAX_FRAME_BYTES)
+    reader.feed(bytes(frame))
+    read_all(reader)
+
+
+def test_an_oversized_frame_is_refused_before_it_is_kept() -> None:
+    reader = frames.FrameReader(1000)
+    reader.feed((1001).to_bytes(4, "big"))
+    fault = reader.read_message()
+    assert isinstance(fault, frames.FrameFault)
+    assert "over the limit of 1000" in fault.reason
+
+
+def make_hello(generation: int = 1) -> wire.Hello:
+    """Return a hello of an entry."""
+    return wire.Hello(wire.PROTOCOL_VERSION, "entry", 5, generation, b"c" * 16)
+
+
+def test_handshake_proves_both_sides() -> None:
+    server = handshake.ServerHandshake(SECRET, "t", 9, b"s" * 16)
+    client = handshake.ClientHandshake(SECRET, make_hello(), "t")
+    welcome = server.welcome(client.hello)
+    assert isinstance(welcome, wire.Welcome)
+    result = client.answer(welcome)
+    assert not isinstance(result, handshake.HandshakeFault)
+    proof, peer = result
+    assert peer == handshake.Peer("t", 9, 0)
+    assert server.finish(proof) == handshake.Peer("entry", 5, 1)
+
+
+@pytest.mark.parametrize(
+    ("secret", "name", "version", "reason"),
+    [
+        (b"another secret!!", "t", 1, "another secret"),
+        (SECRET, "u", 1, "expected peer 'u'"),
+        (SECRET, "t", 2, "protocol version"),
+    ],
+)
+def test_handshake_refuses_strangers(
+    secret: bytes, name: str, version: int, reason: str
+) -> None:
+    server = handshake.ServerHandshake(SECRET, "t", 9, b"s" * 16)
+    hello = wire.Hello(version, "entry", 5, 1, b"c" * 16)
+    client = handshake.ClientHandshake(secret, hello, name)
+    welcome = server.welcome(hello)
+    if isinstance(welcome, handshake.HandshakeFault):
+        assert reason in welcome.reason
+        return
+    fault = client.answer(welcome)
+    assert isinstance(fault, handshake.HandshakeFault)
+    assert reason in fault.reason
+
+
+def test_a_replayed_proof_is_refused() -> None:
+    first = handshake.ServerHandshake(SECRET, "t", 9, b"s" * 16)
+    client = handshake.ClientHandshake(SECRET, make_hello(), "t")
+    welcome = first.welcome(client.hello)
+    assert isinstance(welcome, wire.Welcome)
+    result = client.answer(welcome)
+    assert not isinstance(result, handshake.HandshakeFault)
+    second = handshake.ServerHandshake(SECRET, "t", 9, b"z" * 16)
+    second.welcome(client.hello)
+    assert isinstance(second.finish(result[0]), handshake.HandshakeFault)
+
+
+def test_a_bad_peer_loses_its_own_connection_only() -> None:
+    from test import fleet
+
+    async def scenario(caller: fleet.Caller) -> None:
+        name = next(n for n in caller.dep.sidecars if "engine" in n)
+        port = caller.dep.sidecars[name].sidecar.port
+        for junk in (b"\xff" * 64, b"\0\0\0\x05hello", b"GET / HTTP/1.1\r\n\r\n"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(junk)
+            assert await reader.read() is not None
+            writer.close()
+        for number in range(6):
+            assert (await caller.chat(f"after junk {number}")).status == 200
+
+    fleet.play(scenario)
+
+
+class Recorder(link.Owner):
+    """An owner that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.closed: list[str] = []
+        self.opened = 0
+
+    def on_open(self, opened: link.Link) -> None:
+        """Count the link."""
+        self.opened += 1
+
+    def on_message(self, current: link.Link, msg: wire.Message) -> None:
+        """Ignore the message."""
+
+    def on_closed(self, closed: link.Link, reason: str) -> None:
+        """Keep the reason."""
+        self.closed.append(reason)
+
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Return an empty state."""
+        return wire.Heartbeat(0, 0, False, 0, 0, 0)
+
+    def is_busy(self, current: link.Link) -> bool:
+        """Say that nothing waits."""
+        return False
+
+
+def test_a_peer_that_never_shakes_hands_is_dropped() -> None:
+    run_in = world.World(is_clock_paused=True)
+
+    async def main() -> None:
+        owner = Recorder()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: link.Link(
+                owner,
+                loop,
+                server=handshake.ServerHandshake(SECRET, "t", 9, b"s" * 16),
+            ),
+            "127.0.0.1",
+            0,
+        )
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        assert await reader.read() == b""
+        assert owner.closed == ["the handshake took too long"]
+        writer.close()
+        server.close()
+
+    run_in.run(main())
