Bench the path; a retry that costs the targets nothing is not charged

Cause: the bench's killed call ended with retry-budget-spent: its second attempt went over a connection that had gone silent while idle, never arrived, and was charged as a retry. Change: an attempt that the sidecar never saw is sent again without charge, still at most 4 attempts a request; the budget starts full, so a quiet service can retry.

--- /dev/null
+++ b/sardinesaddle/bench/__init__.py
@@ -0,0 +1,6 @@
+"""Benches: figures with bounds, on fixed seeds.
+
+A bench that counts work or model time prints the same figures on every run, and its
+bounds come from the stated targets. Wall times are reported as ratios within one
+run.
+"""
--- /dev/null
+++ b/sardinesaddle/bench/report.py
@@ -0,0 +1,75 @@
+"""The result of a bench: figures, and bounds that some of them must meet."""
+
+import dataclasses
+import json
+import typing
+
+Figure = float | int | str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bound:
+    """A bound on a figure; ``relation`` is 'at most' or 'at least'."""
+
+    figure: str
+    relation: typing.Literal["at most", "at least"]
+    limit: float
+
+    def is_met(self, value: Figure) -> bool:
+        """Tell whether a value meets the bound."""
+        number = float(value)
+        if self.relation == "at most":
+            return number <= self.limit
+        return number >= self.limit
+
+
+class Report:
+    """The figures of one bench run, in the order in which they were added."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.figures: dict[str, Figure] = {}
+        self.bounds: list[Bound] = []
+
+    def add(self, figure: str, value: Figure) -> None:
+        """Add a figure."""
+        self.figures[figure] = round(value, 4) if isinstance(value, float) else value
+
+    def add_at_most(self, figure: str, value: Figure, limit: float) -> None:
+        """Add a figure that must not be above a limit."""
+        self.add(figure, value)
+        self.bounds.append(Bound(figure, "at most", limit))
+
+    def add_at_least(self, figure: str, value: Figure, limit: float) -> None:
+        """Add a figure that must not be below a limit."""
+        self.add(figure, value)
+        self.bounds.append(Bound(figure, "at least", limit))
+
+    def list_missed(self) -> list[str]:
+        """Return a line for each bound that is not met."""
+        return [
+            f"{bound.figure} is {self.figures[bound.figure]},"
+            f" must be {bound.relation} {bound.limit}"
+            for bound in self.bounds
+            if not bound.is_met(self.figures[bound.figure])
+        ]
+
+    def render_text(self) -> str:
+        """Return a table for a terminal."""
+        bounds = {b.figure: f"{b.relation} {b.limit:g}" for b in self.bounds}
+        width = max(len(name) for name in self.figures)
+        lines = [f"bench {self.name}"]
+        for name, value in self.figures.items():
+            lines.append(f"  {name:{width}}  {value!s:>12}  {bounds.get(name, '')}")
+        lines += [f"  MISSED: {text}" for text in self.list_missed()]
+        return "\n".join(lines)
+
+    def render_json(self) -> str:
+        """Return one JSON document."""
+        document = {
+            "bench": self.name,
+            "figures": self.figures,
+            "bounds": [dataclasses.asdict(bound) for bound in self.bounds],
+            "missed": self.list_missed(),
+        }
+        return json.dumps(document)
--- /dev/null
+++ b/sardinesaddle/bench/runner.py
@@ -0,0 +1,56 @@
+"""Finds and runs the benches for ``sardinesaddle bench``."""
+
+import collections.abc
+import difflib
+import importlib
+import sys
+import typing
+
+import loguru
+
+from sardinesaddle.bench import report
+
+SEED: typing.Final = 1
+COUNTED: typing.Final = ("limits", "deadlines", "routing", "retries", "membership")
+TIMED: typing.Final = ("path", "capacity")
+NAMES: typing.Final = (*COUNTED, *TIMED)
+
+Make = collections.abc.Callable[[int], report.Report]
+
+
+def find_bench(name: str) -> Make:
+    """Return the function that runs a bench."""
+    module = importlib.import_module(f"sardinesaddle.bench.{name}")
+    make: Make = module.run
+    return make
+
+
+def run_bench(name: str, as_json: bool, plot: str) -> bool | str:
+    """Run a bench; return whether its bounds are met, or what is wrong."""
+    if name == "list":
+        sys.stdout.write("\n".join(NAMES) + "\n")
+        return True
+    if name not in NAMES:
+        near = difflib.get_close_matches(name, NAMES, n=1)
+        hint = f"; did you mean {near[0]!r}?" if near else ""
+        return f"bench {name!r} does not exist{hint} (known: {', '.join(NAMES)})"
+    loguru.logger.remove()
+    result = find_bench(name)(SEED)
+    text = result.render_json() if as_json else result.render_text()
+    sys.stdout.write(text + "\n")
+    if plot:
+        return draw_plot(name, plot)
+    return not result.list_missed()
+
+
+def draw_plot(name: str, file: str) -> bool | str:
+    """Draw a bench's plot if it has one."""
+    module = importlib.import_module(f"sardinesaddle.bench.{name}")
+    draw = getattr(module, "draw", None)
+    if draw is None:
+        return f"bench {name!r} has no plot"
+    try:
+        draw(SEED, file)
+    except ImportError:
+        return "matplotlib is missing; install the extra 'plot'"
+    return True
--- a/sardinesaddle/dispatch.py
+++ b/sardinesaddle/dispatch.py
@@ -107,8 +107,10 @@
         if confirmed:
             self._unconfirmed -= 1
         if refusal.code is errorcodes.TOMBSTONED:
-            # Only this attempt is known not to have run, not the whole key.
-            return self._try_again(now, draw, errorcodes.OUTCOME_UNKNOWN, refusal)
+            # Only this attempt is known not to have run, not the whole key. It never
+            # reached the target, so sending it again adds no load there.
+            code = errorcodes.OUTCOME_UNKNOWN
+            return self._try_again(now, draw, code, refusal, is_free=True)
         if self._is_keyed:
             if refusal.code is errorcodes.KEY_ELSEWHERE and refusal.retry_after_s:
                 return self._wait_for_home(now, refusal)
@@ -150,6 +152,7 @@
         draw: float,
         code: errorcodes.ErrorCode,
         refusal: errorcodes.Refusal | None,
+        is_free: bool = False,
     ) -> Decision:
         """Send another attempt if the answer has not begun and limits allow it."""
         detail = refusal.detail if refusal else ""
@@ -159,7 +162,7 @@
         delay_s = retries.compute_backoff(self.attempts, draw)
         if now + delay_s >= self.deadline_at:
             return self._finish(code, self.ran, detail, after_s)
-        if not self._budget.spend():
+        if not is_free and not self._budget.spend():
             text = detail or "the last attempt failed"
             spent = errorcodes.RETRY_BUDGET_SPENT
             return self._finish(spent, self.ran, text, max(after_s, 0.5))
--- a/sardinesaddle/main.py
+++ b/sardinesaddle/main.py
@@ -176,6 +176,20 @@
         if not runner.run_spec(mutants):
             sys.exit(EXIT_FAILED)
 
+    def bench(self, name: str, json: bool = False, plot: str = "") -> None:
+        """Run a bench and print its figures and bounds.
+
+        NAME is a bench or 'list'; --json prints one JSON document; --plot FILE.png
+        draws those benches that have a plot.
+        """
+        from sardinesaddle.bench import runner
+
+        result = runner.run_bench(name, json, plot)
+        if isinstance(result, str):
+            raise CommandError(result)
+        if not result:
+            sys.exit(EXIT_FAILED)
+
     def version(self) -> None:
         """Print the version."""
         print_line(sardinesaddle.VERSION)
--- a/sardinesaddle/retries.py
+++ b/sardinesaddle/retries.py
@@ -20,7 +20,9 @@
 
     __slots__ = ("_saved", "_share", "spent")
 
-    def __init__(self, share: float = RETRY_SHARE, saved: float = 1.0) -> None:
+    def __init__(
+        self, share: float = RETRY_SHARE, saved: float = MAX_SAVED_RETRIES
+    ) -> None:
         self._share = share
         self._saved = saved
         self.spent = 0
