--- a/sardinesaddle/bench/path.py
+++ b/sardinesaddle/bench/path.py
@@ -114,7 +114,7 @@
 
 async def measure_real(result: report.Report) -> None:
     """Measure the ratios on the machine's clock."""
-    dep = deployment.Deployment(SHAPE, token_s=0.0)
+    dep = deployment.Deployment(SHAPE, token_s=0.0, is_cabled=False)
     await dep.start()
     while not dep.is_ready():
         await asyncio.sleep(0.05)
--- a/sardinesaddle/link.py
+++ b/sardinesaddle/link.py
@@ -67,6 +67,7 @@
         self._sent_at = loop.time()
         self._busy_since = loop.time()
         self._ticked_at = loop.time()
+        self._unwritten: list[bytes] = []
         self._is_closed = False
         self.peer: handshake.Peer | None = None
         self.bytes_in = 0
@@ -106,13 +107,23 @@
         self._finish(self._reason if exc is None else str(exc))
 
     def send(self, msg: wire.Message) -> None:
-        """Queue a message; a peer that does not read loses its connection."""
+        """Queue a message; all messages of one turn of the loop leave in one write."""
         if self._is_closed or self._transport is None:
             return
         frame = frames.encode_frame(msg)
         self.bytes_out += len(frame)
+        if not self._unwritten:
+            self._loop.call_soon(self._flush)
+        self._unwritten.append(frame)
+
+    def _flush(self) -> None:
+        """Write what is queued; a peer that does not read loses its connection."""
+        if self._is_closed or self._transport is None:
+            return
+        data = b"".join(self._unwritten)
+        self._unwritten.clear()
         self._sent_at = self._loop.time()
-        self._transport.write(frame)
+        self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
             self.close("the peer does not read")
 
@@ -163,6 +174,7 @@
         )
         if isinstance(result, handshake.HandshakeFault):
             self.send(wire.Rejected(result.reason))
+            self._flush()
             if self._transport is not None:
                 self._reason = result.reason
                 self._transport.close()
--- a/sardinesaddle/standins/deployment.py
+++ b/sardinesaddle/standins/deployment.py
@@ -121,6 +121,7 @@
         run_in: world.World | None = None,
         horizon_s: float = 600.0,
         trace_file: str = "",
+        is_cabled: bool = True,
     ) -> None:
         self.shape = shape
         self.rows = make_rows(shape)
@@ -136,6 +137,7 @@
         self._run_in = run_in
         self._horizon_s = horizon_s
         self._trace_file = trace_file
+        self._is_cabled = is_cabled
         self._scratch = tempfile.TemporaryDirectory(prefix="sardinesaddle-")
         self._secret_file = pathlib.Path(self._scratch.name) / "secret"
 
@@ -218,6 +220,9 @@
 
     async def _lay_cable(self, entry: int, name: str, port: int) -> None:
         """Connect an entry's view of a host to the sidecar's port."""
+        if not self._is_cabled:
+            self._entry_hosts[entry].put(name, port, self.find_place(name))
+            return
         cable = self.cables.get((entry, name))
         if cable is None:
             cable = network.Cable(port)
