Cut what an edit of one row costs every process

Change: shards of 256 rows, digests of 128 bits, packed values between peers, a fast check of good rows, and a subset that is chosen once for each change.

--- /dev/null
+++ b/sardinesaddle/bench/capacity.py
@@ -0,0 +1,326 @@
+"""Slopes of state, processor time and bytes, each measured at three sizes or more.
+
+Memory is what the allocator counts for objects of each kind; processor time is that
+of the real decision classes and codecs, in microseconds, and so differs between
+machines and runs. Bytes are exact. docs/CAPACITY.md works out the target's size from
+these slopes.
+"""
+
+import collections.abc
+import gc
+import itertools
+import time
+import tracemalloc
+import typing
+
+import msgspec
+
+from sardinesaddle import (
+    answer,
+    callqueue,
+    configuration,
+    desk,
+    errorcodes,
+    frames,
+    hashing,
+    journal,
+    keys,
+    limits,
+    manifest,
+    membership,
+    router,
+    subset,
+    table,
+    wire,
+)
+from sardinesaddle.bench import report
+
+SIZES: typing.Final = (500, 1000, 2000, 4000)
+ROW_SIZES: typing.Final = (5_000, 10_000, 20_000, 39_690)
+REPEATS: typing.Final = 2000
+SECRET: typing.Final = b"a secret for the bench only"
+
+
+def fit_slope(sizes: collections.abc.Sequence[int], values: list[float]) -> float:
+    """Return the least-squares slope of values over sizes."""
+    mean_x = sum(sizes) / len(sizes)
+    mean_y = sum(values) / len(values)
+    top = sum((x - mean_x) * (y - mean_y) for x, y in zip(sizes, values, strict=True))
+    return top / sum((x - mean_x) ** 2 for x in sizes)
+
+
+def measure_bytes(
+    make: collections.abc.Callable[[int], object],
+    sizes: collections.abc.Sequence[int] = SIZES,
+) -> float:
+    """Return the bytes that each further item takes."""
+    values = []
+    for size in sizes:
+        gc.collect()
+        tracemalloc.start()
+        held = make(size)
+        values.append(float(tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del held
+    return fit_slope(sizes, values)
+
+
+def measure_us(
+    act: collections.abc.Callable[[int], object], repeats: int = REPEATS
+) -> float:
+    """Return the microseconds of processor time that each call takes."""
+    counts = (repeats, 2 * repeats, 4 * repeats)
+    values = []
+    for count in counts:
+        began = time.process_time()
+        for index in range(count):
+            act(index)
+        values.append(time.process_time() - began)
+    return 1e6 * fit_slope(counts, values)
+
+
+def make_fleet(count: int) -> membership.Fleet:
+    """Return an entry's view of targets that are linked and warm."""
+    fleet = membership.Fleet()
+    for index in range(count):
+        view = membership.TargetView(f"target-{index}", "s", f"p{index % 7}", 1.0)
+        view.link(-1000.0, index + 1)
+        fleet.add(view)
+    return fleet
+
+
+def make_journal(count: int) -> journal.Journal:
+    """Return a journal with done keys."""
+    held = journal.Journal("t", 1, 0.0)
+    for index in range(count):
+        key = keys.MintedKey(
+            "account", "service", "t", 1, 10**9, index.to_bytes(8, "big")
+        )
+        held.accept(1.0, key, index, index)
+        held.mark_running(key)
+        held.mark_done(key)
+    return held
+
+
+def make_answers(count: int) -> list[answer.Answer]:
+    """Return kept answers of 300 bytes, as a receipt's is."""
+    answers = []
+    for _ in range(count):
+        one = answer.Answer()
+        one.begin(200, [("Content-Type", "application/json")])
+        one.append(b"x" * 300)
+        one.end()
+        answers.append(one)
+    return answers
+
+
+def make_rows(count: int) -> table.Rows:
+    """Return a table with that many limit rows at the target's other sizes."""
+    return table.Rows(
+        accounts=[
+            table.AccountRow(f"a{i}", [f"{hashing.hash_text(str(i)):064x}"])
+            for i in range(210)
+        ],
+        services=[table.ServiceRow(f"s{i}", "model", model=f"m{i}") for i in range(27)],
+        targets=[
+            table.TargetRow(f"t{i}", f"s{i % 27}", f"p{i % 7}") for i in range(3100)
+        ],
+        limits=[
+            table.LimitRow(f"s{i % 27}", f"a{i // 27 % 210}", f"p{i // 5670}")
+            for i in range(count)
+        ],
+    )
+
+
+def make_submit(number: int, budget_ms: int = 30_000) -> wire.Submit:
+    """Return a request of one kilobyte."""
+    return wire.Submit(
+        number, "service", "account", "POST", "/v1/chat/completions",
+        [("Content-Type", "application/json")], b"x" * 1000, "", 1, 5, budget_ms, 0,
+        128 * 1024, True, number, "00-" + "0" * 32 + "-" + "0" * 16 + "-01",
+    )  # fmt: skip
+
+
+class QueuedItem:
+    """A call as the queue sees it."""
+
+    __slots__ = ("account", "cost", "deadline_at", "number", "priority", "share")
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.account = f"a{number % 210}"
+        self.share = 1.0
+        self.priority = number % 3
+        self.deadline_at = float(number)
+        self.cost = 1.0
+
+
+def make_open_calls(count: int) -> desk.Desk:
+    """Return a desk with calls that run and have an attempt each."""
+    held = desk.Desk("t", 1, 0.0, SECRET, count, count, 600.0)
+    for index in range(count):
+        held.on_submit(1.0, 7, make_submit(index + 1))
+    return held
+
+
+def run_token(held: desk.Desk, call: desk.Call) -> collections.abc.Callable[[int], int]:
+    """Return a function that passes one token from a target to an entry."""
+    reader = frames.FrameReader(frames.MAX_FRAME_BYTES)
+    text = b"data: " + b"x" * 180 + b"\n\n"
+
+    def act(index: int) -> int:
+        actions = held.on_target_data(call, text)
+        for action in actions:
+            assert isinstance(action, desk.Reply)
+            reader.feed(frames.encode_frame(action.msg))
+            msg = reader.read_message()
+            assert isinstance(msg, wire.Data)
+            end = msg.offset + len(msg.data)
+            held.on_credit(7, wire.Credit(msg.attempt, end, end + 128 * 1024))
+        return index
+
+    return act
+
+
+def add_memory(result: report.Report) -> None:
+    """Measure what each item of state takes."""
+    result.add("bytes_per_target_known", measure_bytes(make_fleet))
+    result.add("bytes_per_journal_key", measure_bytes(make_journal))
+    result.add("bytes_per_kept_answer_300", measure_bytes(make_answers))
+    result.add("bytes_per_open_call", measure_bytes(make_open_calls))
+    result.add(
+        "bytes_per_table_row",
+        measure_bytes(lambda n: table.Table(1, make_rows(n)), ROW_SIZES),
+    )
+    result.add(
+        "bytes_per_admission_account",
+        measure_bytes(
+            lambda n: [limits.Bucket(0.0, 1.0, 1.0) for _ in range(n)],
+        ),
+    )
+
+
+def add_table_times(result: report.Report) -> None:
+    """Measure what a revision of the table costs at 39,690 rows."""
+    rows = make_rows(ROW_SIZES[-1])
+    published, shards = manifest.publish_rows(rows, 1, None)
+    result.add("table_shards", len(shards))
+    result.add("table_bytes", sum(len(data) for data in shards.values()))
+    result.add("largest_shard_bytes", max(len(data) for data in shards.values()))
+    began = time.process_time()
+    parts = [manifest.parse_shard(data) for data in shards.values()]
+    result.add("ms_parse_whole_table", 1000 * (time.process_time() - began))
+    whole = table.join_rows(p for p in parts if isinstance(p, table.Rows))
+    began = time.process_time()
+    assert not table.check_rows(whole)
+    result.add("ms_check_whole_table", 1000 * (time.process_time() - began))
+    began = time.process_time()
+    table.Table(1, whole)
+    result.add("ms_index_whole_table", 1000 * (time.process_time() - began))
+    add_edit_time(result, rows, published, shards)
+
+
+def add_edit_time(
+    result: report.Report,
+    rows: table.Rows,
+    published: manifest.Manifest,
+    shards: dict[str, bytes],
+) -> None:
+    """Measure what the change of one row costs a process."""
+    conf = configuration.Configuration(0.0)
+    conf.on_manifest(0.0, "service", msgspec.json.encode(published))
+    for digest, data in shards.items():
+        conf.on_shard(0.0, digest, data)
+    assert conf.revision == 1
+    edited = [table.LimitRow("s0", "a0", "p0", rate=5.0), *rows.limits[1:]]
+    changed = table.Rows(rows.accounts, rows.services, rows.targets, edited)
+    second, more = manifest.publish_rows(changed, 2, published)
+    new = {d: data for d, data in more.items() if d not in shards}
+    began = time.process_time()
+    conf.on_manifest(1.0, "service", msgspec.json.encode(second))
+    for digest, data in new.items():
+        conf.on_shard(1.0, digest, data)
+    assert conf.revision == 2
+    result.add("ms_adopt_edit_of_one_row", 1000 * (time.process_time() - began))
+    packed = sum(len(manifest.pack_value(data)) for data in new.values())
+    result.add("shard_bytes_fetched_for_edit", packed)
+    text = msgspec.json.encode(second)
+    result.add("manifest_bytes_fetched", len(manifest.pack_value(text)))
+
+
+def add_times(result: report.Report) -> None:
+    """Measure what each decision and message costs."""
+    fleet = make_fleet(64)
+    routes = router.Router(fleet, "p0")
+    wish = router.Wish("s", draws=(0.3, 0.6, 0.1))
+    result.add("us_route_64_targets", measure_us(lambda i: routes.choose(0.0, wish)))
+    affine = router.Wish("s", prefix=12345)
+    result.add(
+        "us_route_prefix_64_targets", measure_us(lambda i: routes.choose(0.0, affine))
+    )
+    admission = limits.Admission()
+    row = table.LimitRow("s", rate=1e9, burst=1e9, concurrency=10**9)
+    result.add(
+        "us_admit",
+        measure_us(lambda i: admission.admit(1.0, "a", row, errorcodes.Ran.NOT_RUN)),
+    )
+    queue: callqueue.CallQueue[QueuedItem] = callqueue.CallQueue(1000)
+    for index in range(500):
+        queue.push(QueuedItem(index))
+
+    numbers = itertools.count(1000)
+
+    def cycle(index: int) -> None:
+        queue.push(QueuedItem(next(numbers)))
+        queue.pop()
+
+    result.add("us_queue_push_pop_500", measure_us(cycle))
+    heartbeat = wire.Heartbeat(3_600_000, 1 << 44, False, 12, 3, 250)
+    result.add("us_heartbeat", measure_us(lambda i: run_codec(heartbeat)))
+    submit = make_submit(1)
+    result.add("us_submit_codec", measure_us(lambda i: run_codec(submit)))
+    held = make_open_calls(1)
+    call = held.list_calls()[0]
+    result.add("us_token_through_desk_and_codec", measure_us(run_token(held, call)))
+    key = keys.MintedKey("a", "s", "t", 1, 10**9, b"12345678")
+    text = keys.render_key(SECRET, key)
+    result.add(
+        "us_parse_key", measure_us(lambda i: keys.parse_key(SECRET, "a", "s", text))
+    )
+    names = [f"target-{index}" for index in range(3100)]
+    result.add(
+        "us_choose_subset_of_3100",
+        measure_us(lambda i: subset.choose_subset(f"e{i}", names, 64), 5),
+    )
+
+
+def run_codec(msg: wire.Message) -> None:
+    """Encode and decode one message."""
+    reader = frames.FrameReader(frames.MAX_FRAME_BYTES)
+    reader.feed(frames.encode_frame(msg))
+    assert reader.read_message() is not None
+
+
+def add_sizes(result: report.Report) -> None:
+    """Count the bytes of the messages that flow when nothing is asked."""
+    samples: dict[str, wire.Message] = {
+        "heartbeat": wire.Heartbeat(86_400_000, 12_000 << 24, False, 12, 3, 250),
+        "credit": wire.Credit(100_000, 131_072, 262_144),
+        "data_overhead": wire.Data(100_000, 131_072, b""),
+        "lease": wire.Lease("account-100", "service-20", 10, 2000),
+        "ask_lease": wire.AskLease("account-100", "service-20", 10),
+        "suspicion": wire.Suspicion(1 << 62, 2, 60_000),
+        "grant": wire.Grant("group-100", 12, 10_000_000, [(9_000_000, 12)]),
+    }
+    for name, msg in samples.items():
+        result.add(f"frame_bytes_{name}", len(frames.encode_frame(msg)))
+
+
+def run(seed: int) -> report.Report:
+    """Run the bench."""
+    result = report.Report("capacity")
+    add_memory(result)
+    add_table_times(result)
+    add_times(result)
+    add_sizes(result)
+    return result
--- a/sardinesaddle/configuration.py
+++ b/sardinesaddle/configuration.py
@@ -21,7 +21,7 @@
 
 REQUEST_TIMEOUT_S: typing.Final = 1.0
 JOIN_WAIT_S: typing.Final = 2.0
-MAX_SHARDS: typing.Final = 256
+MAX_SHARDS: typing.Final = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/confsync.py
+++ b/sardinesaddle/confsync.py
@@ -115,15 +115,17 @@
         """Handle a message about the configuration; return whether it was one."""
         now = self._loop.time()
         if isinstance(msg, wire.AskManifest):
-            reply = wire.ManifestData(self.conf.manifest_data)
+            reply = wire.ManifestData(manifest.pack_value(self.conf.manifest_data))
             self._channels.send_to_peer(name, reply)
         elif isinstance(msg, wire.ManifestData):
-            self._act(self.conf.on_manifest(now, name, msg.data))
+            data = manifest.unpack_value(msg.data)
+            self._act(self.conf.on_manifest(now, name, data))
         elif isinstance(msg, wire.AskShard):
-            data = self.conf.find_shard(msg.digest)
+            data = manifest.pack_value(self.conf.find_shard(msg.digest))
             self._channels.send_to_peer(name, wire.ShardData(msg.digest, data))
         elif isinstance(msg, wire.ShardData):
-            self._act(self.conf.on_shard(now, msg.digest, msg.data))
+            data = manifest.unpack_value(msg.data)
+            self._act(self.conf.on_shard(now, msg.digest, data))
         else:
             return False
         return True
--- a/sardinesaddle/manifest.py
+++ b/sardinesaddle/manifest.py
@@ -1,21 +1,24 @@
 """The published form of a table: a manifest and shards named by their content.
 
-A shard is plain JSON with some rows of the table. Its name is the SHA-256 digest
-of its bytes, so a shard never changes and may come from any peer. The manifest
-holds the revision, the digests of all shards, and for each service whose calls may
+A shard is plain JSON with some rows of the table. Its name is the first half of the
+SHA-256 digest of its bytes, so a shard never changes and may come from any peer. The
+manifest holds the revision, the digests of all shards, and for each service whose calls may
 not be repeated the last sets of targets that it had; a sidecar that restarted or
 missed revisions learns from these where an opaque key may have been run.
 """
 
 import hashlib
 import typing
+import zlib
 
 import msgspec
 
 from sardinesaddle import table
 
 MANIFEST_NAME: typing.Final = "manifest"
-ROWS_PER_SHARD: typing.Final = 2000
+# At 40,000 rows, 2,000 made each edit cost every process 200 KB of shard.
+ROWS_PER_SHARD: typing.Final = 256
+DIGEST_HEX_CHARS: typing.Final = 32
 MAX_VALUE_BYTES: typing.Final = 1024 * 1024
 KEPT_HOME_CHANGES: typing.Final = 32
 VERSION_TAG_BYTES: typing.Final = 3
@@ -44,7 +47,7 @@
 
 def compute_digest(data: bytes) -> str:
     """Return the name of a shard."""
-    return hashlib.sha256(data).hexdigest()
+    return hashlib.sha256(data).hexdigest()[:DIGEST_HEX_CHARS]
 
 
 def compute_version(revision: int, data: bytes) -> int:
@@ -53,6 +56,21 @@
     return revision << 8 * VERSION_TAG_BYTES | tag
 
 
+def pack_value(data: bytes) -> bytes:
+    """Return published content as peers send it to each other."""
+    return zlib.compress(data) if data else b""
+
+
+def unpack_value(packed: bytes) -> bytes:
+    """Return published content from a peer, or nothing if it is malformed."""
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, MAX_VALUE_BYTES)
+    except zlib.error:
+        return b""
+    return data if unpacker.eof else b""
+
+
 def parse_manifest(data: bytes) -> Manifest | ParseFault:
     """Read a published manifest."""
     try:
--- a/sardinesaddle/peers.py
+++ b/sardinesaddle/peers.py
@@ -38,6 +38,8 @@
         self._period_s = period_s
         self._rows: list[membership.Host] = []
         self._tab: table.Table | None = None
+        self._wanted: dict[str, membership.Host] = {}
+        self._wanted_for: tuple[table.Table | None, list[membership.Host]] | None = None
         self._task: asyncio.Task[None] | None = None
         self.fleet = membership.Fleet()
         self.by_name: dict[str, peer.SidecarPeer] = {}
@@ -96,6 +98,14 @@
                 known.view.is_leaving = True
 
     def _choose_wanted(self) -> dict[str, membership.Host]:
+        """Return the hosts to be connected to, worked out once for each change."""
+        inputs = (self._tab, self._rows)
+        if self._wanted_for != inputs:
+            self._wanted = self._compute_wanted()
+            self._wanted_for = inputs
+        return self._wanted
+
+    def _compute_wanted(self) -> dict[str, membership.Host]:
         """Return the hosts that this entry should be connected to."""
         if self._tab is None:
             # Any sidecar can say what table is in force.
--- a/sardinesaddle/table.py
+++ b/sardinesaddle/table.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import collections.abc
 import hashlib
 import hmac
 import typing
@@ -127,7 +128,7 @@
     _check_unique(faults, "targets", [row.target for row in rows.targets])
     _check_unique(faults, "groups", [row.group for row in rows.groups])
     _check_unique(
-        faults, "limits", [f"{r.service}/{r.account}/{r.place}" for r in rows.limits]
+        faults, "limits", [(r.service, r.account, r.place) for r in rows.limits]
     )
     _check_unique(
         faults, "accounts", [d for row in rows.accounts for d in row.token_digests]
@@ -145,13 +146,37 @@
             text = f"group {target.group!r} does not exist in sheet 'groups'"
             faults.append(Fault("targets", line, text))
     for line, limit in enumerate(rows.limits, 1):
-        _check_limit(faults, line, limit, services, accounts, places)
+        if not _is_good_limit(limit, services, accounts, places):
+            _check_limit(faults, line, limit, services, accounts, places)
     return faults
 
 
-def _check_unique(faults: list[Fault], sheet: str, names: list[str]) -> None:
+def _is_good_limit(
+    row: LimitRow, services: set[str], accounts: set[str], places: set[str]
+) -> bool:
+    """Tell quickly that a limit row has no fault, as nearly all have none."""
+    return (
+        row.service in services
+        and row.account in accounts
+        and row.place in places
+        and 0 <= row.priority <= MAX_PRIORITY
+        and row.rate >= 0
+        and row.burst >= 1
+        and row.concurrency >= 0
+        and row.deadline_s > 0
+        and row.weight >= 0
+    )
+
+
+def _check_unique(
+    faults: list[Fault],
+    sheet: str,
+    names: collections.abc.Sequence[str | tuple[str, ...]],
+) -> None:
     """Report names that stand twice."""
-    seen: set[str] = set()
+    if len(set(names)) == len(names) and "" not in names:
+        return
+    seen: set[str | tuple[str, ...]] = set()
     for line, name in enumerate(names, 1):
         if not name:
             faults.append(Fault(sheet, line, "the name is empty; give it one"))
--- a/sardinesaddle/wire.py
+++ b/sardinesaddle/wire.py
@@ -170,7 +170,7 @@
 
 
 class ManifestData(msgspec.Struct, frozen=True, array_like=True, tag=20):
-    """A manifest as it was published; empty when the peer has none."""
+    """A manifest, packed; empty when the peer has none."""
 
     data: bytes
 
@@ -182,7 +182,7 @@
 
 
 class ShardData(msgspec.Struct, frozen=True, array_like=True, tag=22):
-    """A shard's content; empty when the peer does not hold it."""
+    """A shard's content, packed; empty when the peer does not hold it."""
 
     digest: str
     data: bytes
