Ship one file that starts no other process and needs no disk

Cause: one-file forms of PyInstaller and Nuitka leave a launcher that starts a child, which a rule forbids, and hosts have no disk to unpack to. Change: a zip application for the host's Python 3.11.

--- a/sardinesaddle/manifest.py
+++ b/sardinesaddle/manifest.py
@@ -2,9 +2,9 @@
 
 A shard is plain JSON with some rows of the table. Its name is the first half of the
 SHA-256 digest of its bytes, so a shard never changes and may come from any peer. The
-manifest holds the revision, the digests of all shards, and for each service whose calls may
-not be repeated the last sets of targets that it had; a sidecar that restarted or
-missed revisions learns from these where an opaque key may have been run.
+manifest holds the revision, the digests of all shards, and for each service whose
+calls may not be repeated the last sets of targets that it had; a sidecar that
+restarted or missed revisions learns from these where an opaque key may have run.
 """
 
 import hashlib
--- /dev/null
+++ b/test/test_binary.py
@@ -0,0 +1,71 @@
+"""The one file that ships: it starts, serves, starts no other process, and drains."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+START_LIMIT_S = 60.0
+
+
+@pytest.fixture(scope="module")
+def binary(tmp_path_factory: pytest.TempPathFactory) -> pathlib.Path:
+    """Build the file once."""
+    out = tmp_path_factory.mktemp("dist") / "sardinesaddle"
+    subprocess.run(
+        [sys.executable, "misc/build_binary.py", str(out)], cwd=ROOT, check=True
+    )
+    return out
+
+
+def run(binary: pathlib.Path, *words: str, cwd: pathlib.Path) -> subprocess.Popen[str]:
+    """Start the file as a host would, without any installed package."""
+    return subprocess.Popen(
+        [sys.executable, "-S", "-I", str(binary), *words],
+        cwd=cwd,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        env={"PATH": os.environ["PATH"]},
+    )
+
+
+def test_version_and_faults(binary: pathlib.Path, tmp_path: pathlib.Path) -> None:
+    out, _ = run(binary, "version", cwd=tmp_path).communicate(timeout=START_LIMIT_S)
+    assert out == "0.1.0\n"
+    proc = run(binary, "entry", "missing.json", cwd=tmp_path)
+    out, _ = proc.communicate(timeout=START_LIMIT_S)
+    assert out.count("\n") == 1
+    assert "missing.json: no such file" in out
+    assert proc.returncode == 1
+
+
+def test_role_starts_no_process_and_drains(
+    binary: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    (tmp_path / "secret").write_text("0123456789abcdef0123")
+    (tmp_path / "sidecar.json").write_text(
+        '{target: "t", place: "p", secret_file: "secret", // a comment\n'
+        ' target_url: "http://127.0.0.1:9", platform:'
+        ' {config_url: "http://127.0.0.1:9", hosts_url: "http://127.0.0.1:9"}}'
+    )
+    proc = run(binary, "sidecar", "sidecar.json", cwd=tmp_path)
+    assert proc.stdout is not None
+    line = ""
+    while "event=sidecar_started" not in line:
+        line = proc.stdout.readline()
+        assert line, "the sidecar ended before it started to serve"
+    children: list[str] = []
+    for task in pathlib.Path(f"/proc/{proc.pid}/task").iterdir():
+        children += (task / "children").read_text().split()
+    assert children == []
+    maps = pathlib.Path(f"/proc/{proc.pid}/maps").read_text()
+    assert "site-packages" not in maps
+    proc.send_signal(signal.SIGTERM)
+    out, _ = proc.communicate(timeout=START_LIMIT_S)
+    assert "event=drain_done" in out, out
+    assert proc.returncode == 0
