Run groups over the sidecars' links against lock-step engines

Change: each sidecar of a group connects to the others, reads what its engine holds before it orders anything, and orders steps by epoch, plan and last step; engine stand-ins hold orders, load maps and run in lock-step; status shows the group. The demo runs a group in each deployment and wants another map at each failure. Conclusion: what is left of groups is the tree, pacing of loads, and the placement as the source of wanted maps.

--- /dev/null
+++ b/misc/write_benchmarks.py
@@ -0,0 +1,61 @@
+"""Writes docs/BENCHMARKS.md from what the benches print.
+
+Counted benches give the same figures on every run, and test/test_docs.py holds the
+page to them. Timed ones are ratios of one run.
+"""
+
+import pathlib
+
+import loguru
+
+from sardinesaddle.bench import report, runner
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "BENCHMARKS.md"
+HEAD = """# Benchmarks
+
+Written by misc/write_benchmarks.py. Model time and counted work on seed 1 give the same
+figures on every run; the benches `path` and `capacity` measure the machine, so quote
+their ratios. A bound is a stated target. `sardinesaddle bench NAME --json` prints one.
+"""
+TIMED_NOTE = {"path": "One run; wall time.", "capacity": "One run; processor time."}
+
+
+def render(result: report.Report) -> str:
+    """Return the section of one bench."""
+    bounds = {bound.figure: bound for bound in result.bounds}
+    lines = [f"## {result.name}", "", TIMED_NOTE.get(result.name, ""), ""]
+    lines += ["| figure | value | bound | met |", "|---|---|---|---|"]
+    for figure, value in result.figures.items():
+        bound = bounds.get(figure)
+        text = f"{bound.relation} {bound.limit:g}" if bound else ""
+        met = ("yes" if bound.is_met(value) else "NO") if bound else ""
+        lines.append(f"| {figure} | {value} | {text} | {met} |")
+    return "\n".join(lines) + "\n"
+
+
+def select_placement(result: report.Report) -> report.Report:
+    """Return the figures of placement that have a bound, and the mean skews."""
+    short = report.Report(result.name)
+    bounded = {bound.figure for bound in result.bounds}
+    for figure, value in result.figures.items():
+        if figure in bounded or figure.endswith(("_mean_skew", "_moves")):
+            short.figures[figure] = value
+    short.bounds = result.bounds
+    return short
+
+
+def main() -> None:
+    """Run every bench and write the page."""
+    loguru.logger.remove()
+    sections = []
+    for name in runner.NAMES:
+        result = runner.find_bench(name)(runner.SEED)
+        if name == "placement":
+            result = select_placement(result)
+        sections.append(render(result))
+        print(f"{name}: {len(result.figures)} figures")
+    PAGE.write_text(HEAD + "\n" + "\n".join(sections))
+
+
+if __name__ == "__main__":
+    main()
--- a/sardinesaddle/bench/capacity.py
+++ b/sardinesaddle/bench/capacity.py
@@ -22,6 +22,7 @@
     desk,
     errorcodes,
     frames,
+    groupwire,
     hashing,
     journal,
     keys,
@@ -30,6 +31,7 @@
     manifest,
     membership,
     router,
+    steps,
     subset,
     table,
     wire,
@@ -322,7 +324,11 @@
             "account-100", "service-20", "place-1", 10, 86_400_000
         ),
         "suspicion": wire.Suspicion(1 << 62, 2),
-        "grant": wire.Grant("group-100", 12, 10_000_000, [(9_000_000, 12)]),
+        "grant": wire.GroupMessage(
+            "group-100",
+            255,
+            groupwire.encode_group_message(steps.Grant((300, 12), 10_000_000)),
+        ),
     }
     for name, msg in samples.items():
         result.add(f"frame_bytes_{name}", len(frames.encode_frame(msg)))
--- a/sardinesaddle/bench/steps.py
+++ b/sardinesaddle/bench/steps.py
@@ -9,7 +9,7 @@
 import random
 import typing
 
-from sardinesaddle import frames, group, steps, wire
+from sardinesaddle import frames, group, groupwire, steps, wire
 from sardinesaddle.bench import report
 
 STEP_S: typing.Final = 0.02
@@ -292,8 +292,8 @@
     before = sim.messages
     sim.run_until(10.0)
     per_s = (sim.messages - before) / 2.0
-    grant = wire.Grant("group-1", 300, 10_000_000, [(9_000_000, 12)])
-    size = len(frames.encode_frame(grant))
+    body = groupwire.encode_group_message(steps.Grant((300, 12), 10_000_000))
+    size = len(frames.encode_frame(wire.GroupMessage("group-1", 255, body)))
     result.add("messages_per_s_256_ranks", per_s)
     result.add_at_most("bytes_per_s_of_a_rank", 2 * size / group.GRANT_PERIOD_S, 2000.0)
     # Grants go from the leader to every rank and reports come back, with no tree.
--- a/sardinesaddle/demo.py
+++ b/sardinesaddle/demo.py
@@ -18,7 +18,7 @@
 import loguru
 
 from sardinesaddle import build
-from sardinesaddle.standins import deployment, targets, world
+from sardinesaddle.standins import deployment, lockstep, targets, world
 
 START_LIMIT_S: typing.Final = 30.0
 FAILURE_S: typing.Final = 1.5
@@ -26,6 +26,7 @@
 CALLERS: typing.Final = 8
 CALL_DEADLINE_MS: typing.Final = 6000
 MAX_SENDS: typing.Final = 8
+STEP_S: typing.Final = 0.05
 RETRY_HORIZON_S: typing.Final = 600.0
 MUST_BE_ZERO: typing.Final = (
     "doubled",
@@ -51,6 +52,8 @@
     cut_off: int = 0
     crossed: int = 0
     false_not_run: int = 0
+    steps: int = 0
+    maps: int = 0
     mixed_maps: int = 0
     reverted: int = 0
     lost: int = 0
@@ -332,11 +335,51 @@
         await self._dep.start_entry(0)
 
 
-async def bring_about(failures: list[Failures], name: str, counts: Counts) -> None:
-    """Bring about one failure in both deployments at once."""
+class Groups:
+    """The lock-step groups of all deployments."""
+
+    def __init__(self, deps: list[deployment.Deployment]) -> None:
+        self._deps = deps
+        self._version = 1
+        self._locks: list[lockstep.LockStep] = []
+        for dep in deps:
+            members = [row.target for row in dep.rows.targets if row.group]
+            engines = [dep.targets[name] for name in members]
+            self._locks.append(
+                lockstep.LockStep(
+                    [e for e in engines if isinstance(e, targets.Engine)], STEP_S
+                )
+            )
+
+    def start(self) -> None:
+        """Begin to step."""
+        for lock in self._locks:
+            lock.start()
+
+    def change_map(self) -> None:
+        """Want the next map in every group."""
+        self._version += 1
+        for dep in self._deps:
+            for proc in dep.sidecars.values():
+                proc.sidecar.groups.wanted_version = self._version
+
+    def stop(self, counts: Counts) -> None:
+        """Stop stepping and count at the engines."""
+        for lock in self._locks:
+            lock.stop()
+            counts.steps += lock.lowest_step
+            counts.maps += lock.count_maps()
+            counts.mixed_maps += lock.count_mixed()
+
+
+async def bring_about(
+    failures: list[Failures], name: str, counts: Counts, groups: Groups
+) -> None:
+    """Bring about one failure in both deployments at once, and change the maps."""
     sys.stdout.write(f"  {name.replace('_', ' '):32}")
     sys.stdout.flush()
     before = counts.answered
+    groups.change_map()
     await asyncio.gather(*(getattr(one, name)() for one in failures))
     await asyncio.sleep(FAILURE_S)
     sys.stdout.write(f"{counts.answered - before:6} answered meanwhile\n")
@@ -380,14 +423,17 @@
     all_callers = [Callers(dep, counts, seed) for dep in deps]
     tasks = [loop.create_task(c.run()) for c in all_callers for _ in range(CALLERS)]
     failures = [Failures(dep, seed) for dep in deps]
+    groups = Groups(deps)
+    groups.start()
     await asyncio.sleep(FAILURE_S)
     for name in names:
-        await bring_about(failures, name, counts)
+        await bring_about(failures, name, counts, groups)
     await asyncio.sleep(SETTLE_S)
     for callers in all_callers:
         callers.is_stopping = True
     await asyncio.gather(*tasks)
     watcher.cancel()
+    groups.stop(counts)
     for callers in all_callers:
         callers.count_at_targets()
         await callers.close()
--- a/sardinesaddle/group.py
+++ b/sardinesaddle/group.py
@@ -13,7 +13,7 @@
 import dataclasses
 import typing
 
-from sardinesaddle import steps
+from sardinesaddle import platforms, steps
 
 TICK_S: typing.Final = 0.1
 GRANT_PERIOD_S: typing.Final = 0.5
@@ -223,8 +223,8 @@
             self._take_report(msg)
             return []
         if isinstance(msg, AskPromised):
-            if not self.state.is_joined:
-                return []
+            # A rank that has not joined answers too, with what its engine holds;
+            # else a group whose sidecars all restarted would wait for ever.
             return [Send(msg.rank, Promised(self.rank, self.state.promised))]
         self._take_promised(msg)
         return []
@@ -289,6 +289,15 @@
             self.state.join(self._others.values(), self.state.ran_step)
             self._highest_epoch = max(self._highest_epoch, *self._others.values())
 
+    def on_engine_order(self, held: platforms.StepsState) -> None:
+        """Take over the order that the engine holds, as this rank's memory."""
+        order = held.order
+        self.state.plan = steps.Plan(order.epoch, order.number, order.maps)
+        self.state.promised = max(self.state.promised, order.epoch)
+        self.state.last_step = order.last_step
+        self._highest_epoch = max(self._highest_epoch, order.epoch)
+        self.on_engine_state(held.ran_step, held.loaded)
+
     def on_engine_state(self, ran_step: int, prepared: frozenset[int]) -> None:
         """Take over what the engine says that it has run and loaded.
 
--- /dev/null
+++ b/sardinesaddle/grouprunner.py
@@ -0,0 +1,230 @@
+"""Runs a rank's membership in its group over the sidecars' links.
+
+The runner connects to the sidecars of the other ranks, which follow from the table,
+and gives its engine the orders that follow from the member's decisions. Before it
+orders anything it reads what the engine holds: the engine's order is the memory that a
+sidecar does not have. Orders name absolute steps, so one can be repeated.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+import loguru
+
+from sardinesaddle import (
+    group,
+    groupwire,
+    membership,
+    peer,
+    platforms,
+    steps,
+    table,
+    wire,
+)
+
+POLL_S: typing.Final = 0.2
+STEPS_PER_S: typing.Final = 50.0
+
+
+class GroupRunner(peer.Listener):
+    """One rank of one group."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        name: str,
+        incarnation: int,
+        hello: wire.Hello,
+        secret: bytes,
+        hosts: platforms.HostSource,
+        target: platforms.Target,
+        make_heartbeat: collections.abc.Callable[[], wire.Heartbeat],
+    ) -> None:
+        self._loop = loop
+        self._name = name
+        self._incarnation = incarnation
+        self._hello = hello
+        self._secret = secret
+        self._hosts = hosts
+        self._target = target
+        self._make_heartbeat = make_heartbeat
+        self._members: tuple[str, ...] = ()
+        self._peers: dict[str, peer.SidecarPeer] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ordered: tuple[steps.PlanId, int] = ((0, 0), 0)
+        self.group = ""
+        self.member: group.Member | None = None
+        self.wanted_version = 0
+
+    def adopt(self, tab: table.Table) -> None:
+        """Take over the group's ranks from a table."""
+        row = tab.targets.get(self._name)
+        name = row.group if row is not None and row.state == "active" else ""
+        members = tuple(
+            sorted(
+                one.target
+                for one in tab.rows.targets
+                if one.group == name and one.state == "active"
+            )
+        )
+        if not name:
+            members = ()
+        if (name, members) == (self.group, self._members):
+            return
+        self.stop()
+        self.group, self._members = name, members
+        if len(members) > 1:
+            self._spawn(self._run())
+
+    def stop(self) -> None:
+        """Leave the group."""
+        for task in list(self._tasks):
+            task.cancel()
+        for one in self._peers.values():
+            one.stop()
+        self._peers.clear()
+        self.member = None
+
+    def _spawn(self, coro: collections.abc.Coroutine[None, None, None]) -> None:
+        """Run a task until the runner stops."""
+        task = self._loop.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self) -> None:
+        """Read the engine, join the group, and let time pass."""
+        held = await self._read_engine()
+        member = group.Member(
+            self._loop.time(),
+            self._members.index(self._name),
+            len(self._members),
+            self._incarnation,
+            is_first_life=False,
+            steps_per_s=STEPS_PER_S,
+        )
+        member.on_engine_order(held)
+        self.member = member
+        self._spawn(self._poll())
+        while True:
+            await asyncio.sleep(group.TICK_S)
+            member.wanted_version = self.wanted_version
+            self._act(member.tick(self._loop.time()))
+            await self._give_order(member)
+
+    async def _read_engine(self) -> platforms.StepsState:
+        """Return what the engine holds, once it answers."""
+        while True:
+            held = await self._target.read_steps()
+            if isinstance(held, platforms.StepsState):
+                return held
+            await asyncio.sleep(POLL_S)
+
+    async def _poll(self) -> None:
+        """Follow the engine's progress and the ranks' addresses."""
+        while True:
+            if len(self._peers) < len(self._members) - 1:
+                await self._connect()
+            held = await self._target.read_steps()
+            if isinstance(held, platforms.StepsState) and self.member is not None:
+                self.member.state.on_ran(held.ran_step)
+            await asyncio.sleep(POLL_S)
+
+    async def _connect(self) -> None:
+        """Connect to the ranks that the host list names."""
+        rows = await self._hosts.list_hosts()
+        if isinstance(rows, platforms.Unavailable):
+            return
+        for row in rows:
+            if row.name == self._name or row.name not in self._members:
+                continue
+            if row.name not in self._peers:
+                view = membership.TargetView(row.name, "", row.place, 1.0)
+                one = peer.SidecarPeer(
+                    self._loop,
+                    self,
+                    view,
+                    row.host,
+                    row.port,
+                    self._hello,
+                    self._secret,
+                )
+                self._peers[row.name] = one
+                one.start()
+
+    async def _give_order(self, member: group.Member) -> None:
+        """Order the engine to run what has been granted since the last order."""
+        state = member.state
+        wanted = (state.plan.ident, state.last_step)
+        if wanted == self._ordered or not state.last_step:
+            return
+        order = platforms.StepsOrder(
+            state.plan.epoch, state.plan.number, state.plan.maps, state.last_step
+        )
+        if await self._target.order_steps(order) is True:
+            self._ordered = wanted
+
+    async def _load(self, version: int) -> None:
+        """Let the engine load a map's weights."""
+        member = self.member
+        loaded = await self._target.load_map(version)
+        if member is not None and member is self.member:
+            self._act(member.on_loaded(version, loaded is True))
+
+    def _act(self, actions: list[group.Action]) -> None:
+        """Carry out the member's decisions."""
+        for action in actions:
+            if isinstance(action, group.Load):
+                self._spawn(self._load(action.version))
+            else:
+                self._send(action)
+
+    def _send(self, action: group.Send) -> None:
+        """Send a message to a rank, which may be this one."""
+        member = self.member
+        assert member is not None
+        if action.to == member.rank:
+            more = member.on_message(self._loop.time(), member.rank, action.msg)
+            self._act(more)
+            return
+        one = self._peers.get(self._members[action.to])
+        if one is not None:
+            body = groupwire.encode_group_message(action.msg)
+            one.send(wire.GroupMessage(self.group, member.rank, body))
+
+    def on_group_message(self, msg: wire.GroupMessage) -> None:
+        """Handle a message from another rank."""
+        if self.member is None or msg.group != self.group:
+            return
+        decoded = groupwire.decode_group_message(msg.body)
+        if isinstance(decoded, groupwire.GroupFault):
+            loguru.logger.warning("event=group_fault reason={!r}", decoded.reason)
+            return
+        self._act(self.member.on_message(self._loop.time(), msg.sender, decoded))
+
+    def on_peer_message(self, one: peer.SidecarPeer, msg: wire.Message) -> None:
+        """Ignore what a rank's sidecar sends besides its group messages."""
+
+    def make_heartbeat(self) -> wire.Heartbeat:
+        """Return the sidecar's state."""
+        return self._make_heartbeat()
+
+    def describe(self) -> dict[str, object]:
+        """Return what the status page shows of the group."""
+        member = self.member
+        if member is None:
+            return {}
+        state = member.state
+        return {
+            "group": self.group,
+            "rank": member.rank,
+            "ranks": member.ranks,
+            "joined": state.is_joined,
+            "leader_rank": member.leader_rank,
+            "leads": member.leader is not None,
+            "epoch": state.promised,
+            "map": state.plan.find_map(state.ran_step + 1),
+            "maps": [list(one) for one in state.plan.maps],
+            "ran_step": state.ran_step,
+            "last_step": state.last_step,
+        }
--- a/sardinesaddle/httptarget.py
+++ b/sardinesaddle/httptarget.py
@@ -146,6 +146,32 @@
             return status
         return status != 409
 
+    async def read_steps(self) -> platforms.StepsState | platforms.Unavailable:
+        """Return what the target holds of its group's steps."""
+        data = await self._get("/control/steps")
+        if isinstance(data, platforms.Unavailable):
+            return data
+        try:
+            return msgspec.json.decode(data, type=platforms.StepsState)
+        except msgspec.DecodeError as exc:
+            return platforms.Unavailable(str(exc))
+
+    async def order_steps(
+        self, order: platforms.StepsOrder
+    ) -> bool | platforms.Unavailable:
+        """Order steps; False means that the target refused the epoch."""
+        status = await self._post("/control/steps", msgspec.json.encode(order))
+        if isinstance(status, platforms.Unavailable):
+            return status
+        return status == 200
+
+    async def load_map(self, version: int) -> bool | platforms.Unavailable:
+        """Let the target load a map's weights."""
+        status = await self._post(f"/control/maps/{version}", b"")
+        if isinstance(status, platforms.Unavailable):
+            return status
+        return status == 200
+
     async def export_cache(self, prefix: int) -> bytes | platforms.Unavailable:
         """Return the KV cache of a prefix."""
         return await self._get(f"/control/kv/{prefix}")
--- a/sardinesaddle/platforms.py
+++ b/sardinesaddle/platforms.py
@@ -123,6 +123,29 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepsOrder:
+    """An order to run all steps up to the last one, each with the map of the plan.
+
+    ``epoch`` is the fence that a target may compare; pairs of ``maps`` are (first
+    step, map version).
+    """
+
+    epoch: int
+    number: int
+    maps: tuple[tuple[int, int], ...]
+    last_step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepsState:
+    """What a target has run and loaded, and the order that it holds."""
+
+    order: StepsOrder
+    ran_step: int
+    loaded: frozenset[int]
+
+
 class Target(abc.ABC):
     """The target beside a sidecar: a model engine or a plain service."""
 
@@ -144,6 +167,18 @@
     async def give_order(self, order: Order) -> bool | Unavailable:
         """Give an order; False means that the target refused its fence."""
 
+    @abc.abstractmethod
+    async def read_steps(self) -> StepsState | Unavailable:
+        """Return what the target holds of its group's steps."""
+
+    @abc.abstractmethod
+    async def order_steps(self, order: StepsOrder) -> bool | Unavailable:
+        """Order steps; False means that the target refused the epoch."""
+
+    @abc.abstractmethod
+    async def load_map(self, version: int) -> bool | Unavailable:
+        """Let the target load a map's weights; False means that it could not."""
+
     @abc.abstractmethod
     async def export_cache(self, prefix: int) -> bytes | Unavailable:
         """Return the KV cache of a prefix."""
--- a/sardinesaddle/sidecar.py
+++ b/sardinesaddle/sidecar.py
@@ -20,6 +20,7 @@
     confsync,
     desk,
     errorcodes,
+    grouprunner,
     handshake,
     keys,
     leases,
@@ -227,6 +228,23 @@
         )
         self._releaser = Releaser(loop, secret, cfg.target, incarnation, hosts)
         self.metrics = metrics.SidecarMetrics(cfg.target)
+        hello = wire.Hello(
+            wire.PROTOCOL_VERSION,
+            cfg.target,
+            incarnation,
+            0,
+            secrets.token_bytes(handshake.NONCE_BYTES),
+        )
+        self.groups = grouprunner.GroupRunner(
+            loop,
+            cfg.target,
+            incarnation,
+            hello,
+            secret,
+            hosts,
+            target,
+            self.make_heartbeat,
+        )
         self._issuer = leases.Issuer()
         self.port = cfg.listen.port
 
@@ -295,6 +313,7 @@
     async def stop(self) -> None:
         """Close everything at once."""
         self.sync.stop()
+        self.groups.stop()
         if self._server is not None:
             self._server.close()
         for current in list(self.links.by_entry.values()):
@@ -324,6 +343,7 @@
     def _adopt(self, tab: table.Table, published: manifest.Manifest) -> None:
         """Put a table in force."""
         self.desk.gate.homes.adopt(tab, published)
+        self.groups.adopt(tab)
         self.desk.shares = {name: row.share for name, row in tab.accounts.items()}
         self.links.send_to_all(self.make_heartbeat())
 
@@ -379,6 +399,8 @@
             verdict = quarantine.Verdict(msg.verdict)
             if self.desk.quarantine.learn(now, msg.fingerprint, verdict):
                 self.links.send_to_all(msg)
+        elif isinstance(msg, wire.GroupMessage):
+            self.groups.on_group_message(msg)
         else:
             self.sync.on_peer_message(peer.name, msg)
 
@@ -538,4 +560,5 @@
             "bytes_in": bytes_in,
             "bytes_out": bytes_out,
             "suspects": len(self.desk.quarantine),
+            "group": self.groups.describe(),
         }
--- a/sardinesaddle/standins/deployment.py
+++ b/sardinesaddle/standins/deployment.py
@@ -33,6 +33,8 @@
     plain_targets: int
     accounts: tuple[str, ...]
     entries: int = 2
+    # How many of the engines form a lock-step group.
+    grouped: int = 0
 
 
 ARCHIVO: typing.Final = Shape(
@@ -44,6 +46,7 @@
     "catalogue",
     3,
     ("salto", "seminary", "treasurer", *(f"parish-{n}" for n in range(1, 8))),
+    grouped=4,
 )
 REGISTRY: typing.Final = Shape(
     "registry",
@@ -54,6 +57,7 @@
     "ledger",
     3,
     ("douglas-fir", "skagit", "olympic", *(f"buyer-{n}" for n in range(1, 8))),
+    grouped=4,
 )
 
 
@@ -87,6 +91,7 @@
             shape.model_service,
             shape.places[n % len(shape.places)],
             checks_orders=n % 2 == 0,
+            group=name_group(shape) if n < shape.grouped else "",
         )
         for n in range(shape.engines)
     ]
@@ -102,7 +107,13 @@
         table.LimitRow(shape.model_service, burst=500.0, deadline_s=20.0, priority=5),
         table.LimitRow(shape.plain_service, burst=500.0, deadline_s=10.0, priority=2),
     ]
-    return table.Rows(accounts, services, rows, limits)
+    groups = [table.GroupRow(name_group(shape), experts=32)] if shape.grouped else []
+    return table.Rows(accounts, services, rows, limits, groups)
+
+
+def name_group(shape: Shape) -> str:
+    """Return the name of a deployment's lock-step group."""
+    return f"{shape.name}-group"
 
 
 class Deployment:
--- /dev/null
+++ b/sardinesaddle/standins/lockstep.py
@@ -0,0 +1,61 @@
+"""A stand-in for the collective operation that keeps a group's engines in step.
+
+No engine begins a step before all have run the one before it. Each runs under the
+order that it holds. The maps that every step was run with are recorded here.
+"""
+
+import asyncio
+
+from sardinesaddle.standins import targets
+
+
+class LockStep:
+    """Drives the engines of one group."""
+
+    def __init__(self, engines: list[targets.Engine], step_s: float) -> None:
+        self._engines = engines
+        self._step_s = step_s
+        self._task: asyncio.Task[None] | None = None
+        self.used: dict[int, set[int]] = {}
+        self.still_s = 0.0
+
+    def start(self) -> None:
+        """Begin to step."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """Stop stepping."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        """Run step after step."""
+        while True:
+            await asyncio.sleep(self._step_s)
+            self._run_step()
+
+    def _run_step(self) -> None:
+        """Let every engine that may run the lowest step do so."""
+        lowest = min(engine.ran_step for engine in self._engines)
+        is_still = True
+        for engine in self._engines:
+            version = engine.find_map(lowest + 1)
+            if engine.ran_step == lowest and version and engine.gate.is_set():
+                engine.ran_step = lowest + 1
+                self.used.setdefault(lowest + 1, set()).add(version)
+                is_still = False
+        if is_still and lowest:
+            self.still_s += self._step_s
+
+    def count_mixed(self) -> int:
+        """Return how many steps were run with more than one map."""
+        return sum(1 for versions in self.used.values() if len(versions) > 1)
+
+    def count_maps(self) -> int:
+        """Return how many maps were used."""
+        return len(set().union(*self.used.values())) if self.used else 0
+
+    @property
+    def lowest_step(self) -> int:
+        """The step that every engine has run."""
+        return min(engine.ran_step for engine in self._engines)
--- a/sardinesaddle/standins/targets.py
+++ b/sardinesaddle/standins/targets.py
@@ -136,6 +136,11 @@
         self.hits = 0
         self.misses = 0
         self._crash_task: asyncio.Task[None] | None = None
+        self.steps = platforms.StepsOrder(0, 0, ((1, 1),), 0)
+        self.ran_step = 0
+        self.loaded: frozenset[int] = frozenset({1})
+        self.load_s = 0.2
+        self.loads_fail = 0
 
     def make_app(self) -> aiohttp.web.Application:
         """Return the application."""
@@ -144,6 +149,9 @@
         app.router.add_get("/control/load", self._load)
         app.router.add_get("/control/cache-events", self._cache_events)
         app.router.add_post("/control/orders", self._order)
+        app.router.add_get("/control/steps", self._show_steps)
+        app.router.add_post("/control/steps", self._order_steps)
+        app.router.add_post("/control/maps/{version}", self._load_map)
         app.router.add_get("/control/kv/{prefix}", self._export)
         app.router.add_post("/control/kv/{prefix}", self._import)
         return app
@@ -234,6 +242,38 @@
         self.orders.append(order)
         return aiohttp.web.Response(text="done\n")
 
+    def find_map(self, step: int) -> int:
+        """Return the map of a step under the order held, or 0 if it must wait."""
+        if step > self.steps.last_step:
+            return 0
+        version = 0
+        for first_step, one in self.steps.maps:
+            if first_step <= step:
+                version = one
+        return version if version in self.loaded else 0
+
+    async def _show_steps(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Show the order held, the steps run and the maps loaded."""
+        state = platforms.StepsState(self.steps, self.ran_step, self.loaded)
+        return aiohttp.web.Response(body=msgspec.json.encode(state))
+
+    async def _order_steps(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Take an order of steps; an engine that checks fences refuses old ones."""
+        order = msgspec.json.decode(await request.read(), type=platforms.StepsOrder)
+        if self.checks_fences and order.epoch < self.steps.epoch:
+            return aiohttp.web.Response(status=409, text="old epoch\n")
+        self.steps = order
+        return aiohttp.web.Response(text="done\n")
+
+    async def _load_map(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Load weights, which takes time and may fail."""
+        await asyncio.sleep(self.load_s)
+        if self.loads_fail > 0:
+            self.loads_fail -= 1
+            return aiohttp.web.Response(status=503, text="weight store limit\n")
+        self.loaded |= {int(request.match_info["version"])}
+        return aiohttp.web.Response(text="done\n")
+
     async def _export(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Export the KV cache of a prefix."""
         return aiohttp.web.Response(body=request.match_info["prefix"].encode() * 16)
--- a/sardinesaddle/wire.py
+++ b/sardinesaddle/wire.py
@@ -217,60 +217,12 @@
     asked_ms: int
 
 
-class Prepare(msgspec.Struct, frozen=True, array_like=True, tag=26):
-    """A group leader asks a rank to load the weights of a map."""
+class GroupMessage(msgspec.Struct, frozen=True, array_like=True, tag=26):
+    """A message between members of a lock-step group; see ``groupwire``."""
 
     group: str
-    epoch: int
-    version: int
-    experts: list[int]
-
-
-class Prepared(msgspec.Struct, frozen=True, array_like=True, tag=27):
-    """A rank has the weights of a map and accepts its first step."""
-
-    group: str
-    epoch: int
-    rank: int
-    version: int
-    first_step: int
-
-
-class Schedule(msgspec.Struct, frozen=True, array_like=True, tag=28):
-    """A group leader announces the first step of a prepared map."""
-
-    group: str
-    epoch: int
-    version: int
-    first_step: int
-
-
-class Grant(msgspec.Struct, frozen=True, array_like=True, tag=29):
-    """Steps that a rank may run; pairs are (first step, map version)."""
-
-    group: str
-    epoch: int
-    last_step: int
-    maps: list[tuple[int, int]]
-
-
-class AskPromise(msgspec.Struct, frozen=True, array_like=True, tag=30):
-    """A new leader asks a rank for its promise to a higher epoch."""
-
-    group: str
-    epoch: int
-
-
-class Promise(msgspec.Struct, frozen=True, array_like=True, tag=31):
-    """A rank's promise, with the last grant it holds."""
-
-    group: str
-    epoch: int
-    rank: int
-    incarnation: int
-    last_step: int
-    maps: list[tuple[int, int]]
-    ran_step: int
+    sender: int
+    body: bytes
 
 
 Message = (
@@ -297,12 +249,7 @@
     | Suspicion
     | AskLease
     | Lease
-    | Prepare
-    | Prepared
-    | Schedule
-    | Grant
-    | AskPromise
-    | Promise
+    | GroupMessage
 )
 
 _ENCODER: typing.Final = msgspec.msgpack.Encoder()
