--- a/misc/write_benchmarks.py
+++ b/misc/write_benchmarks.py
@@ -4,9 +4,10 @@
 page to them. Timed ones are ratios of one run.
 """
 
+import json
 import pathlib
-
-import loguru
+import subprocess
+import sys
 
 from sardinesaddle.bench import report, runner
 
@@ -44,12 +45,22 @@
     return short
 
 
+def run_bench(name: str) -> report.Report:
+    """Run one bench in a process of its own, so that none disturbs another."""
+    command = [sys.executable, "-m", "sardinesaddle.main", "bench", name, "--json"]
+    out = subprocess.run(command, capture_output=True, text=True, check=False).stdout
+    document = json.loads(out)
+    result = report.Report(name)
+    result.figures = document["figures"]
+    result.bounds = [report.Bound(**bound) for bound in document["bounds"]]
+    return result
+
+
 def main() -> None:
     """Run every bench and write the page."""
-    loguru.logger.remove()
     sections = []
     for name in runner.NAMES:
-        result = runner.find_bench(name)(runner.SEED)
+        result = run_bench(name)
         if name == "placement":
             result = select_placement(result)
         sections.append(render(result))
--- a/sardinesaddle/bench/deadlines.py
+++ b/sardinesaddle/bench/deadlines.py
@@ -10,7 +10,7 @@
 import random
 import typing
 
-from sardinesaddle import desk, wire
+from sardinesaddle import calls, desk, wire
 from sardinesaddle.bench import report
 
 SLOTS: typing.Final = 16
@@ -39,7 +39,7 @@
         self._load = load
         self._is_baseline = is_baseline
         self._desk = desk.Desk("t", 1, 0.0, b"x" * 16, SLOTS, 512, 600.0)
-        self._ends: list[tuple[float, int, desk.Call]] = []
+        self._ends: list[tuple[float, int, calls.Call]] = []
         self._due: dict[int, tuple[str, float]] = {}
         self._waiting: collections.deque[tuple[int, float]] = collections.deque()
         self._busy: list[tuple[float, int]] = []
@@ -91,14 +91,14 @@
             number, service_s = self._waiting.popleft()
             heapq.heappush(self._busy, (now + service_s, number))
 
-    def _act(self, now: float, actions: list[desk.Action]) -> None:
+    def _act(self, now: float, actions: list[calls.Action]) -> None:
         """Carry out the desk's decisions."""
         for action in actions:
-            if isinstance(action, desk.Run):
+            if isinstance(action, calls.Run):
                 call = action.call
                 end = (now + self.draw_service(), call.number, call)
                 heapq.heappush(self._ends, end)
-            elif isinstance(action, desk.Reply):
+            elif isinstance(action, calls.Reply):
                 if isinstance(action.msg, wire.Refused):
                     self.outcome.refused += 1
                 elif isinstance(action.msg, wire.End):
--- a/sardinesaddle/configuration.py
+++ b/sardinesaddle/configuration.py
@@ -101,6 +101,10 @@
         self._sources[source] = version
         return self._continue(now)
 
+    def is_behind(self, source: str) -> bool:
+        """Tell whether a peer is not known to hold the version in force here."""
+        return self._sources.get(source, 0) < self.version
+
     def on_peer_gone(self, source: str) -> None:
         """Take note that a peer cannot be asked any more."""
         self._sources.pop(source, None)
--- a/sardinesaddle/demo.py
+++ b/sardinesaddle/demo.py
@@ -58,6 +58,12 @@
     reverted: int = 0
     lost: int = 0
     seconds: float = 0.0
+    kinds: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def add_kind(self, document: dict[str, str]) -> None:
+        """Count the kind of a refusal."""
+        kind = document.get("type", "none").rpartition(":")[2]
+        self.kinds[kind] = self.kinds.get(kind, 0) + 1
 
 
 class Callers:
@@ -127,7 +133,9 @@
             status, data = result
             if status < 400:
                 return data
-            ran = json.loads(data).get("ran")
+            document = json.loads(data)
+            ran = document.get("ran")
+            self._counts.add_kind(document)
             if ran == "not_run":
                 self._counts.not_run += 1
                 self._refused.add(ident)
@@ -460,7 +468,10 @@
     run_in = world.World(is_clock_paused=False)
     run_in.run(run_all(run_in, names, seed, counts))
     result = dataclasses.asdict(counts)
+    for kind, count in sorted(result["kinds"].items()):
+        sys.stdout.write(f"  refused: {kind:23}{count:6}\n")
     for name, value in result.items():
-        sys.stdout.write(f"  {name:32}{value:6}\n")
+        if name != "kinds":
+            sys.stdout.write(f"  {name:32}{value:6}\n")
     sys.stdout.write(json.dumps(result) + "\n")
     return not any(result[name] for name in MUST_BE_ZERO)
--- a/sardinesaddle/desk.py
+++ b/sardinesaddle/desk.py
@@ -10,12 +10,12 @@
 was not run, and the journal refuses the attempt if it arrives again.
 """
 
-import dataclasses
 import typing
 
 from sardinesaddle import (
     answer,
     callqueue,
+    calls,
     errorcodes,
     estimate,
     journal,
@@ -29,121 +29,12 @@
 LINGER_S: typing.Final = 30.0
 ABANDON_S: typing.Final = 20.0
 MAX_KEPT_ANSWER_BYTES: typing.Final = 32 * 1024 * 1024
-DEFAULT_SHARE: typing.Final = 1.0
 MIN_DURATIONS: typing.Final = 8
 REPLY_MARGIN_S: typing.Final = 0.02
 
-AttemptId = tuple[int, int]
 RETRY_AFTER_DRAIN_S: typing.Final = 0.1
 
 
-class Call:
-    """One call that the target runs at most once."""
-
-    __slots__ = (
-        "account",
-        "answer",
-        "attempts",
-        "cost",
-        "deadline_at",
-        "ended_at",
-        "key",
-        "number",
-        "priority",
-        "queued_at",
-        "share",
-        "started_at",
-        "state",
-        "submit",
-    )
-
-    def __init__(
-        self, number: int, now: float, submit: wire.Submit, key: keys.Key | None
-    ) -> None:
-        self.number = number
-        self.submit = submit
-        self.key = key
-        self.account = submit.account
-        self.priority = submit.priority
-        self.share = DEFAULT_SHARE
-        self.cost = 1.0
-        self.deadline_at = now + submit.budget_ms / 1000.0
-        self.queued_at = now
-        self.started_at = -1.0
-        self.ended_at = -1.0
-        self.state = journal.State.QUEUED
-        self.answer = answer.Answer()
-        self.attempts: list[Attempt] = []
-
-
-class Attempt:
-    """One entry's wait for a call: what was sent and what may be sent."""
-
-    __slots__ = ("call", "ident", "is_headed", "is_over", "limit", "sent")
-
-    def __init__(self, ident: AttemptId, call: Call, offset: int, limit: int) -> None:
-        self.ident = ident
-        self.call = call
-        self.sent = offset
-        self.limit = limit
-        self.is_headed = False
-        self.is_over = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """Send a message to the entry of this incarnation."""
-
-    entry: int
-    msg: wire.Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Run:
-    """Give the call to the target."""
-
-    call: Call
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelRun:
-    """Tell the target that nobody waits for the call."""
-
-    call: Call
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskHomes:
-    """Ask earlier homes to release a key, then offer the attempt again."""
-
-    entry: int
-    submit: wire.Submit
-    key: keys.OpaqueKey
-    homes: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tell:
-    """Tell every entry how requests with a fingerprint may be run."""
-
-    fingerprint: int
-    verdict: quarantine.Verdict
-
-
-Action = Reply | Run | CancelRun | AskHomes | Tell
-
-
-def make_refused(attempt: int, refusal: errorcodes.Refusal) -> wire.Refused:
-    """Return the message that carries a refusal."""
-    return wire.Refused(
-        attempt,
-        refusal.code.name,
-        refusal.ran.value,
-        refusal.detail,
-        round(refusal.retry_after_s * 1000),
-    )
-
-
 class Desk:
     """Decides on every call of one target."""
 
@@ -162,19 +53,19 @@
         held = journal.Journal(target, incarnation, now, horizon_s)
         self.gate = keygate.KeyGate(held, horizon_s)
         self.journal = held
-        self.queue: callqueue.CallQueue[Call] = callqueue.CallQueue(max_queued)
+        self.queue: callqueue.CallQueue[calls.Call] = callqueue.CallQueue(max_queued)
         self.slots = slots
-        self.running: dict[int, Call] = {}
+        self.running: dict[int, calls.Call] = {}
         self.is_leaving = False
         self.is_paused = False
         self.shares: dict[str, float] = {}
         self.quarantine = quarantine.Quarantine()
         # A suspect that waits for the target to be empty, and whether one runs.
-        self._alone: Call | None = None
+        self._alone: calls.Call | None = None
         self._runs_alone = False
         self._secret = secret
-        self._calls: dict[int, Call] = {}
-        self._attempts: dict[AttemptId, Attempt] = {}
+        self._calls: dict[int, calls.Call] = {}
+        self._attempts: dict[calls.AttemptId, calls.Attempt] = {}
         self._open_by_entry: dict[int, int] = {}
         self._gone: dict[int, float] = {}
         self._durations: dict[str, estimate.DurationEstimate] = {}
@@ -183,28 +74,28 @@
         self._horizon_s = horizon_s
         # Attempts that ran and were dropped unacknowledged, and until when each is
         # kept; after that, every number up to the floor counts as possibly run.
-        self._ran: dict[AttemptId, float] = {}
+        self._ran: dict[calls.AttemptId, float] = {}
         self._ran_floor: dict[int, int] = {}
 
     # Arrival.
 
-    def on_submit(self, now: float, entry: int, msg: wire.Submit) -> list[Action]:
+    def on_submit(self, now: float, entry: int, msg: wire.Submit) -> list[calls.Action]:
         """Decide on an attempt that arrived."""
         ident = (entry, msg.attempt)
         if ident in self._attempts:
-            return [Reply(entry, wire.Accepted(msg.attempt))]
+            return [calls.Reply(entry, wire.Accepted(msg.attempt))]
         key: keys.Key | None = None
         if msg.key:
             parsed = keys.parse_key(self._secret, msg.account, msg.service, msg.key)
             if isinstance(parsed, errorcodes.Refusal):
-                return [Reply(entry, make_refused(msg.attempt, parsed))]
+                return [calls.Reply(entry, calls.make_refused(msg.attempt, parsed))]
             key = parsed
         decision = self.gate.offer(now, ident, key, msg.fingerprint)
         if isinstance(decision, errorcodes.Refusal):
-            return [Reply(entry, make_refused(msg.attempt, decision))]
+            return [calls.Reply(entry, calls.make_refused(msg.attempt, decision))]
         if isinstance(decision, journal.Consult):
             assert isinstance(key, keys.OpaqueKey)
-            return [AskHomes(entry, msg, key, decision.homes)]
+            return [calls.AskHomes(entry, msg, key, decision.homes)]
         if isinstance(decision, journal.Join):
             return self._join(entry, msg, self._calls[decision.call])
         return self._start(now, entry, msg, key)
@@ -212,10 +103,10 @@
     def on_released(
         self,
         now: float,
-        action: AskHomes,
+        action: calls.AskHomes,
         home: str,
         release: wire.Release | None,
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         """Take an earlier home's answer; offer the attempt again after the last."""
         free = release is not None and release.free
         if release is not None:
@@ -228,13 +119,15 @@
                 f"the key's earlier home {home!r} has not released it",
                 1.0,
             )
-            msg = make_refused(action.submit.attempt, refusal)
-            return [Reply(action.entry, msg)]
+            msg = calls.make_refused(action.submit.attempt, refusal)
+            return [calls.Reply(action.entry, msg)]
         if home == action.homes[-1]:
             return self.on_submit(now, action.entry, action.submit)
         return []
 
-    def _join(self, entry: int, msg: wire.Submit, call: Call) -> list[Action]:
+    def _join(
+        self, entry: int, msg: wire.Submit, call: calls.Call
+    ) -> list[calls.Action]:
         """Let an attempt wait for a call that is already here."""
         if call.answer.first_offset > msg.offset:
             refusal = errorcodes.Refusal(
@@ -242,15 +135,17 @@
                 errorcodes.Ran.DONE,
                 "the call ran; its answer is too large to be kept",
             )
-            return [Reply(entry, make_refused(msg.attempt, refusal))]
+            return [calls.Reply(entry, calls.make_refused(msg.attempt, refusal))]
         attempt = self._add_attempt(entry, msg, call)
-        actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
+        actions: list[calls.Action] = [calls.Reply(entry, wire.Accepted(msg.attempt))]
         return actions + self._pump_attempt(attempt)
 
-    def _add_attempt(self, entry: int, msg: wire.Submit, call: Call) -> Attempt:
+    def _add_attempt(
+        self, entry: int, msg: wire.Submit, call: calls.Call
+    ) -> calls.Attempt:
         """Register a wait for a call."""
         ident = (entry, msg.attempt)
-        attempt = Attempt(ident, call, msg.offset, msg.offset + msg.window)
+        attempt = calls.Attempt(ident, call, msg.offset, msg.offset + msg.window)
         self._attempts[ident] = attempt
         self._open_by_entry[entry] = self._open_by_entry.get(entry, 0) + 1
         call.attempts.append(attempt)
@@ -258,26 +153,28 @@
 
     def _start(
         self, now: float, entry: int, msg: wire.Submit, key: keys.Key | None
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         """Queue a new call, or refuse it as not run."""
         refusal = self._check_room(now, msg)
         if refusal is not None:
             self.journal.withdraw(now, (entry, msg.attempt))
-            return [Reply(entry, make_refused(msg.attempt, refusal))]
-        call = Call(self._next_number, now, msg, key)
+            return [calls.Reply(entry, calls.make_refused(msg.attempt, refusal))]
+        call = calls.Call(self._next_number, now, msg, key)
         self._next_number += 1
-        call.share = self.shares.get(msg.account, DEFAULT_SHARE)
+        call.share = self.shares.get(msg.account, calls.DEFAULT_SHARE)
         call.cost = max(self.estimate_duration(msg.service), 1e-3)
         evicted = self.queue.push(call)
         if evicted is call:
             self.journal.withdraw(now, (entry, msg.attempt))
-            return [Reply(entry, make_refused(msg.attempt, self._refuse_full()))]
+            return [
+                calls.Reply(entry, calls.make_refused(msg.attempt, self._refuse_full()))
+            ]
         self._calls[call.number] = call
         if key is not None:
             self.journal.accept(now, key, call.number, msg.fingerprint)
             self.gate.forget_releases(key)
         self._add_attempt(entry, msg, call)
-        actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
+        actions: list[calls.Action] = [calls.Reply(entry, wire.Accepted(msg.attempt))]
         if evicted is not None:
             actions += self._refuse_queued(now, evicted, self._refuse_full())
         return actions + self.start_ready(now)
@@ -296,7 +193,7 @@
         if self.quarantine.judge(now, msg.fingerprint) is quarantine.Verdict.REFUSED:
             remaining_s = self.quarantine.compute_remaining(now, msg.fingerprint)
             return errorcodes.Refusal(errorcodes.QUARANTINED, not_run, "", remaining_s)
-        share = self.shares.get(msg.account, DEFAULT_SHARE)
+        share = self.shares.get(msg.account, calls.DEFAULT_SHARE)
         wait_s = self.queue.estimate_wait(msg.account, share) / self.slots
         if self._is_too_late(msg, wait_s):
             return errorcodes.Refusal(
@@ -308,7 +205,7 @@
         return None
 
     def _is_too_late(self, msg: wire.Submit, wait_s: float) -> bool:
-        """Tell whether an answer is unlikely to arrive within the budget."""
+        """calls.Tell whether an answer is unlikely to arrive within the budget."""
         known = self._durations.get(msg.service)
         if known is None or known.count < MIN_DURATIONS:
             return msg.budget_ms <= 0
@@ -346,9 +243,9 @@
         """Take note that an entry is connected."""
         self._gone.pop(entry, None)
 
-    def _cancel_abandoned(self, now: float) -> list[Action]:
+    def _cancel_abandoned(self, now: float) -> list[calls.Action]:
         """Give up the attempts of entries that stay away."""
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         for entry, since in list(self._gone.items()):
             if now - since < ABANDON_S:
                 continue
@@ -358,7 +255,7 @@
                 actions += self.on_cancel(now, entry, number)
         return actions
 
-    def tick(self, now: float) -> list[Action]:
+    def tick(self, now: float) -> list[calls.Action]:
         """Refuse queued calls that are too late; drop what nobody can ask for."""
         actions = self._cancel_abandoned(now)
         for call in self.queue.list_items():
@@ -376,7 +273,7 @@
         self._expire_ran(now)
         return actions
 
-    def _remember_attempts(self, now: float, call: Call) -> None:
+    def _remember_attempts(self, now: float, call: calls.Call) -> None:
         """Remember that attempts ran whose answer nobody acknowledged."""
         for attempt in call.attempts:
             self._ran[attempt.ident] = now + self._horizon_s
@@ -388,13 +285,13 @@
             entry, number = ident
             self._ran_floor[entry] = max(self._ran_floor.get(entry, 0), number)
 
-    def _may_have_run(self, ident: AttemptId) -> bool:
-        """Tell whether an attempt that holds no call here may have run."""
+    def _may_have_run(self, ident: calls.AttemptId) -> bool:
+        """calls.Tell whether an attempt that holds no call here may have run."""
         return ident in self._ran or ident[1] <= self._ran_floor.get(ident[0], 0)
 
-    def start_ready(self, now: float) -> list[Action]:
+    def start_ready(self, now: float) -> list[calls.Action]:
         """Run queued calls while the target has free slots."""
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         while self._has_free_slot():
             call = self._next_call()
             if call is None:
@@ -417,18 +314,18 @@
             if call.key is not None:
                 self.journal.mark_running(call.key)
             self.running[call.number] = call
-            actions.append(Run(call))
+            actions.append(calls.Run(call))
         return actions
 
     def _has_free_slot(self) -> bool:
-        """Tell whether another call may be run now."""
+        """calls.Tell whether another call may be run now."""
         if self.is_paused or self._runs_alone:
             return False
         if self._alone is not None:
             return not self.running
         return len(self.running) < self.slots
 
-    def _next_call(self) -> Call | None:
+    def _next_call(self) -> calls.Call | None:
         """Return the call that waits to run alone, or the next of the queue."""
         waiting = self._alone
         self._alone = None
@@ -436,15 +333,15 @@
             return waiting
         return self.queue.pop()
 
-    def _is_suspect(self, now: float, call: Call) -> bool:
-        """Tell whether a call must run with no other on the target."""
+    def _is_suspect(self, now: float, call: calls.Call) -> bool:
+        """calls.Tell whether a call must run with no other on the target."""
         if call.submit.suspect:
             return True
         verdict = self.quarantine.judge(now, call.submit.fingerprint)
         return verdict is quarantine.Verdict.ALONE
 
-    def _would_end_late(self, now: float, call: Call) -> bool:
-        """Tell whether running a call would most likely be in vain.
+    def _would_end_late(self, now: float, call: calls.Call) -> bool:
+        """calls.Tell whether running a call would most likely be in vain.
 
         When others wait for the slot, a call that would end after its deadline
         takes the time of one that would not.
@@ -457,17 +354,17 @@
         return now + known.compute_bound() > call.deadline_at
 
     def _refuse_queued(
-        self, now: float, call: Call, refusal: errorcodes.Refusal
-    ) -> list[Action]:
+        self, now: float, call: calls.Call, refusal: errorcodes.Refusal
+    ) -> list[calls.Action]:
         """Refuse a call that was never given to the target."""
         self.queue.remove(call)
         if call.key is not None:
             self.journal.forget_queued(call.key)
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         for attempt in list(call.attempts):
             self.journal.withdraw(now, attempt.ident)
-            msg = make_refused(attempt.ident[1], refusal)
-            actions.append(Reply(attempt.ident[0], msg))
+            msg = calls.make_refused(attempt.ident[1], refusal)
+            actions.append(calls.Reply(attempt.ident[0], msg))
             self._drop_attempt(attempt)
         self._calls.pop(call.number, None)
         return actions
@@ -475,13 +372,13 @@
     # The target's answer.
 
     def on_target_head(
-        self, call: Call, status: int, headers: list[tuple[str, str]]
-    ) -> list[Action]:
+        self, call: calls.Call, status: int, headers: list[tuple[str, str]]
+    ) -> list[calls.Action]:
         """Take the status and headers from the target."""
         call.answer.begin(status, headers)
         return self._pump_call(call)
 
-    def on_target_data(self, call: Call, data: bytes) -> list[Action]:
+    def on_target_data(self, call: calls.Call, data: bytes) -> list[calls.Action]:
         """Take body bytes from the target."""
         call.answer.append(data)
         self._kept_bytes += len(data)
@@ -489,7 +386,7 @@
             self._trim(call, call.answer.length - answer.MAX_KEPT_BYTES)
         return self._pump_call(call)
 
-    def on_target_end(self, now: float, call: Call) -> list[Action]:
+    def on_target_end(self, now: float, call: calls.Call) -> list[calls.Action]:
         """Take the end of the target's answer."""
         call.answer.end()
         self._add_duration(now, call)
@@ -500,19 +397,19 @@
     def on_target_failed(
         self,
         now: float,
-        call: Call,
+        call: calls.Call,
         refusal: errorcodes.Refusal,
         is_crash: bool = False,
-    ) -> list[Action]:
+    ) -> list[calls.Action]:
         """Take the failure of a call; NOT_RUN only if the target never got it.
 
         ``is_crash`` means that the target broke the connection under the call.
         """
-        news: list[Action] = []
+        news: list[calls.Action] = []
         if is_crash:
             prints = [one.submit.fingerprint for one in self.running.values()]
             told = self.quarantine.on_crash(now, prints, self._runs_alone)
-            news = [Tell(fingerprint, verdict) for fingerprint, verdict in told]
+            news = [calls.Tell(fingerprint, verdict) for fingerprint, verdict in told]
         call.answer.fail(refusal)
         state = journal.State.UNKNOWN
         if refusal.ran is errorcodes.Ran.NOT_RUN and call.key is not None:
@@ -521,14 +418,16 @@
             self.journal.reopen(call.key)
         return news + self._finish_run(now, call, state)
 
-    def _add_duration(self, now: float, call: Call) -> None:
+    def _add_duration(self, now: float, call: calls.Call) -> None:
         """Learn from the time that the call ran."""
         known = self._durations.setdefault(
             call.submit.service, estimate.DurationEstimate()
         )
         known.add(now - call.started_at)
 
-    def _finish_run(self, now: float, call: Call, state: journal.State) -> list[Action]:
+    def _finish_run(
+        self, now: float, call: calls.Call, state: journal.State
+    ) -> list[calls.Action]:
         """Free the slot and tell every attempt."""
         self.running.pop(call.number, None)
         self._runs_alone = False
@@ -549,42 +448,42 @@
 
     # Sending the answer to the attempts.
 
-    def _pump_call(self, call: Call) -> list[Action]:
+    def _pump_call(self, call: calls.Call) -> list[calls.Action]:
         """Send what every attempt of the call may have."""
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         for attempt in list(call.attempts):
             actions += self._pump_attempt(attempt)
         return actions
 
-    def _pump_attempt(self, attempt: Attempt) -> list[Action]:
+    def _pump_attempt(self, attempt: calls.Attempt) -> list[calls.Action]:
         """Send an attempt the next parts of its answer."""
         if attempt.is_over:
             return []
         entry, number = attempt.ident
         kept = attempt.call.answer
-        actions: list[Action] = []
+        actions: list[calls.Action] = []
         if not attempt.is_headed and kept.phase is not answer.Phase.WAITING:
             if kept.status:
                 head = wire.Head(number, kept.status, kept.headers)
-                actions.append(Reply(entry, head))
+                actions.append(calls.Reply(entry, head))
             attempt.is_headed = True
         while attempt.sent < min(kept.length, attempt.limit):
             count = min(CHUNK_BYTES, attempt.limit - attempt.sent)
             data = kept.read(attempt.sent, count)
-            actions.append(Reply(entry, wire.Data(number, attempt.sent, data)))
+            actions.append(calls.Reply(entry, wire.Data(number, attempt.sent, data)))
             attempt.sent += len(data)
         if kept.is_final and attempt.sent >= kept.length:
             attempt.is_over = True
-            actions.append(Reply(entry, self._make_last(number, kept)))
+            actions.append(calls.Reply(entry, self._make_last(number, kept)))
         return actions
 
     def _make_last(self, number: int, kept: answer.Answer) -> wire.Message:
         """Return the end mark, or the refusal that ends the answer."""
         if kept.refusal is not None:
-            return make_refused(number, kept.refusal)
+            return calls.make_refused(number, kept.refusal)
         return wire.End(number, kept.length, kept.digest)
 
-    def on_credit(self, entry: int, msg: wire.Credit) -> list[Action]:
+    def on_credit(self, entry: int, msg: wire.Credit) -> list[calls.Action]:
         """Take note of what the reader holds and what it can take."""
         attempt = self._attempts.get((entry, msg.attempt))
         if attempt is None:
@@ -600,13 +499,13 @@
             self._trim(call, msg.offset)
         return self._pump_attempt(attempt)
 
-    def is_backlogged(self, call: Call) -> bool:
-        """Tell whether the target should wait for its readers."""
+    def is_backlogged(self, call: calls.Call) -> bool:
+        """calls.Tell whether the target should wait for its readers."""
         if call.key is not None:
             return False
         return any(a.limit <= call.answer.length for a in call.attempts)
 
-    def on_resume(self, now: float, entry: int, msg: wire.Resume) -> list[Action]:
+    def on_resume(self, now: float, entry: int, msg: wire.Resume) -> list[calls.Action]:
         """Continue an attempt on a new connection."""
         ident = (entry, msg.attempt)
         attempt = self._attempts.get(ident)
@@ -618,17 +517,17 @@
                 refusal = errorcodes.Refusal(
                     errorcodes.OUTCOME_UNKNOWN, errorcodes.Ran.UNKNOWN
                 )
-            return [Reply(entry, make_refused(msg.attempt, refusal))]
+            return [calls.Reply(entry, calls.make_refused(msg.attempt, refusal))]
         attempt.sent = msg.offset
         attempt.limit = msg.limit
         attempt.is_headed = False
         attempt.is_over = False
-        actions: list[Action] = [Reply(entry, wire.Accepted(msg.attempt))]
+        actions: list[calls.Action] = [calls.Reply(entry, wire.Accepted(msg.attempt))]
         return actions + self._pump_attempt(attempt)
 
     # Withdrawal.
 
-    def on_cancel(self, now: float, entry: int, number: int) -> list[Action]:
+    def on_cancel(self, now: float, entry: int, number: int) -> list[calls.Action]:
         """Take note that an attempt's caller has gone."""
         attempt = self._attempts.get((entry, number))
         if attempt is None:
@@ -643,7 +542,7 @@
         if call.state is journal.State.QUEUED:
             return self._refuse_queued(now, call, self._refuse_full())
         if call.state is journal.State.RUNNING and call.submit.idempotent:
-            return [CancelRun(call)]
+            return [calls.CancelRun(call)]
         return []
 
     def release_key(self, now: float, msg: wire.AskRelease) -> wire.Release:
@@ -654,13 +553,13 @@
 
     # Memory.
 
-    def _trim(self, call: Call, offset: int) -> None:
+    def _trim(self, call: calls.Call, offset: int) -> None:
         """Drop the answer's bytes below an offset."""
         before = call.answer.first_offset
         call.answer.drop_before(offset)
         self._kept_bytes -= call.answer.first_offset - before
 
-    def _drop_attempt(self, attempt: Attempt) -> None:
+    def _drop_attempt(self, attempt: calls.Attempt) -> None:
         """Forget one wait for a call."""
         if self._attempts.pop(attempt.ident, None) is None:
             return
@@ -670,7 +569,7 @@
         if not self._open_by_entry[entry]:
             del self._open_by_entry[entry]
 
-    def _drop_call(self, call: Call | None) -> None:
+    def _drop_call(self, call: calls.Call | None) -> None:
         """Forget a call and its answer."""
         if call is None or self._calls.pop(call.number, None) is None:
             return
@@ -679,10 +578,10 @@
             self._drop_attempt(attempt)
 
     def has_attempts(self, entry: int) -> bool:
-        """Tell whether attempts of an entry are open."""
+        """calls.Tell whether attempts of an entry are open."""
         return self._open_by_entry.get(entry, 0) > 0
 
-    def list_calls(self) -> list[Call]:
+    def list_calls(self) -> list[calls.Call]:
         """Return every call that is held."""
         return list(self._calls.values())
 
--- a/sardinesaddle/journal.py
+++ b/sardinesaddle/journal.py
@@ -28,8 +28,8 @@
 from sardinesaddle import errorcodes, keys
 
 RETRY_HORIZON_S: typing.Final = 600.0
-# A link is given up after 12 s of silence, or by the side that finds it was paused.
-MAX_MESSAGE_AGE_S: typing.Final = 15.0
+# A link is given up after 24 s of silence, or by the side that finds it was paused.
+MAX_MESSAGE_AGE_S: typing.Final = 26.0
 TOMBSTONE_S: typing.Final = 60.0
 MAX_KEY_LIFETIME_S: typing.Final = 86_400.0
 
--- a/sardinesaddle/leases.py
+++ b/sardinesaddle/leases.py
@@ -58,9 +58,10 @@
 class Issuer:
     """One sidecar's part of the accounts' rates."""
 
-    __slots__ = ("_buckets",)
+    __slots__ = ("_buckets", "_started_at")
 
-    def __init__(self) -> None:
+    def __init__(self, started_at: float) -> None:
+        self._started_at = started_at
         self._buckets: dict[tuple[str, str], limits.Bucket] = {}
 
     def grant(
@@ -82,9 +83,9 @@
         depth = max(burst / 2 / issuers, 1.0)
         bucket = self._buckets.get(ident)
         if bucket is None:
-            bucket = limits.Bucket(now, part, depth)
+            bucket = limits.Bucket(self._started_at, part, depth)
             # A restarted issuer may have given out its burst just before.
-            bucket.take_up_to(now, depth)
+            bucket.take_up_to(self._started_at, depth)
             self._buckets[ident] = bucket
         elif bucket.rate != part or bucket.burst != depth:
             bucket.resize(now, part, depth)
@@ -102,7 +103,14 @@
 class LeaseHolder:
     """An entry's leases for one account and service."""
 
-    __slots__ = ("_asked_at", "_demand", "_issuers", "_lifetime_s", "_stock", "_turn")
+    __slots__ = (
+        "_asked_at",
+        "_demand",
+        "_issuers",
+        "_lifetime_s",
+        "_stock",
+        "denied_asked_at",
+    )
 
     def __init__(self, issuers: list[str], lifetime_s: float) -> None:
         self._issuers = issuers
@@ -110,7 +118,8 @@
         self._stock: collections.deque[list[float]] = collections.deque()
         self._asked_at = -1e9
         self._demand = 0
-        self._turn = 0
+        # When the newest ask was sent to which an issuer gave nothing.
+        self.denied_asked_at = -1e9
 
     def take(self, now: float) -> bool:
         """Admit one request if a lease covers it."""
@@ -153,6 +162,8 @@
         """Take a lease; its life counts from when it was asked for."""
         if granted > 0:
             self._stock.append([asked_at + self._lifetime_s, float(granted)])
+        else:
+            self.denied_asked_at = max(self.denied_asked_at, asked_at)
 
 
 class LeaseBook:
--- a/sardinesaddle/link.py
+++ b/sardinesaddle/link.py
@@ -13,9 +13,10 @@
 
 HANDSHAKE_TIMEOUT_S: typing.Final = 3.0
 HEARTBEAT_BUSY_S: typing.Final = 1.0
-HEARTBEAT_IDLE_S: typing.Final = 4.0
+HEARTBEAT_IDLE_S: typing.Final = 8.0
+REPORT_PERIOD_S: typing.Final = 2.0
 SILENCE_BUSY_S: typing.Final = 3.0
-SILENCE_IDLE_S: typing.Final = 12.0
+SILENCE_IDLE_S: typing.Final = 24.0
 PAUSE_LIMIT_S: typing.Final = 5.0
 MAX_WRITE_BUFFER_BYTES: typing.Final = 8 * 1024 * 1024
 
@@ -67,6 +68,7 @@
         self._sent_at = loop.time()
         self._busy_since = loop.time()
         self._ticked_at = loop.time()
+        self._reported_at = loop.time()
         self._unwritten: list[bytes] = []
         self._is_closed = False
         self.peer: handshake.Peer | None = None
@@ -213,10 +215,23 @@
         if now - silent_since > (SILENCE_BUSY_S if busy else SILENCE_IDLE_S):
             self.close("the peer was silent")
             return
-        period_s = HEARTBEAT_BUSY_S if busy else HEARTBEAT_IDLE_S
-        if now - self._sent_at >= period_s - HEARTBEAT_BUSY_S / 2:
+        if self._is_heartbeat_due(now, busy):
+            self._reported_at = now
             self.send(self._owner.make_heartbeat())
 
+    def _is_heartbeat_due(self, now: float, busy: bool) -> bool:
+        """Tell whether the peer needs a sign of life or a fresh report of load.
+
+        Any message is a sign of life. The accepting side's heartbeats also report
+        its load, which its answers do not.
+        """
+        slack_s = HEARTBEAT_BUSY_S / 2
+        period_s = HEARTBEAT_BUSY_S if busy else HEARTBEAT_IDLE_S
+        if now - self._sent_at >= period_s - slack_s:
+            return True
+        reports = busy and self._server is not None
+        return reports and now - self._reported_at >= REPORT_PERIOD_S - slack_s
+
     def _finish(self, reason: str) -> None:
         """Stop the timer and tell the owner, once."""
         if self._is_closed:
--- a/sardinesaddle/peer.py
+++ b/sardinesaddle/peer.py
@@ -135,6 +135,8 @@
         self.attempts: dict[int, Attempt] = {}
         self.bytes_in = 0
         self.bytes_out = 0
+        # When a question was sent that the sidecar answers at once, if one is open.
+        self._asked_at = -1.0
 
     def start(self) -> None:
         """Open the first connection."""
@@ -188,6 +190,11 @@
         else:
             self.send(wire.Cancel(attempt.number))
 
+    def ask(self, msg: wire.Message) -> None:
+        """Send a question; a link that brings no answer in time is replaced."""
+        if self.send(msg) and self._asked_at < 0:
+            self._asked_at = self._loop.time()
+
     def send(self, msg: wire.Message) -> bool:
         """Send a message if the link is open."""
         if self._link is None or not self._link.is_open:
@@ -226,6 +233,7 @@
         """Carry the open attempts over to the new link."""
         assert opened.peer is not None
         self._failures = 0
+        self._asked_at = -1.0
         self.view.link(self._loop.time(), opened.peer.incarnation)
         for attempt in list(self.attempts.values()):
             if not attempt.sent_at:
@@ -264,6 +272,9 @@
         if current is None or not current.is_open:
             return
         limit = self._loop.time() - ACKNOWLEDGE_TIMEOUT_S
+        if 0 <= self._asked_at < limit:
+            current.close("a question was not answered in time")
+            return
         for attempt in self.attempts.values():
             late = attempt.sent_at and attempt.sent_at < limit
             if late and not attempt.is_accepted:
@@ -294,6 +305,9 @@
             self._take_data(msg)
         elif isinstance(msg, wire.Heartbeat):
             self._take_heartbeat(msg)
+        elif isinstance(msg, wire.Lease):
+            self._asked_at = -1.0
+            self._listener.on_peer_message(self, msg)
         elif isinstance(msg, wire.Accepted | wire.Head | wire.End | wire.Refused):
             attempt = self.attempts.get(msg.attempt)
             if attempt is not None:
--- a/sardinesaddle/router.py
+++ b/sardinesaddle/router.py
@@ -15,7 +15,9 @@
 
 from sardinesaddle import hashing, membership
 
-LOAD_BOUND: typing.Final = 1.25
+# On instantaneous load; at 1.25 hits fell to 0.85 of pure affinity's.
+LOAD_BOUND: typing.Final = 1.4
+OVERFLOW_CHOICES: typing.Final = 2
 SPILL_MARGIN: typing.Final = 4.0
 MAX_PREFIXES: typing.Final = 4096
 
@@ -79,15 +81,18 @@
     ) -> membership.TargetView:
         """Return the prefix's target, or the next one under the load bound."""
         loads = {view.name: view.compute_load(now) for view in views}
-        mean = (sum(view.in_flight for view in views) + 1) / len(views)
-        bound = max(LOAD_BOUND * mean, 1.0)
+        bound = LOAD_BOUND * (sum(loads.values()) + 1) / len(views)
         ranked = sorted(views, key=lambda view: -score_prefix(wish.prefix, view))
         holder = self._cached.get(wish.prefix)
         if holder is not None:
             ranked.sort(key=lambda view: view.name != holder)
-        for view in ranked:
-            if loads[view.name] + 1 / max(view.weight, 1e-6) <= bound + 1:
-                return view
+        if loads[ranked[0].name] <= bound:
+            return ranked[0]
+        # The next few in rank hold copies of the popular prefixes that overflow.
+        spare = ranked[1 : 1 + OVERFLOW_CHOICES]
+        least = min(spare or ranked, key=lambda view: (loads[view.name], view.name))
+        if loads[least.name] <= bound:
+            return least
         return min(views, key=lambda view: (loads[view.name], view.name))
 
     def add_cache_event(self, target: str, prefix: int, is_held: bool) -> None:
--- a/sardinesaddle/settings.py
+++ b/sardinesaddle/settings.py
@@ -57,7 +57,7 @@
     admin: Listen = Listen()
     tracing: Tracing = Tracing()
     drain_reachable_s: typing.Annotated[float, msgspec.Meta(ge=0)] = 5.0
-    subset_size: typing.Annotated[int, msgspec.Meta(ge=1)] = 64
+    subset_size: typing.Annotated[int, msgspec.Meta(ge=1)] = 16
     max_calls: typing.Annotated[int, msgspec.Meta(ge=1)] = 400
     log_level: str = "INFO"
 
@@ -96,6 +96,11 @@
         return SettingsFault(f"{path}: no such file; give the path of a settings file")
     except (OSError, UnicodeDecodeError) as exc:
         return SettingsFault(f"{path}: cannot be read: {exc}")
+    try:
+        # Plain JSON first: json5 needs 2,700 times as long, minutes for a large table.
+        return typing.cast("object", msgspec.json.decode(text))
+    except msgspec.DecodeError:
+        pass
     try:
         parsed: object = json5.loads(text)
     except ValueError as exc:
--- a/sardinesaddle/sidecar.py
+++ b/sardinesaddle/sidecar.py
@@ -17,18 +17,19 @@
 
 from sardinesaddle import (
     answer,
+    calls,
     confsync,
     desk,
     errorcodes,
     grouprunner,
     handshake,
-    keys,
     leases,
     link,
     manifest,
     metrics,
     platforms,
     quarantine,
+    releaser,
     settings,
     table,
     tracing,
@@ -36,7 +37,6 @@
 )
 
 TICK_S: typing.Final = 0.05
-RELEASE_TIMEOUT_S: typing.Final = 2.0
 BACKLOG_WAIT_S: typing.Final = 0.05
 DRAIN_POLL_S: typing.Final = 0.05
 DRAIN_LINGER_S: typing.Final = 1.0
@@ -113,82 +113,6 @@
         return total_in, self.bytes_out + sum(one.bytes_out for one in links)
 
 
-class Releaser:
-    """Asks earlier homes to release keys, over short connections."""
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        secret: bytes,
-        name: str,
-        incarnation: int,
-        hosts: platforms.HostSource,
-    ) -> None:
-        self._loop = loop
-        self._secret = secret
-        self._name = name
-        self._incarnation = incarnation
-        self._hosts = hosts
-
-    async def ask(self, home: str, key: keys.OpaqueKey) -> wire.Release | None:
-        """Return the earlier home's answer, or None if it gave none."""
-        rows = await self._hosts.list_hosts()
-        if isinstance(rows, platforms.Unavailable):
-            return None
-        row = next((r for r in rows if r.name == home), None)
-        if row is None:
-            return None
-        call = ReleaseCall(self._loop, key)
-        hello = wire.Hello(
-            wire.PROTOCOL_VERSION,
-            self._name,
-            secrets.randbits(63),
-            1,
-            secrets.token_bytes(handshake.NONCE_BYTES),
-        )
-        client = handshake.ClientHandshake(self._secret, hello, home)
-        conn = link.Link(call, self._loop, client=client)
-        try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await self._loop.create_connection(lambda: conn, row.host, row.port)
-                return await call.result
-        except (OSError, TimeoutError):
-            return None
-        finally:
-            conn.close("the release was asked for")
-
-
-class ReleaseCall(link.Owner):
-    """One question to an earlier home."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, key: keys.OpaqueKey) -> None:
-        self._key = key
-        self.result: asyncio.Future[wire.Release | None] = loop.create_future()
-
-    def on_open(self, opened: link.Link) -> None:
-        """Send the question."""
-        key = self._key
-        opened.send(wire.AskRelease(1, key.account, key.service, key.text))
-
-    def on_message(self, current: link.Link, msg: wire.Message) -> None:
-        """Take the answer."""
-        if isinstance(msg, wire.Release) and not self.result.done():
-            self.result.set_result(msg)
-
-    def on_closed(self, closed: link.Link, reason: str) -> None:
-        """Count a lost connection as no answer."""
-        if not self.result.done():
-            self.result.set_result(None)
-
-    def make_heartbeat(self) -> wire.Heartbeat:
-        """Return an empty state."""
-        return wire.Heartbeat(0, 0, False, 0, 0, 0)
-
-    def is_busy(self, current: link.Link) -> bool:
-        """Tell that an answer is awaited."""
-        return True
-
-
 class Sidecar(confsync.Channels):
     """The process beside one target."""
 
@@ -226,7 +150,7 @@
         self.sync = confsync.ConfigSync(
             loop, source, cfg.platform.reader, self, self._adopt
         )
-        self._releaser = Releaser(loop, secret, cfg.target, incarnation, hosts)
+        self._releaser = releaser.Releaser(loop, secret, cfg.target, incarnation, hosts)
         self.metrics = metrics.SidecarMetrics(cfg.target)
         hello = wire.Hello(
             wire.PROTOCOL_VERSION,
@@ -245,7 +169,7 @@
             target,
             self.make_heartbeat,
         )
-        self._issuer = leases.Issuer()
+        self._issuer = leases.Issuer(loop.time())
         self.port = cfg.listen.port
 
     # Life cycle.
@@ -345,7 +269,10 @@
         self.desk.gate.homes.adopt(tab, published)
         self.groups.adopt(tab)
         self.desk.shares = {name: row.share for name, row in tab.accounts.items()}
-        self.links.send_to_all(self.make_heartbeat())
+        heartbeat = self.make_heartbeat()
+        for current in list(self.links.by_entry.values()):
+            if current.peer and self.sync.conf.is_behind(current.peer.name):
+                current.send(heartbeat)
 
     def send_to_peer(self, name: str, msg: wire.Message) -> None:
         """Send a message if the peer is connected."""
@@ -433,26 +360,26 @@
 
     # Actions.
 
-    def _act(self, actions: list[desk.Action]) -> None:
+    def _act(self, actions: list[calls.Action]) -> None:
         """Carry out the desk's decisions."""
         for action in actions:
-            if isinstance(action, desk.Reply):
+            if isinstance(action, calls.Reply):
                 if isinstance(action.msg, wire.Refused):
                     self.metrics.count_refusal(action.msg.code)
                 self._send(action.entry, action.msg)
-            elif isinstance(action, desk.Run):
+            elif isinstance(action, calls.Run):
                 call = action.call
                 self._runs[call.number] = self._loop.create_task(self._run(call))
-            elif isinstance(action, desk.CancelRun):
+            elif isinstance(action, calls.CancelRun):
                 task = self._runs.get(action.call.number)
                 if task is not None:
                     task.cancel()
-            elif isinstance(action, desk.Tell):
+            elif isinstance(action, calls.Tell):
                 self._tell(action)
             else:
                 self._spawn(self._ask_homes(action))
 
-    def _tell(self, action: desk.Tell) -> None:
+    def _tell(self, action: calls.Tell) -> None:
         """Tell every entry of a suspect."""
         loguru.logger.warning(
             "event=suspect fingerprint={:x} verdict={}",
@@ -461,7 +388,7 @@
         )
         self.links.send_to_all(wire.Suspicion(action.fingerprint, action.verdict))
 
-    async def _ask_homes(self, action: desk.AskHomes) -> None:
+    async def _ask_homes(self, action: calls.AskHomes) -> None:
         """Ask each earlier home for a key; offer the attempt when all agree."""
         for home in action.homes:
             release = await self._releaser.ask(home, action.key)
@@ -470,7 +397,7 @@
             if release is None or not release.free:
                 return
 
-    async def _run(self, call: desk.Call) -> None:
+    async def _run(self, call: calls.Call) -> None:
         """Give a call to the target and relay its answer."""
         submit = call.submit
         span = self._tracer.start("sidecar.run", submit.trace)
@@ -501,7 +428,7 @@
             self.metrics.add_run(self._loop.time() - call.started_at)
 
     async def _take_target_event(
-        self, call: desk.Call, event: platforms.TargetEvent
+        self, call: calls.Call, event: platforms.TargetEvent
     ) -> None:
         """Turn a target's event into one of the desk."""
         now = self._loop.time()
@@ -523,7 +450,7 @@
 
     def _fail(
         self,
-        call: desk.Call,
+        call: calls.Call,
         reason: str,
         ran: errorcodes.Ran,
         is_crash: bool = False,
