--- /dev/null
+++ b/sardinesaddle/direct/entrynode.py
@@ -0,0 +1,407 @@
+"""An entry of the direct path: what it knows, whom it tells, and how it ends.
+
+The configuration and the list of targets are replicas of two prefixes of the store,
+followed by watches and relayed between entries: each entry asks the others a few
+times a second how far they are and how recent that is, and fetches what it misses.
+The version of the configuration in force never goes back.
+"""
+
+import asyncio
+import contextlib
+import random
+import typing
+
+import loguru
+
+from sardinesaddle.direct import (
+    catalog,
+    counts,
+    dialect,
+    following,
+    forward,
+    freshness,
+    front,
+    knowledge,
+    messages,
+    nodesettings,
+    replica,
+    rpc,
+    targetpool,
+    upstream,
+)
+
+CONFIG_WAIT_S: typing.Final = 1.5  # two waits and slack stay under the keys' age
+TARGETS_WAIT_S: typing.Final = 1.5  # a lost answer costs a wait; bound 2 s
+BEAT_PERIOD_S: typing.Final = 0.25
+BEAT_TIMEOUT_S: typing.Final = 0.5
+FETCH_TIMEOUT_S: typing.Final = 1.0
+FETCH_DELAY_S: typing.Final = 0.1  # the store's own word usually comes first
+SWEEP_PERIOD_S: typing.Final = 0.25
+ENTRY_TTL_S: typing.Final = 10.0  # an entry not heard of for this long is forgotten
+KEY_AGE_MARGIN_S: typing.Final = 1.0  # a watch may miss the last second's changes
+DOUBTFUL_AGE_S: typing.Final = 3.5  # over two waits: the word of the store is late
+NOT_READY_LEAD_S: typing.Final = 2.2  # the balancer misses two questions
+LAST_REQUEST_S: typing.Final = 3.2  # after SIGTERM; later ones are turned away
+END_MARGIN_S: typing.Final = 0.7  # before the platform kills the process
+OUTAGE_MARGIN_S: typing.Final = 3.0  # entries that lapse so soon after may return
+
+
+class Codec(typing.Protocol):
+    """Decodes stored values."""
+
+    config_prefix: str
+    config_key: str
+    targets_prefix: str
+
+    def decode_catalog(self, data: bytes) -> catalog.Catalog | str:
+        """Return the configuration, or what is wrong with it."""
+
+    def decode_target(self, key: str, data: bytes) -> catalog.TargetEntry | str:
+        """Return a target's entry, or what is wrong with it."""
+
+    def get_target_ident(self, key: str) -> str:
+        """Return the target that a key names."""
+
+
+class EntryNode(knowledge.Knowledge, rpc.Handler):
+    """One entry."""
+
+    def __init__(
+        self,
+        cfg: nodesettings.EntrySettings,
+        store: following.Store,
+        codec: Codec,
+        speak: dialect.Dialect,
+        clock: freshness.SuspendClock,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._codec = codec
+        self._rng = rng
+        self._clock = clock
+        self.catalog = None
+        self.targets = targetpool.TargetPool(cfg.place)
+        self.counts = counts.EntryCounts(cfg.name)
+        self.pool = upstream.Pool()
+        self._followers = {
+            codec.config_prefix: following.Follower(
+                store, codec.config_prefix, CONFIG_WAIT_S, self._on_news, clock, rng
+            ),
+            codec.targets_prefix: following.Follower(
+                store, codec.targets_prefix, TARGETS_WAIT_S, self._on_news, clock, rng
+            ),
+        }
+        bounds = knowledge.Bounds(
+            key_age_s=cfg.bounds.revoke_s - KEY_AGE_MARGIN_S,
+            doubtful_age_s=DOUBTFUL_AGE_S,
+            repeat_ratio=cfg.bounds.repeat_ratio,
+            repeat_allowance=cfg.bounds.repeat_allowance,
+            repeat_window_s=cfg.bounds.repeat_window_s,
+        )
+        self.forwarder = forward.Forwarder(
+            self, self.targets, self.pool, speak, bounds, self.counts, rng
+        )
+        limits = catalog.Limits()
+        self.front = front.Front(
+            self.forwarder, speak, self._get_max_body, limits.idle_timeout_s
+        )
+        self._server = rpc.Server(self, cfg.host, cfg.node_port)
+        self._heard_at: dict[str, float] = {}
+        self._beats: dict[str, asyncio.Task[None]] = {}
+        self._reports: dict[str, messages.Report] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._key_age_s = bounds.key_age_s
+        self.is_leaving = False
+
+    # What the request path asks.
+
+    def compute_config_age(self) -> float:
+        """Return the seconds since the catalog was known to be the newest."""
+        return self._followers[self._codec.config_prefix].compute_age()
+
+    def count_entries(self) -> int:
+        """Return how many entries share the targets."""
+        return len(self._heard_at) + 1
+
+    def _get_max_body(self) -> int:
+        """Return the limit on callers' bodies."""
+        limits = catalog.Limits() if self.catalog is None else self.catalog.limits
+        return limits.max_body_bytes
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        if self.is_leaving or self.catalog is None:
+            return False
+        return self.compute_config_age() <= self._key_age_s
+
+    # News of the store.
+
+    def _on_news(self, news: list[replica.Change], source: str) -> None:
+        """Put changes of the store in force."""
+        for change in news:
+            if change.key == self._codec.config_key:
+                self._on_config(change, source)
+            elif change.key.startswith(self._codec.targets_prefix):
+                self._on_target(change, source)
+
+    def _on_config(self, change: replica.Change, source: str) -> None:
+        """Put a version of the configuration in force unless it is older."""
+        if change.value is None:
+            loguru.logger.warning("event=config_missing rev={}", change.rev)
+            return
+        cat = self._codec.decode_catalog(change.value)
+        if isinstance(cat, str):
+            loguru.logger.error("event=config_refused rev={} {}", change.rev, cat)
+            return
+        if cat.version <= self.config_version:
+            loguru.logger.info(
+                "event=config_old version={} in_force={} source={}",
+                cat.version,
+                self.config_version,
+                source,
+            )
+            return
+        self.catalog = cat
+        loguru.logger.info(
+            "event=config_in_force version={} rev={} source={} routes={} keys={}",
+            cat.version,
+            change.rev,
+            source,
+            len(cat.list_routes()),
+            len(cat.accounts),
+        )
+
+    def _on_target(self, change: replica.Change, source: str) -> None:
+        """Take over a target's entry."""
+        ident = self._codec.get_target_ident(change.key)
+        if change.value is None:
+            self._on_target_missing(ident, change.rev, source)
+            return
+        entry = self._codec.decode_target(change.key, change.value)
+        if isinstance(entry, str):
+            loguru.logger.warning("event=target_refused rev={} {}", change.rev, entry)
+            self.targets.remove(ident)
+            return
+        if self.targets.put(entry):
+            loguru.logger.info(
+                "event=target_{} target={} service={} address={}:{} rev={} source={}",
+                entry.state.value,
+                ident,
+                entry.service,
+                entry.host,
+                entry.port,
+                change.rev,
+                source,
+            )
+
+    def _on_target_missing(self, ident: str, rev: int, source: str) -> None:
+        """Drop a target, or keep it a while if its entry may have lapsed."""
+        held = self.targets.get(ident)
+        if held is None:
+            return
+        outage = self._followers[self._codec.targets_prefix].outage
+        now = self._clock.read()
+        is_around_outage = outage.is_out or now - outage.regained_at < OUTAGE_MARGIN_S
+        is_leaving = held.entry.state is catalog.TargetState.LEAVING
+        if is_around_outage and not is_leaving:
+            since = now if outage.is_out else outage.regained_at
+            until = since - now + targetpool.LAPSE_GRACE_S
+            loop = asyncio.get_running_loop()
+            self.targets.lapse(ident, loop.time() + until)
+            outcome = "lapsed"
+        else:
+            self.targets.remove(ident)
+            outcome = "gone"
+        loguru.logger.info(
+            "event=target_{} target={} rev={} source={}", outcome, ident, rev, source
+        )
+
+    # Talk with other processes.
+
+    async def answer(self, msg: messages.Request) -> messages.Reply | None:
+        """Answer another process."""
+        if isinstance(msg, messages.Beat):
+            self._on_heard(msg.sender)
+            return messages.BeatReply(self._list_entries(), self._list_states())
+        if isinstance(msg, messages.Fetch):
+            return self._make_fetch_reply(msg)
+        if isinstance(msg, messages.Report):
+            return self._on_report(msg)
+        return None
+
+    def _list_entries(self) -> list[str]:
+        """Return the entries that live, this one included."""
+        return [self._cfg.host, *self._heard_at]
+
+    def _list_states(self) -> list[messages.PrefixState]:
+        """Return how far this entry knows the store."""
+        return [
+            messages.PrefixState(
+                prefix,
+                one.replica.changed_rev,
+                one.replica.complete_rev,
+                one.compute_age(),
+            )
+            for prefix, one in self._followers.items()
+        ]
+
+    def _make_fetch_reply(self, msg: messages.Fetch) -> messages.Reply | None:
+        """Return the changes that another process misses."""
+        follower = self._followers.get(msg.prefix)
+        if follower is None:
+            return None
+        delta = follower.replica.make_delta(msg.after)
+        changes = [messages.WireChange(c.key, c.rev, c.value) for c in delta.changes]
+        return messages.FetchReply(
+            msg.prefix, changes, delta.complete_rev, delta.is_whole
+        )
+
+    def _on_report(self, report: messages.Report) -> messages.ReportReply:
+        """Take over a sidecar's report; name the sidecars of its group."""
+        loop = asyncio.get_running_loop()
+        before = self._reports.get(report.sender)
+        self._reports[report.sender] = report
+        self.targets.on_report(loop.time(), report)
+        was_usable = before is None or (before.is_alive and before.is_open)
+        if was_usable != (report.is_alive and report.is_open):
+            loguru.logger.info(
+                "event=group_state target={} group={} epoch={} rank={} open={} alive={}",
+                report.target,
+                report.group,
+                report.epoch,
+                report.rank,
+                report.is_open,
+                report.is_alive,
+            )
+        ranks = []
+        if report.group and report.rank == 0:
+            ranks = [
+                (one.rank, one.sender)
+                for one in self._reports.values()
+                if one.group == report.group and one.epoch == report.epoch
+            ]
+        return messages.ReportReply(self._list_entries(), ranks)
+
+    def _on_heard(self, host: str) -> None:
+        """Take note that an entry lives, and ask it from now on."""
+        if host == self._cfg.host:
+            return
+        loop = asyncio.get_running_loop()
+        if host not in self._heard_at:
+            loguru.logger.info("event=entry_found host={}", host)
+        self._heard_at[host] = loop.time()
+        self._start_beats(host)
+
+    def _start_beats(self, host: str) -> None:
+        """Ask an entry regularly."""
+        if host != self._cfg.host and host not in self._beats:
+            loop = asyncio.get_running_loop()
+            self._beats[host] = loop.create_task(self._beat_entry(host))
+
+    async def _beat_entry(self, host: str) -> None:
+        """Ask one entry how far it is, until it is forgotten."""
+        loop = asyncio.get_running_loop()
+        peer = rpc.Peer(host, self._cfg.node_port)
+        seeds = self._cfg.list_seed_hosts()
+        started_at = loop.time()
+        try:
+            while True:
+                await self._beat_once(peer)
+                heard_at = self._heard_at.get(host, started_at)
+                if loop.time() - heard_at > ENTRY_TTL_S:
+                    if self._heard_at.pop(host, None) is not None:
+                        loguru.logger.info("event=entry_lost host={}", host)
+                    if host not in seeds:
+                        break
+                await asyncio.sleep(BEAT_PERIOD_S * (0.75 + self._rng.random() / 2))
+        finally:
+            peer.close()
+            self._beats.pop(host, None)
+
+    async def _beat_once(self, peer: rpc.Peer) -> None:
+        """Ask an entry how far it is; fetch what is missing here."""
+        asked_at = self._clock.read()
+        beat = messages.Beat(self._cfg.host, self._list_entries())
+        reply = await peer.call(beat, BEAT_TIMEOUT_S)
+        if not isinstance(reply, messages.BeatReply):
+            return
+        self._on_heard(peer.host)
+        for host in reply.entries:
+            self._start_beats(host)
+        for state in reply.states:
+            follower = self._followers.get(state.prefix)
+            if follower is None:
+                continue
+            if state.changed_rev > follower.replica.complete_rev:
+                await asyncio.sleep(FETCH_DELAY_S)
+                if state.changed_rev > follower.replica.complete_rev:
+                    await self._fetch(peer, follower)
+            elif state.complete_rev > 0:
+                follower.freshness.on_peer_word(asked_at, state.age_s)
+
+    async def _fetch(self, peer: rpc.Peer, follower: following.Follower) -> None:
+        """Fetch the changes that another entry knows."""
+        after = follower.replica.complete_rev
+        asked = messages.Fetch(follower.prefix, after)
+        reply = await peer.call(asked, FETCH_TIMEOUT_S)
+        if not isinstance(reply, messages.FetchReply):
+            return
+        changes = tuple(replica.Change(c.key, c.rev, c.value) for c in reply.changes)
+        delta = replica.Delta(changes, reply.complete_rev, reply.is_whole)
+        follower.apply(delta, peer.host)
+
+    # Life.
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        loop = asyncio.get_running_loop()
+        await self._server.start()
+        for follower in self._followers.values():
+            self._tasks.append(loop.create_task(follower.run()))
+        for host in self._cfg.list_seed_hosts():
+            self._start_beats(host)
+        self._tasks.append(loop.create_task(self._sweep()))
+        await self.front.start(*nodesettings.split_address(self._cfg.front))
+
+    async def _sweep(self) -> None:
+        """Do what is due now and then."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            now = loop.time()
+            for ident in self.targets.remove_lapsed(now):
+                loguru.logger.info("event=target_gone target={} source=lapse", ident)
+            self.pool.sweep(now, self.targets.list_keys())
+            self.counts.set_state(
+                self.config_version,
+                self.compute_config_age(),
+                len(self.targets),
+                0,
+            )
+
+    async def drain(self) -> None:
+        """Let callers go elsewhere, finish what is here, and stop."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self.is_leaving = True
+        loguru.logger.info("event=drain_begins active={}", self.front.active)
+        await asyncio.sleep(NOT_READY_LEAD_S)
+        self.front.is_leaving = True
+        await asyncio.sleep(LAST_REQUEST_S - NOT_READY_LEAD_S)
+        self.front.close_idle()
+        ends_at = began_at + self._cfg.bounds.drain_s - END_MARGIN_S
+        while self.front.active and loop.time() < ends_at:
+            await asyncio.sleep(0.02)
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        loguru.logger.info("event=stop active={}", self.front.active)
+        for task in [*self._tasks, *self._beats.values()]:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self._server.stop()
+        self.pool.close()
+        await self.front.stop()
--- /dev/null
+++ b/sardinesaddle/direct/events.py
@@ -0,0 +1,59 @@
+"""Splits a stream of server-sent events into whole events.
+
+Only whole events are forwarded, so a stream that breaks off in the middle of one can
+go on at another target after the last event that the caller has.
+"""
+
+import dataclasses
+import re
+import typing
+
+MAX_EVENT_BYTES: typing.Final = 1024 * 1024
+_END: typing.Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_IDENT: typing.Final = re.compile(rb"(?:^|\r\n|\n|\r)id: ?([^\r\n]*)")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A whole event with its bytes and, if it has one, its number."""
+
+    data: bytes
+    number: int | None
+
+
+class EventSplitter:
+    """Collects bytes and returns the events that are complete."""
+
+    __slots__ = ("_buffer",)
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Add bytes; return the events that they complete."""
+        self._buffer += data
+        events = []
+        while (match := _END.search(self._buffer)) is not None:
+            whole = bytes(self._buffer[: match.end()])
+            del self._buffer[: match.end()]
+            events.append(Event(whole, parse_number(whole)))
+        return events
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes of an event that is not complete."""
+        return bytes(self._buffer)
+
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the event that is being collected is over the limit."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
+
+def parse_number(event: bytes) -> int | None:
+    """Return the event's number, or None if it has none."""
+    match = _IDENT.search(event)
+    if match is None:
+        return None
+    text = match.group(1).strip()
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/sardinesaddle/direct/following.py
@@ -0,0 +1,154 @@
+"""Keeps a replica of a prefix of the store up to date: one listing, then watches.
+
+A watch is given up a little after its own wait, since an answer may be lost for good
+on a connection that stays open. Every answered call dates what is known here. After
+a fault the next call follows soon, with jitter, so that many processes do not call
+together when the store returns.
+"""
+
+import abc
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import typing
+
+import loguru
+
+from sardinesaddle.direct import freshness, replica
+
+FIRST_PAUSE_S: typing.Final = 0.1
+LONGEST_PAUSE_S: typing.Final = 0.5  # bounds how late a change is seen on return
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreFault:
+    """A sentinel: the store did not answer, with the reason."""
+
+    reason: str
+    is_history_gone: bool
+
+
+class Store(abc.ABC):
+    """The platform's store, which can be listed and watched."""
+
+    @abc.abstractmethod
+    async def read_all(self, prefix: str) -> replica.Delta | StoreFault:
+        """List all keys under a prefix."""
+
+    @abc.abstractmethod
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> replica.Delta | StoreFault:
+        """Return the changes after a revision, at most ``wait_s`` later."""
+
+
+class Outage:
+    """When the store last failed and answered this process."""
+
+    __slots__ = ("faulted_at", "is_out", "regained_at")
+
+    def __init__(self) -> None:
+        self.is_out = False
+        self.faulted_at = freshness.NEVER
+        self.regained_at = freshness.NEVER
+
+    def on_fault(self, now: float) -> bool:
+        """Take note of a fault; return whether it is the first of its outage."""
+        is_news = not self.is_out
+        self.is_out = True
+        self.faulted_at = now
+        return is_news
+
+    def on_answer(self, now: float) -> bool:
+        """Take note of an answer; return whether it ended an outage."""
+        is_news = self.is_out
+        if is_news:
+            self.regained_at = now
+        self.is_out = False
+        return is_news
+
+
+OnNews = collections.abc.Callable[[list[replica.Change], str], None]
+
+
+class Follower:
+    """Follows one prefix of the store."""
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        wait_s: float,
+        on_news: OnNews,
+        clock: freshness.SuspendClock,
+        rng: random.Random,
+    ) -> None:
+        self.prefix = prefix
+        self.replica = replica.Replica()
+        self.freshness = freshness.Freshness()
+        self.outage = Outage()
+        self._store = store
+        self._wait_s = wait_s
+        self._on_news = on_news
+        self._clock = clock
+        self._rng = rng
+        self._is_listed = False
+
+    def apply(self, delta: replica.Delta, source: str) -> None:
+        """Take over changes from the store or another replica."""
+        news = self.replica.apply(delta)
+        if news:
+            self._on_news(news, source)
+
+    def compute_age(self) -> float:
+        """Return the seconds since the content was known to be the store's."""
+        return self.freshness.compute_age(self._clock.read())
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            if await self._step():
+                pause_s = FIRST_PAUSE_S
+                continue
+            await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+
+    async def _step(self) -> bool:
+        """Make one call; return whether it was answered."""
+        asked_at = self._clock.read()
+        if self._is_listed:
+            rev = self.replica.complete_rev
+            got = await self._store.watch(self.prefix, rev, self._wait_s)
+        else:
+            got = await self._store.read_all(self.prefix)
+        now = self._clock.read()
+        if isinstance(got, StoreFault):
+            if got.is_history_gone:
+                self._is_listed = False
+                loguru.logger.info(
+                    "event=history_gone prefix={} rev={}",
+                    self.prefix,
+                    self.replica.complete_rev,
+                )
+                return True
+            if self.outage.on_fault(now):
+                loguru.logger.warning(
+                    "event=store_lost prefix={} reason={!r} age_s={:.2f}",
+                    self.prefix,
+                    got.reason,
+                    self.compute_age(),
+                )
+            return False
+        if self.outage.on_answer(now):
+            loguru.logger.info(
+                "event=store_regained prefix={} out_s={:.2f} rev={}",
+                self.prefix,
+                now - self.freshness.latest,
+                got.complete_rev,
+            )
+        self._is_listed = True
+        self.apply(got, "store")
+        self.freshness.on_store_word(asked_at)
+        return True
--- /dev/null
+++ b/sardinesaddle/direct/front.py
@@ -0,0 +1,156 @@
+"""The callers' side of an entry, by aiohttp's server without its routing.
+
+A caller that leaves cancels its request, and with it the work at the target.
+"""
+
+import asyncio
+import typing
+
+import aiohttp.web
+
+from sardinesaddle.direct import dialect, forward
+
+KEEPALIVE_MARGIN: typing.Final = 1.25  # over the idle time that callers may use
+WRITE_STALL_S: typing.Final = 10.0  # a caller that reads nothing for this long is gone
+
+
+class FrontResponder(forward.Responder):
+    """Answers one request through aiohttp."""
+
+    def __init__(self, request: aiohttp.web.BaseRequest, is_last: bool) -> None:
+        self._request = request
+        self._is_last = is_last
+        self.response: aiohttp.web.StreamResponse | None = None
+
+    async def send_whole(
+        self, status: int, headers: dialect.Headers, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        await self.start(status, headers, len(body))
+        if body:
+            await self.write(body)
+        await self.finish()
+
+    async def start(
+        self, status: int, headers: dialect.Headers, length: int | None
+    ) -> None:
+        """Send the start of an answer."""
+        resp = aiohttp.web.StreamResponse(status=status)
+        resp.headers.clear()
+        for name, value in headers:
+            resp.headers.add(name, value)
+        if length is not None:
+            resp.content_length = length
+        if self._is_last:
+            resp.force_close()
+        self.response = resp
+        self.is_started = True
+        await resp.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Send more of the body."""
+        assert self.response is not None
+        try:
+            async with asyncio.timeout(WRITE_STALL_S):
+                await self.response.write(data)
+        except (TimeoutError, OSError):
+            self.abort()
+            raise asyncio.CancelledError from None
+
+    async def finish(self) -> None:
+        """End the answer."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Close the connection without an end of the answer."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+
+class Front:
+    """Takes callers' requests."""
+
+    def __init__(
+        self,
+        forwarder: forward.Forwarder,
+        speak: dialect.Dialect,
+        max_body_bytes: typing.Callable[[], int],
+        idle_timeout_s: float,
+    ) -> None:
+        self._forwarder = forwarder
+        self._dialect = speak
+        self._max_body_bytes = max_body_bytes
+        self._server = aiohttp.web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=idle_timeout_s * KEEPALIVE_MARGIN,
+            auto_decompress=False,
+            max_line_size=64 * 1024,
+            max_field_size=64 * 1024,
+        )
+        self._runner: aiohttp.web.ServerRunner | None = None
+        self.is_leaving = False
+        self.active = 0
+        self.port = 0
+
+    async def start(self, host: str, port: int) -> None:
+        """Begin to listen."""
+        self._runner = aiohttp.web.ServerRunner(self._server)
+        await self._runner.setup()
+        site = aiohttp.web.TCPSite(self._runner, host, port, backlog=1024)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    def close_idle(self) -> None:
+        """Close kept connections, each after the request that it carries."""
+        self._server.pre_shutdown()
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
+        """Answer one request."""
+        loop = asyncio.get_running_loop()
+        arrived_at = loop.time()
+        out = FrontResponder(request, self.is_leaving)
+        headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
+        terms = self._dialect.read_request(headers)
+        self.active += 1
+        try:
+            body = await self._read_body(request)
+            if body is None:
+                ident = [(self._dialect.ident_header, terms.ident)]
+                await out.send_whole(413, ident if terms.ident else [], b"")
+            else:
+                host = request.headers.get("Host", "").partition(":")[0]
+                path = request.raw_path
+                req = forward.Request(
+                    request.method, host, path, headers, body, arrived_at, terms
+                )
+                await self._forwarder.handle(req, out)
+        except OSError:
+            out.abort()
+        finally:
+            self.active -= 1
+        return out.response or aiohttp.web.Response(status=500)
+
+    async def _read_body(self, request: aiohttp.web.BaseRequest) -> bytes | None:
+        """Return the body, or None if it is over the limit."""
+        if not request.can_read_body:
+            return b""
+        limit = self._max_body_bytes()
+        length = request.content_length
+        if length is not None and length > limit:
+            return None
+        data = bytearray()
+        async for chunk in request.content.iter_any():
+            data += chunk
+            if len(data) > limit:
+                return None
+        return bytes(data)
--- /dev/null
+++ b/sardinesaddle/direct/messages.py
@@ -0,0 +1,134 @@
+"""The messages between processes of the direct path, as msgpack.
+
+Every request has one reply on the same connection. A reply's ages are in seconds at
+the moment of the reply; the asker dates them by the moment of its question.
+"""
+
+import typing
+
+import msgspec
+
+
+class PrefixState(msgspec.Struct, frozen=True):
+    """How far a process knows a prefix of the store, and how recent that is."""
+
+    prefix: str
+    changed_rev: int
+    complete_rev: int
+    age_s: float
+
+
+class Beat(msgspec.Struct, frozen=True, tag="beat"):
+    """An entry tells another one that it lives and what it knows."""
+
+    sender: str
+    entries: list[str]
+
+
+class BeatReply(msgspec.Struct, frozen=True, tag="beat_reply"):
+    """The answer to a beat."""
+
+    entries: list[str]
+    states: list[PrefixState]
+
+
+class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
+    """Asks for the changes of a prefix after a revision."""
+
+    prefix: str
+    after: int
+
+
+class WireChange(msgspec.Struct, frozen=True, array_like=True):
+    """One change."""
+
+    key: str
+    rev: int
+    value: bytes | None
+
+
+class FetchReply(msgspec.Struct, frozen=True, tag="fetch_reply"):
+    """The changes that were asked for."""
+
+    prefix: str
+    changes: list[WireChange]
+    complete_rev: int
+    is_whole: bool
+
+
+class Report(msgspec.Struct, frozen=True, tag="report"):
+    """A sidecar tells an entry how its target fares.
+
+    ``pace`` over 1 means that the engine is slow; ``step`` is the last pass.
+    """
+
+    sender: str
+    target: str
+    is_alive: bool
+    running: int
+    waiting: int
+    pace: float
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+    skew: float
+
+
+class ReportReply(msgspec.Struct, frozen=True, tag="report_reply"):
+    """The entries that are known, and the sidecars of the sender's group by rank."""
+
+    entries: list[str]
+    ranks: list[tuple[int, str]]
+
+
+class ReadRank(msgspec.Struct, frozen=True, tag="read_rank"):
+    """A group's leader asks a rank's sidecar for its state and its counts."""
+
+    with_counts: bool
+
+
+class RankReply(msgspec.Struct, frozen=True, tag="rank_reply"):
+    """A rank's state; ``counts`` has one number an expert, set by set.
+
+    ``counts`` are as of the rank's start. Versions and steps are 0 if there is none.
+    """
+
+    group: str
+    epoch: int
+    rank: int
+    is_open: bool
+    step: int
+    map_version: int
+    prepared: int
+    armed: int
+    armed_step: int
+    held_step: int
+    pace: float
+    counts: list[int] | None = None
+
+
+class OrderRank(msgspec.Struct, frozen=True, tag="order_rank"):
+    """A group's leader lets a rank's sidecar give its engine an order."""
+
+    kind: typing.Literal["prepare", "arm"]
+    epoch: int
+    version: int
+    step: int
+    experts: list[list[list[int]]] | None = None
+
+
+class OrderReply(msgspec.Struct, frozen=True, tag="order_reply"):
+    """What came of an order; the state was read after it."""
+
+    status: int
+    state: RankReply | None
+
+
+Request = Beat | Fetch | Report | ReadRank | OrderRank
+Reply = BeatReply | FetchReply | ReportReply | RankReply | OrderReply
+
+ENCODER: typing.Final = msgspec.msgpack.Encoder()
+REQUESTS: typing.Final = msgspec.msgpack.Decoder(Request)
+REPLIES: typing.Final = msgspec.msgpack.Decoder(Reply)
--- /dev/null
+++ b/sardinesaddle/direct/nodelog.py
@@ -0,0 +1,88 @@
+"""Logs of the direct path: lines on standard output, bounded, never blocking.
+
+Lines wait in memory and are written in batches to a descriptor that does not block.
+What is over the bound of lines a second, or over the bound of waiting bytes, is
+dropped and counted; the count is logged.
+"""
+
+import asyncio
+import os
+import typing
+
+import loguru
+
+from sardinesaddle import logs
+
+FLUSH_PERIOD_S: typing.Final = 0.05
+MAX_WAITING_BYTES: typing.Final = 256 * 1024
+BURST_S: typing.Final = 2.0  # lines saved up for a burst, in seconds of the rate
+
+
+class BoundedSink:
+    """Takes lines and writes them when the descriptor takes them."""
+
+    def __init__(self, descriptor: int, lines_per_s: float) -> None:
+        self._descriptor = descriptor
+        self._rate = lines_per_s
+        self._allowed = lines_per_s * BURST_S
+        self._filled_at = 0.0
+        self._waiting = bytearray()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._unreported = 0
+        self.dropped = 0
+
+    def attach(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Write regularly from now on."""
+        self._loop = loop
+        self._filled_at = loop.time()
+        self._tick()
+
+    def write(self, text: str) -> None:
+        """Take a line."""
+        if self._loop is not None:
+            now = self._loop.time()
+            gained = (now - self._filled_at) * self._rate
+            self._allowed = min(self._allowed + gained, self._rate * BURST_S)
+            self._filled_at = now
+        if self._allowed < 1.0 or len(self._waiting) > MAX_WAITING_BYTES:
+            self.dropped += 1
+            self._unreported += 1
+            return
+        self._allowed -= 1.0
+        self._waiting += text.encode("utf-8", "replace")
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        if self._unreported:
+            self._waiting += f"event=lines_dropped count={self._unreported}\n".encode()
+            self._unreported = 0
+        if not self._waiting:
+            return
+        try:
+            written = os.write(self._descriptor, self._waiting)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads the log any more.
+            self._waiting.clear()
+            return
+        del self._waiting[:written]
+
+    def _tick(self) -> None:
+        """Write and come again."""
+        self.flush()
+        if self._loop is not None:
+            self._loop.call_later(FLUSH_PERIOD_S, self._tick)
+
+
+def start_logging(role: str, lines_per_s: float) -> BoundedSink:
+    """Send this process's log lines to standard output."""
+    descriptor = 1
+    os.set_blocking(descriptor, False)
+    sink = BoundedSink(descriptor, lines_per_s)
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"role": role})
+    loguru.logger.add(
+        typing.cast("typing.Any", sink.write), level="INFO", format=logs.format_record
+    )
+    return sink
--- /dev/null
+++ b/sardinesaddle/direct/rpc.py
@@ -0,0 +1,145 @@
+"""Requests and replies between processes, as msgpack frames over TCP.
+
+One request is in flight on a connection. A call that is not answered in time closes
+its connection, so a late reply is never taken for another's and a connection that
+went silent is replaced by the next call.
+"""
+
+import abc
+import asyncio
+import contextlib
+import dataclasses
+import typing
+
+import loguru
+import msgspec
+
+from sardinesaddle.direct import messages
+
+LENGTH_BYTES: typing.Final = 4
+MAX_FRAME_BYTES: typing.Final = 16 * 1024 * 1024  # a whole listing of large sites
+IDLE_LIMIT_S: typing.Final = 30.0  # a peer asks every second or more often
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RpcFault:
+    """A sentinel: the peer did not answer, with the reason."""
+
+    reason: str
+
+
+class Handler(abc.ABC):
+    """Answers the requests of other processes."""
+
+    @abc.abstractmethod
+    async def answer(self, msg: messages.Request) -> messages.Reply | None:
+        """Return the reply, or None to close the connection."""
+
+
+async def read_frame(reader: asyncio.StreamReader) -> bytes:
+    """Return the next frame; raise ValueError if it is over the limit."""
+    length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+    if length > MAX_FRAME_BYTES:
+        raise ValueError(f"a frame of {length} bytes is over {MAX_FRAME_BYTES}")
+    return await reader.readexactly(length)
+
+
+def make_frame(msg: messages.Request | messages.Reply) -> bytes:
+    """Return a message as a frame."""
+    data = messages.ENCODER.encode(msg)
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+_FAILURES: typing.Final = (
+    OSError,
+    asyncio.TimeoutError,
+    asyncio.IncompleteReadError,
+    msgspec.DecodeError,
+    ValueError,
+)
+
+
+class Server:
+    """Listens for other processes."""
+
+    def __init__(self, handler: Handler, host: str, port: int) -> None:
+        self._handler = handler
+        self._host = host
+        self.port = port
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._serve, self._host, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one connection's requests."""
+        self._writers.add(writer)
+        try:
+            while True:
+                async with asyncio.timeout(IDLE_LIMIT_S):
+                    data = await read_frame(reader)
+                reply = await self._handler.answer(messages.REQUESTS.decode(data))
+                if reply is None:
+                    break
+                writer.write(make_frame(reply))
+                async with asyncio.timeout(IDLE_LIMIT_S):
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, OSError, asyncio.TimeoutError):
+            pass  # The peer left or fell silent; it connects again.
+        except (msgspec.DecodeError, ValueError) as exc:
+            loguru.logger.warning("event=bad_message reason={!r}", str(exc))
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+class Peer:
+    """A connection to another process, made when it is needed."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._lock = asyncio.Lock()
+
+    async def call(
+        self, msg: messages.Request, timeout_s: float
+    ) -> messages.Reply | RpcFault:
+        """Send a request and return its reply."""
+        try:
+            async with asyncio.timeout(timeout_s), self._lock:
+                return await self._exchange(msg)
+        except _FAILURES as exc:
+            return RpcFault(f"{type(exc).__name__}: {exc}")
+
+    async def _exchange(self, msg: messages.Request) -> messages.Reply:
+        """Use the connection; close it unless the reply is read."""
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(self.host, self.port)
+        reader, writer = self._streams
+        try:
+            writer.write(make_frame(msg))
+            reply = messages.REPLIES.decode(await read_frame(reader))
+        except BaseException:
+            self.close()
+            raise
+        return reply
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            with contextlib.suppress(RuntimeError):
+                self._streams[1].transport.abort()
+            self._streams = None
--- /dev/null
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -0,0 +1,186 @@
+"""A sidecar of the direct path: reports its engine to the entries.
+
+The engine's state is read on its own host, where that is fresh and free, and told to
+every entry when it changes, and now and then if it does not.
+"""
+
+import asyncio
+import contextlib
+import random
+import typing
+
+import loguru
+
+from sardinesaddle.direct import (
+    counts,
+    engine,
+    messages,
+    nodesettings,
+    rpc,
+)
+
+READ_PERIOD_S: typing.Final = 0.1
+REPORT_PERIOD_S: typing.Final = 0.3  # entries take a report of 0.8 s as too old
+REPORT_TIMEOUT_S: typing.Final = 0.4
+ENTRIES_TTL_S: typing.Final = 10.0
+
+
+class SidecarNode(rpc.Handler):
+    """One sidecar."""
+
+    def __init__(
+        self,
+        cfg: nodesettings.SidecarSettings,
+        eng: engine.Engine,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._engine = eng
+        self._rng = rng
+        self.counts = counts.SidecarCounts(cfg.name)
+        self._server = rpc.Server(self, cfg.host, cfg.node_port)
+        self._entries: dict[str, asyncio.Task[None]] = {}
+        self._listed_at: dict[str, float] = {}
+        self.state: engine.EngineState | None = None
+        self.ranks: dict[int, str] = {}
+        self._changed = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self.is_leaving = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the engine answers."""
+        return self.state is not None
+
+    async def answer(self, msg: messages.Request) -> messages.Reply | None:
+        """Answer another process."""
+        return None
+
+    async def start(self) -> None:
+        """Begin to report."""
+        loop = asyncio.get_running_loop()
+        await self._server.start()
+        for host in self._cfg.list_seed_hosts():
+            self._start_reports(host)
+        self._tasks.append(loop.create_task(self._read_engine()))
+
+    async def _read_engine(self) -> None:
+        """Read the engine's state regularly."""
+        while True:
+            await self.read_state()
+            await asyncio.sleep(READ_PERIOD_S)
+
+    async def read_state(self) -> engine.EngineState | None:
+        """Read the engine's state now."""
+        got = await self._engine.read_state()
+        before = self.state
+        if isinstance(got, engine.EngineFault):
+            if before is not None:
+                loguru.logger.warning("event=engine_lost reason={!r}", got.reason)
+            self.state = None
+        else:
+            if before is None:
+                loguru.logger.info(
+                    "event=engine_found group={} epoch={} rank={} open={}",
+                    got.group,
+                    got.epoch,
+                    got.rank,
+                    got.is_open,
+                )
+            elif (before.epoch, before.is_open) != (got.epoch, got.is_open):
+                loguru.logger.info(
+                    "event=group_changed group={} epoch={} rank={} open={}",
+                    got.group,
+                    got.epoch,
+                    got.rank,
+                    got.is_open,
+                )
+            self.state = got
+        if self._is_news(before):
+            self._changed.set()
+        return self.state
+
+    def _is_news(self, before: engine.EngineState | None) -> bool:
+        """Tell whether entries should hear of the state at once."""
+        now = self.state
+        if before is None or now is None:
+            return before is not now
+        return (before.running, before.waiting, before.is_open, before.epoch) != (
+            now.running,
+            now.waiting,
+            now.is_open,
+            now.epoch,
+        )
+
+    def _start_reports(self, host: str) -> None:
+        """Report to an entry from now on."""
+        loop = asyncio.get_running_loop()
+        self._listed_at[host] = loop.time()
+        if host not in self._entries:
+            self._entries[host] = loop.create_task(self._report_to(host))
+
+    async def _report_to(self, host: str) -> None:
+        """Report to one entry until it is no longer listed."""
+        loop = asyncio.get_running_loop()
+        peer = rpc.Peer(host, self._cfg.node_port)
+        seeds = self._cfg.list_seed_hosts()
+        try:
+            while True:
+                reply = await peer.call(self._make_report(), REPORT_TIMEOUT_S)
+                if isinstance(reply, messages.ReportReply):
+                    self._listed_at[host] = loop.time()
+                    self._on_reply(reply)
+                elif loop.time() - self._listed_at[host] > ENTRIES_TTL_S:
+                    if host not in seeds:
+                        break
+                await self._wait_for_news()
+        finally:
+            peer.close()
+            self._entries.pop(host, None)
+
+    async def _wait_for_news(self) -> None:
+        """Wait until there is something to report, but not for long."""
+        await asyncio.sleep(READ_PERIOD_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPORT_PERIOD_S - READ_PERIOD_S):
+                await self._changed.wait()
+        self._changed.clear()
+
+    def _on_reply(self, reply: messages.ReportReply) -> None:
+        """Take over the entries and the group's sidecars."""
+        for host in reply.entries:
+            self._start_reports(host)
+        if reply.ranks:
+            self.ranks = dict(reply.ranks)
+
+    def _make_report(self) -> messages.Report:
+        """Return the newest state."""
+        state = self.state
+        return messages.Report(
+            sender=self._cfg.host,
+            target=self._cfg.target,
+            is_alive=state is not None,
+            running=0 if state is None else state.running,
+            waiting=0 if state is None else state.waiting,
+            pace=1.0 if state is None else state.pace,
+            group="" if state is None else state.group,
+            epoch=0 if state is None else state.epoch,
+            rank=0 if state is None else state.rank,
+            size=0 if state is None else state.size,
+            is_open=state is not None and state.is_open,
+            skew=1.0,
+        )
+
+    async def drain(self) -> None:
+        """Stop; nothing depends on a single sidecar for long."""
+        self.is_leaving = True
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        loguru.logger.info("event=stop")
+        for task in [*self._tasks, *self._entries.values()]:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self._server.stop()
--- /dev/null
+++ b/sardinesaddle/direct/start.py
@@ -0,0 +1,207 @@
+"""The composition root of the direct path: wires a role and runs its life.
+
+    python3 -m sardinesaddle.direct.start ROLE
+
+reads the settings file that the platform names. SIGTERM drains the process, SIGHUP
+reads the settings again. The module imports only what a role needs, since every
+process pays for its memory.
+"""
+
+import abc
+import asyncio
+import os
+import random
+import signal
+import sys
+import typing
+
+import aiohttp
+import aiohttp.web
+import loguru
+import uvloop
+
+from sardinesaddle import metrics, settings
+from sardinesaddle.direct import (
+    entrynode,
+    freshness,
+    nodelog,
+    nodesettings,
+    sidecarnode,
+)
+from sardinesaddle.platform import catalogformat, engines, headers, store
+
+SETTINGS_VARIABLE: typing.Final = "SARDINESADDLE_BOOT"
+EXIT_USAGE: typing.Final = 2
+POLL_SETTINGS_S: typing.Final = 2.0  # the file may change without a signal
+
+
+class Node(abc.ABC):
+    """What the life of a process needs of a role."""
+
+    is_ready: bool
+    is_leaving: bool
+
+    @abc.abstractmethod
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    @abc.abstractmethod
+    async def drain(self) -> None:
+        """Finish and stop."""
+
+
+Made = tuple[
+    entrynode.EntryNode | sidecarnode.SidecarNode, metrics.Metrics, aiohttp.ClientSession
+]
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Return a client for the platform's own calls."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept-Encoding"),
+    )
+
+
+def make_entry(cfg: nodesettings.EntrySettings) -> Made:
+    """Wire an entry."""
+    session = make_session()
+    node = entrynode.EntryNode(
+        cfg,
+        store.PlatformStore(session, cfg.store),
+        catalogformat.PlatformCodec(),
+        headers.PlatformDialect(),
+        freshness.BootClock(),
+        random.Random(),
+    )
+    return node, node.counts, session
+
+
+def make_sidecar(cfg: nodesettings.SidecarSettings) -> Made:
+    """Wire a sidecar."""
+    session = make_session()
+    eng = engines.PlatformEngine(session, cfg.target)
+    node = sidecarnode.SidecarNode(cfg, eng, random.Random())
+    return node, node.counts, session
+
+
+class Pages:
+    """Serves readiness to the balancer and metrics to the operators."""
+
+    def __init__(
+        self,
+        node: entrynode.EntryNode | sidecarnode.SidecarNode,
+        counted: metrics.Metrics,
+    ) -> None:
+        self._node = node
+        self._counts = counted
+        self._runners: list[aiohttp.web.ServerRunner] = []
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to listen on an address."""
+        runner = aiohttp.web.ServerRunner(
+            aiohttp.web.Server(self._handle, access_log=None)
+        )
+        await runner.setup()
+        await aiohttp.web.TCPSite(runner, host, port).start()
+        self._runners.append(runner)
+
+    async def _handle(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Answer by the path."""
+        if request.path == "/metrics":
+            body, head = self._counts.render()
+            return aiohttp.web.Response(body=body, headers=head)
+        return aiohttp.web.Response(status=200 if self._node.is_ready else 503)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+
+async def watch_settings(path: str, before: bytes, hup: asyncio.Event) -> None:
+    """Log changes of the settings file; addresses hold until the next start."""
+    while True:
+        try:
+            async with asyncio.timeout(POLL_SETTINGS_S):
+                await hup.wait()
+            hup.clear()
+        except TimeoutError:
+            pass
+        data = read_bytes(path)
+        if data != before:
+            loguru.logger.info("event=settings_changed bytes={}", len(data))
+            before = data
+
+
+def read_bytes(path: str) -> bytes:
+    """Return a file's content, empty if it cannot be read."""
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as exc:
+        loguru.logger.warning("event=settings_unreadable reason={!r}", str(exc))
+        return b""
+
+
+async def run(
+    role: str,
+    path: str,
+    cfg: nodesettings.EntrySettings | nodesettings.SidecarSettings,
+) -> None:
+    """Run a role until SIGTERM."""
+    loop = asyncio.get_running_loop()
+    sink = nodelog.start_logging(role, cfg.log_lines_per_s)
+    sink.attach(loop)
+    stopping, hup = asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, hup.set)
+    if isinstance(cfg, nodesettings.EntrySettings):
+        node, counted, session = make_entry(cfg)
+    else:
+        node, counted, session = make_sidecar(cfg)
+    loguru.logger.info("event=start name={} place={}", cfg.name, cfg.place)
+    pages = Pages(node, counted)
+    await node.start()
+    if isinstance(cfg, nodesettings.EntrySettings):
+        await pages.listen(*nodesettings.split_address(cfg.ready))
+    if cfg.metrics_port:
+        await pages.listen(cfg.host, cfg.metrics_port)
+    watcher = loop.create_task(watch_settings(path, read_bytes(path), hup))
+    await stopping.wait()
+    loguru.logger.info("event=sigterm")
+    await node.drain()
+    watcher.cancel()
+    await pages.stop()
+    await session.close()
+    loguru.logger.info("event=end")
+    sink.flush()
+
+
+def main() -> None:
+    """Run the role that the command line names."""
+    role = sys.argv[1] if len(sys.argv) == 2 else ""
+    if role not in ("entry", "sidecar"):
+        sys.stderr.write("usage: start ROLE, which is entry or sidecar\n")
+        sys.exit(EXIT_USAGE)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        sys.stderr.write(f"set {SETTINGS_VARIABLE} to the path of a settings file\n")
+        sys.exit(EXIT_USAGE)
+    cfg: nodesettings.EntrySettings | nodesettings.SidecarSettings
+    loaded: typing.Any = (
+        nodesettings.load_entry(path)
+        if role == "entry"
+        else nodesettings.load_sidecar(path)
+    )
+    if isinstance(loaded, settings.SettingsFault):
+        sys.stderr.write(f"{loaded.text}\n")
+        sys.exit(EXIT_USAGE)
+    cfg = loaded
+    uvloop.run(run(role, path, cfg))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sardinesaddle/direct/targetpool.py
@@ -0,0 +1,226 @@
+"""What an entry knows of the targets, and which one takes the next request.
+
+A target's load is the count that its sidecar last reported plus what this entry sent
+since and less what it saw end since; without a recent report it is this entry's own
+requests times the number of entries. The target with the lowest load for its slots
+is chosen; a slow pace and recent failures count as load, so that a doubtful target
+is tried now and then and a good one is never starved.
+
+A target is held apart for a while after failures in a row. If all targets of a
+service are held apart, the one whose time is up first is taken: a wrong suspicion
+must not stop a service.
+
+Targets leave by their own mark, by the store's word, or by an answer from another
+target at their address. Entries of targets that lapse while the store cannot be
+reached may return within ``LAPSE_GRACE_S`` of its return, so they stay in use until
+then.
+"""
+
+import dataclasses
+import typing
+
+from sardinesaddle.direct import catalog, messages
+
+REPORT_TTL_S: typing.Final = 0.8  # four report periods
+LAPSE_GRACE_S: typing.Final = 2.2  # the platform's two seconds and a watch's delay
+FIRST_EJECTION_S: typing.Final = 0.5
+LONGEST_EJECTION_S: typing.Final = 5.0
+STREAK_TO_EJECT: typing.Final = 2
+FAILURE_WEIGHT: typing.Final = 0.2  # of the newest result in the moving average
+FAILURE_LOAD: typing.Final = 1.5  # full slots that a target which always fails is worth
+FULL_PAUSE_S: typing.Final = 0.1  # after a refusal for lack of room
+PLACE_LOAD: typing.Final = 0.02  # full slots that another place is worth
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """A target and what this entry saw of it."""
+
+    entry: catalog.TargetEntry
+    own: int = 0
+    report: messages.Report | None = None
+    reported_at: float = 0.0
+    sent_since: int = 0
+    ended_since: int = 0
+    streak: int = 0
+    failure_share: float = 0.0
+    ejected_until: float = 0.0
+    ejection_s: float = FIRST_EJECTION_S
+    full_until: float = 0.0
+    is_misplaced: bool = False
+    lapses_at: float | None = None
+
+    @property
+    def ident(self) -> str:
+        """The target's incarnation."""
+        return self.entry.ident
+
+    def has_report(self, now: float) -> bool:
+        """Tell whether the sidecar's report is recent."""
+        return self.report is not None and now - self.reported_at < REPORT_TTL_S
+
+    def estimate_running(self, now: float, entries: int) -> float:
+        """Return the requests that the target has now, of all entries."""
+        if self.report is None or not self.has_report(now):
+            return float(self.own * max(entries, 1))
+        counted = self.report.running + self.report.waiting
+        counted += self.sent_since - self.ended_since
+        return float(max(counted, self.own))
+
+    def is_group_open(self, now: float) -> bool:
+        """Tell whether the target's group can work, as far as is known."""
+        if self.report is None or not self.has_report(now):
+            return True
+        return self.report.is_alive and (not self.report.group or self.report.is_open)
+
+
+class TargetPool:
+    """All targets of an entry."""
+
+    def __init__(self, place: str) -> None:
+        self._place = place
+        self._targets: dict[str, Target] = {}
+        self._by_address: dict[str, Target] = {}
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def list_targets(self, service: str) -> list[Target]:
+        """Return the targets of a service that may get new work."""
+        return [
+            one
+            for one in self._targets.values()
+            if one.entry.service == service
+            and one.entry.state is catalog.TargetState.READY
+            and not one.is_misplaced
+        ]
+
+    def list_keys(self) -> set[tuple[str, int, str]]:
+        """Return the addresses and incarnations of all targets."""
+        return {
+            (one.entry.host, one.entry.port, one.ident)
+            for one in self._targets.values()
+        }
+
+    def get(self, ident: str) -> Target | None:
+        """Return a target by its incarnation."""
+        return self._targets.get(ident)
+
+    def put(self, entry: catalog.TargetEntry) -> bool:
+        """Take over a target's entry; return whether its state is news."""
+        held = self._targets.get(entry.ident)
+        if held is None:
+            made = Target(entry)
+            self._targets[entry.ident] = made
+            self._by_address[f"{entry.host}:{entry.port}"] = made
+            return True
+        is_news = held.entry.state is not entry.state
+        held.entry = entry
+        held.lapses_at = None
+        return is_news
+
+    def remove(self, ident: str) -> None:
+        """Drop a target that is gone."""
+        held = self._targets.pop(ident, None)
+        if held is None:
+            return
+        address = f"{held.entry.host}:{held.entry.port}"
+        if self._by_address.get(address) is held:
+            del self._by_address[address]
+
+    def lapse(self, ident: str, until: float) -> None:
+        """Keep a target whose entry went missing around an outage for a while."""
+        held = self._targets.get(ident)
+        if held is not None and held.lapses_at is None:
+            held.lapses_at = until
+
+    def remove_lapsed(self, now: float) -> list[str]:
+        """Drop the targets whose entries have not returned; return them."""
+        gone = [
+            ident
+            for ident, one in self._targets.items()
+            if one.lapses_at is not None and one.lapses_at <= now
+        ]
+        for ident in gone:
+            self.remove(ident)
+        return gone
+
+    def on_report(self, now: float, report: messages.Report) -> None:
+        """Take over a sidecar's report."""
+        held = self._by_address.get(report.target)
+        if held is None:
+            return
+        held.report = report
+        held.reported_at = now
+        held.sent_since = 0
+        held.ended_since = 0
+
+    def choose(
+        self,
+        now: float,
+        service: str,
+        excluded: typing.Collection[str],
+        entries: int,
+        draws: typing.Callable[[], float],
+    ) -> Target | None:
+        """Return the target that should take the next request."""
+        listed = [t for t in self.list_targets(service) if t.ident not in excluded]
+        usable = [t for t in listed if t.ejected_until <= now and t.is_group_open(now)]
+        if not usable:
+            alive = [t for t in listed if t.is_group_open(now)] or listed
+            return min(alive, key=lambda t: t.ejected_until, default=None)
+        return min(
+            usable,
+            key=lambda t: (self.compute_load(now, t, entries), draws()),
+        )
+
+    def compute_load(self, now: float, target: Target, entries: int) -> float:
+        """Return a target's load as a share of its slots, with its handicaps."""
+        load = (target.estimate_running(now, entries) + 1.0) / target.entry.slots
+        if target.report is not None and target.has_report(now):
+            load *= max(target.report.pace, 1.0)
+        load += FAILURE_LOAD * target.failure_share
+        if target.full_until > now:
+            load += 1.0
+        if target.entry.place != self._place:
+            load += PLACE_LOAD
+        return load
+
+    def on_send(self, target: Target) -> None:
+        """Take note of a request that is sent."""
+        target.own += 1
+        target.sent_since += 1
+
+    def on_end(self, target: Target) -> None:
+        """Take note of a request that ended."""
+        target.own -= 1
+        target.ended_since += 1
+
+    def on_success(self, target: Target) -> None:
+        """Take note of a good answer."""
+        target.streak = 0
+        target.ejection_s = FIRST_EJECTION_S
+        target.failure_share *= 1.0 - FAILURE_WEIGHT
+
+    def on_error_answer(self, target: Target) -> None:
+        """Take note of a target's own failure, which some requests always get."""
+        target.failure_share += FAILURE_WEIGHT * (1.0 - target.failure_share)
+
+    def on_failure(self, now: float, target: Target, is_sure: bool) -> bool:
+        """Take note of a broken exchange; return whether the target is ejected."""
+        self.on_error_answer(target)
+        target.streak += 1
+        if not is_sure and target.streak < STREAK_TO_EJECT:
+            return False
+        if target.ejected_until <= now:
+            target.ejected_until = now + target.ejection_s
+            target.ejection_s = min(target.ejection_s * 2.0, LONGEST_EJECTION_S)
+        return True
+
+    def on_full(self, now: float, target: Target) -> None:
+        """Take note of a refusal for lack of room."""
+        target.full_until = now + FULL_PAUSE_S
+
+    def on_misplaced(self, target: Target) -> None:
+        """Take note that another target answers at this address."""
+        target.is_misplaced = True
--- /dev/null
+++ b/sardinesaddle/platform/catalogformat.py
@@ -0,0 +1,233 @@
+"""Decodes the platform's stored values into the project's types."""
+
+import typing
+
+import msgspec
+
+from sardinesaddle.direct import catalog
+
+CONFIG_PREFIX: typing.Final = "op/"
+CONFIG_KEY: typing.Final = "op/config"
+TARGETS_PREFIX: typing.Final = "servers/"
+
+MS: typing.Final = 1e-3
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A sentinel: the value cannot be used, with the reason."""
+
+    reason: str
+
+
+class WireSplit(msgspec.Struct, frozen=True):
+    """A part of ``traffic_split``."""
+
+    service: str
+    weight: float = 1.0
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route; a single ``service`` stands for a split of one."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 400.0
+    gap_aim_ms: float = 120.0
+    priority: int = 5
+    max_attempts: int = 1
+    service: str | None = None
+    traffic_split: list[WireSplit] = []
+    anonymous: bool = False
+    resumable: bool = False
+
+
+class WireUsual(msgspec.Struct, frozen=True):
+    """Mean token counts."""
+
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class WireEngine(msgspec.Struct, frozen=True):
+    """The model of an engine."""
+
+    slots: int
+    step_ms: float = 5.0
+    per_seq_ms: float = 0.5
+    context_per_k: float = 0.0
+    read_per_s: float = 1e5
+    chunk: int = 512
+    stride: int = 1
+    link_mbps: float = 1e5
+    usual: WireUsual = WireUsual()
+    sets: int = 0
+    experts: int = 0
+    places: int = 0
+    spare: int = 0
+    expert_mb: float = 0.0
+    expert_share: float = 0.0
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A service."""
+
+    name: str
+    max_conns: int = 100
+    engine: WireEngine | None = None
+
+
+class WireAccount(msgspec.Struct, frozen=True):
+    """A tenant, which is a client account here."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """Limits on callers."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class WireConfig(msgspec.Struct, frozen=True):
+    """The newest configuration in full."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    tenants: list[WireAccount] = []
+    limits: WireLimits = WireLimits()
+
+
+class WireTarget(msgspec.Struct, frozen=True):
+    """A server's entry; ``cold_left_ms`` is how long it stays slow."""
+
+    service: str
+    addr: str
+    zone: str
+    slots: int
+    state: typing.Literal["ready", "draining"]
+    cold_left_ms: float = 0.0
+
+
+def decode_catalog(data: bytes) -> catalog.Catalog | Fault:
+    """Return the configuration in a stored value."""
+    try:
+        wire = msgspec.json.decode(data, type=WireConfig)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Fault(f"the configuration cannot be read: {exc}")
+    accounts = {
+        key: catalog.Account(one.name, one.priority)
+        for one in wire.tenants
+        for key in one.api_keys
+    }
+    limits = catalog.Limits(
+        wire.limits.max_header_bytes,
+        wire.limits.max_body_bytes,
+        wire.limits.header_timeout_ms * MS,
+        wire.limits.idle_timeout_ms * MS,
+    )
+    routes = [decode_route(one) for one in wire.routes]
+    services = [decode_service(one) for one in wire.services]
+    return catalog.Catalog(wire.version, routes, services, accounts, limits)
+
+
+def decode_route(wire: WireRoute) -> catalog.Route:
+    """Return a route in the project's terms."""
+    splits = tuple(catalog.Split(one.service, one.weight) for one in wire.traffic_split)
+    if wire.service is not None:
+        splits = (catalog.Split(wire.service, 1.0),)
+    is_stream = wire.kind == "streaming"
+    is_free = wire.kind == "idempotent" or (is_stream and wire.resumable)
+    return catalog.Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        repeat=catalog.Repeat.FREELY if is_free else catalog.Repeat.ONCE,
+        is_stream=is_stream,
+        timeout_s=wire.timeout_ms * MS,
+        objective_s=wire.target_latency_ms * MS,
+        pause_s=wire.gap_aim_ms * MS,
+        priority=wire.priority,
+        max_attempts=max(wire.max_attempts, 1),
+        is_anonymous=wire.anonymous,
+        is_resumable=wire.resumable,
+        splits=splits or (catalog.Split("", 1.0),),
+    )
+
+
+def decode_service(wire: WireService) -> catalog.Service:
+    """Return a service in the project's terms."""
+    engine = None
+    if wire.engine is not None:
+        one = wire.engine
+        engine = catalog.EngineModel(
+            slots=one.slots,
+            step_s=one.step_ms * MS,
+            per_request_s=one.per_seq_ms * MS,
+            context_s_per_token=one.context_per_k * MS / 1000.0,
+            read_tokens_per_s=one.read_per_s,
+            chunk_tokens=one.chunk,
+            stride=one.stride,
+            usual_prompt=one.usual.prompt,
+            usual_answer=one.usual.answer,
+            layer_sets=one.sets,
+            experts=one.experts,
+            places=one.places,
+            spare=one.spare,
+            expert_share=one.expert_share,
+            copy_s_per_expert=one.expert_mb * 8.0 / max(one.link_mbps, 1e-9),
+        )
+    return catalog.Service(wire.name, wire.max_conns, engine)
+
+
+def decode_target(key: str, data: bytes) -> catalog.TargetEntry | Fault:
+    """Return a target's entry in the project's terms."""
+    try:
+        wire = msgspec.json.decode(data, type=WireTarget)
+        host, _, port = wire.addr.rpartition(":")
+        number = int(port)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        return Fault(f"{key} names no target: {exc}")
+    if not host or not 0 < number < 65536:
+        return Fault(f"{key} has the address {wire.addr!r}")
+    leaving = wire.state == "draining"
+    return catalog.TargetEntry(
+        ident=key.removeprefix(TARGETS_PREFIX),
+        service=wire.service,
+        host=host,
+        port=number,
+        place=wire.zone,
+        slots=max(wire.slots, 1),
+        state=catalog.TargetState.LEAVING if leaving else catalog.TargetState.READY,
+        warmup_s=wire.cold_left_ms * MS,
+    )
+
+
+class PlatformCodec:
+    """Decodes the values under the platform's prefixes."""
+
+    config_prefix = CONFIG_PREFIX
+    config_key = CONFIG_KEY
+    targets_prefix = TARGETS_PREFIX
+
+    def decode_catalog(self, data: bytes) -> catalog.Catalog | str:
+        """Return the configuration, or what is wrong with it."""
+        got = decode_catalog(data)
+        return got.reason if isinstance(got, Fault) else got
+
+    def decode_target(self, key: str, data: bytes) -> catalog.TargetEntry | str:
+        """Return a target's entry, or what is wrong with it."""
+        got = decode_target(key, data)
+        return got.reason if isinstance(got, Fault) else got
+
+    def get_target_ident(self, key: str) -> str:
+        """Return the target that a key names."""
+        return key.removeprefix(TARGETS_PREFIX)
--- /dev/null
+++ b/sardinesaddle/platform/engines.py
@@ -0,0 +1,165 @@
+"""Calls of a model engine over HTTP, read with aiohttp."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from sardinesaddle.direct import engine
+
+CALL_TIMEOUT_S: typing.Final = 0.4  # on the same host an answer takes a few ms
+
+_FAILURES: typing.Final = (
+    aiohttp.ClientError,
+    OSError,
+    asyncio.TimeoutError,
+    msgspec.DecodeError,
+    msgspec.ValidationError,
+    UnicodeDecodeError,
+)
+
+
+class WireGroup(msgspec.Struct, frozen=True):
+    """The group of ranks that an engine belongs to."""
+
+    name: str = ""
+    epoch: int = 0
+    rank: int = 0
+    state: str = ""
+
+
+class WireVersion(msgspec.Struct, frozen=True):
+    """A version, where an engine reports more than the number."""
+
+    version: int = 0
+    step: int = 0
+
+
+class WireReport(msgspec.Struct, frozen=True):
+    """The state of an engine; ``seq`` counts accepted orders."""
+
+    running: int = 0
+    waiting: int = 0
+    pace: float = 1.0
+    seq: int = 0
+    group: WireGroup | None = None
+    size: int = 0
+    step: int = 0
+    map: int | WireVersion | None = None
+    prepared: int | WireVersion | None = None
+    armed: int | WireVersion | None = None
+    held: int | None = None
+
+
+class WirePicked(msgspec.Struct, frozen=True):
+    """How often each expert was chosen."""
+
+    step: int
+    epoch: int
+    counts: list[int]
+
+
+class WireExperts(msgspec.Struct, frozen=True):
+    """A version and this rank's experts by set."""
+
+    version: int = 0
+    experts: list[list[int]] = []
+
+
+class WireLists(msgspec.Struct, frozen=True):
+    """The map in force."""
+
+    map: WireExperts
+
+
+def get_version(wire: int | WireVersion | None) -> int:
+    """Return a version, 0 for none."""
+    if wire is None:
+        return 0
+    return wire.version if isinstance(wire, WireVersion) else wire
+
+
+class PlatformEngine(engine.Engine):
+    """The engine at an address."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    async def read_state(self) -> engine.EngineState | engine.EngineFault:
+        """Return the engine's state."""
+        wire = await self._get("/report", WireReport)
+        if isinstance(wire, engine.EngineFault):
+            return wire
+        group = wire.group or WireGroup()
+        armed = wire.armed
+        return engine.EngineState(
+            running=wire.running,
+            waiting=wire.waiting,
+            pace=wire.pace,
+            orders=wire.seq,
+            group=group.name,
+            epoch=group.epoch,
+            rank=group.rank,
+            size=wire.size,
+            is_open=group.state == "open",
+            step=wire.step,
+            map_version=get_version(wire.map),
+            prepared=get_version(wire.prepared),
+            armed=get_version(armed),
+            armed_step=armed.step if isinstance(armed, WireVersion) else 0,
+            held_step=wire.held or 0,
+        )
+
+    async def read_counts(self) -> engine.ExpertCounts | engine.EngineFault:
+        """Return how often each expert was chosen."""
+        wire = await self._get("/picked", WirePicked)
+        if isinstance(wire, engine.EngineFault):
+            return wire
+        return engine.ExpertCounts(wire.step, wire.epoch, wire.counts)
+
+    async def read_experts(self) -> list[list[int]] | engine.EngineFault:
+        """Return the experts of the rank's map by set of layers."""
+        wire = await self._get("/picked?lists=1", WireLists)
+        if isinstance(wire, engine.EngineFault):
+            return wire
+        return wire.map.experts
+
+    async def give_order(self, order: engine.EngineOrder) -> int | engine.EngineFault:
+        """Give an order; return the status of the answer."""
+        body: dict[str, object] = {"op": order.kind, "epoch": order.epoch}
+        if order.expected is not None:
+            body["expected"] = order.expected
+        if order.version:
+            body["version"] = order.version
+        if order.step:
+            body["step"] = order.step
+        if order.experts is not None:
+            body["map"] = order.experts
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                self._base + "/order",
+                data=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+            ) as resp:
+                await resp.read()
+                return resp.status
+        except _FAILURES as exc:
+            return engine.EngineFault(f"{type(exc).__name__}: {exc}")
+
+    Kind = typing.TypeVar("Kind")
+
+    async def _get(self, path: str, kind: type[Kind]) -> Kind | engine.EngineFault:
+        """Read one page of the engine."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._session.get(self._base + path, timeout=timeout) as resp:
+                data = await resp.read()
+                if resp.status != 200:
+                    return engine.EngineFault(f"status {resp.status}")
+            return msgspec.json.decode(data, type=kind)
+        except _FAILURES as exc:
+            return engine.EngineFault(f"{type(exc).__name__}: {exc}")
--- /dev/null
+++ b/sardinesaddle/platform/headers.py
@@ -0,0 +1,91 @@
+"""The platform's headers, read and written."""
+
+import typing
+
+from sardinesaddle.direct import dialect
+
+# One caller's attempt; echoed by the target.
+ATTEMPT_ID: typing.Final = "Attempt-Id"
+# Milliseconds that the caller still waits; the target stops work after them.
+DEADLINE: typing.Final = "Deadline-Ms"
+# The target that is meant; any other one at the address refuses with 421.
+EXPECTED_TARGET: typing.Final = "Expect-Instance"
+# The client account; set by the entry alone.
+ACCOUNT: typing.Final = "Tenant"
+# Present if the target did not run the request.
+NOT_RUN: typing.Final = "Not-Executed"
+# The target's signature of its answer.
+SIGNATURE: typing.Final = "Server-Stamp"
+# The last event that the caller has; the target goes on after it.
+LAST_EVENT: typing.Final = "Last-Event-Id"
+# Urgency of a request at an engine, from 0, the first, to 9.
+URGENCY: typing.Final = "Request-Priority"
+# The caller's estimate of output tokens.
+LENGTH_HINT: typing.Final = "Length-Hint"
+# Prompt tokens and the greatest number of output tokens, "P,O".
+TOKENS: typing.Final = "Token-Usage"
+
+MISPLACED: typing.Final = 421
+
+# Set by the entry whatever the caller sent; the key never reaches a target.
+_SET_BY_ENTRY: typing.Final = frozenset(
+    {"authorization", "deadline-ms", "expect-instance", "tenant", "request-priority"}
+)
+
+
+def parse_number(text: str | None) -> int | None:
+    """Return a whole number that is not negative, or None."""
+    text = (text or "").strip()
+    return int(text) if text.isdigit() and text.isascii() else None
+
+
+class PlatformDialect(dialect.Dialect):
+    """The platform's names."""
+
+    ident_header = ATTEMPT_ID
+
+    def read_request(self, headers: dialect.Headers) -> dialect.CallerTerms:
+        """Return what a caller states."""
+        found = {name.lower(): value for name, value in headers}
+        scheme, _, key = found.get("authorization", "").partition(" ")
+        has_key = scheme.lower() == "bearer" and bool(key.strip())
+        prompt, _, output = found.get(TOKENS.lower(), "").partition(",")
+        deadline_ms = parse_number(found.get(DEADLINE.lower()))
+        return dialect.CallerTerms(
+            ident=found.get(ATTEMPT_ID.lower(), ""),
+            patience_s=None if deadline_ms is None else deadline_ms / 1000.0,
+            key=key.strip() if has_key else None,
+            prompt_tokens=parse_number(prompt) or 0,
+            max_output=parse_number(output) or 0,
+            output_hint=parse_number(found.get(LENGTH_HINT.lower())),
+            last_event=parse_number(found.get(LAST_EVENT.lower())),
+        )
+
+    def write_request(
+        self, headers: dialect.Headers, terms: dialect.SendTerms
+    ) -> dialect.Headers:
+        """Return a caller's end-to-end headers with the entry's own set."""
+        dropped = _SET_BY_ENTRY
+        if terms.last_event is not None:
+            dropped = dropped | {LAST_EVENT.lower()}
+        out = [(name, value) for name, value in headers if name.lower() not in dropped]
+        out.append((DEADLINE, str(max(int(terms.left_s * 1000), 1))))
+        out.append((EXPECTED_TARGET, terms.target))
+        if terms.account is not None:
+            out.append((ACCOUNT, terms.account))
+        if terms.last_event is not None:
+            out.append((LAST_EVENT, str(terms.last_event)))
+        if terms.urgency is not None:
+            out.append((URGENCY, str(terms.urgency)))
+        return out
+
+    def read_answer(
+        self, status: int, headers: dialect.Headers
+    ) -> dialect.AnswerTerms:
+        """Return what a target states."""
+        found = {name for name, _ in headers}
+        return dialect.AnswerTerms(
+            is_not_run=NOT_RUN.lower() in found or status == MISPLACED,
+            is_misplaced=status == MISPLACED,
+            is_signed=SIGNATURE.lower() in found,
+        )
--- a/sardinesaddle/settings.py
+++ b/sardinesaddle/settings.py
@@ -8,7 +8,6 @@
 import pathlib
 import typing
 
-import json5
 import msgspec
 
 MIN_SECRET_BYTES: typing.Final = 16
@@ -101,6 +100,8 @@
         return typing.cast("object", msgspec.json.decode(text))
     except msgspec.DecodeError:
         pass
+    import json5  # Costs memory in every process; read only where it is needed.
+
     try:
         parsed: object = json5.loads(text)
     except ValueError as exc:
