Give unanswered orders again at once; wait for groups that form; prefer the newest entry at an address

Cause: with applied_late a lost arm held a group 0.1 to 1 s, so each stream of the group had a pause over 120 ms; after a power failure old and new targets were listed at one address and half of the sends met 421; while all groups were closed requests were refused although they could still be served. Ruled out: a cap on requests (late answers earn half, refused ones nothing).

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -183,7 +183,7 @@
             loguru.logger.warning("event=target_refused rev={} {}", change.rev, entry)
             self.targets.remove(ident)
             return
-        if self.targets.put(entry):
+        if self.targets.put(entry, change.created_rev):
             loguru.logger.info(
                 "event=target_{} target={} service={} address={}:{} rev={} source={}",
                 entry.state.value,
@@ -252,7 +252,10 @@
         if follower is None:
             return None
         delta = follower.replica.make_delta(msg.after)
-        changes = [messages.WireChange(c.key, c.rev, c.value) for c in delta.changes]
+        changes = [
+            messages.WireChange(c.key, c.rev, c.value, c.created_rev)
+            for c in delta.changes
+        ]
         return messages.FetchReply(
             msg.prefix, changes, delta.complete_rev, delta.is_whole
         )
@@ -347,7 +350,9 @@
         reply = await peer.call(asked, FETCH_TIMEOUT_S)
         if not isinstance(reply, messages.FetchReply):
             return
-        changes = tuple(replica.Change(c.key, c.rev, c.value) for c in reply.changes)
+        changes = tuple(
+            replica.Change(c.key, c.rev, c.value, c.created_rev) for c in reply.changes
+        )
         delta = replica.Delta(changes, reply.complete_rev, reply.is_whole)
         follower.apply(delta, peer.host)
 
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -35,6 +35,8 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet's resend
 MAX_CONNECTS: typing.Final = 4
 SILENCE_S: typing.Final = 1.2  # callers leave a silent stream after 2 s
+QUEUE_S: typing.Final = 1.5  # callers leave a silent stream after 2 s
+QUEUE_POLL_S: typing.Final = 0.025
 MIN_SEND_S: typing.Final = 0.02  # less time left than this serves nobody
 MAX_WHOLE_BYTES: typing.Final = 256 * 1024  # answers up to this size are sent whole
 RETRY_SOON_S: typing.Final = 0.3
@@ -226,6 +228,9 @@
                 self._rng.random,
             )
             if target is None:
+                if self._may_wait(work, now):
+                    await asyncio.sleep(QUEUE_POLL_S)
+                    continue
                 return self._give_up(work, "no_target")
             outcome = await self._attempt(work, target, out)
             if outcome is None or outcome.status == STATUS_TIMEOUT:
@@ -240,6 +245,14 @@
                     return None
                 return refusal
 
+    def _may_wait(self, work: Work, now: float) -> bool:
+        """Tell whether a target may yet come up in time for the request."""
+        if now >= min(work.req.arrived_at + QUEUE_S, work.ends_at - MIN_SEND_S):
+            return False
+        if self._targets.has_hope(now, work.service):
+            return True
+        return False
+
     def _check_repeat(self, work: Work, outcome: Refused) -> Refused | None:
         """Return None if the request may be sent again, else the final answer."""
         if outcome.reason == "connect":
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -23,7 +23,7 @@
     rpc,
 )
 
-IDLE_PERIOD_S: typing.Final = 0.12  # between looks at the group
+IDLE_PERIOD_S: typing.Final = 0.08  # between looks at the group
 ACTIVE_PERIOD_S: typing.Final = 0.02  # while a switch waits for reports
 CALL_TIMEOUT_S: typing.Final = 0.3
 COPIES_A_RANK: typing.Final = 2  # of one switch; with 3 or 4 worth fell by 0.02
--- a/sardinesaddle/direct/mapswitch.py
+++ b/sardinesaddle/direct/mapswitch.py
@@ -33,7 +33,7 @@
 HOLD_AHEAD: typing.Final = 3  # passes; arming takes one or two
 VERSION_DRAW: typing.Final = 1 << 16
 PREPARE_LIMIT_S: typing.Final = 3.0  # a copy takes at most one or two
-PREPARE_AGAIN_S: typing.Final = 0.7  # a copy of three experts takes 0.45 s
+PREPARE_AGAIN_S: typing.Final = 0.5  # a copy of two experts takes 0.3 s
 LATE_ORDER_S: typing.Final = 13.0  # the platform carries orders out up to 12 s late
 
 
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -45,6 +45,7 @@
     key: str
     rev: int
     value: bytes | None
+    created_rev: int
 
 
 class FetchReply(msgspec.Struct, frozen=True, tag="fetch_reply"):
--- a/sardinesaddle/direct/rankdesk.py
+++ b/sardinesaddle/direct/rankdesk.py
@@ -13,6 +13,7 @@
 from sardinesaddle.direct import counts, demand, engine, messages
 
 DEMAND_PERIOD_S: typing.Final = 0.1
+ORDER_TRIES: typing.Final = 3  # up to one order in three gets no answer in bad times
 
 
 class RankDesk:
@@ -82,17 +83,29 @@
             return None
         if state.epoch != order.epoch or not state.is_open or has_effect(state, order):
             return state
-        status = await self._engine.give_order(
-            engine.EngineOrder(
-                order.kind,
-                order.epoch,
-                state.orders,
-                order.version,
-                order.step,
-                order.experts,
-            )
+        for _ in range(ORDER_TRIES):
+            status = await self._give(order, state)
+            after = await self._engine.read_state()
+            if isinstance(after, engine.EngineFault):
+                return None
+            state = after
+            if isinstance(status, int) or has_effect(state, order):
+                break
+        return state
+
+    async def _give(
+        self, order: engine.EngineOrder, state: engine.EngineState
+    ) -> int | engine.EngineFault:
+        """Give an order once; the state is what it was decided on."""
+        given = engine.EngineOrder(
+            order.kind,
+            order.epoch,
+            state.orders,
+            order.version,
+            order.step,
+            order.experts,
         )
-        outcome = status if isinstance(status, int) else status.reason
+        status = await self._engine.give_order(given)
         self._counts.add_order(order.kind, status if isinstance(status, int) else 0)
         loguru.logger.info(
             "event=order kind={} epoch={} version={} step={} expected={} at_step={}"
@@ -103,10 +116,9 @@
             order.step,
             state.orders,
             state.step,
-            outcome,
+            status if isinstance(status, int) else status.reason,
         )
-        after = await self._engine.read_state()
-        return None if isinstance(after, engine.EngineFault) else after
+        return status
 
 
 def has_effect(state: engine.EngineState, order: engine.EngineOrder) -> bool:
--- a/sardinesaddle/direct/replica.py
+++ b/sardinesaddle/direct/replica.py
@@ -22,11 +22,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
-    """A key's value at a revision; ``value`` is None if it was deleted."""
+    """A key's value at a revision; ``value`` is None if it was deleted.
+
+    ``created_rev`` is the revision at which the key came to be.
+    """
 
     key: str
     rev: int
     value: bytes | None
+    created_rev: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -10,6 +10,9 @@
 service are held apart, the one whose time is up first is taken: a wrong suspicion
 must not stop a service.
 
+If two targets are registered at one address, the one that came last is there: the
+other's entry has not lapsed yet.
+
 Targets leave by their own mark, by the store's word, or by an answer from another
 target at their address. Entries of targets that lapse while the store cannot be
 reached may return within ``LAPSE_GRACE_S`` of its return, so they stay in use until
@@ -37,6 +40,7 @@
     """A target and what this entry saw of it."""
 
     entry: catalog.TargetEntry
+    created_rev: int = 0
     own: int = 0
     report: messages.Report | None = None
     reported_at: float = 0.0
@@ -55,6 +59,11 @@
         """The target's incarnation."""
         return self.entry.ident
 
+    @property
+    def address(self) -> str:
+        """Where the target listens."""
+        return f"{self.entry.host}:{self.entry.port}"
+
     def has_report(self, now: float) -> bool:
         """Tell whether the sidecar's report is recent."""
         return self.report is not None and now - self.reported_at < REPORT_TTL_S
@@ -93,6 +102,7 @@
             if one.entry.service == service
             and one.entry.state is catalog.TargetState.READY
             and not one.is_misplaced
+            and self._by_address[one.address] is one
         ]
 
     def list_keys(self) -> set[tuple[str, int, str]]:
@@ -106,13 +116,18 @@
         """Return a target by its incarnation."""
         return self._targets.get(ident)
 
-    def put(self, entry: catalog.TargetEntry) -> bool:
-        """Take over a target's entry; return whether its state is news."""
+    def put(self, entry: catalog.TargetEntry, created_rev: int = 0) -> bool:
+        """Take over a target's entry; return whether its state is news.
+
+        ``created_rev`` is the revision at which the entry was first written.
+        """
         held = self._targets.get(entry.ident)
         if held is None:
-            made = Target(entry)
+            made = Target(entry, created_rev)
             self._targets[entry.ident] = made
-            self._by_address[f"{entry.host}:{entry.port}"] = made
+            held = self._by_address.get(made.address)
+            if held is None or held.created_rev < created_rev:
+                self._by_address[made.address] = made
             return True
         is_news = held.entry.state is not entry.state
         held.entry = entry
@@ -124,9 +139,12 @@
         held = self._targets.pop(ident, None)
         if held is None:
             return
-        address = f"{held.entry.host}:{held.entry.port}"
-        if self._by_address.get(address) is held:
-            del self._by_address[address]
+        if self._by_address.get(held.address) is not held:
+            return
+        del self._by_address[held.address]
+        others = [t for t in self._targets.values() if t.address == held.address]
+        if others:
+            self._by_address[held.address] = max(others, key=lambda t: t.created_rev)
 
     def lapse(self, ident: str, until: float) -> None:
         """Keep a target whose entry went missing around an outage for a while."""
@@ -165,15 +183,19 @@
     ) -> Target | None:
         """Return the target that should take the next request."""
         listed = [t for t in self.list_targets(service) if t.ident not in excluded]
-        usable = [t for t in listed if t.ejected_until <= now and t.is_group_open(now)]
+        is_open = [t for t in listed if t.is_group_open(now)]
+        usable = [t for t in is_open if t.ejected_until <= now]
         if not usable:
-            alive = [t for t in listed if t.is_group_open(now)] or listed
-            return min(alive, key=lambda t: t.ejected_until, default=None)
+            return min(is_open, key=lambda t: t.ejected_until, default=None)
         return min(
             usable,
             key=lambda t: (self.compute_load(now, t, entries), draws()),
         )
 
+    def has_hope(self, now: float, service: str) -> bool:
+        """Tell whether targets are there whose groups may open soon."""
+        return any(not one.is_group_open(now) for one in self.list_targets(service))
+
     def compute_load(self, now: float, target: Target, entries: int) -> float:
         """Return a target's load as a share of its slots, with its handicaps."""
         load = (target.estimate_running(now, entries) + 1.0) / target.entry.slots
--- a/sardinesaddle/platform/engines.py
+++ b/sardinesaddle/platform/engines.py
@@ -10,7 +10,7 @@
 
 CALL_TIMEOUT_S: typing.Final = 0.4  # on the same host an answer takes a few ms
 # Some orders get no answer at all, and a group may stand still meanwhile.
-ORDER_TIMEOUT_S: typing.Final = 0.1
+ORDER_TIMEOUT_S: typing.Final = 0.05
 
 _FAILURES: typing.Final = (
     aiohttp.ClientError,
--- a/sardinesaddle/platform/store.py
+++ b/sardinesaddle/platform/store.py
@@ -31,6 +31,7 @@
 
     key: str
     rev: int
+    created_rev: int = 0
     value: str | None = None
     deleted: bool = False
 
@@ -54,7 +55,8 @@
     """Return an item as a change; values come as base64."""
     if wire.deleted or wire.value is None:
         return replica.Change(wire.key, wire.rev, None)
-    return replica.Change(wire.key, wire.rev, base64.b64decode(wire.value))
+    data = base64.b64decode(wire.value)
+    return replica.Change(wire.key, wire.rev, data, wire.created_rev)
 
 
 class PlatformStore(following.Store):
