Say 'not run' whenever it is known, and never after a run

Cause: a request whose only target had refused it unrun was answered 502, and an idempotent one that had run and failed could be answered 503.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -124,6 +124,7 @@
     account: catalog.Account | None
     ends_at: float
     sends: int = 0
+    may_have_run: bool = False
     connects: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     last_event: int | None = None
@@ -170,7 +171,7 @@
             async with asyncio.timeout_at(work.ends_at):
                 result = await self._attempt_all(work, out)
         except TimeoutError:
-            status = STATUS_TIMEOUT if work.sends else STATUS_NOT_RUN
+            status = STATUS_TIMEOUT if work.may_have_run else STATUS_NOT_RUN
             result = Refused(status, "timeout", RETRY_SOON_S)
         except asyncio.CancelledError:
             self._log(req, work, "caller_left", 0)
@@ -261,21 +262,21 @@
                 return None
             return self._give_up(work, outcome.reason)
         if work.sends >= work.route.max_attempts:
-            return outcome
+            return self._give_up(work, outcome.reason)
         if outcome.status != STATUS_NOT_RUN and not work.may_repeat:
             return outcome
         now = asyncio.get_running_loop().time()
         if work.ends_at - now < MIN_SEND_S:
-            return outcome
+            return self._give_up(work, outcome.reason)
         window = self._get_window(work.service)
         if not window.spend(now, self._know.count_entries()):
-            return outcome
+            return self._give_up(work, outcome.reason)
         self._counts.add_repeat(work.service)
         return None
 
     def _give_up(self, work: Work, reason: str) -> Refused:
         """Return the answer to a request that no target takes."""
-        if work.sends and not work.may_repeat:
+        if work.may_have_run:
             return Refused(STATUS_UNKNOWN, reason)
         return Refused(STATUS_NOT_RUN, reason, RETRY_SOON_S)
 
@@ -300,10 +301,13 @@
             headers = self._make_headers(work, target)
             exchange.send(work.req.method, work.req.path, headers, work.req.body)
             work.sends += 1
+            had_maybe_run, work.may_have_run = work.may_have_run, True
             outcome = await self._relay_answer(work, target, exchange, out)
             if isinstance(outcome, upstream.Failure):
                 self._note_failure(target, outcome)
                 return Refused(STATUS_UNKNOWN, outcome.kind.value)
+            if outcome is not None and outcome.status == STATUS_NOT_RUN:
+                work.may_have_run = had_maybe_run
             return outcome
         finally:
             self._targets.on_end(target)
--- /dev/null
+++ b/test/directfleet.py
@@ -0,0 +1,497 @@
+"""Entries of the direct path with scripted targets and a store in memory.
+
+Everything runs on loopback addresses with a paused clock.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import socket
+import struct
+import typing
+
+import h11
+import msgspec
+
+from sardinesaddle.direct import (
+    entrynode,
+    following,
+    freshness,
+    nodesettings,
+    replica,
+)
+from sardinesaddle.platform import catalogformat, headers
+from sardinesaddle.standins import world
+
+Scenario = collections.abc.Callable[
+    ["Fleet"], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+SIGNATURE: typing.Final = (headers.SIGNATURE, "signed")
+
+
+def find_port(host: str) -> int:
+    """Return a port that is free on an address."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class LoopClock(freshness.SuspendClock):
+    """The loop's clock, which tests advance; ``offset`` adds a suspension."""
+
+    def __init__(self) -> None:
+        self.offset = 0.0
+
+    def read(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time() + self.offset
+
+
+class MemoryStore(following.Store):
+    """The platform's store as far as the product reads it."""
+
+    def __init__(self) -> None:
+        self.rev = 1
+        self.items: dict[str, replica.Change] = {}
+        self.log: list[replica.Change] = []
+        self.oldest = 0
+        self.is_down = False
+        self.is_silent = False
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: object) -> None:
+        """Write a key."""
+        self.rev += 1
+        held = self.items.get(key)
+        created = held.created_rev if held else self.rev
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self.items[key] = replica.Change(key, self.rev, data, created)
+        self._tell(self.items[key])
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        self.rev += 1
+        del self.items[key]
+        self._tell(replica.Change(key, self.rev, None))
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.oldest = self.rev
+        self.log.clear()
+
+    def _tell(self, change: replica.Change) -> None:
+        """Wake the watches."""
+        self.log.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _meet(self) -> following.StoreFault | None:
+        """Fail or stay silent if that is asked for."""
+        self.calls += 1
+        if self.is_silent:
+            await asyncio.sleep(1.0)
+            return following.StoreFault("silent", False)
+        await asyncio.sleep(0.004)
+        return following.StoreFault("down", False) if self.is_down else None
+
+    async def read_all(self, prefix: str) -> replica.Delta | following.StoreFault:
+        """List a prefix."""
+        fault = await self._meet()
+        if fault is not None:
+            return fault
+        found = tuple(c for k, c in self.items.items() if k.startswith(prefix))
+        return replica.Delta(found, self.rev, True)
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> replica.Delta | following.StoreFault:
+        """Wait for changes."""
+        fault = await self._meet()
+        if fault is not None:
+            return fault
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + wait_s
+        while True:
+            if after < self.oldest:
+                return following.StoreFault("history is gone", True)
+            found = [c for c in self.log if c.rev > after and c.key.startswith(prefix)]
+            if found or loop.time() >= ends_at:
+                return replica.Delta(tuple(found), self.rev, False)
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(ends_at):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+            if self.is_down:
+                return following.StoreFault("cut", False)
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request that reached a target."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    conn: int
+    at: float
+    closed_at: float | None = None
+
+    @property
+    def ident(self) -> str:
+        """The caller's attempt."""
+        return self.headers.get(headers.ATTEMPT_ID.lower(), "")
+
+
+Answer = collections.abc.Callable[
+    ["ScriptedTarget", Call, asyncio.StreamWriter],
+    collections.abc.Coroutine[typing.Any, typing.Any, bool],
+]
+"""Answers a call; returns whether the connection is kept."""
+
+
+def make_head(status: int, *fields: tuple[str, str]) -> bytes:
+    """Return the head of an answer."""
+    lines = [f"HTTP/1.1 {status} X", *(f"{n}: {v}" for n, v in fields), "", ""]
+    return "\r\n".join(lines).encode()
+
+
+def make_answer(ident: str, body: bytes = b"done", status: int = 200) -> bytes:
+    """Return a whole signed answer."""
+    return (
+        make_head(
+            status,
+            (headers.ATTEMPT_ID, ident),
+            SIGNATURE,
+            ("Keep-Alive", "timeout=10"),
+            ("Content-Length", str(len(body))),
+        )
+        + body
+    )
+
+
+def make_stream_head(ident: str) -> bytes:
+    """Return the head of a stream."""
+    return make_head(
+        200,
+        (headers.ATTEMPT_ID, ident),
+        SIGNATURE,
+        ("Content-Type", "text/event-stream"),
+        ("Transfer-Encoding", "chunked"),
+    )
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Return bytes as a chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def make_event(number: int) -> bytes:
+    """Return an event."""
+    return f"id: {number}\ndata: piece-{number}\n\n".encode()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, with no orderly end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def answer_well(
+    target: "ScriptedTarget", call: Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer with the target's name."""
+    writer.write(make_answer(call.ident, target.name.encode()))
+    return True
+
+
+class ScriptedTarget:
+    """A target that answers as its script says."""
+
+    def __init__(self, name: str, answer: Answer = answer_well) -> None:
+        self.name = name
+        self.answer = answer
+        self.calls: list[Call] = []
+        self.conns = 0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Refuse connections from now on."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one connection."""
+        self.conns += 1
+        number = self.conns
+        state = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                call = await self._read_call(reader, state, number)
+                if call is None:
+                    break
+                self.calls.append(call)
+                keeps = await self._run(call, reader, writer)
+                if not keeps:
+                    break
+                state = h11.Connection(h11.SERVER)
+        except OSError:
+            pass
+        writer.close()
+
+    async def _run(
+        self, call: Call, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run the script until it ends or the caller leaves."""
+        loop = asyncio.get_running_loop()
+        script = loop.create_task(self.answer(self, call, writer))
+        while not script.done():
+            await asyncio.wait([script], timeout=0.01)
+            if reader.at_eof() or writer.is_closing():
+                call.closed_at = loop.time()
+                script.cancel()
+                return False
+        return script.result()
+
+    async def _read_call(
+        self, reader: asyncio.StreamReader, state: h11.Connection, number: int
+    ) -> Call | None:
+        """Return the next request."""
+        request: h11.Request | None = None
+        body = b""
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data and request is None:
+                    return None
+                state.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                assert request is not None
+                found = {n.decode(): v.decode() for n, v in request.headers}
+                at = asyncio.get_running_loop().time()
+                method, path = request.method.decode(), request.target.decode()
+                return Call(method, path, found, body, number, at)
+            else:
+                return None
+
+
+@dataclasses.dataclass(slots=True)
+class Got:
+    """What a caller got; ``is_whole`` is False if the connection broke off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+    at: float
+
+
+ROUTES: typing.Final[list[dict[str, object]]] = [
+    {"name": "once", "prefix": "/once/", "kind": "non_idempotent", "service": "plain"},
+    {"name": "free", "prefix": "/free/", "kind": "idempotent", "service": "plain"},
+    {
+        "name": "resumable",
+        "prefix": "/stream/",
+        "kind": "streaming",
+        "service": "engines",
+        "resumable": True,
+    },
+    {
+        "name": "unresumable",
+        "prefix": "/unique/",
+        "kind": "streaming",
+        "service": "engines",
+    },
+    {
+        "name": "open",
+        "prefix": "/open/",
+        "kind": "idempotent",
+        "service": "plain",
+        "anonymous": True,
+    },
+]
+
+
+def make_config(
+    version: int = 1, keys: tuple[str, ...] = ("key-a",), timeout_ms: int = 4000
+) -> dict[str, object]:
+    """Return a configuration as the operators store it."""
+    routes = [
+        {"host": "h.example", "timeout_ms": timeout_ms, "max_attempts": 2, **one}
+        for one in ROUTES
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "plain"}, {"name": "engines"}],
+        "tenants": [{"name": "alice", "api_keys": list(keys)}],
+    }
+
+
+class Fleet:
+    """A store, entries and targets."""
+
+    def __init__(self, w: world.World) -> None:
+        self.world = w
+        self.store = MemoryStore()
+        self.entries: list[entrynode.EntryNode] = []
+        self.ports: list[int] = []
+        self.clocks: list[LoopClock] = []
+        self.targets: dict[str, ScriptedTarget] = {}
+        self._node_port = 0
+
+    async def add_target(
+        self, name: str, service: str, answer: Answer = answer_well
+    ) -> ScriptedTarget:
+        """Start a target and register it."""
+        target = ScriptedTarget(name, answer)
+        await target.start()
+        self.targets[name] = target
+        self.register(name, service)
+        return target
+
+    def register(self, name: str, service: str, state: str = "ready") -> None:
+        """Write a target's entry."""
+        addr = f"127.0.0.1:{self.targets[name].port}"
+        entry = {"service": service, "addr": addr, "zone": "p", "slots": 4}
+        self.store.put(f"servers/{name}", {**entry, "state": state})
+
+    async def add_entry(
+        self, store: following.Store | None = None
+    ) -> entrynode.EntryNode:
+        """Start an entry; the first one is the others' seed."""
+        host = f"127.0.1.{len(self.entries) + 1}"
+        self._node_port = self._node_port or find_port(host)
+        front = find_port(host)
+        cfg = nodesettings.EntrySettings(
+            name=host,
+            host=host,
+            place="p",
+            store="127.0.0.1:1",
+            node_ports=(self._node_port, self._node_port),
+            seeds=["127.0.1.1:1"],
+            front=f"{host}:{front}",
+            ready=f"{host}:1",
+        )
+        clock = LoopClock()
+        node = entrynode.EntryNode(
+            cfg,
+            store or self.store,
+            catalogformat.PlatformCodec(),
+            headers.PlatformDialect(),
+            clock,
+            random.Random(1),
+        )
+        await node.start()
+        self.entries.append(node)
+        self.clocks.append(clock)
+        self.ports.append(front)
+        return node
+
+    async def call(
+        self,
+        path: str,
+        entry: int = 0,
+        key: str | None = "key-a",
+        method: str = "POST",
+        patience_ms: int = 4000,
+        extra: tuple[tuple[str, str], ...] = (),
+        leave_after_s: float | None = None,
+        ident: str = "",
+    ) -> Got:
+        """Send a request as a caller does; read until the answer is over."""
+        loop = asyncio.get_running_loop()
+        host = f"127.0.1.{entry + 1}"
+        reader, writer = await asyncio.open_connection(host, self.ports[entry])
+        ident = ident or f"{random.getrandbits(64):x}"
+        fields = [
+            ("Host", "h.example"),
+            (headers.ATTEMPT_ID, ident),
+            (headers.DEADLINE, str(patience_ms)),
+            *([("Authorization", f"Bearer {key}")] if key else []),
+            *extra,
+        ]
+        state = h11.Connection(h11.CLIENT)
+        body = b"" if method == "GET" else b"question"
+        if body:
+            fields.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=path, headers=fields)
+        writer.write(
+            (state.send(request) or b"")
+            + (state.send(h11.Data(data=body)) or b"" if body else b"")
+            + (state.send(h11.EndOfMessage()) or b"")
+        )
+        got = Got(0, {}, b"", False, 0.0)
+        try:
+            async with asyncio.timeout(leave_after_s):
+                await self._read_answer(reader, state, got)
+        except (TimeoutError, OSError, h11.RemoteProtocolError):
+            pass
+        got.at = loop.time()
+        writer.transport.abort()
+        return got
+
+    async def _read_answer(
+        self, reader: asyncio.StreamReader, state: h11.Connection, got: Got
+    ) -> None:
+        """Read an answer to its end."""
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                state.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Response):
+                got.status = event.status_code
+                got.headers = {n.decode(): v.decode() for n, v in event.headers}
+            elif isinstance(event, h11.Data):
+                got.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                got.is_whole = True
+                return
+            else:
+                return
+
+    async def settle(self, seconds: float = 0.5) -> None:
+        """Let time pass."""
+        await asyncio.sleep(seconds)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for node in self.entries:
+            await node.stop()
+        for target in self.targets.values():
+            await target.stop()
+
+
+def play(scenario: Scenario, entries: int = 1) -> None:
+    """Run a scenario with entries that know the first configuration."""
+    w = world.World(is_clock_paused=True)
+
+    async def run() -> None:
+        fleet = Fleet(w)
+        fleet.store.put("op/config", make_config())
+        for _ in range(entries):
+            await fleet.add_entry()
+        await fleet.settle(1.0)
+        await scenario(fleet)
+        await fleet.stop()
+
+    w.run(run())
--- /dev/null
+++ b/test/test_direct_requests.py
@@ -0,0 +1,327 @@
+"""Requests over the direct path: what callers get and what reaches targets."""
+
+import asyncio
+
+import pytest
+
+from sardinesaddle.platform import headers
+from test import directfleet as df
+
+
+async def reset_at_once(
+    target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Break the connection off after the request was read."""
+    df.reset(writer)
+    return False
+
+
+async def refuse_unrun(
+    target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Say that there is no room."""
+    fields = [(headers.ATTEMPT_ID, call.ident), (headers.NOT_RUN, "1")]
+    writer.write(df.make_head(503, *fields, ("Content-Length", "0")))
+    return True
+
+
+async def fail(
+    target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Run the request and fail."""
+    writer.write(df.make_answer(call.ident, b"sorry", 500))
+    return True
+
+
+async def stay_silent(
+    target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Never answer."""
+    await asyncio.sleep(100.0)
+    return False
+
+
+def test_answer_and_headers_pass_unchanged() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        extra = (("X-Custom", "7"), (headers.ACCOUNT, "mallory"), ("TE", "trailers"))
+        got = await fleet.call("/once/a?b=%20c", ident="ab12", extra=extra)
+        assert (got.status, got.body) == (200, b"t1")
+        assert got.headers["server-stamp"] == "signed"
+        (call,) = target.calls
+        assert (call.method, call.path, call.body) == (
+            "POST",
+            "/once/a?b=%20c",
+            b"question",
+        )
+        assert call.headers["x-custom"] == "7"
+        assert call.headers["tenant"] == "alice"
+        assert call.headers["expect-instance"] == "t1"
+        assert call.ident == "ab12"
+        assert "authorization" not in call.headers
+        assert "te" not in call.headers
+        assert 3900 <= int(call.headers["deadline-ms"]) <= 4000
+
+    df.play(scenario)
+
+
+def test_request_that_may_run_once_is_not_sent_again_after_a_reset() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        for name in ("t1", "t2"):
+            await fleet.add_target(name, "plain", reset_at_once)
+        await fleet.settle()
+        got = await fleet.call("/once/a")
+        assert got.status == 502
+        assert sum(len(t.calls) for t in fleet.targets.values()) == 1
+
+    df.play(scenario)
+
+
+def test_idempotent_request_runs_elsewhere_after_a_reset() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", reset_at_once)
+        await fleet.add_target("t2", "plain")
+        await fleet.settle()
+        for _ in range(6):
+            got = await fleet.call("/free/a", method="GET")
+            assert (got.status, got.body) == (200, b"t2")
+
+    df.play(scenario)
+
+
+def test_not_run_is_said_only_on_the_targets_word() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", refuse_unrun)
+        await fleet.settle()
+        got = await fleet.call("/once/a")
+        assert got.status == 503
+        assert float(got.headers["retry-after"]) > 0
+
+        async def refuse_bare(
+            target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(df.make_answer(call.ident, b"", 503))
+            return True
+
+        target.answer = refuse_bare
+        await fleet.settle()
+        got = await fleet.call("/once/a")
+        assert got.status == 502
+
+    df.play(scenario)
+
+
+def test_no_target_is_refused_at_once() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        began_at = asyncio.get_running_loop().time()
+        got = await fleet.call("/once/a")
+        assert got.status == 503
+        assert got.at - began_at < 0.1
+
+    df.play(scenario)
+
+
+def test_own_error_of_a_target_is_tried_elsewhere_or_passed_on() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", fail)
+        await fleet.settle()
+        got = await fleet.call("/free/a", method="GET")
+        assert (got.status, got.body) == (500, b"sorry")
+        await fleet.add_target("t2", "plain")
+        await fleet.settle()
+        got = await fleet.call("/free/a", method="GET")
+        assert (got.status, got.body) == (200, b"t2")
+        got = await fleet.call("/once/a")
+        assert got.status in (200, 500)
+
+    df.play(scenario)
+
+
+def test_extra_answer_never_reaches_another_request() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        async def answer_late_twice(
+            target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+        ) -> bool:
+            if len(target.calls) == 2:
+                # The first request's second answer comes where the next is due.
+                writer.write(df.make_answer(target.calls[0].ident, b"stale"))
+            writer.write(df.make_answer(call.ident, b"own"))
+            return True
+
+        target = await fleet.add_target("t1", "plain", answer_late_twice)
+        await fleet.settle()
+        for _ in range(3):
+            got = await fleet.call("/once/a")
+            assert (got.status, got.body) == (200, b"own")
+        assert target.conns < 3
+
+    df.play(scenario)
+
+
+def test_bytes_on_an_idle_connection_close_it() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        async def answer_twice(
+            target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(df.make_answer(call.ident, b"own"))
+            await asyncio.sleep(0.1)
+            writer.write(df.make_answer(call.ident, b"extra"))
+            return True
+
+        target = await fleet.add_target("t1", "plain", answer_twice)
+        await fleet.settle()
+        for _ in range(2):
+            got = await fleet.call("/once/a")
+            assert (got.status, got.body) == (200, b"own")
+            await fleet.settle(0.3)
+        assert target.conns == 2
+
+    df.play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("is_reset", "status", "body"), [(False, 200, b"all"), (True, 502, b"")]
+)
+def test_answer_without_length_is_whole_unless_reset(
+    is_reset: bool, status: int, body: bytes
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        async def answer_unframed(
+            target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+        ) -> bool:
+            fields = [(headers.ATTEMPT_ID, call.ident), df.SIGNATURE]
+            writer.write(df.make_head(200, *fields) + b"all")
+            await asyncio.sleep(0.05)
+            if is_reset:
+                df.reset(writer)
+            return False
+
+        await fleet.add_target("t1", "plain", answer_unframed)
+        await fleet.settle()
+        got = await fleet.call("/once/a")
+        assert (got.status, got.body) == (status, body)
+
+    df.play(scenario)
+
+
+def test_route_timeout_answers_at_once_and_cancels() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", stay_silent)
+        fleet.store.put("op/config", df.make_config(version=2, timeout_ms=400))
+        await fleet.settle()
+        began_at = asyncio.get_running_loop().time()
+        got = await fleet.call("/once/a")
+        assert got.status == 504
+        assert 0.39 <= got.at - began_at <= 0.5
+        await fleet.settle()
+        assert target.calls[0].closed_at is not None
+        assert int(target.calls[0].headers["deadline-ms"]) <= 400
+
+    df.play(scenario)
+
+
+def test_caller_that_leaves_cancels_the_work() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", stay_silent)
+        await fleet.settle()
+        await fleet.call("/once/a", leave_after_s=0.3)
+        left_at = asyncio.get_running_loop().time()
+        await fleet.settle()
+        closed_at = target.calls[0].closed_at
+        assert closed_at is not None
+        assert closed_at - left_at < 0.1
+
+    df.play(scenario)
+
+
+async def stream_three(
+    target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Send events to number 6; start after the last one that the caller has."""
+    first = int(call.headers.get("last-event-id", "0")) + 1
+    writer.write(df.make_stream_head(call.ident))
+    for number in range(first, 7):
+        writer.write(df.make_chunk(df.make_event(number)))
+        await asyncio.sleep(0.05)
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
+async def break_stream(
+    target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+) -> bool:
+    """Send two events and a half, then break off."""
+    writer.write(df.make_stream_head(call.ident))
+    for number in (1, 2):
+        writer.write(df.make_chunk(df.make_event(number)))
+        await asyncio.sleep(0.05)
+    writer.write(df.make_chunk(df.make_event(3)[:9]))
+    await asyncio.sleep(0.05)
+    df.reset(writer)
+    return False
+
+
+def test_broken_stream_goes_on_elsewhere_after_the_last_whole_event() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        broken = await fleet.add_target("t1", "engines", break_stream)
+        await fleet.settle()
+        pending = asyncio.create_task(fleet.call("/stream/a"))
+        await fleet.settle(0.02)
+        good = await fleet.add_target("t2", "engines", stream_three)
+        got = await pending
+        assert got.is_whole
+        assert got.body == b"".join(df.make_event(n) for n in range(1, 7))
+        assert len(broken.calls) == 1
+        assert good.calls[0].headers["last-event-id"] == "2"
+
+    df.play(scenario)
+
+
+def test_broken_stream_that_may_not_resume_does_not_look_complete() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        for name in ("t1", "t2"):
+            await fleet.add_target(name, "engines", break_stream)
+        await fleet.settle()
+        got = await fleet.call("/unique/a")
+        assert not got.is_whole
+        assert got.body == df.make_event(1) + df.make_event(2)
+        assert sum(len(t.calls) for t in fleet.targets.values()) == 1
+
+    df.play(scenario)
+
+
+def test_keys() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        assert (await fleet.call("/once/a", key="wrong")).status == 401
+        assert (await fleet.call("/once/a", key=None)).status == 401
+        assert (await fleet.call("/nowhere/a")).status == 404
+        assert not target.calls
+        assert (await fleet.call("/open/a", key=None, method="GET")).status == 200
+        assert (await fleet.call("/open/a", key="wrong", method="GET")).status == 200
+        assert all("tenant" not in call.headers for call in target.calls)
+
+    df.play(scenario)
+
+
+def test_leaving_target_gets_no_new_work_and_a_new_one_has_its_address() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain")
+        await fleet.add_target("t2", "plain")
+        await fleet.settle()
+        fleet.register("t1", "plain", state="draining")
+        await fleet.settle(0.1)
+        for _ in range(5):
+            assert (await fleet.call("/free/a", method="GET")).body == b"t2"
+        # A new process at the address of one whose entry has not lapsed.
+        fleet.targets["t3"] = fleet.targets["t2"]
+        fleet.register("t3", "plain")
+        await fleet.settle(0.1)
+        for _ in range(5):
+            await fleet.call("/free/a", method="GET")
+        named = [call.headers["expect-instance"] for call in fleet.targets["t3"].calls]
+        assert named[-5:] == ["t3"] * 5
+
+    df.play(scenario)
