--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -39,7 +39,7 @@
 SWEEP_PERIOD_S: typing.Final = 0.25
 ENTRY_TTL_S: typing.Final = 10.0  # an entry not heard of for this long is forgotten
 KEY_AGE_MARGIN_S: typing.Final = 1.0  # a watch may miss the last second's changes
-DOUBTFUL_AGE_S: typing.Final = 3.5  # over two waits: the word of the store is late
+DOUBTFUL_AGE_S: typing.Final = 2.5  # a wait and its slack: the store's word is late
 NOT_READY_LEAD_S: typing.Final = 2.2  # the balancer misses two questions
 LAST_REQUEST_S: typing.Final = 3.2  # after SIGTERM; later ones are turned away
 END_MARGIN_S: typing.Final = 0.7  # before the platform kills the process
@@ -163,6 +163,11 @@
             )
             return
         self.catalog = cat
+        self.targets.lockstep_services = frozenset(
+            one.name
+            for one in cat.services.values()
+            if one.engine is not None and one.engine.layer_sets
+        )
         loguru.logger.info(
             "event=config_in_force version={} rev={} source={} routes={} keys={}",
             cat.version,
--- a/sardinesaddle/direct/following.py
+++ b/sardinesaddle/direct/following.py
@@ -119,6 +119,7 @@
     async def _step(self) -> bool:
         """Make one call; return whether it was answered."""
         asked_at = self._clock.read()
+        wait_s = 0.0
         if self._is_listed:
             rev = self.replica.complete_rev
             wait_s = PROBE_WAIT_S if self.outage.is_out else self._wait_s
@@ -152,5 +153,7 @@
             )
         self._is_listed = True
         self.apply(got, "store")
-        self.freshness.on_store_word(asked_at)
+        is_wait_over = not got.changes and now - asked_at >= wait_s
+        # The store answered that nothing changed after the whole wait, not before.
+        self.freshness.on_store_word(asked_at + (wait_s if is_wait_over else 0.0))
         return True
--- a/sardinesaddle/direct/freshness.py
+++ b/sardinesaddle/direct/freshness.py
@@ -2,7 +2,8 @@
 
 The word of the store is dated by the moment at which the question that it answers
 was sent, never by the moment of its arrival: an answer may lie in a buffer while the
-process is suspended. Word of another process is dated likewise by our question to
+process is suspended. A watch that ends with its wait and without a change is dated by
+the end of the wait, counted from the question. Word of another process is dated likewise by our question to
 it, less the age that it states. Times count suspension (CLOCK_BOOTTIME).
 """
 
@@ -39,7 +40,7 @@
         self._known_at = NEVER
 
     def on_store_word(self, asked_at: float) -> None:
-        """Take note that the store answered a question sent at ``asked_at``."""
+        """Take note that the store answered for a moment not before ``asked_at``."""
         self._known_at = max(self._known_at, asked_at)
 
     def on_peer_word(self, asked_at: float, peer_age: float) -> None:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -13,6 +13,9 @@
 If two targets are registered at one address, the one that came last is there: the
 other's entry has not lapsed yet.
 
+Ranks of a lock-step group work only while the whole group does, which their sidecars
+report. An entry that has just started waits for those reports before it trusts them.
+
 Targets leave by their own mark, by the store's word, or by an answer from another
 target at their address. Entries of targets that lapse while the store cannot be
 reached may return within ``LAPSE_GRACE_S`` of its return, so they stay in use until
@@ -31,7 +34,8 @@
 STREAK_TO_EJECT: typing.Final = 2
 FAILURE_WEIGHT: typing.Final = 0.2  # of the newest result in the moving average
 FAILURE_LOAD: typing.Final = 1.5  # full slots that a target which always fails is worth
-FULL_PAUSE_S: typing.Final = 0.1  # after a refusal for lack of room
+FULL_PAUSE_S: typing.Final = 0.15  # after a refusal unrun: half a report period
+START_GRACE_S: typing.Final = 1.5  # sidecars that start with an entry report by then
 PLACE_LOAD: typing.Final = 0.02  # full slots that another place is worth
 
 
@@ -76,18 +80,14 @@
         counted += self.sent_since - self.ended_since
         return float(max(counted, self.own))
 
-    def is_group_open(self, now: float) -> bool:
-        """Tell whether the target's group can work, as far as is known."""
-        if self.report is None or not self.has_report(now):
-            return True
-        return self.report.is_alive and (not self.report.group or self.report.is_open)
-
 
 class TargetPool:
     """All targets of an entry."""
 
     def __init__(self, place: str) -> None:
         self._place = place
+        self._started_at: float | None = None
+        self.lockstep_services: frozenset[str] = frozenset()
         self._targets: dict[str, Target] = {}
         self._by_address: dict[str, Target] = {}
 
@@ -183,18 +183,33 @@
     ) -> Target | None:
         """Return the target that should take the next request."""
         listed = [t for t in self.list_targets(service) if t.ident not in excluded]
-        is_open = [t for t in listed if t.is_group_open(now)]
-        usable = [t for t in is_open if t.ejected_until <= now]
+        is_open = [t for t in listed if self.is_open(now, t)]
+        with_room = [t for t in is_open if t.full_until <= now]
+        usable = [t for t in with_room if t.ejected_until <= now]
         if not usable:
-            return min(is_open, key=lambda t: t.ejected_until, default=None)
+            return min(with_room, key=lambda t: t.ejected_until, default=None)
         return min(
             usable,
             key=lambda t: (self.compute_load(now, t, entries), draws()),
         )
 
     def has_hope(self, now: float, service: str) -> bool:
-        """Tell whether targets are there whose groups may open soon."""
-        return any(not one.is_group_open(now) for one in self.list_targets(service))
+        """Tell whether targets are there that may take a request soon."""
+        return any(
+            one.full_until > now or not self.is_open(now, one)
+            for one in self.list_targets(service)
+        )
+
+    def is_open(self, now: float, target: Target) -> bool:
+        """Tell whether a target's group can work, as far as is known."""
+        report = target.report
+        if report is not None and target.has_report(now):
+            return report.is_alive and (not report.group or report.is_open)
+        if target.entry.service not in self.lockstep_services:
+            return True
+        if self._started_at is None:
+            self._started_at = now
+        return report is not None or now - self._started_at >= START_GRACE_S
 
     def compute_load(self, now: float, target: Target, entries: int) -> float:
         """Return a target's load as a share of its slots, with its handicaps."""
@@ -202,8 +217,6 @@
         if target.report is not None and target.has_report(now):
             load *= max(target.report.pace, 1.0)
         load += FAILURE_LOAD * target.failure_share
-        if target.full_until > now:
-            load += 1.0
         if target.entry.place != self._place:
             load += PLACE_LOAD
         return load
--- /dev/null
+++ b/sardinesaddle/standins/rankgroup.py
@@ -0,0 +1,274 @@
+"""A group of lock-step engines that is told by orders, with the platform's rule of passes.
+
+All ranks execute a pass together. It takes the slowest rank's own part and, set of
+layers by set, the part of the rank with the most expert load. Orders may be lost or
+be carried out late. The group notes every pass in which ranks used different maps.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from sardinesaddle.direct import catalog, engine
+
+MODEL: typing.Final = catalog.EngineModel(
+    slots=6,
+    step_s=0.00484,
+    per_request_s=0.000724,
+    context_s_per_token=0.0,
+    read_tokens_per_s=74800.0,
+    chunk_tokens=512,
+    stride=6,
+    usual_prompt=835.0,
+    usual_answer=159.0,
+    layer_sets=3,
+    experts=16,
+    places=6,
+    spare=2,
+    expert_share=0.85,
+    copy_s_per_expert=0.148,
+)
+CHOICES_A_PASS: typing.Final = 2000  # per rank and set
+
+
+@dataclasses.dataclass(slots=True)
+class Rank:
+    """What one engine holds."""
+
+    version: int = 0
+    experts: list[list[int]] = dataclasses.field(default_factory=list)
+    had: int = 0
+    prepared: int = 0
+    prepared_experts: list[list[int]] = dataclasses.field(default_factory=list)
+    armed: int = 0
+    armed_step: int = 0
+    counts: list[int] = dataclasses.field(default_factory=list)
+    orders: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+
+
+class RankGroup:
+    """The engines of one group and what their requests want."""
+
+    def __init__(
+        self, size: int, seed: int, model: catalog.EngineModel = MODEL
+    ) -> None:
+        self.model = model
+        self.size = size
+        self.rng = random.Random(seed)
+        self.epoch = 1
+        self.is_open = True
+        self.step = 0
+        self.held_step = 0
+        self.running = 4
+        self.late_share = 0.0
+        self.mixed_passes: list[int] = []
+        self.pass_times: list[float] = []
+        self.held_s = 0.0
+        self.demand: list[list[float]] = []
+        self.shift(1.0)
+        self.ranks = [self._make_rank(index) for index in range(size)]
+        self._late: list[asyncio.TimerHandle] = []
+
+    def _make_rank(self, index: int) -> Rank:
+        """Return a rank with map 0, which assigns experts in turn."""
+        model = self.model
+        held = [e for e in range(model.experts) if e % self.size == index]
+        return Rank(
+            experts=[list(held) for _ in range(model.layer_sets)],
+            counts=[0] * (model.layer_sets * model.experts),
+        )
+
+    def shift(self, share: float) -> None:
+        """Let a share of what is liked change."""
+        model = self.model
+        for index in range(model.layer_sets):
+            weights = [1.0 / (1 + n) ** 1.6 for n in range(model.experts)]
+            self.rng.shuffle(weights)
+            total = sum(weights)
+            fresh = [one / total for one in weights]
+            if len(self.demand) <= index:
+                self.demand.append(fresh)
+            else:
+                old = self.demand[index]
+                self.demand[index] = [
+                    (1 - share) * a + share * b for a, b in zip(old, fresh, strict=True)
+                ]
+
+    def compute_skew(self) -> float:
+        """Return the most loaded rank's part over the mean, as a mean over sets."""
+        total = 0.0
+        for index, demand in enumerate(self.demand):
+            holders = [
+                sum(1 for rank in self.ranks if expert in rank.experts[index])
+                for expert in range(self.model.experts)
+            ]
+            loads = [
+                sum(demand[expert] / holders[expert] for expert in rank.experts[index])
+                for rank in self.ranks
+            ]
+            total += max(loads) * self.size
+        return total / len(self.demand)
+
+    def compute_pass_s(self) -> float:
+        """Return how long the next pass takes."""
+        model = self.model
+        base = model.stride * (model.step_s + model.per_request_s * self.running)
+        share = model.expert_share
+        return base * (1.0 - share + share * self.compute_skew())
+
+    async def run(self) -> None:
+        """Begin one pass after the other until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            waits_since = loop.time()
+            while self.held_step == self.step + 1 or not self.is_open:
+                await asyncio.sleep(0.001)
+            self.held_s += loop.time() - waits_since
+            self._begin_pass()
+            lasts_s = self.compute_pass_s()
+            self.pass_times.append(lasts_s)
+            await asyncio.sleep(lasts_s)
+
+    def _begin_pass(self) -> None:
+        """Begin the next pass on all ranks."""
+        self.step += 1
+        for rank in self.ranks:
+            if rank.armed and rank.armed_step == self.step:
+                rank.version = rank.armed
+                rank.experts = [list(one) for one in rank.prepared_experts]
+                rank.armed = 0
+                rank.armed_step = 0
+            self._count(rank)
+        if len({rank.version for rank in self.ranks}) > 1:
+            self.mixed_passes.append(self.step)
+
+    def _count(self, rank: Rank) -> None:
+        """Count what the rank's requests chose."""
+        experts = self.model.experts
+        for index, demand in enumerate(self.demand):
+            for expert, part in enumerate(demand):
+                rank.counts[index * experts + expert] += round(part * CHOICES_A_PASS)
+
+    def form_again(self) -> None:
+        """Form the group in a new epoch, in which the engines know of nothing."""
+        self.epoch += 1
+        self.held_step = 0
+        for index in range(self.size):
+            fresh = self._make_rank(index)
+            fresh.orders = self.ranks[index].orders
+            self.ranks[index] = fresh
+
+    def carry_out(self, index: int, order: engine.EngineOrder) -> int:
+        """Carry out an order; return the status of the answer."""
+        if order.epoch != self.epoch:
+            return 409
+        rank = self.ranks[index]
+        status = self._apply(rank, order)
+        rank.orders.append((order.kind, status))
+        return status
+
+    def _apply(self, rank: Rank, order: engine.EngineOrder) -> int:
+        """Change a rank as an order says, if it fits."""
+        if order.kind == "prepare":
+            return self._prepare(rank, order)
+        if order.kind == "arm":
+            if rank.prepared != order.version or self.step >= order.step:
+                return 409
+            rank.armed, rank.armed_step = order.version, order.step
+            return 200
+        if order.kind == "hold":
+            if self.held_step == order.step:
+                return 200
+            if self.held_step or self.step >= order.step:
+                return 409
+            self.held_step = order.step
+            return 200
+        if self.held_step != order.step:
+            return 409
+        self.held_step = 0
+        return 200
+
+    def _prepare(self, rank: Rank, order: engine.EngineOrder) -> int:
+        """Copy what is new to a rank."""
+        assert order.experts is not None
+        if rank.armed or order.version <= rank.had:
+            return 409
+        index = self.ranks.index(rank)
+        lists = [one[index] for one in order.experts]
+        fresh = [
+            len(set(new) - set(old))
+            for new, old in zip(lists, rank.experts, strict=True)
+        ]
+        if max(fresh) > self.model.spare:
+            return 409
+        if max(len(one) for one in lists) > self.model.places:
+            return 400
+        rank.had = order.version
+        delay_s = sum(fresh) * self.model.copy_s_per_expert
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._finish_copy, rank, order.version, lists)
+        return 202
+
+    def _finish_copy(self, rank: Rank, version: int, lists: list[list[int]]) -> None:
+        """Have a copy ready."""
+        if rank.had == version:
+            rank.prepared, rank.prepared_experts = version, lists
+
+    def make_engines(self) -> list["RankEngine"]:
+        """Return the engines of all ranks."""
+        return [RankEngine(self, index) for index in range(self.size)]
+
+
+Late = collections.abc.Callable[[], float]
+
+
+class RankEngine(engine.Engine):
+    """One engine of a group, as its sidecar meets it."""
+
+    def __init__(self, group: RankGroup, index: int) -> None:
+        self._group = group
+        self._index = index
+
+    async def read_state(self) -> engine.EngineState | engine.EngineFault:
+        """Return the engine's state."""
+        group, rank = self._group, self._group.ranks[self._index]
+        return engine.EngineState(
+            running=group.running,
+            waiting=0,
+            pace=1.0,
+            orders=0,
+            group="g",
+            epoch=group.epoch,
+            rank=self._index,
+            size=group.size,
+            is_open=group.is_open,
+            step=group.step,
+            map_version=rank.version,
+            prepared=rank.prepared,
+            armed=rank.armed,
+            armed_step=rank.armed_step,
+            held_step=group.held_step if self._index == 0 else 0,
+        )
+
+    async def read_counts(self) -> engine.ExpertCounts | engine.EngineFault:
+        """Return how often each expert was chosen."""
+        group = self._group
+        counts = list(group.ranks[self._index].counts)
+        return engine.ExpertCounts(group.step, group.epoch, counts)
+
+    async def read_experts(self) -> list[list[int]] | engine.EngineFault:
+        """Return the experts of the rank's map by set of layers."""
+        return [list(one) for one in self._group.ranks[self._index].experts]
+
+    async def give_order(self, order: engine.EngineOrder) -> int | engine.EngineFault:
+        """Carry an order out now, or late and unanswered."""
+        group = self._group
+        if group.rng.random() < group.late_share:
+            delay_s = group.rng.uniform(2.0, 12.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, group.carry_out, self._index, order)
+            await asyncio.sleep(0.05)
+            return engine.EngineFault("no answer")
+        return group.carry_out(self._index, order)
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -117,6 +117,9 @@
         while True:
             if after < self.oldest:
                 return following.StoreFault("history is gone", True)
+            if self.is_silent:
+                await asyncio.sleep(1.0)
+                return following.StoreFault("silent", False)
             found = [c for c in self.log if c.rev > after and c.key.startswith(prefix)]
             if found or loop.time() >= ends_at:
                 return replica.Delta(tuple(found), self.rev, False)
