--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -68,18 +68,7 @@
 
     async def answer(self, msg: messages.Request) -> messages.Reply | None:
         """Answer a group's leader."""
-        if isinstance(msg, messages.ReadRank):
-            reply = await self._desk.read_now(msg.with_demand, msg.with_experts)
-            return reply or messages.NoReply("the engine does not answer")
-        if isinstance(msg, messages.OrderRank):
-            order = engine.EngineOrder(
-                msg.kind, msg.epoch, None, msg.version, msg.step, msg.experts
-            )
-            state = await self._desk.carry_out(order)
-            if state is None:
-                return messages.NoReply("the engine does not answer")
-            return await self._desk.make_reply(state, False, False)
-        return None
+        return await answer_leader(self._desk, msg)
 
     # What the leader of the group asks.
 
@@ -260,3 +249,21 @@
                 await task
         self._leader.close()
         await self._server.stop()
+
+
+async def answer_leader(
+    desk: rankdesk.RankDesk, msg: messages.Request
+) -> messages.Reply | None:
+    """Answer the leader of the group for the rank of a desk."""
+    if isinstance(msg, messages.ReadRank):
+        reply = await desk.read_now(msg.with_demand, msg.with_experts)
+        return reply or messages.NoReply("the engine does not answer")
+    if isinstance(msg, messages.OrderRank):
+        order = engine.EngineOrder(
+            msg.kind, msg.epoch, None, msg.version, msg.step, msg.experts
+        )
+        state = await desk.carry_out(order)
+        if state is None:
+            return messages.NoReply("the engine does not answer")
+        return await desk.make_reply(state, False, False)
+    return None
