--- a/sardinesaddle/direct/mapswitch.py
+++ b/sardinesaddle/direct/mapswitch.py
@@ -31,6 +31,7 @@
 import typing
 
 HOLD_AHEAD: typing.Final = 3  # passes; arming takes one or two
+MOST_AHEAD: typing.Final = 10  # passes; arming with every other order lost
 VERSION_DRAW: typing.Final = 1 << 16
 PREPARE_LIMIT_S: typing.Final = 3.0  # a copy takes at most one or two
 PREPARE_AGAIN_S: typing.Final = 0.5  # a copy of two experts takes 0.3 s
@@ -95,11 +96,21 @@
 class Leader:
     """The decisions of the process that leads a group."""
 
-    __slots__ = ("_hold_ahead", "_told_at", "attempt", "outcome", "size")
+    __slots__ = (
+        "_ahead",
+        "_arm_rounds",
+        "_hold_ahead",
+        "_told_at",
+        "attempt",
+        "outcome",
+        "size",
+    )
 
     def __init__(self, size: int, hold_ahead: int = HOLD_AHEAD) -> None:
         self.size = size
         self._hold_ahead = hold_ahead
+        self._ahead = hold_ahead
+        self._arm_rounds = 0
         self.attempt: Attempt | None = None
         self.outcome = ""
         self._told_at: dict[int, float] = {}
@@ -201,7 +212,7 @@
             if now - attempt.begun_at > LATE_ORDER_S + PREPARE_LIMIT_S:
                 self._end("not_held")
             return []
-        step = max(one.step for one in views) + self._hold_ahead
+        step = max(one.step for one in views) + self._ahead
         self._go_on(attempt, Phase.HOLDING, step)
         return [Order(OrderKind.HOLD, 0, attempt.epoch, 0, step)]
 
@@ -213,13 +224,27 @@
             if (one.armed, one.armed_step) != (attempt.version, attempt.step)
         ]
         if not missing:
+            self._adapt()
             self._go_on(attempt, Phase.RELEASING, attempt.step)
             return []
+        self._arm_rounds += 1
         return [
             Order(OrderKind.ARM, rank, attempt.epoch, attempt.version, attempt.step)
             for rank in missing
         ]
 
+    def _adapt(self) -> None:
+        """Hold further ahead if ranks had to be told again, else less far.
+
+        While orders get lost, arming takes longer than the usual passes ahead, and the
+        group would stand still meanwhile.
+        """
+        if self._arm_rounds > 1:
+            self._ahead = min(self._ahead * 2, MOST_AHEAD)
+        else:
+            self._ahead = max(self._ahead - 1, self._hold_ahead)
+        self._arm_rounds = 0
+
     def _release(
         self, attempt: Attempt, views: typing.Sequence[RankView]
     ) -> list[Order]:
--- a/sardinesaddle/direct/rankdesk.py
+++ b/sardinesaddle/direct/rankdesk.py
@@ -13,7 +13,7 @@
 from sardinesaddle.direct import counts, demand, engine, messages
 
 DEMAND_PERIOD_S: typing.Final = 0.1
-ORDER_TRIES: typing.Final = 3  # up to one order in three gets no answer in bad times
+ORDER_TRIES: typing.Final = 5  # up to one order in two gets no answer in bad times
 
 
 class RankDesk:
