--- a/sardinesaddle/confsync.py
+++ b/sardinesaddle/confsync.py
@@ -12,7 +12,7 @@
 
 import loguru
 
-from sardinesaddle import configuration, manifest, platforms, table, wire
+from sardinesaddle import configuration, manifest, outside, table, wire
 
 SERVICE: typing.Final = "configuration service"
 TICK_S: typing.Final = 0.25
@@ -35,7 +35,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        source: platforms.ConfigSource,
+        source: outside.ConfigSource,
         is_reader: bool,
         channels: Channels,
         on_adopt: collections.abc.Callable[[table.Table, manifest.Manifest], None],
@@ -81,7 +81,7 @@
             began_at = self._loop.time()
             self.reads += 1
             value = await self._source.watch(manifest.MANIFEST_NAME, tag)
-            if isinstance(value, platforms.Unavailable):
+            if isinstance(value, outside.Unavailable):
                 failures += 1
                 delay_s = min(RETRY_FIRST_S * 2 ** (failures - 1), RETRY_LIMIT_S)
                 self._report("service", f"event=config_unavailable {value.reason!r}")
@@ -100,7 +100,7 @@
         """Read one shard from the service."""
         self.reads += 1
         value = await self._source.read(digest)
-        if isinstance(value, platforms.Value):
+        if isinstance(value, outside.Value):
             self._act(self.conf.on_shard(self._loop.time(), digest, value.data))
 
     def on_peer_heartbeat(self, name: str, version: int) -> None:
--- a/sardinesaddle/direct/engine.py
+++ b/sardinesaddle/direct/engine.py
@@ -49,7 +49,8 @@
 class EngineOrder:
     """An order; ``expected`` is the count of orders that it presumes.
 
-    ``kind`` is prepare, arm, hold or go. ``experts`` lists, for each set of layers and rank, the experts of a map.
+    ``kind`` is prepare, arm, hold or go. ``experts`` lists the experts of a map by
+    set of layers and rank.
     """
 
     kind: str
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -274,7 +274,8 @@
         was_usable = before is None or (before.is_alive and before.is_open)
         if was_usable != (report.is_alive and report.is_open):
             loguru.logger.info(
-                "event=group_state target={} group={} epoch={} rank={} open={} alive={}",
+                "event=group_state target={} group={} epoch={} rank={} open={}"
+                " alive={}",
                 report.target,
                 report.group,
                 report.epoch,
--- a/sardinesaddle/direct/freshness.py
+++ b/sardinesaddle/direct/freshness.py
@@ -3,8 +3,9 @@
 The word of the store is dated by the moment at which the question that it answers
 was sent, never by the moment of its arrival: an answer may lie in a buffer while the
 process is suspended. A watch that ends with its wait and without a change is dated by
-the end of the wait, counted from the question. Word of another process is dated likewise by our question to
-it, less the age that it states. Times count suspension (CLOCK_BOOTTIME).
+the end of the wait, counted from the question. Word of another process is dated
+likewise by our question to it, less the age that it states. Times count suspension
+(CLOCK_BOOTTIME).
 """
 
 import abc
--- a/sardinesaddle/direct/front.py
+++ b/sardinesaddle/direct/front.py
@@ -8,14 +8,14 @@
 
 import aiohttp.web
 
-from sardinesaddle.direct import dialect, forward
+from sardinesaddle.direct import dialect, forward, work
 
 KEEPALIVE_MARGIN: typing.Final = 1.25  # over the idle time that callers may use
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
 WRITE_STALL_S: typing.Final = 10.0  # a caller that reads nothing for this long is gone
 
 
-class FrontResponder(forward.Responder):
+class FrontResponder(work.Responder):
     """Answers one request through aiohttp."""
 
     def __init__(self, request: aiohttp.web.BaseRequest, is_last: bool) -> None:
@@ -133,7 +133,7 @@
             else:
                 host = request.headers.get("Host", "").partition(":")[0]
                 path = request.raw_path
-                req = forward.Request(
+                req = work.Request(
                     request.method, host, path, headers, body, arrived_at, terms
                 )
                 await self._forwarder.handle(req, out)
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -74,9 +74,8 @@
         while True:
             is_active = False
             state = self._source.get_state()
-            if state is not None and state.is_open and state.size > 1:
-                if state.rank == 0:
-                    is_active = await self._lead(state)
+            if state is not None and state.is_open and state.rank == 0:
+                is_active = state.size > 1 and await self._lead(state)
             await asyncio.sleep(ACTIVE_PERIOD_S if is_active else IDLE_PERIOD_S)
 
     async def _lead(self, state: engine.EngineState) -> bool:
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -194,9 +194,11 @@
                 if isinstance(reply, messages.ReportReply):
                     self._listed_at[host] = loop.time()
                     self._on_reply(reply)
-                elif loop.time() - self._listed_at[host] > ENTRIES_TTL_S:
-                    if host not in seeds:
-                        break
+                elif (
+                    host not in seeds
+                    and loop.time() - self._listed_at[host] > ENTRIES_TTL_S
+                ):
+                    break
                 await self._wait_for_news()
         finally:
             peer.close()
--- a/sardinesaddle/grouprunner.py
+++ b/sardinesaddle/grouprunner.py
@@ -16,8 +16,8 @@
     group,
     groupwire,
     membership,
+    outside,
     peer,
-    platforms,
     steps,
     table,
     wire,
@@ -37,8 +37,8 @@
         incarnation: int,
         hello: wire.Hello,
         secret: bytes,
-        hosts: platforms.HostSource,
-        target: platforms.Target,
+        hosts: outside.HostSource,
+        target: outside.Target,
         make_heartbeat: collections.abc.Callable[[], wire.Heartbeat],
     ) -> None:
         self._loop = loop
@@ -112,11 +112,11 @@
             self._act(member.tick(self._loop.time()))
             await self._give_order(member)
 
-    async def _read_engine(self) -> platforms.StepsState:
+    async def _read_engine(self) -> outside.StepsState:
         """Return what the engine holds, once it answers."""
         while True:
             held = await self._target.read_steps()
-            if isinstance(held, platforms.StepsState):
+            if isinstance(held, outside.StepsState):
                 return held
             await asyncio.sleep(POLL_S)
 
@@ -126,14 +126,14 @@
             if len(self._peers) < len(self._members) - 1:
                 await self._connect()
             held = await self._target.read_steps()
-            if isinstance(held, platforms.StepsState) and self.member is not None:
+            if isinstance(held, outside.StepsState) and self.member is not None:
                 self.member.state.on_ran(held.ran_step)
             await asyncio.sleep(POLL_S)
 
     async def _connect(self) -> None:
         """Connect to the ranks that the host list names."""
         rows = await self._hosts.list_hosts()
-        if isinstance(rows, platforms.Unavailable):
+        if isinstance(rows, outside.Unavailable):
             return
         for row in rows:
             if row.name == self._name or row.name not in self._members:
@@ -158,7 +158,7 @@
         wanted = (state.plan.ident, state.last_step)
         if wanted == self._ordered or not state.last_step:
             return
-        order = platforms.StepsOrder(
+        order = outside.StepsOrder(
             state.plan.epoch, state.plan.number, state.plan.maps, state.last_step
         )
         if await self._target.order_steps(order) is True:
--- a/sardinesaddle/httpplatform.py
+++ b/sardinesaddle/httpoutside.py
@@ -11,7 +11,7 @@
 import aiohttp
 import msgspec
 
-from sardinesaddle import manifest, membership, platforms
+from sardinesaddle import manifest, membership, outside
 
 READ_TIMEOUT_S: typing.Final = 2.0
 WATCH_TIMEOUT_S: typing.Final = 30.0
@@ -40,51 +40,49 @@
     return bytes(data)
 
 
-class HttpConfigSource(platforms.ConfigSource):
+class HttpConfigSource(outside.ConfigSource):
     """Reads the configuration service."""
 
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self._session = session
         self._url = url.rstrip("/")
 
-    async def read(self, name: str) -> platforms.Value | platforms.Unavailable:
+    async def read(self, name: str) -> outside.Value | outside.Unavailable:
         """Return the value with this name."""
         return await self._get(f"/v1/values/{name}", READ_TIMEOUT_S)
 
-    async def watch(
-        self, name: str, tag: str
-    ) -> platforms.Value | platforms.Unavailable:
+    async def watch(self, name: str, tag: str) -> outside.Value | outside.Unavailable:
         """Return the value once it differs from the tag, or after a while."""
         path = f"/v1/values/{name}?after={tag}"
         return await self._get(path, WATCH_TIMEOUT_S)
 
     async def _get(
         self, path: str, timeout_s: float
-    ) -> platforms.Value | platforms.Unavailable:
+    ) -> outside.Value | outside.Unavailable:
         """Read one value."""
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._session.get(self._url + path, timeout=timeout) as resp:
                 if resp.status != 200:
-                    return platforms.Unavailable(f"status {resp.status} for {path}")
+                    return outside.Unavailable(f"status {resp.status} for {path}")
                 data = await read_bounded(resp, manifest.MAX_VALUE_BYTES)
                 tag = resp.headers.get("ETag", "")
         except _FAILURES as exc:
-            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+            return outside.Unavailable(f"{type(exc).__name__}: {exc}")
         if data is None:
             limit = manifest.MAX_VALUE_BYTES
-            return platforms.Unavailable(f"{path} is over {limit} bytes")
-        return platforms.Value(data, tag)
+            return outside.Unavailable(f"{path} is over {limit} bytes")
+        return outside.Value(data, tag)
 
 
-class HttpHostSource(platforms.HostSource):
+class HttpHostSource(outside.HostSource):
     """Reads the host list."""
 
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self._session = session
         self._url = url.rstrip("/") + "/v1/hosts"
 
-    async def list_hosts(self) -> list[membership.Host] | platforms.Unavailable:
+    async def list_hosts(self) -> list[membership.Host] | outside.Unavailable:
         """Return the hosts as the platform lists them."""
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
         try:
@@ -92,7 +90,7 @@
                 data = await read_bounded(resp, MAX_HOSTS_BYTES)
             rows = msgspec.json.decode(data or b"", type=list[HostRow])
         except (*_FAILURES, msgspec.DecodeError) as exc:
-            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+            return outside.Unavailable(f"{type(exc).__name__}: {exc}")
         return [
             membership.Host(r.name, r.host, r.port, r.place, r.state == "leaving")
             for r in rows
--- a/sardinesaddle/httptarget.py
+++ b/sardinesaddle/httptarget.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from sardinesaddle import platforms
+from sardinesaddle import outside
 
 CONNECT_TIMEOUT_S: typing.Final = 1.0
 SILENCE_TIMEOUT_S: typing.Final = 60.0
@@ -51,7 +51,7 @@
     )
 
 
-class HttpTarget(platforms.Target):
+class HttpTarget(outside.Target):
     """Speaks HTTP to the target at a base address.
 
     ``single_use`` opens a connection for each call. It carries the calls that may
@@ -71,8 +71,8 @@
         self._url = url.rstrip("/")
 
     async def run(
-        self, req: platforms.TargetRequest
-    ) -> collections.abc.AsyncGenerator[platforms.TargetEvent, None]:
+        self, req: outside.TargetRequest
+    ) -> collections.abc.AsyncGenerator[outside.TargetEvent, None]:
         """Run a call and yield its answer."""
         headers = [*req.headers, ("X-Priority", str(req.priority))]
         session = self._session if req.is_idempotent else self._single_use
@@ -90,102 +90,102 @@
                     for name, value in resp.headers.items()
                     if name.lower() not in DROPPED_HEADERS
                 ]
-                yield platforms.TargetHead(resp.status, kept)
+                yield outside.TargetHead(resp.status, kept)
                 async for chunk in resp.content.iter_any():
-                    yield platforms.TargetData(chunk)
-                yield platforms.TargetEnd()
+                    yield outside.TargetData(chunk)
+                yield outside.TargetEnd()
         except aiohttp.ClientConnectorError as exc:
-            yield platforms.TargetFailure(str(exc), was_sent=False)
+            yield outside.TargetFailure(str(exc), was_sent=False)
         except aiohttp.ConnectionTimeoutError as exc:
-            yield platforms.TargetFailure(str(exc), was_sent=False)
+            yield outside.TargetFailure(str(exc), was_sent=False)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             reason = f"{type(exc).__name__}: {exc}"
-            yield platforms.TargetFailure(reason, was_sent=True)
+            yield outside.TargetFailure(reason, was_sent=True)
 
-    async def _get(self, path: str) -> bytes | platforms.Unavailable:
+    async def _get(self, path: str) -> bytes | outside.Unavailable:
         """Read one of the target's own pages."""
         try:
             async with self._session.get(
                 self._url + path, timeout=make_timeout(ORDER_TIMEOUT_S)
             ) as resp:
                 if resp.status != 200:
-                    return platforms.Unavailable(f"status {resp.status}")
+                    return outside.Unavailable(f"status {resp.status}")
                 return await resp.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+            return outside.Unavailable(f"{type(exc).__name__}: {exc}")
 
-    async def read_load(self) -> platforms.LoadReport | platforms.Unavailable:
+    async def read_load(self) -> outside.LoadReport | outside.Unavailable:
         """Return the target's lagging load report."""
         data = await self._get("/control/load")
-        if isinstance(data, platforms.Unavailable):
+        if isinstance(data, outside.Unavailable):
             return data
         try:
             body = msgspec.json.decode(data, type=LoadBody)
         except msgspec.DecodeError as exc:
-            return platforms.Unavailable(str(exc))
-        return platforms.LoadReport(body.running, body.waiting, body.cached_prefixes)
+            return outside.Unavailable(str(exc))
+        return outside.LoadReport(body.running, body.waiting, body.cached_prefixes)
 
     async def read_cache_events(
         self, after: int
-    ) -> list[platforms.CacheEvent] | platforms.Unavailable:
+    ) -> list[outside.CacheEvent] | outside.Unavailable:
         """Return cache events past a sequence number."""
         data = await self._get(f"/control/cache-events?after={after}")
-        if isinstance(data, platforms.Unavailable):
+        if isinstance(data, outside.Unavailable):
             return data
         try:
             rows = msgspec.json.decode(data, type=list[CacheEventBody])
         except msgspec.DecodeError as exc:
-            return platforms.Unavailable(str(exc))
-        return [platforms.CacheEvent(r.sequence, r.prefix, r.is_held) for r in rows]
+            return outside.Unavailable(str(exc))
+        return [outside.CacheEvent(r.sequence, r.prefix, r.is_held) for r in rows]
 
-    async def give_order(self, order: platforms.Order) -> bool | platforms.Unavailable:
+    async def give_order(self, order: outside.Order) -> bool | outside.Unavailable:
         """Give an order; False means that the target refused its fence."""
         body = msgspec.json.encode(order)
         status = await self._post("/control/orders", body)
-        if isinstance(status, platforms.Unavailable):
+        if isinstance(status, outside.Unavailable):
             return status
         return status != 409
 
-    async def read_steps(self) -> platforms.StepsState | platforms.Unavailable:
+    async def read_steps(self) -> outside.StepsState | outside.Unavailable:
         """Return what the target holds of its group's steps."""
         data = await self._get("/control/steps")
-        if isinstance(data, platforms.Unavailable):
+        if isinstance(data, outside.Unavailable):
             return data
         try:
-            return msgspec.json.decode(data, type=platforms.StepsState)
+            return msgspec.json.decode(data, type=outside.StepsState)
         except msgspec.DecodeError as exc:
-            return platforms.Unavailable(str(exc))
+            return outside.Unavailable(str(exc))
 
     async def order_steps(
-        self, order: platforms.StepsOrder
-    ) -> bool | platforms.Unavailable:
+        self, order: outside.StepsOrder
+    ) -> bool | outside.Unavailable:
         """Order steps; False means that the target refused the epoch."""
         status = await self._post("/control/steps", msgspec.json.encode(order))
-        if isinstance(status, platforms.Unavailable):
+        if isinstance(status, outside.Unavailable):
             return status
         return status == 200
 
-    async def load_map(self, version: int) -> bool | platforms.Unavailable:
+    async def load_map(self, version: int) -> bool | outside.Unavailable:
         """Let the target load a map's weights."""
         status = await self._post(f"/control/maps/{version}", b"")
-        if isinstance(status, platforms.Unavailable):
+        if isinstance(status, outside.Unavailable):
             return status
         return status == 200
 
-    async def export_cache(self, prefix: int) -> bytes | platforms.Unavailable:
+    async def export_cache(self, prefix: int) -> bytes | outside.Unavailable:
         """Return the KV cache of a prefix."""
         return await self._get(f"/control/kv/{prefix}")
 
     async def import_cache(
         self, prefix: int, data: bytes
-    ) -> bool | platforms.Unavailable:
+    ) -> bool | outside.Unavailable:
         """Give the target the KV cache of a prefix."""
         status = await self._post(f"/control/kv/{prefix}", data)
-        if isinstance(status, platforms.Unavailable):
+        if isinstance(status, outside.Unavailable):
             return status
         return status == 200
 
-    async def _post(self, path: str, body: bytes) -> int | platforms.Unavailable:
+    async def _post(self, path: str, body: bytes) -> int | outside.Unavailable:
         """Send something to the target; return the status."""
         try:
             async with self._session.post(
@@ -194,4 +194,4 @@
                 await resp.read()
                 return resp.status
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            return platforms.Unavailable(f"{type(exc).__name__}: {exc}")
+            return outside.Unavailable(f"{type(exc).__name__}: {exc}")
--- a/sardinesaddle/peers.py
+++ b/sardinesaddle/peers.py
@@ -11,7 +11,7 @@
 
 import loguru
 
-from sardinesaddle import confsync, membership, peer, platforms, subset, table, wire
+from sardinesaddle import confsync, membership, outside, peer, subset, table, wire
 
 HOSTS_RETRY_S: typing.Final = 1.0
 
@@ -23,7 +23,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         listener: peer.Listener,
-        hosts: platforms.HostSource,
+        hosts: outside.HostSource,
         hello: wire.Hello,
         secret: bytes,
         subset_size: int,
@@ -59,7 +59,7 @@
         """Read the host list again and again."""
         while True:
             rows = await self._hosts.list_hosts()
-            if isinstance(rows, platforms.Unavailable):
+            if isinstance(rows, outside.Unavailable):
                 loguru.logger.warning(
                     "event=hosts_unavailable reason={!r}", rows.reason
                 )
--- a/sardinesaddle/releaser.py
+++ b/sardinesaddle/releaser.py
@@ -4,7 +4,7 @@
 import secrets
 import typing
 
-from sardinesaddle import handshake, keys, link, platforms, wire
+from sardinesaddle import handshake, keys, link, outside, wire
 
 RELEASE_TIMEOUT_S: typing.Final = 2.0
 
@@ -18,7 +18,7 @@
         secret: bytes,
         name: str,
         incarnation: int,
-        hosts: platforms.HostSource,
+        hosts: outside.HostSource,
     ) -> None:
         self._loop = loop
         self._secret = secret
@@ -29,7 +29,7 @@
     async def ask(self, home: str, key: keys.OpaqueKey) -> wire.Release | None:
         """Return the earlier home's answer, or None if it gave none."""
         rows = await self._hosts.list_hosts()
-        if isinstance(rows, platforms.Unavailable):
+        if isinstance(rows, outside.Unavailable):
             return None
         row = next((r for r in rows if r.name == home), None)
         if row is None:
--- a/sardinesaddle/sidecar.py
+++ b/sardinesaddle/sidecar.py
@@ -27,7 +27,7 @@
     link,
     manifest,
     metrics,
-    platforms,
+    outside,
     quarantine,
     releaser,
     settings,
@@ -122,9 +122,9 @@
         cfg: settings.SidecarSettings,
         secret: bytes,
         incarnation: int,
-        target: platforms.Target,
-        source: platforms.ConfigSource,
-        hosts: platforms.HostSource,
+        target: outside.Target,
+        source: outside.ConfigSource,
+        hosts: outside.HostSource,
         tracer: tracing.Tracer,
     ) -> None:
         self._loop = loop
@@ -403,7 +403,7 @@
         span = self._tracer.start("sidecar.run", submit.trace)
         span.set("target", self._cfg.target)
         span.set("service", submit.service)
-        req = platforms.TargetRequest(
+        req = outside.TargetRequest(
             call.number,
             submit.method,
             submit.path,
@@ -428,19 +428,19 @@
             self.metrics.add_run(self._loop.time() - call.started_at)
 
     async def _take_target_event(
-        self, call: calls.Call, event: platforms.TargetEvent
+        self, call: calls.Call, event: outside.TargetEvent
     ) -> None:
         """Turn a target's event into one of the desk."""
         now = self._loop.time()
-        if isinstance(event, platforms.TargetHead):
+        if isinstance(event, outside.TargetHead):
             self._act(self.desk.on_target_head(call, event.status, event.headers))
-        elif isinstance(event, platforms.TargetData):
+        elif isinstance(event, outside.TargetData):
             for start in range(0, len(event.data), desk.CHUNK_BYTES):
                 part = event.data[start : start + desk.CHUNK_BYTES]
                 self._act(self.desk.on_target_data(call, part))
             while self.desk.is_backlogged(call):
                 await asyncio.sleep(BACKLOG_WAIT_S)
-        elif isinstance(event, platforms.TargetEnd):
+        elif isinstance(event, outside.TargetEnd):
             self._act(self.desk.on_target_end(now, call))
         elif event.was_sent:
             unknown = errorcodes.Ran.UNKNOWN
--- a/sardinesaddle/standins/rankgroup.py
+++ b/sardinesaddle/standins/rankgroup.py
@@ -1,4 +1,4 @@
-"""A group of lock-step engines that is told by orders, with the platform's rule of passes.
+"""A lock-step group of engines that take orders, with the platform's rule of passes.
 
 All ranks execute a pass together. It takes the slowest rank's own part and, set of
 layers by set, the part of the rank with the most expert load. Orders may be lost or
