Check the adapter's bounds; run the direct path by the command line; pass on urgency

Cause: nothing held the rule that only the adapter knows the platform's names, and the accounts' priorities did not reach the engines. 13 tests of the adapter. The check of httptarget's own '/order' is excluded: it is the product's interface. test_commands failed when run alone, since aiomisc looks at the real standard error as it is imported; it is imported first now.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -34,6 +34,7 @@
 MAX_CONNECTS: typing.Final = 4
 QUEUE_S: typing.Final = 1.5  # callers leave a silent stream after 2 s
 QUEUE_POLL_S: typing.Final = 0.025
+LEAST_URGENT: typing.Final = 9  # of the scale that engines know
 MIN_SEND_S: typing.Final = 0.02  # less time left than this serves nobody
 
 
@@ -277,7 +278,7 @@
             left_s=job.ends_at - now,
             account=None if job.account is None else job.account.name,
             last_event=job.last_event,
-            urgency=None,
+            urgency=find_urgency(job),
         )
         out = self._dialect.write_request(kept, terms)
         if req.body or req.method in BODY_METHODS:
@@ -336,6 +337,14 @@
         )
 
 
+def find_urgency(job: work.Work) -> int:
+    """Return the request's urgency: its account's, else its route's; 0 is first."""
+    urgency = job.route.priority
+    if job.account is not None and job.account.priority is not None:
+        urgency = job.account.priority
+    return min(max(urgency, 0), LEAST_URGENT)
+
+
 def refuse_unrun(reason: str) -> work.Refused:
     """Return a refusal of a request that has not run and never will."""
     return work.Refused(work.STATUS_NOT_RUN, reason, work.RETRY_SOON_S)
--- a/sardinesaddle/direct/start.py
+++ b/sardinesaddle/direct/start.py
@@ -1,13 +1,11 @@
 """The composition root of the direct path: wires a role and runs its life.
 
-    python3 -m sardinesaddle.direct.start ROLE
-
-reads the settings file that the platform names. SIGTERM drains the process, SIGHUP
-reads the settings again. The module imports only what a role needs, since every
-process pays for its memory.
+``python3 -m sardinesaddle.direct.start ROLE`` reads the settings file that the
+platform names; ``sardinesaddle node ROLE FILE`` reads any. SIGTERM drains the
+process. The module imports only what a role needs, since every process pays for its
+memory.
 """
 
-import abc
 import asyncio
 import os
 import random
@@ -36,21 +34,6 @@
 POLL_SETTINGS_S: typing.Final = 2.0  # the file may change without a signal
 
 
-class Node(abc.ABC):
-    """What the life of a process needs of a role."""
-
-    is_ready: bool
-    is_leaving: bool
-
-    @abc.abstractmethod
-    async def start(self) -> None:
-        """Begin to serve."""
-
-    @abc.abstractmethod
-    async def drain(self) -> None:
-        """Finish and stop."""
-
-
 Made = tuple[
     entrynode.EntryNode | sidecarnode.SidecarNode,
     metrics.Metrics,
@@ -185,27 +168,37 @@
     sink.flush()
 
 
+def load_role(
+    role: str, path: str
+) -> nodesettings.EntrySettings | nodesettings.SidecarSettings | settings.SettingsFault:
+    """Read and check the settings of a role."""
+    if role == "entry":
+        return nodesettings.load_entry(path)
+    if role == "sidecar":
+        return nodesettings.load_sidecar(path)
+    return settings.SettingsFault(f"role {role!r} does not exist; use entry or sidecar")
+
+
+def run_role(role: str, path: str) -> str:
+    """Run a role until SIGTERM; return what is wrong with its settings, or nothing."""
+    cfg = load_role(role, path)
+    if isinstance(cfg, settings.SettingsFault):
+        return cfg.text
+    uvloop.run(run(role, path, cfg))
+    return ""
+
+
 def main() -> None:
-    """Run the role that the command line names."""
-    role = sys.argv[1] if len(sys.argv) == 2 else ""
-    if role not in ("entry", "sidecar"):
-        sys.stderr.write("usage: start ROLE, which is entry or sidecar\n")
-        sys.exit(EXIT_USAGE)
+    """Run the role that the command line names, with the settings of the platform."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    if not path:
-        sys.stderr.write(f"set {SETTINGS_VARIABLE} to the path of a settings file\n")
+    fault = "usage: start ROLE"
+    if len(sys.argv) == 2:
+        fault = f"set {SETTINGS_VARIABLE} to the path of a settings file"
+        if path:
+            fault = run_role(sys.argv[1], path)
+    if fault:
+        sys.stderr.write(f"sardinesaddle: {fault}\n")
         sys.exit(EXIT_USAGE)
-    cfg: nodesettings.EntrySettings | nodesettings.SidecarSettings
-    loaded: typing.Any = (
-        nodesettings.load_entry(path)
-        if role == "entry"
-        else nodesettings.load_sidecar(path)
-    )
-    if isinstance(loaded, settings.SettingsFault):
-        sys.stderr.write(f"{loaded.text}\n")
-        sys.exit(EXIT_USAGE)
-    cfg = loaded
-    uvloop.run(run(role, path, cfg))
 
 
 if __name__ == "__main__":
--- a/sardinesaddle/main.py
+++ b/sardinesaddle/main.py
@@ -117,17 +117,39 @@
         logs.start_logging("sidecar", cfg.log_level)
         build.run_role(lambda: build.SidecarProcess(cfg, secret))
 
+    def node(self, role: str, settings_file: str) -> None:
+        """Run a role of the direct path, on the users' platform.
+
+        ROLE is 'entry' or 'sidecar'; SETTINGS_FILE is JSON with comments, see
+        docs/OPERATIONS.md. SIGTERM drains the process and ends it with status 0.
+        """
+        from sardinesaddle.direct import start
+
+        fault = start.run_role(role, settings_file)
+        if fault:
+            raise CommandError(fault)
+
     def check(self, role: str, settings_file: str) -> None:
         """Check a settings file without starting anything.
 
-        ROLE is 'entry' or 'sidecar'.
+        ROLE is 'entry' or 'sidecar', or 'node-entry' or 'node-sidecar' for the
+        direct path.
         """
-        if role == "entry":
+        if role in ("node-entry", "node-sidecar"):
+            from sardinesaddle.direct import start
+
+            cfg = start.load_role(role.removeprefix("node-"), settings_file)
+            if isinstance(cfg, settings.SettingsFault):
+                raise CommandError(cfg.text)
+        elif role == "entry":
             load_checked(settings_file, settings.EntrySettings)
         elif role == "sidecar":
             load_checked(settings_file, settings.SidecarSettings)
         else:
-            raise CommandError(f"role {role!r} does not exist; use entry or sidecar")
+            raise CommandError(
+                f"role {role!r} does not exist;"
+                " use entry, sidecar, node-entry or node-sidecar"
+            )
         print_line(f"{settings_file}: valid settings of role {role}")
 
     def status(self, url: str) -> None:
--- /dev/null
+++ b/test/test_adapter.py
@@ -0,0 +1,135 @@
+"""The adapter to the users' platform is small, and alone in knowing its names."""
+
+import pathlib
+import re
+
+import pytest
+
+from sardinesaddle.direct import catalog, dialect
+from sardinesaddle.platform import catalogformat, engines, headers
+from test import directfleet as df
+
+PACKAGE = pathlib.Path(__file__).parent.parent / "sardinesaddle"
+ADAPTER = PACKAGE / "platform"
+NAMES = (
+    "Expect-Instance|Server-Stamp|Not-Executed|Attempt-Id|(?<!X-)Deadline-Ms|Token-Usage"
+    "|Length-Hint|Request-Priority|Last-Event-Id|At-Server|op/config|servers/|kv-key"
+    "|kv-range|kv-watch|store_revision|more_pages|created_revision|traffic_split"
+    "|api_keys|gap_aim_ms|target_latency_ms|cold_left_ms|/picked|/report|/order"
+    "|per_seq_ms|context_per_k"
+)
+
+
+def list_sources(inside: bool) -> list[pathlib.Path]:
+    """Return the package's sources inside or outside the adapter."""
+    return [
+        path
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if (ADAPTER in path.parents) == inside
+    ]
+
+
+def test_no_name_of_the_wire_stands_outside_the_adapter() -> None:
+    found = [
+        f"{path.name}:{number}: {line.strip()}"
+        for path in list_sources(inside=False)
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if re.search(NAMES, line)
+    ]
+    # The product's own engine interface has an order of its own at this path.
+    assert [one for one in found if "httptarget" not in one] == []
+
+
+def test_the_check_finds_names() -> None:
+    text = "\n".join(path.read_text() for path in list_sources(inside=True))
+    assert len(set(re.findall(NAMES, text))) > 15
+
+
+def test_adapter_is_under_a_tenth_of_the_code() -> None:
+    sizes = {
+        inside: sum(len(path.read_text().splitlines()) for path in list_sources(inside))
+        for inside in (True, False)
+    }
+    assert sizes[True] * 10 < sizes[True] + sizes[False]
+
+
+def test_configuration_is_decoded_into_the_products_terms() -> None:
+    cat = catalogformat.PlatformCodec().decode_catalog(
+        b'{"version": 7, "new_field": 1, "routes": [{"name": "r", "host": "h",'
+        b' "prefix": "/a/", "kind": "streaming", "timeout_ms": 8000, "priority": 1,'
+        b' "traffic_split": [{"service": "s", "weight": 90}, {"service": "t",'
+        b' "weight": 10}], "max_attempts": 2, "resumable": true, "gap_aim_ms": 120},'
+        b' {"name": "q", "host": "h", "prefix": "/a/b/", "kind": "non_idempotent",'
+        b' "timeout_ms": 2000, "service": "s"}], "services": [{"name": "s",'
+        b' "engine": {"slots": 6, "step_ms": 4.84, "expert_mb": 1700,'
+        b' "link_mbps": 92000}}], "tenants": [{"name": "n", "api_keys": ["k"],'
+        b' "priority": 1}], "limits": {"max_body_bytes": 9}}'
+    )
+    assert isinstance(cat, catalog.Catalog)
+    route = cat.find_route("h", "/a/x")
+    assert route is not None
+    assert (route.repeat, route.is_stream) == (catalog.Repeat.FREELY, True)
+    assert (route.timeout_s, route.pause_s) == (8.0, 0.12)
+    assert [catalog.pick_service(route, draw) for draw in (0.0, 0.89, 0.91)] == [
+        "s",
+        "s",
+        "t",
+    ]
+    inner = cat.find_route("h", "/a/b/c")
+    assert inner is not None
+    assert inner.repeat is catalog.Repeat.ONCE
+    assert cat.find_route("h", "/b/") is None
+    assert cat.find_route("other", "/a/") is None
+    engine = cat.services["s"].engine
+    assert engine is not None
+    assert engine.copy_s_per_expert == pytest.approx(0.148, abs=0.001)
+    assert cat.accounts["k"].name == "n"
+    assert cat.limits.max_body_bytes == 9
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        b'{"service": "s", "addr": "a:1", "zone": "z", "slots": "6", "state": "ready"}',
+        b'{"service": "s", "addr": "a", "zone": "z", "slots": 6, "state": "ready"}',
+        b'{"service": "s", "addr": "a:1", "zone": "z", "slots": 6, "state": "resting"}',
+    ],
+)
+def test_entry_of_another_writer_names_no_target(data: bytes) -> None:
+    got = catalogformat.PlatformCodec().decode_target("servers/i-1", data)
+    assert isinstance(got, str)
+
+
+def test_headers_are_read_leniently() -> None:
+    speak = headers.PlatformDialect()
+    terms = speak.read_request(
+        [("deadline-ms", "soon"), ("token-usage", "x,"), ("A", "")]
+    )
+    assert terms == dialect.CallerTerms("", None, None, 0, 0, None, None)
+    terms = speak.read_request(
+        [
+            ("Attempt-Id", "ab"),
+            ("Deadline-Ms", "1500"),
+            ("Token-Usage", "14,80"),
+            ("Authorization", "Bearer  k "),
+            ("Last-Event-Id", "3"),
+        ]
+    )
+    assert terms == dialect.CallerTerms("ab", 1.5, "k", 14, 80, None, 3)
+
+
+def test_versions_of_engines_come_in_both_forms() -> None:
+    assert engines.get_version(None) == 0
+    assert engines.get_version(4) == 4
+    assert engines.get_version(engines.WireVersion(5, 9)) == 5
+
+
+def test_configuration_of_the_test_fleet_is_of_the_platforms_form() -> None:
+    import msgspec
+
+    data = msgspec.json.encode(df.make_config())
+    cat = catalogformat.PlatformCodec().decode_catalog(data)
+    assert isinstance(cat, catalog.Catalog)
--- a/test/test_commands.py
+++ b/test/test_commands.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+# aiomisc reads the real standard error as it is imported, so before it is captured.
+from sardinesaddle import build as build
 from sardinesaddle import main, settings
 
 
--- a/test/test_direct_requests.py
+++ b/test/test_direct_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sardinesaddle.direct import messages
 from sardinesaddle.platform import headers
 from test import directfleet as df
 
@@ -325,3 +326,66 @@
         assert named[-5:] == ["t3"] * 5
 
     df.play(scenario)
+
+
+def test_requests_wait_for_a_group_that_forms_and_are_served() -> None:
+    # Load: every caller of a service comes back at once after a power failure, while
+    # its only group forms again; with refusals a caller that asks twice gets nothing.
+    async def scenario(fleet: df.Fleet) -> None:
+        config = df.make_config(version=2)
+        config["services"] = [
+            {"name": "plain"},
+            {"name": "engines", "engine": {"slots": 4, "sets": 6, "experts": 64}},
+        ]
+        fleet.store.put("op/config", config)
+        target = await fleet.add_target("t1", "engines", stream_three)
+        await fleet.settle(0.2)
+        node = fleet.entries[0]
+
+        def report(is_open: bool) -> messages.Report:
+            address = f"127.0.0.1:{target.port}"
+            return messages.Report(
+                "s", address, True, 0, 0, 1.0, "g", 1, 0, 8, is_open, 1.0
+            )
+
+        async def report_regularly() -> None:
+            loop = asyncio.get_running_loop()
+            opens_at = loop.time() + 1.0
+            while True:
+                await node.answer(report(loop.time() >= opens_at))
+                await asyncio.sleep(0.2)
+
+        reporting = asyncio.create_task(report_regularly())
+        got = await asyncio.gather(*(fleet.call(f"/stream/{n}") for n in range(12)))
+        assert [one.status for one in got] == [200] * 12
+        assert all(one.is_whole for one in got)
+        reporting.cancel()
+        await asyncio.sleep(0.5)
+        # What does not open in time is refused, with the time to come back.
+        closed = asyncio.create_task(fleet.call("/stream/late"))
+        for _ in range(12):
+            await node.answer(report(False))
+            await asyncio.sleep(0.2)
+        late = await closed
+        assert late.status == 503
+        assert float(late.headers["retry-after"]) > 0.0
+
+    df.play(scenario)
+
+
+def test_urgency_is_the_accounts_before_the_routes() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        config = df.make_config(version=2)
+        config["tenants"] = [
+            {"name": "alice", "api_keys": ["key-a"], "priority": 1},
+            {"name": "bob", "api_keys": ["key-b"]},
+        ]
+        fleet.store.put("op/config", config)
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        await fleet.call("/once/a", extra=((headers.URGENCY, "0"),))
+        await fleet.call("/once/a", key="key-b")
+        found = [call.headers[headers.URGENCY.lower()] for call in target.calls]
+        assert found == ["1", "5"]
+
+    df.play(scenario)
