Model the age of the store's word; take a peer's date with its content; later Retry-After in outages

Cause: an entry that started while the store was down had the configuration from a peer and refused keys until the next beat; its test failed first. Callers that were refused for an old word were told to come back in 0.3 s, while outages last seconds and most callers come back once.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -339,7 +339,8 @@
                 await asyncio.sleep(FETCH_DELAY_S)
                 if state.changed_rev > follower.replica.complete_rev:
                     await self._fetch(peer, follower)
-            elif state.complete_rev > 0:
+            if 0 < state.changed_rev <= follower.replica.complete_rev:
+                # All that the peer knew when it answered is known here now.
                 follower.freshness.on_peer_word(asked_at, state.age_s)
 
     async def _fetch(self, peer: rpc.Peer, follower: following.Follower) -> None:
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -96,16 +96,16 @@
         route = cat.find_route(req.host, req.path)
         if route is None:
             if is_doubtful:
-                return refuse_unrun("route_unknown_stale")
+                return refuse_unrun("route_unknown_stale", work.RETRY_LATER_S)
             return work.Refused(404, "no_route")
         key = req.terms.key
         account = None if key is None else cat.accounts.get(key)
         if cat.has_accounts and not route.is_anonymous:
             if self._know.compute_config_age() > self._bounds.key_age_s:
-                return refuse_unrun("keys_stale")
+                return refuse_unrun("keys_stale", work.RETRY_LATER_S)
             if account is None:
                 if is_doubtful:
-                    return refuse_unrun("key_unknown_stale")
+                    return refuse_unrun("key_unknown_stale", work.RETRY_LATER_S)
                 return work.Refused(401, "unknown_key")
         patience_s = req.terms.patience_s
         limit_s = min(route.timeout_s, patience_s or route.timeout_s)
@@ -351,6 +351,6 @@
     return min(max(urgency, 0), LEAST_URGENT)
 
 
-def refuse_unrun(reason: str) -> work.Refused:
+def refuse_unrun(reason: str, retry_after_s: float = work.RETRY_SOON_S) -> work.Refused:
     """Return a refusal of a request that has not run and never will."""
-    return work.Refused(work.STATUS_NOT_RUN, reason, work.RETRY_SOON_S)
+    return work.Refused(work.STATUS_NOT_RUN, reason, retry_after_s)
--- a/sardinesaddle/spec/runner.py
+++ b/sardinesaddle/spec/runner.py
@@ -11,6 +11,7 @@
     opaquekeys,
     revisions,
     stepgrants,
+    storeword,
 )
 
 SPECS: typing.Final[tuple[tuple[type[model.Model], types.ModuleType], ...]] = (
@@ -19,6 +20,7 @@
     (revisions.Revisions, revisions),
     (stepgrants.StepGrants, stepgrants),
     (mapswitches.MapSwitches, mapswitches),
+    (storeword.StoreWord, storeword),
 )
 
 
--- a/test/test_direct_knowledge.py
+++ b/test/test_direct_knowledge.py
@@ -58,6 +58,22 @@
     df.play(scenario)
 
 
+def test_entry_that_starts_without_the_store_admits_keys_by_the_others_word() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        lone = await fleet.add_entry(LoneStore())
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while lone.catalog is None:
+            await asyncio.sleep(0.005)
+        # The configuration and its age come with one answer.
+        assert lone.is_ready
+        assert loop.time() - began_at < 0.5
+
+    df.play(scenario)
+
+
 def test_history_that_is_gone_is_listed_anew() -> None:
     async def scenario(fleet: df.Fleet) -> None:
         await fleet.add_target("t1", "plain")
