--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -15,6 +15,7 @@
 
 from sardinesaddle.direct import (
     catalog,
+    codec,
     counts,
     dialect,
     following,
@@ -46,23 +47,6 @@
 OUTAGE_MARGIN_S: typing.Final = 3.0  # entries that lapse so soon after may return
 
 
-class Codec(typing.Protocol):
-    """Decodes stored values."""
-
-    config_prefix: str
-    config_key: str
-    targets_prefix: str
-
-    def decode_catalog(self, data: bytes) -> catalog.Catalog | str:
-        """Return the configuration, or what is wrong with it."""
-
-    def decode_target(self, key: str, data: bytes) -> catalog.TargetEntry | str:
-        """Return a target's entry, or what is wrong with it."""
-
-    def get_target_ident(self, key: str) -> str:
-        """Return the target that a key names."""
-
-
 class EntryNode(knowledge.Knowledge, rpc.Handler):
     """One entry."""
 
@@ -70,13 +54,13 @@
         self,
         cfg: nodesettings.EntrySettings,
         store: following.Store,
-        codec: Codec,
+        decode: codec.Codec,
         speak: dialect.Dialect,
         clock: freshness.SuspendClock,
         rng: random.Random,
     ) -> None:
         self._cfg = cfg
-        self._codec = codec
+        self._codec = decode
         self._rng = rng
         self._clock = clock
         self.catalog = None
@@ -84,11 +68,11 @@
         self.counts = counts.EntryCounts(cfg.name)
         self.pool = upstream.Pool()
         self._followers = {
-            codec.config_prefix: following.Follower(
-                store, codec.config_prefix, CONFIG_WAIT_S, self._on_news, clock, rng
+            decode.config_prefix: following.Follower(
+                store, decode.config_prefix, CONFIG_WAIT_S, self._on_news, clock, rng
             ),
-            codec.targets_prefix: following.Follower(
-                store, codec.targets_prefix, TARGETS_WAIT_S, self._on_news, clock, rng
+            decode.targets_prefix: following.Follower(
+                store, decode.targets_prefix, TARGETS_WAIT_S, self._on_news, clock, rng
             ),
         }
         bounds = make_bounds(cfg)
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -104,7 +104,7 @@
         if not all(rank in hosts for rank in range(1, state.size)):
             return None
         asked = messages.ReadRank(is_idle, is_idle)
-        own = await self._read_own(is_idle)
+        own = await self._desk.read_now(is_idle, is_idle)
         others = await asyncio.gather(
             *(self._ask(hosts[rank], asked) for rank in range(1, state.size))
         )
@@ -117,10 +117,6 @@
                 return None
         return found
 
-    async def _read_own(self, is_idle: bool) -> messages.RankReply | None:
-        """Return the own rank's state as of now."""
-        return await self._desk.read_now(is_idle, is_idle)
-
     async def _ask(self, host: str, msg: messages.Request) -> messages.Reply | None:
         """Ask the sidecar of another rank."""
         peer = self._peers.get(host)
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -13,9 +13,9 @@
 
 from sardinesaddle.direct import (
     catalog,
+    codec,
     counts,
     engine,
-    entrynode,
     groupleader,
     messages,
     nodesettings,
@@ -38,11 +38,11 @@
         self,
         cfg: nodesettings.SidecarSettings,
         eng: engine.Engine,
-        codec: entrynode.Codec,
+        decode: codec.Codec,
         rng: random.Random,
     ) -> None:
         self._cfg = cfg
-        self._codec = codec
+        self._codec = decode
         self._engine = eng
         self._rng = rng
         self.counts = counts.SidecarCounts(cfg.name)
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sardinesaddle.direct import catalog
+from sardinesaddle.direct import catalog, codec
 
 CONFIG_PREFIX: typing.Final = "op/"
 CONFIG_KEY: typing.Final = "op/config"
@@ -211,7 +211,7 @@
     )
 
 
-class PlatformCodec:
+class PlatformCodec(codec.Codec):
     """Decodes the values under the platform's prefixes."""
 
     config_prefix = CONFIG_PREFIX
--- a/sardinesaddle/standins/rankgroup.py
+++ b/sardinesaddle/standins/rankgroup.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
 import typing
@@ -221,9 +220,6 @@
         return [RankEngine(self, index) for index in range(self.size)]
 
 
-Late = collections.abc.Callable[[], float]
-
-
 class RankEngine(engine.Engine):
     """One engine of a group, as its sidecar meets it."""
 
