Answer late requests of a stopping entry instead of leaving their connections deaf

The only entry of a place was still sent callers, whose requests were read by nobody until the process ended 1.3 s later. Ruled out: new connections (answered in the test before the change). Now connections stay until the end, answers ask to close them, late requests are answered 503 with the time to come back, and the callers' side stops first.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -384,7 +384,7 @@
         await asyncio.sleep(NOT_READY_LEAD_S)
         self.front.is_leaving = True
         await asyncio.sleep(LAST_REQUEST_S - NOT_READY_LEAD_S)
-        self.front.close_idle()
+        self.front.is_closing = True
         ends_at = began_at + self._cfg.bounds.drain_s - END_MARGIN_S
         while self.front.active and loop.time() < ends_at:
             await asyncio.sleep(0.02)
@@ -393,13 +393,14 @@
     async def stop(self) -> None:
         """Stop at once."""
         loguru.logger.info("event=stop active={}", self.front.active)
+        # First, so that no request is read that would be cut off.
+        await self.front.stop()
         for task in [*self._tasks, *self._beats.values()]:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         await self._server.stop()
         self.pool.close()
-        await self.front.stop()
 
 
 def make_bounds(cfg: nodesettings.EntrySettings) -> knowledge.Bounds:
--- a/sardinesaddle/direct/front.py
+++ b/sardinesaddle/direct/front.py
@@ -1,16 +1,22 @@
 """The callers' side of an entry, by aiohttp's server without its routing.
 
 A caller that leaves cancels its request, and with it the work at the target.
+
+When the entry stops, its callers' kept connections stay until its end: aiohttp's own
+way of closing them leaves an idle connection open that nobody reads. Each answer asks
+the caller to close, and late requests are answered that they were not run.
 """
 
 import asyncio
 import typing
 
 import aiohttp.web
+import loguru
 
 from sardinesaddle.direct import dialect, forward, work
 
 KEEPALIVE_MARGIN: typing.Final = 1.25  # over the idle time that callers may use
+STATUS_TOO_LARGE: typing.Final = 413
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
 WRITE_STALL_S: typing.Final = 10.0  # a caller that reads nothing for this long is gone
 
@@ -92,7 +98,9 @@
             max_field_size=64 * 1024,
         )
         self._runner: aiohttp.web.ServerRunner | None = None
+        # Answers close their connections; later, requests are turned away as well.
         self.is_leaving = False
+        self.is_closing = False
         self.active = 0
         self.port = 0
 
@@ -106,10 +114,6 @@
         await site.start()
         self.port = self._runner.addresses[0][1]
 
-    def close_idle(self) -> None:
-        """Close kept connections, each after the request that it carries."""
-        self._server.pre_shutdown()
-
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._runner is not None:
@@ -127,9 +131,10 @@
         self.active += 1
         try:
             body = await self._read_body(request)
-            if body is None:
-                ident = [(self._dialect.ident_header, terms.ident)]
-                await out.send_whole(413, ident if terms.ident else [], b"")
+            if self.is_closing:
+                await self._turn_away(out, terms, work.STATUS_NOT_RUN)
+            elif body is None:
+                await self._turn_away(out, terms, STATUS_TOO_LARGE)
             else:
                 host = request.headers.get("Host", "").partition(":")[0]
                 path = request.raw_path
@@ -143,6 +148,20 @@
             self.active -= 1
         return out.response or aiohttp.web.Response(status=500)
 
+    async def _turn_away(
+        self, out: FrontResponder, terms: dialect.CallerTerms, status: int
+    ) -> None:
+        """Answer a request that is not looked at further."""
+        headers: dialect.Headers = []
+        if terms.ident:
+            headers.append((self._dialect.ident_header, terms.ident))
+        if status == work.STATUS_NOT_RUN:
+            headers.append(("Retry-After", f"{work.RETRY_SOON_S:.2f}"))
+        loguru.logger.info(
+            "event=request id={} outcome=turned_away status={}", terms.ident, status
+        )
+        await out.send_whole(status, headers, b"")
+
     async def _read_body(self, request: aiohttp.web.BaseRequest) -> bytes | None:
         """Return the body, or None if it is over the limit."""
         if not request.can_read_body:
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -350,6 +350,9 @@
     }
 
 
+Conn = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
 class Fleet:
     """A store, entries and targets."""
 
@@ -420,11 +423,17 @@
         extra: tuple[tuple[str, str], ...] = (),
         leave_after_s: float | None = None,
         ident: str = "",
+        conn: Conn | None = None,
+        at_s: float = 0.0,
     ) -> Got:
-        """Send a request as a caller does; read until the answer is over."""
+        """Send a request as a caller does; read until the answer is over.
+
+        ``conn`` is a connection to use and to keep; ``at_s`` is when to send, counted
+        from the start of the first drain of a test, which is a second before now.
+        """
         loop = asyncio.get_running_loop()
-        host = f"127.0.1.{entry + 1}"
-        reader, writer = await asyncio.open_connection(host, self.ports[entry])
+        await asyncio.sleep(max(at_s - 1.0, 0.0))
+        reader, writer = conn or await self.connect(entry)
         ident = ident or f"{random.getrandbits(64):x}"
         fields = [
             ("Host", "h.example"),
@@ -450,9 +459,15 @@
         except (TimeoutError, OSError, h11.RemoteProtocolError):
             pass
         got.at = loop.time()
-        writer.transport.abort()
+        if conn is None:
+            writer.transport.abort()
         return got
 
+    async def connect(self, entry: int = 0) -> Conn:
+        """Open a connection to an entry."""
+        host = f"127.0.1.{entry + 1}"
+        return await asyncio.open_connection(host, self.ports[entry])
+
     async def _read_answer(
         self, reader: asyncio.StreamReader, state: h11.Connection, got: Got
     ) -> None:
--- a/test/test_direct_knowledge.py
+++ b/test/test_direct_knowledge.py
@@ -285,3 +285,35 @@
         assert 2.4 <= loop.time() - silent_at <= 4.2
 
     df.play(scenario)
+
+
+def test_request_late_in_a_drain_is_answered_on_new_and_kept_connections() -> None:
+    # Hunted day mix of ahr-montevideo, seed 1042812837657: the only entry of a place
+    # is still sent callers after SIGTERM.
+    async def scenario(fleet: df.Fleet) -> None:
+        async def answer_slowly(
+            target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(3.9 if call.path == "/once/long" else 0.0)
+            writer.write(df.make_answer(call.ident))
+            return True
+
+        await fleet.add_target("t1", "plain", answer_slowly)
+        await fleet.settle()
+        node = fleet.entries.pop()
+        draining = asyncio.create_task(node.drain())
+        await fleet.settle(1.0)
+        running = asyncio.create_task(fleet.call("/once/long"))
+        kept = await fleet.connect()
+        assert (await fleet.call("/once/a", conn=kept)).status == 200
+        late = [asyncio.create_task(fleet.call("/once/b", conn=kept, at_s=3.3))]
+        for n in range(8):
+            late.append(asyncio.create_task(fleet.call("/once/c", at_s=3.15 + 0.1 * n)))
+        got = await asyncio.gather(*late)
+        assert all(one.is_whole for one in got), [one.status for one in got]
+        assert {one.status for one in got} <= {200, 503}
+        assert all("retry-after" in one.headers for one in got if one.status == 503)
+        assert (await running).status == 200
+        await draining
+
+    df.play(scenario)
