--- a/misc/write_benchmarks.py
+++ b/misc/write_benchmarks.py
@@ -17,6 +17,7 @@
 Written by misc/write_benchmarks.py. Model time and counted work on seed 1 give the same
 figures on every run; the benches `path` and `capacity` measure the machine, so quote
 their ratios. A bound is a stated target. `sardinesaddle bench NAME --json` prints one.
+Figures of days on the users' platform are in PLATFORM.md.
 """
 PATH_NOTE = (
     "One run; wall time. Six runs of one day gave 0.76 to 1.70 ms added at the median"
