Place requests by homes, queue them in order, and report less to many entries

All entries chose the least loaded rank of reports that lag, and met there. Waiting requests looked for room every 25 ms each, in no order.

Change: each entry prefers its homes, an equal part of the targets, and looks elsewhere at three targets drawn at random, which keep one slot for their own entry; sends and ends count until a reading covers them; a line in order of who can still be in time, which refuses at once what its pace cannot reach. Sidecars report changes of load at once only to the entry whose home the target is; lists go out when they changed; beats are bounded; of many entries six follow the store. Demand goes in half bytes, experts once for each map.

--- a/sardinesaddle/bench/runner.py
+++ b/sardinesaddle/bench/runner.py
@@ -12,7 +12,7 @@
 
 SEED: typing.Final = 1
 COUNTED: typing.Final = ("limits", "deadlines", "retries", "poison", "steps", "routing")
-LONG: typing.Final = ("placement", "membership", "config", "expertmaps")
+LONG: typing.Final = ("placement", "membership", "config", "expertmaps", "rankchoice")
 TIMED: typing.Final = ("path", "capacity")
 NAMES: typing.Final = (*COUNTED, *LONG, *TIMED)
 
--- a/sardinesaddle/direct/demand.py
+++ b/sardinesaddle/direct/demand.py
@@ -9,7 +9,7 @@
 import typing
 
 TIME_CONSTANT_S: typing.Final = 0.35  # some five passes; at 0.6 s worth fell by 0.03
-LEVELS: typing.Final = 255  # a reading is sent as one byte an expert
+LEVELS: typing.Final = 15  # a reading is sent as half a byte an expert
 
 
 class ExpertDemand:
@@ -40,21 +40,28 @@
         self._epoch = epoch
         self._read_at = now
 
-    def pack(self) -> tuple[bytes, float]:
-        """Return one byte an expert and what one level is worth."""
+    def pack(self, draw: typing.Callable[[], float]) -> tuple[bytes, float]:
+        """Return half a byte an expert and what one level is worth.
+
+        Levels are rounded at random, so that small values count in the sum over ranks.
+        """
         most = max(self.values, default=0.0)
         if most <= 0.0:
-            return bytes(len(self.values)), 0.0
+            return bytes((len(self.values) + 1) // 2), 0.0
         level = most / LEVELS
-        return bytes(round(value / level) for value in self.values), level
+        levels = [int(value / level + draw()) for value in self.values]
+        if len(levels) % 2:
+            levels.append(0)
+        pairs = zip(levels[::2], levels[1::2], strict=True)
+        return bytes(high << 4 | min(low, LEVELS) for high, low in pairs), level
 
 
 def sum_packed(parts: list[tuple[bytes, float]]) -> list[float]:
-    """Return the demand of all ranks together."""
-    total = [0.0] * max((len(data) for data, _ in parts), default=0)
+    """Return the demand of all ranks together; it may end with one zero too many."""
+    total = [0.0] * (2 * max((len(data) for data, _ in parts), default=0))
     for data, level in parts:
-        if level > 0.0 and len(data) == len(total):
-            total = [
-                one + value * level for one, value in zip(total, data, strict=True)
-            ]
+        if level > 0.0 and 2 * len(data) == len(total):
+            for index, pair in enumerate(data):
+                total[2 * index] += (pair >> 4) * level
+                total[2 * index + 1] += (pair & LEVELS) * level
     return total
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -10,6 +10,7 @@
 import contextlib
 import random
 import typing
+import zlib
 
 import loguru
 
@@ -34,9 +35,11 @@
 CONFIG_WAIT_S: typing.Final = 1.5  # two waits and slack stay under the keys' age
 TARGETS_WAIT_S: typing.Final = 1.5  # a lost answer costs a wait; bound 2 s
 BEAT_PERIOD_S: typing.Final = 0.25
+BEATS_IN_PERIOD: typing.Final = 3  # entries asked in a period, however many there are
 BEAT_TIMEOUT_S: typing.Final = 0.5
 FETCH_TIMEOUT_S: typing.Final = 1.0
 FETCH_DELAY_S: typing.Final = 0.1  # the store's own word usually comes first
+FOLLOWING_ENTRIES: typing.Final = 6  # enough that some reach the store in any trouble
 SWEEP_PERIOD_S: typing.Final = 0.25
 ENTRY_TTL_S: typing.Final = 10.0  # an entry not heard of for this long is forgotten
 KEY_AGE_MARGIN_S: typing.Final = 1.0  # a watch may miss the last second's changes
@@ -65,15 +68,17 @@
         self._clock = clock
         self.catalog = None
         self.targets = targetpool.TargetPool(cfg.place)
+        self.targets.set_entries(cfg.host, ())
         self.counts = counts.EntryCounts(cfg.name)
         self.pool = upstream.Pool()
         self._followers = {
-            decode.config_prefix: following.Follower(
-                store, decode.config_prefix, CONFIG_WAIT_S, self._on_news, clock, rng
-            ),
-            decode.targets_prefix: following.Follower(
-                store, decode.targets_prefix, TARGETS_WAIT_S, self._on_news, clock, rng
-            ),
+            prefix: following.Follower(
+                store, prefix, wait_s, self._on_news, clock, rng, self._may_rest
+            )
+            for prefix, wait_s in (
+                (decode.config_prefix, CONFIG_WAIT_S),
+                (decode.targets_prefix, TARGETS_WAIT_S),
+            )
         }
         bounds = make_bounds(cfg)
         self.forwarder = forward.Forwarder(
@@ -96,6 +101,11 @@
         """Return the seconds since the catalog was known to be the newest."""
         return self._followers[self._codec.config_prefix].compute_age()
 
+    def _may_rest(self) -> bool:
+        """Tell whether enough other entries follow the store for this one."""
+        before = sum(host < self._cfg.host for host in self._heard_at)
+        return before >= FOLLOWING_ENTRIES
+
     def count_entries(self) -> int:
         """Return how many entries share the targets."""
         return len(self._heard_at) + 1
@@ -248,6 +258,7 @@
         before = self._reports.get(report.sender)
         self._reports[report.sender] = report
         self.targets.on_report(loop.time(), report)
+        self.forwarder.rooms.serve_all()
         was_usable = before is None or (before.is_alive and before.is_open)
         if was_usable != (report.is_alive and report.is_open):
             loguru.logger.info(
@@ -260,14 +271,23 @@
                 report.is_open,
                 report.is_alive,
             )
-        ranks = []
-        if report.group and report.rank == 0:
-            ranks = [
-                (one.rank, one.sender)
-                for one in self._reports.values()
-                if one.group == report.group and one.epoch == report.epoch
-            ]
-        return messages.ReportReply(self._list_entries(), ranks)
+        entries = sorted(self._list_entries())
+        ranks = self._list_ranks(report)
+        digest = zlib.crc32(repr((entries, ranks)).encode())
+        is_near = self.targets.is_home(report.target)
+        if digest == report.lists_seen:
+            return messages.ReportReply(digest, is_near)
+        return messages.ReportReply(digest, is_near, entries, ranks)
+
+    def _list_ranks(self, report: messages.Report) -> list[tuple[int, str]]:
+        """Return the sidecars of a group by rank, for the sidecar of its rank 0."""
+        if not report.group or report.rank != 0:
+            return []
+        return sorted(
+            (one.rank, one.sender)
+            for one in self._reports.values()
+            if one.group == report.group and one.epoch == report.epoch
+        )
 
     def _on_heard(self, host: str) -> None:
         """Take note that an entry lives, and ask it from now on."""
@@ -277,6 +297,7 @@
         if host not in self._heard_at:
             loguru.logger.info("event=entry_found host={}", host)
         self._heard_at[host] = loop.time()
+        self.targets.set_entries(self._cfg.host, self._heard_at)
         self._start_beats(host)
 
     def _start_beats(self, host: str) -> None:
@@ -297,10 +318,13 @@
                 heard_at = self._heard_at.get(host, started_at)
                 if loop.time() - heard_at > ENTRY_TTL_S:
                     if self._heard_at.pop(host, None) is not None:
+                        self.targets.set_entries(self._cfg.host, self._heard_at)
                         loguru.logger.info("event=entry_lost host={}", host)
                     if host not in seeds:
                         break
-                await asyncio.sleep(BEAT_PERIOD_S * (0.75 + self._rng.random() / 2))
+                periods = max(len(self._beats) / BEATS_IN_PERIOD, 1.0)
+                draw = 0.75 + self._rng.random() / 2
+                await asyncio.sleep(BEAT_PERIOD_S * periods * draw)
         finally:
             peer.close()
             self._beats.pop(host, None)
@@ -320,7 +344,8 @@
             if follower is None:
                 continue
             if state.changed_rev > follower.replica.complete_rev:
-                await asyncio.sleep(FETCH_DELAY_S)
+                if not follower.is_resting:
+                    await asyncio.sleep(FETCH_DELAY_S)
                 if state.changed_rev > follower.replica.complete_rev:
                     await self._fetch(peer, follower)
             if 0 < state.changed_rev <= follower.replica.complete_rev:
--- a/sardinesaddle/direct/following.py
+++ b/sardinesaddle/direct/following.py
@@ -4,6 +4,10 @@
 on a connection that stays open. Every answered call dates what is known here. After
 a fault the next call follows soon, with jitter, so that many processes do not call
 together when the store returns.
+
+Calls of the store are paid for, so where many processes relay to each other only some
+follow the store. The others rest, and follow it themselves once what they know through
+the relay is older than ``REST_AGE_S``.
 """
 
 import abc
@@ -20,6 +24,9 @@
 FIRST_PAUSE_S: typing.Final = 0.1
 PROBE_WAIT_S: typing.Final = 0.2  # of a watch while the store is out
 LONGEST_PAUSE_S: typing.Final = 0.5  # bounds how late a change is seen on return
+LEAST_WAIT: typing.Final = 0.75  # share of a watch's wait that is always waited
+REST_S: typing.Final = 0.2  # between looks at the word of other processes
+REST_AGE_S: typing.Final = 1.2  # of their word; the bounds on news are 2 s and more
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +91,7 @@
         on_news: OnNews,
         clock: freshness.SuspendClock,
         rng: random.Random,
+        may_rest: collections.abc.Callable[[], bool],
     ) -> None:
         self.prefix = prefix
         self.replica = replica.Replica()
@@ -94,6 +102,7 @@
         self._on_news = on_news
         self._clock = clock
         self._rng = rng
+        self._may_rest = may_rest
         self._is_listed = False
 
     def apply(self, delta: replica.Delta, source: str) -> None:
@@ -106,10 +115,23 @@
         """Return the seconds since the content was known to be the store's."""
         return self.freshness.compute_age(self._clock.read())
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether the store is left to other processes while their word is recent."""
+        return (
+            self._is_listed
+            and not self.outage.is_out
+            and self.compute_age() < REST_AGE_S
+            and self._may_rest()
+        )
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
+            if self.is_resting:
+                await asyncio.sleep(REST_S)
+                continue
             if await self._step():
                 pause_s = FIRST_PAUSE_S
                 continue
@@ -122,7 +144,11 @@
         wait_s = 0.0
         if self._is_listed:
             rev = self.replica.complete_rev
-            wait_s = PROBE_WAIT_S if self.outage.is_out else self._wait_s
+            # A change ends all watches at once; drawn waits part them again.
+            draw = LEAST_WAIT + (1.0 - LEAST_WAIT) * self._rng.random()
+            wait_s = round(self._wait_s * draw, 3)
+            if self.outage.is_out:
+                wait_s = PROBE_WAIT_S
             got = await self._store.watch(self.prefix, rev, wait_s)
         else:
             got = await self._store.read_all(self.prefix)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -24,8 +24,10 @@
     dialect,
     knowledge,
     retrywindow,
+    roomfinder,
     targetpool,
     upstream,
+    waitline,
     work,
 )
 
@@ -33,7 +35,6 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet's resend
 MAX_CONNECTS: typing.Final = 4
 QUEUE_S: typing.Final = 1.5  # callers leave a silent stream after 2 s
-QUEUE_POLL_S: typing.Final = 0.025
 LEAST_URGENT: typing.Final = 9  # of the scale that engines know
 MIN_SEND_S: typing.Final = 0.02  # less time left than this serves nobody
 
@@ -58,6 +59,7 @@
         self._bounds = bounds
         self._counts = counted
         self._rng = rng
+        self.rooms = roomfinder.RoomFinder(know, targets, rng)
         self._windows: dict[str, retrywindow.RetryWindow] = {}
 
     def set_bounds(self, bounds: knowledge.Bounds) -> None:
@@ -147,22 +149,15 @@
 
     async def _find_target(self, job: work.Work) -> targetpool.Target | None:
         """Return the target for the next attempt; wait if one may come up in time."""
-        loop = asyncio.get_running_loop()
-        ends_at = min(job.req.arrived_at + QUEUE_S, job.ends_at - MIN_SEND_S)
-        while True:
-            now = loop.time()
-            target = self._targets.choose(
-                now,
-                job.service,
-                job.tried,
-                self._know.count_entries(),
-                self._rng.random,
-            )
-            if target is not None or now >= ends_at:
-                return target
-            if not self._targets.has_hope(now, job.service):
-                return None
-            await asyncio.sleep(QUEUE_POLL_S)
+        arrived_at = job.req.arrived_at
+        waiter = waitline.Waiter(
+            find_urgency(job),
+            arrived_at,
+            arrived_at + job.route.objective_s,
+            min(arrived_at + QUEUE_S, job.ends_at - MIN_SEND_S),
+            job.tried,
+        )
+        return await self.rooms.find(job.service, waiter)
 
     def _note_outcome(self, target: targetpool.Target, outcome: answers.Outcome) -> str:
         """Tell the pool how an attempt ended; return the reason for the log."""
@@ -229,7 +224,6 @@
         entry = target.entry
         key = (entry.host, entry.port, entry.ident)
         now = asyncio.get_running_loop().time
-        self._targets.on_send(target)
         try:
             conn = await self._pool.acquire(key, now(), CONNECT_TIMEOUT_S)
             if isinstance(conn, upstream.Failure):
@@ -243,7 +237,8 @@
                 if exchange.finish(now()):
                     self._pool.release(key, conn)
         finally:
-            self._targets.on_end(target)
+            self._targets.on_end(target, now())
+            self.rooms.serve(entry.service)
 
     async def _exchange(
         self,
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -23,7 +23,8 @@
     rpc,
 )
 
-IDLE_PERIOD_S: typing.Final = 0.08  # between looks at the group
+IDLE_PERIOD_S: typing.Final = 0.08  # between looks at a group of up to 16 ranks
+RANKS_IN_PERIOD: typing.Final = 16  # larger groups are read less often: 4 Mbit/s links
 ACTIVE_PERIOD_S: typing.Final = 0.02  # while a switch waits for reports
 CALL_TIMEOUT_S: typing.Final = 0.3
 COPIES_A_RANK: typing.Final = 2  # of one switch; with 3 or 4 worth fell by 0.02
@@ -66,6 +67,8 @@
         self._leader = mapswitch.Leader(0)
         self._plan: expertplan.Plan | None = None
         self._held_at = 0.0
+        # By rank: the epoch and the version of the map, and the rank's experts.
+        self._experts: dict[int, tuple[int, int, list[list[int]]]] = {}
         self.skew = 1.0
         self.last_decision = ""
 
@@ -76,7 +79,10 @@
             state = self._source.get_state()
             if state is not None and state.is_open and state.rank == 0:
                 is_active = state.size > 1 and await self._lead(state)
-            await asyncio.sleep(ACTIVE_PERIOD_S if is_active else IDLE_PERIOD_S)
+            idle_s = IDLE_PERIOD_S
+            if state is not None:
+                idle_s *= max(state.size / RANKS_IN_PERIOD, 1.0)
+            await asyncio.sleep(ACTIVE_PERIOD_S if is_active else idle_s)
 
     async def _lead(self, state: engine.EngineState) -> bool:
         """Look at the group once; return whether a switch is under way."""
@@ -103,10 +109,15 @@
         hosts = self._source.get_rank_hosts()
         if not all(rank in hosts for rank in range(1, state.size)):
             return None
-        asked = messages.ReadRank(is_idle, is_idle)
         own = await self._desk.read_now(is_idle, is_idle)
         others = await asyncio.gather(
-            *(self._ask(hosts[rank], asked) for rank in range(1, state.size))
+            *(
+                self._ask(
+                    hosts[rank],
+                    messages.ReadRank(is_idle, is_idle and rank not in self._experts),
+                )
+                for rank in range(1, state.size)
+            )
         )
         replies = [own, *others]
         found = [one for one in replies if isinstance(one, messages.RankReply)]
@@ -115,8 +126,18 @@
         for rank, one in enumerate(found):
             if (one.group, one.epoch, one.rank) != (state.group, state.epoch, rank):
                 return None
+            if one.experts is not None:
+                self._experts[rank] = (one.epoch, one.map_version, one.experts)
         return found
 
+    def _get_experts(self, reply: messages.RankReply) -> list[list[int]] | None:
+        """Return a rank's experts, which are read once for each map."""
+        epoch, version, experts = self._experts.get(reply.rank, (0, -1, []))
+        if (epoch, version) == (reply.epoch, reply.map_version):
+            return experts
+        self._experts.pop(reply.rank, None)
+        return None
+
     async def _ask(self, host: str, msg: messages.Request) -> messages.Reply | None:
         """Ask the sidecar of another rank."""
         peer = self._peers.get(host)
@@ -167,6 +188,7 @@
         outcome = self._leader.outcome
         self._leader.outcome = ""
         self._counts.add_switch(outcome)
+        self._experts.clear()
         loguru.logger.info("event=map_switch_ends outcome={}", outcome)
         self._plan = None
 
@@ -177,13 +199,14 @@
     ) -> None:
         """Begin a switch if a better map pays for it."""
         model = await self._source.get_model()
-        current = [one.experts for one in replies]
+        current = [self._get_experts(one) for one in replies]
         if model is None or not model.layer_sets:
             return
         total = demand.sum_packed([(one.demand or b"", one.level) for one in replies])
         numbers = model.layer_sets * model.experts
-        if len(total) != numbers:
+        if len(total) not in (numbers, numbers + 1):
             return
+        del total[numbers:]
         if sum(total) < MIN_DEMAND and not self._leader.must_begin(views):
             return
         if any(one is None or len(one) != model.layer_sets for one in current):
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 
-class PrefixState(msgspec.Struct, frozen=True):
+class PrefixState(msgspec.Struct, frozen=True, array_like=True):
     """How far a process knows a prefix of the store, and how recent that is."""
 
     prefix: str
@@ -18,21 +18,21 @@
     age_s: float
 
 
-class Beat(msgspec.Struct, frozen=True, tag="beat"):
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """An entry tells another one that it lives and what it knows."""
 
     sender: str
     entries: list[str]
 
 
-class BeatReply(msgspec.Struct, frozen=True, tag="beat_reply"):
+class BeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat_reply"):
     """The answer to a beat."""
 
     entries: list[str]
     states: list[PrefixState]
 
 
-class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
+class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
     """Asks for the changes of a prefix after a revision."""
 
     prefix: str
@@ -48,7 +48,7 @@
     created_rev: int
 
 
-class FetchReply(msgspec.Struct, frozen=True, tag="fetch_reply"):
+class FetchReply(msgspec.Struct, frozen=True, array_like=True, tag="fetch_reply"):
     """The changes that were asked for."""
 
     prefix: str
@@ -57,10 +57,11 @@
     is_whole: bool
 
 
-class Report(msgspec.Struct, frozen=True, tag="report"):
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """A sidecar tells an entry how its target fares.
 
-    ``pace`` over 1 means that the engine is slow; ``step`` is the last pass.
+    ``pace`` over 1 means that the engine is slow. ``age_s`` is the time since the
+    engine was read. ``lists_seen`` is the digest of the lists that the entry sent last.
     """
 
     sender: str
@@ -75,26 +76,34 @@
     size: int
     is_open: bool
     skew: float
+    age_s: float = 0.0
+    lists_seen: int = 0
 
 
-class ReportReply(msgspec.Struct, frozen=True, tag="report_reply"):
-    """The entries that are known, and the sidecars of the sender's group by rank."""
+class ReportReply(msgspec.Struct, frozen=True, array_like=True, tag="report_reply"):
+    """The entries that are known, and the sidecars of the sender's group by rank.
 
-    entries: list[str]
-    ranks: list[tuple[int, str]]
+    The lists are left out if the sender has seen them, by their ``digest``. ``is_near``
+    asks the sender to report each change at once.
+    """
+
+    digest: int
+    is_near: bool
+    entries: list[str] = []
+    ranks: list[tuple[int, str]] = []
 
 
-class ReadRank(msgspec.Struct, frozen=True, tag="read_rank"):
+class ReadRank(msgspec.Struct, frozen=True, array_like=True, tag="read_rank"):
     """A group's leader asks a rank's sidecar for its state, and for more."""
 
     with_demand: bool
     with_experts: bool
 
 
-class RankReply(msgspec.Struct, frozen=True, tag="rank_reply"):
+class RankReply(msgspec.Struct, frozen=True, array_like=True, tag="rank_reply"):
     """A rank's state; versions and steps are 0 if there is none.
 
-    ``demand`` has one byte an expert, set by set, and ``level`` is what one unit of
+    ``demand`` has half a byte an expert, set by set, and ``level`` is what one unit of
     it is worth. ``experts`` are the rank's own, by set.
     """
 
@@ -114,7 +123,7 @@
     experts: list[list[int]] | None = None
 
 
-class OrderRank(msgspec.Struct, frozen=True, tag="order_rank"):
+class OrderRank(msgspec.Struct, frozen=True, array_like=True, tag="order_rank"):
     """A group's leader lets a rank's sidecar give its engine an order."""
 
     kind: typing.Literal["prepare", "arm"]
@@ -124,7 +133,7 @@
     experts: list[list[list[int]]] | None = None
 
 
-class NoReply(msgspec.Struct, frozen=True, tag="no_reply"):
+class NoReply(msgspec.Struct, frozen=True, array_like=True, tag="no_reply"):
     """The asked process cannot answer now, with the reason."""
 
     reason: str
--- a/sardinesaddle/direct/rankdesk.py
+++ b/sardinesaddle/direct/rankdesk.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import typing
 
 import loguru
@@ -19,9 +20,12 @@
 class RankDesk:
     """Reads and orders the engine beside a sidecar."""
 
-    def __init__(self, eng: engine.Engine, counted: counts.SidecarCounts) -> None:
+    def __init__(
+        self, eng: engine.Engine, counted: counts.SidecarCounts, rng: random.Random
+    ) -> None:
         self._engine = eng
         self._counts = counted
+        self._rng = rng
         self.demand = demand.ExpertDemand()
         self._experts: list[list[int]] = []
         self._experts_of: tuple[int, int] = (-1, -1)
@@ -46,7 +50,9 @@
         self, state: engine.EngineState, with_demand: bool, with_experts: bool
     ) -> messages.RankReply:
         """Return a rank's state with what else was asked for."""
-        packed, level = self.demand.pack() if with_demand else (None, 0.0)
+        packed, level = None, 0.0
+        if with_demand:
+            packed, level = self.demand.pack(self._rng.random)
         experts = await self._read_experts(state) if with_experts else None
         return messages.RankReply(
             group=state.group,
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import typing
 
@@ -31,6 +32,16 @@
 FETCH_TIMEOUT_S: typing.Final = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryLists:
+    """What an entry listed last: entries, and the ranks' sidecars in an epoch."""
+
+    digest: int
+    epoch: int
+    entries: list[str]
+    ranks: dict[int, str]
+
+
 class SidecarNode(rpc.Handler, groupleader.GroupSource):
     """One sidecar."""
 
@@ -50,11 +61,15 @@
         self._entries: dict[str, asyncio.Task[None]] = {}
         self._listed_at: dict[str, float] = {}
         self.state: engine.EngineState | None = None
-        self.ranks: dict[int, str] = {}
+        self._read_at = 0.0
+        # Replaced when it is set: each waiter learns of each change once.
         self._changed = asyncio.Event()
+        self._changes = 0
+        self._turns = 0
+        self._lists: dict[str, EntryLists] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self.is_leaving = False
-        self._desk = rankdesk.RankDesk(eng, self.counts)
+        self._desk = rankdesk.RankDesk(eng, self.counts, rng)
         self._leader = groupleader.GroupLeader(
             self, self._desk, self.counts, cfg.node_port, rng
         )
@@ -77,8 +92,13 @@
         return self.state
 
     def get_rank_hosts(self) -> dict[int, str]:
-        """Return the hosts of the group's sidecars by rank."""
-        return self.ranks
+        """Return the hosts of the group's sidecars by rank, as any entry knows them."""
+        hosts: dict[int, str] = {}
+        if self.state is not None:
+            for lists in self._lists.values():
+                if lists.epoch == self.state.epoch:
+                    hosts |= lists.ranks
+        return hosts
 
     async def get_model(self) -> catalog.EngineModel | None:
         """Return the engines' model from the configuration that an entry holds."""
@@ -142,7 +162,9 @@
 
     async def read_state(self) -> engine.EngineState | None:
         """Read the engine's state now."""
+        asked_at = asyncio.get_running_loop().time()
         got = await self._engine.read_state()
+        self._read_at = asked_at
         before = self.state
         if isinstance(got, engine.EngineFault):
             if before is not None:
@@ -166,21 +188,24 @@
                     got.is_open,
                 )
             self.state = got
-        if self._is_news(before):
-            self._changed.set()
+        self._note_change(before)
         return self.state
 
-    def _is_news(self, before: engine.EngineState | None) -> bool:
-        """Tell whether entries should hear of the state at once."""
+    def _note_change(self, before: engine.EngineState | None) -> None:
+        """Let the reporters know of a change: of the load, or a turn of the group."""
         now = self.state
-        if before is None or now is None:
-            return before is not now
-        return (before.running, before.waiting, before.is_open, before.epoch) != (
-            now.running,
-            now.waiting,
-            now.is_open,
-            now.epoch,
-        )
+        if (before is None) != (now is None):
+            self._turns += 1
+        elif before is not None and now is not None:
+            if (before.is_open, before.epoch) != (now.is_open, now.epoch):
+                self._turns += 1
+            elif (before.running, before.waiting) == (now.running, now.waiting):
+                return
+        else:
+            return
+        self._changes += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _start_reports(self, host: str) -> None:
         """Report to an entry from now on."""
@@ -196,38 +221,54 @@
         seeds = self._cfg.list_seed_hosts()
         try:
             while True:
-                reply = await peer.call(self._make_report(), REPORT_TIMEOUT_S)
+                told = (self._changes, self._turns)
+                report = self._make_report(host)
+                reply = await peer.call(report, REPORT_TIMEOUT_S)
+                is_near = False
                 if isinstance(reply, messages.ReportReply):
                     self._listed_at[host] = loop.time()
-                    self._on_reply(reply)
+                    self._on_reply(host, report.epoch, reply)
+                    is_near = reply.is_near
                 elif (
                     host not in seeds
                     and loop.time() - self._listed_at[host] > ENTRIES_TTL_S
                 ):
                     break
-                await self._wait_for_news()
+                await self._wait_for_news(told, is_near)
         finally:
             peer.close()
             self._entries.pop(host, None)
+            self._lists.pop(host, None)
+
+    async def _wait_for_news(self, told: tuple[int, int], is_near: bool) -> None:
+        """Wait until there is something to report, but not for long.
 
-    async def _wait_for_news(self) -> None:
-        """Wait until there is something to report, but not for long."""
+        Entries that prefer other targets hear of changes of the load with the regular
+        report only.
+        """
         await asyncio.sleep(READ_PERIOD_S)
+        changes, turns = told
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(REPORT_PERIOD_S - READ_PERIOD_S):
-                await self._changed.wait()
-        self._changed.clear()
+                while self._turns == turns and not (
+                    is_near and self._changes != changes
+                ):
+                    await self._changed.wait()
 
-    def _on_reply(self, reply: messages.ReportReply) -> None:
+    def _on_reply(self, host: str, epoch: int, reply: messages.ReportReply) -> None:
         """Take over the entries and the group's sidecars."""
-        for host in reply.entries:
-            self._start_reports(host)
-        if reply.ranks:
-            self.ranks = dict(reply.ranks)
+        lists = self._lists.get(host)
+        if lists is None or lists.digest != reply.digest:
+            lists = EntryLists(reply.digest, epoch, reply.entries, dict(reply.ranks))
+            self._lists[host] = lists
+        for other in lists.entries:
+            self._start_reports(other)
 
-    def _make_report(self) -> messages.Report:
+    def _make_report(self, host: str) -> messages.Report:
         """Return the newest state."""
+        loop = asyncio.get_running_loop()
         state = self.state
+        lists = self._lists.get(host)
         return messages.Report(
             sender=self._cfg.host,
             target=self._cfg.target,
@@ -241,6 +282,8 @@
             size=0 if state is None else state.size,
             is_open=state is not None and state.is_open,
             skew=self._leader.skew,
+            age_s=round(loop.time() - self._read_at, 3),
+            lists_seen=0 if lists is None else lists.digest,
         )
 
     async def drain(self) -> None:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -1,10 +1,17 @@
 """What an entry knows of the targets, and which one takes the next request.
 
 A target's load is the count that its sidecar last reported plus what this entry sent
-since and less what it saw end since; without a recent report it is this entry's own
-requests times the number of entries. The target with the lowest load for its slots
-is chosen; a slow pace and recent failures count as load, so that a doubtful target
-is tried now and then and a good one is never starved.
+since the reading behind the report and less what it saw end since; without a recent
+report it is this entry's own requests times the number of entries. The target with the
+lowest load for its slots is chosen; a slow pace and recent failures count as load, so
+that a doubtful target is tried now and then and a good one is never starved.
+
+Reports lag, so entries that all take the least loaded target meet at it. Each entry
+therefore prefers its homes, an equal part of a service's targets, and looks elsewhere
+only at a few targets drawn at random. Entries and targets are paired in the order of
+their addresses, which puts most homes into the entry's own place; entries that differ
+about who is there only prefer other targets. The load that this answers is played by
+``sardinesaddle bench rankchoice``.
 
 A target is held apart for a while after failures in a row. If all targets of a
 service are held apart, the one whose time is up first is taken: a wrong suspicion
@@ -25,6 +32,7 @@
 then.
 """
 
+import collections
 import dataclasses
 import typing
 
@@ -38,9 +46,15 @@
 FAILURE_WEIGHT: typing.Final = 0.2  # of the newest result in the moving average
 FAILURE_LOAD: typing.Final = 1.5  # full slots that a target which always fails is worth
 FULL_PAUSE_S: typing.Final = 0.15  # after a refusal unrun: half a report period
-MOST_LOAD: typing.Final = 1.5  # full slots; what waits longer is given up as silent
+MOST_LOAD: typing.Final = (
+    1.0  # full slots; the rest waits in order here (bench rankchoice)
+)
 START_GRACE_S: typing.Final = 1.5  # sidecars that start with an entry report by then
 PLACE_LOAD: typing.Final = 0.02  # full slots that another place is worth
+AWAY_LOAD: typing.Final = 0.4  # full slots that a home is worth (bench rankchoice)
+AWAY_ROOM: typing.Final = 1  # slots left to a target's own entry (bench rankchoice)
+AWAY_CHOICES: typing.Final = 3  # targets looked at beside the homes (bench rankchoice)
+REPORT_HOP_S: typing.Final = 0.01  # from a sidecar to an entry, and its handling
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,8 +66,12 @@
     own: int = 0
     report: messages.Report | None = None
     reported_at: float = 0.0
-    sent_since: int = 0
-    ended_since: int = 0
+    sends: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    ends: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
     streak: int = 0
     failure_share: float = 0.0
     ejected_until: float = 0.0
@@ -76,12 +94,18 @@
         """Tell whether the sidecar's report is recent."""
         return self.report is not None and now - self.reported_at < REPORT_TTL_S
 
+    def forget_before(self, when: float) -> None:
+        """Drop the sends and ends that a reading at that time has counted."""
+        for times in (self.sends, self.ends):
+            while times and times[0] <= when:
+                times.popleft()
+
     def estimate_running(self, now: float, entries: int) -> float:
         """Return the requests that the target has now, of all entries."""
         if self.report is None or not self.has_report(now):
             return float(self.own * max(entries, 1))
         counted = self.report.running + self.report.waiting
-        counted += self.sent_since - self.ended_since
+        counted += len(self.sends) - len(self.ends)
         return float(max(counted, self.own))
 
 
@@ -90,6 +114,11 @@
 
     def __init__(self, place: str) -> None:
         self._place = place
+        self._own_host = ""
+        self._entries: list[str] = []
+        # Targets that may get new work, by service, and which of them are homes.
+        self._listed: dict[str, list[Target]] = {}
+        self._homes: dict[str, frozenset[str]] = {}
         self._started_at: float | None = None
         self.lockstep_services: frozenset[str] = frozenset()
         # The newest epoch of each group, and whether the group is open in it.
@@ -100,16 +129,56 @@
     def __len__(self) -> int:
         return len(self._targets)
 
+    def set_entries(self, own: str, hosts: typing.Iterable[str]) -> None:
+        """Take over the hosts of all entries, with the own one, for the homes."""
+        listed = sorted({own, *hosts}, key=make_address_key)
+        if (own, listed) != (self._own_host, self._entries):
+            self._own_host = own
+            self._entries = listed
+            self._homes.clear()
+
     def list_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that may get new work."""
-        return [
-            one
-            for one in self._targets.values()
-            if one.entry.service == service
-            and one.entry.state is catalog.TargetState.READY
-            and not one.is_misplaced
-            and self._by_address[one.address] is one
-        ]
+        listed = self._listed.get(service)
+        if listed is None:
+            listed = [
+                one
+                for one in self._targets.values()
+                if one.entry.service == service
+                and one.entry.state is catalog.TargetState.READY
+                and not one.is_misplaced
+                and self._by_address[one.address] is one
+            ]
+            self._listed[service] = listed
+        return listed
+
+    def list_homes(self, service: str) -> frozenset[str]:
+        """Return the targets of a service that this entry prefers."""
+        homes = self._homes.get(service)
+        if homes is None:
+            listed = sorted(
+                self.list_targets(service),
+                key=lambda one: make_address_key(one.entry.host),
+            )
+            count = len(self._entries)
+            homes = frozenset(
+                one.ident
+                for index, one in enumerate(listed)
+                if count
+                and self._entries[index * count // len(listed)] == self._own_host
+            )
+            self._homes[service] = homes
+        return homes
+
+    def is_home(self, address: str) -> bool:
+        """Tell whether the target at an address is one that this entry prefers."""
+        held = self._by_address.get(address)
+        return held is not None and held.ident in self.list_homes(held.entry.service)
+
+    def _forget_lists(self) -> None:
+        """Let the lists be made anew: the targets changed."""
+        self._listed.clear()
+        self._homes.clear()
 
     def list_keys(self) -> set[tuple[str, int, str]]:
         """Return the addresses and incarnations of all targets."""
@@ -128,6 +197,7 @@
         ``created_rev`` is the revision at which the entry was first written.
         """
         held = self._targets.get(entry.ident)
+        self._forget_lists()
         if held is None:
             made = Target(entry, created_rev)
             self._targets[entry.ident] = made
@@ -145,6 +215,7 @@
         held = self._targets.pop(ident, None)
         if held is None:
             return
+        self._forget_lists()
         if self._by_address.get(held.address) is not held:
             return
         del self._by_address[held.address]
@@ -177,8 +248,7 @@
         self._note_group(report)
         held.report = report
         held.reported_at = now
-        held.sent_since = 0
-        held.ended_since = 0
+        held.forget_before(now - REPORT_HOP_S - report.age_s)
 
     def _note_group(self, report: messages.Report) -> None:
         """Take note of a group's state; what breaks opens only in a new epoch."""
@@ -205,10 +275,17 @@
         usable = [t for t in with_room if t.ejected_until <= now]
         if not usable:
             return min(with_room, key=lambda t: t.ejected_until, default=None)
-        return min(
-            usable,
-            key=lambda t: (self.compute_load(now, t, entries), draws()),
-        )
+        homes = self.list_homes(service)
+        near = [t for t in usable if t.ident in homes]
+        away = [t for t in usable if t.ident not in homes]
+        if homes and len(away) > AWAY_CHOICES:
+            away = [away[int(draws() * len(away))] for _ in range(AWAY_CHOICES)]
+        loads = [(self.compute_load(now, t, entries), draws(), t) for t in near]
+        handicap = AWAY_LOAD if homes else 0.0
+        loads += [
+            (self.compute_load(now, t, entries) + handicap, draws(), t) for t in away
+        ]
+        return min(loads, key=lambda one: one[:2])[2]
 
     def has_hope(self, now: float, service: str) -> bool:
         """Tell whether targets are there that may take a request soon."""
@@ -226,6 +303,9 @@
         if target.entry.service not in self.lockstep_services:
             return True
         most = MOST_LOAD * target.entry.slots
+        homes = self.list_homes(target.entry.service)
+        if homes and target.ident not in homes:
+            most = max(most - AWAY_ROOM, 1.0)
         return target.estimate_running(now, entries) < most
 
     def is_open(self, now: float, target: Target) -> bool:
@@ -251,15 +331,16 @@
             load += PLACE_LOAD
         return load
 
-    def on_send(self, target: Target) -> None:
+    def on_send(self, target: Target, now: float) -> None:
         """Take note of a request that is sent."""
         target.own += 1
-        target.sent_since += 1
+        target.sends.append(now)
+        target.forget_before(now - REPORT_TTL_S)
 
-    def on_end(self, target: Target) -> None:
+    def on_end(self, target: Target, now: float) -> None:
         """Take note of a request that ended."""
         target.own -= 1
-        target.ended_since += 1
+        target.ends.append(now)
 
     def on_success(self, target: Target) -> None:
         """Take note of a good answer."""
@@ -289,3 +370,11 @@
     def on_misplaced(self, target: Target) -> None:
         """Take note that another target answers at this address."""
         target.is_misplaced = True
+        self._forget_lists()
+
+
+def make_address_key(host: str) -> tuple[tuple[int, str], ...]:
+    """Return a key that sorts addresses by their numbers."""
+    return tuple(
+        (int(part), "") if part.isdigit() else (0, part) for part in host.split(".")
+    )
--- a/sardinesaddle/platform/store.py
+++ b/sardinesaddle/platform/store.py
@@ -93,7 +93,7 @@
         query = {
             "prefix": prefix,
             "after": str(after),
-            "wait_ms": str(int(wait_s * 1000)),
+            "wait_ms": str(round(wait_s * 1000)),
         }
         got = await self._get("/kv-watch", query, wait_s + WATCH_SLACK_S)
         if isinstance(got, following.StoreFault):
--- a/test/test_direct_knowledge.py
+++ b/test/test_direct_knowledge.py
@@ -317,3 +317,62 @@
         await draining
 
     df.play(scenario)
+
+
+class SplitStore(following.Store):
+    """The store as some entries reach it: they can be turned away together."""
+
+    def __init__(self, store: df.MemoryStore) -> None:
+        self.store = store
+        self.is_turned_away = False
+
+    async def read_all(self, prefix: str) -> replica.Delta | following.StoreFault:
+        """List a prefix."""
+        if self.is_turned_away:
+            return following.StoreFault("turned away", False)
+        return await self.store.read_all(prefix)
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> replica.Delta | following.StoreFault:
+        """Wait for changes."""
+        if self.is_turned_away:
+            await asyncio.sleep(0.004)
+            return following.StoreFault("turned away", False)
+        return await self.store.watch(prefix, after, wait_s)
+
+
+def test_many_entries_leave_the_store_to_a_few() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        reached = SplitStore(fleet.store)
+        for _ in range(5):
+            await fleet.add_entry(reached)
+        for _ in range(4):
+            await fleet.add_entry()
+        await fleet.settle(3.0)
+        before = fleet.store.calls
+        await fleet.settle(15.0)
+        # Six of ten entries make two watches of 1.3 s each; a quarter of all is saved
+        # even if the others help out now and then.
+        assert fleet.store.calls - before <= 0.75 * 10 * 2 * 15.0 / 1.3
+        assert all(node.compute_config_age() < 1.6 for node in fleet.entries)
+        fleet.store.put("op/config", df.make_config(version=2))
+        await fleet.settle(0.8)
+        assert list_versions(fleet) == [2] * 10
+        # All who follow the store but one are turned away; then the others go on.
+        reached.is_turned_away = True
+        await fleet.settle(0.5)
+        fleet.store.put("op/config", df.make_config(version=3, keys=("key-b",)))
+        await fleet.settle(1.5)
+        assert list_versions(fleet) == [3] * 10
+        # All are: nobody's word is recent, and everybody asks until one is answered.
+        fleet.store.is_down = True
+        await fleet.settle(3.0)
+        fleet.store.put("op/config", df.make_config(version=4))
+        fleet.store.is_down = False
+        await fleet.settle(1.5)
+        assert list_versions(fleet) == [4] * 10
+        await fleet.settle(3.0)
+        assert all(node.compute_config_age() < 1.6 for node in fleet.entries)
+
+    df.play(scenario)
