Send work that may run once on a new connection

Cause: engines of the larger deployments drop idle connections without notice, and what is sent next is reset; a request that may run once then ends as unknown, although it need not have. The test failed first (502 on the second request), then passed. Price: one connection for each such request, 1 ms at the engine.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -225,7 +225,9 @@
         key = (entry.host, entry.port, entry.ident)
         now = asyncio.get_running_loop().time
         try:
-            conn = await self._pool.acquire(key, now(), CONNECT_TIMEOUT_S)
+            conn = await self._pool.acquire(
+                key, now(), CONNECT_TIMEOUT_S, is_new=not job.may_repeat
+            )
             if isinstance(conn, upstream.Failure):
                 return conn
             exchange = upstream.Exchange(
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -10,6 +10,9 @@
   on with the next one.
 - An answer without a length is whole if the connection was closed in order, and
   broken if it was reset.
+- A target may drop an idle connection without notice, and what is sent next on it is
+  reset. Work that may run once gets a new connection, since it cannot be sent again
+  after a reset.
 """
 
 import asyncio
@@ -302,10 +305,10 @@
         self.reused = 0
 
     async def acquire(
-        self, key: PoolKey, now: float, connect_timeout_s: float
+        self, key: PoolKey, now: float, connect_timeout_s: float, is_new: bool
     ) -> Connection | Failure:
-        """Return a connection to a target."""
-        idle = self._idle.get(key, [])
+        """Return a connection to a target, a kept one unless ``is_new`` is set."""
+        idle = [] if is_new else self._idle.get(key, [])
         while idle:
             conn = idle.pop()
             if conn.is_closed or conn.has_unread:
--- a/test/test_direct_requests.py
+++ b/test/test_direct_requests.py
@@ -435,3 +435,23 @@
             task.cancel()
 
     df.play(scenario)
+
+
+def test_work_that_may_run_once_is_not_sent_on_a_kept_connection() -> None:
+    # The target drops idle connections without notice: what comes next is reset.
+    async def reset_kept(
+        target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+    ) -> bool:
+        if any(one.conn == call.conn for one in target.calls[:-1]):
+            writer.transport.abort()
+            return False
+        return await df.answer_well(target, call, writer)
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", reset_kept)
+        await fleet.settle()
+        for _ in range(3):
+            assert (await fleet.call("/once/a")).status == 200
+        assert len({call.conn for call in target.calls}) == 3
+
+    df.play(scenario)
