Refuse what the line's pace cannot reach; spread the return of callers without room

Cause: with the pace measured over a whole second, a group that had just opened refused callers whose turn came 0.2 s later (test_requests_wait_for_a_group_that_forms failed, with two of twelve refused). The pace is measured since the first turn and allows for chance.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -133,7 +133,11 @@
         while True:
             target = await self._find_target(job)
             if target is None:
-                return await self._end_unanswered(job, out, last_error, "no_target")
+                # Drawn times keep callers from coming back together.
+                retry_after_s = work.RETRY_ROOM_S * (1.0 + self._rng.random())
+                return await self._end_unanswered(
+                    job, out, last_error, "no_target", retry_after_s
+                )
             outcome = await self._attempt(job, target, out)
             if isinstance(outcome, work.Answered):
                 self._targets.on_success(target)
@@ -206,6 +210,7 @@
         out: work.Responder,
         last_error: work.TargetError | None,
         reason: str,
+        retry_after_s: float = work.RETRY_SOON_S,
     ) -> work.Refused | None:
         """Return the refusal, unless a target's own error is the answer."""
         if last_error is not None and not out.is_started:
@@ -215,7 +220,7 @@
             return None
         if job.may_have_run or out.is_started:
             return work.Refused(work.STATUS_UNKNOWN, reason)
-        return refuse_unrun(reason)
+        return refuse_unrun(reason, retry_after_s)
 
     async def _attempt(
         self, job: work.Work, target: targetpool.Target, out: work.Responder
--- a/sardinesaddle/direct/waitline.py
+++ b/sardinesaddle/direct/waitline.py
@@ -15,12 +15,15 @@
 
 import collections
 import dataclasses
+import math
 import typing
 
 from sardinesaddle.direct import targetpool
 
 FIRST_EVENT_S: typing.Final = 0.2  # from a send to a first event: three passes
 PACE_WINDOW_S: typing.Final = 1.0  # over which the pace of turns is measured
+LEAST_SPAN_S: typing.Final = 0.25  # that a pace can be measured over
+CHANCE: typing.Final = 2.0  # standard deviations of a count of turns
 MIN_TURNS: typing.Final = 8  # in the window; fewer say nothing about the pace
 URGENCY_S: typing.Final = 0.05  # of waiting that a step of urgency is worth
 
@@ -96,8 +99,17 @@
         self._forget(now)
         if len(self._turns) < MIN_TURNS:
             return []
-        pace = len(self._late_turns) / PACE_WINDOW_S
+        # A group that has just opened is judged by the time since its first turn.
+        span_s = max(now - self._turns[0], LEAST_SPAN_S)
+        pace = len(self._late_turns) / span_s
         late = [one for one in self.list_in_order(now) if not one.can_be_in_time(now)]
         return [
-            one for index, one in enumerate(late) if index >= pace * (one.until - now)
+            one
+            for index, one in enumerate(late)
+            if index >= count_turns(pace * (one.until - now))
         ]
+
+
+def count_turns(expected: float) -> float:
+    """Return how many turns may come where some are expected, by chance included."""
+    return expected + CHANCE * math.sqrt(expected + 1.0)
--- a/sardinesaddle/direct/work.py
+++ b/sardinesaddle/direct/work.py
@@ -10,6 +10,7 @@
 STATUS_UNKNOWN: typing.Final = 502
 STATUS_TIMEOUT: typing.Final = 504
 RETRY_SOON_S: typing.Final = 0.3  # targets and entries come back within a second
+RETRY_ROOM_S: typing.Final = 0.8  # to twice this: a group takes 1 to 3 s to open again
 RETRY_LATER_S: typing.Final = 1.0  # an outage of the store lasts for seconds
 
 
