--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -7,10 +7,10 @@
 that a doubtful target is tried now and then and a good one is never starved.
 
 Reports lag, so entries that all take the least loaded target meet at it. Each entry
-therefore prefers its homes, an equal part of a service's targets, and looks elsewhere
+therefore prefers its subset, an equal part of a service's targets, and looks elsewhere
 only at a few targets drawn at random. Entries and targets are paired in the order of
-their addresses, which puts most homes into the entry's own place; entries that differ
-about who is there only prefer other targets. The load that this answers is played by
+their addresses, which puts most of a subset into the entry's own place; entries that
+differ about who is there only prefer other targets. The load that this answers is played by
 ``sardinesaddle bench rankchoice``.
 
 A target is held apart for a while after failures in a row. If all targets of a
@@ -51,9 +51,9 @@
 )
 START_GRACE_S: typing.Final = 1.5  # sidecars that start with an entry report by then
 PLACE_LOAD: typing.Final = 0.02  # full slots that another place is worth
-AWAY_LOAD: typing.Final = 0.4  # full slots that a home is worth (bench rankchoice)
+AWAY_LOAD: typing.Final = 0.4  # full slots that the subset is worth (bench rankchoice)
 AWAY_ROOM: typing.Final = 1  # slots left to a target's own entry (bench rankchoice)
-AWAY_CHOICES: typing.Final = 3  # targets looked at beside the homes (bench rankchoice)
+AWAY_CHOICES: typing.Final = 3  # targets looked at beside the subset (bench rankchoice)
 REPORT_HOP_S: typing.Final = 0.01  # from a sidecar to an entry, and its handling
 
 
@@ -116,9 +116,9 @@
         self._place = place
         self._own_host = ""
         self._entries: list[str] = []
-        # Targets that may get new work, by service, and which of them are homes.
+        # Targets that may get new work, by service, and which are the subset.
         self._listed: dict[str, list[Target]] = {}
-        self._homes: dict[str, frozenset[str]] = {}
+        self._subsets: dict[str, frozenset[str]] = {}
         self._started_at: float | None = None
         self.lockstep_services: frozenset[str] = frozenset()
         # The newest epoch of each group, and whether the group is open in it.
@@ -130,12 +130,12 @@
         return len(self._targets)
 
     def set_entries(self, own: str, hosts: typing.Iterable[str]) -> None:
-        """Take over the hosts of all entries, with the own one, for the homes."""
+        """Take over the hosts of all entries, with the own one, for the subsets."""
         listed = sorted({own, *hosts}, key=make_address_key)
         if (own, listed) != (self._own_host, self._entries):
             self._own_host = own
             self._entries = listed
-            self._homes.clear()
+            self._subsets.clear()
 
     def list_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that may get new work."""
@@ -152,33 +152,33 @@
             self._listed[service] = listed
         return listed
 
-    def list_homes(self, service: str) -> frozenset[str]:
+    def list_subset(self, service: str) -> frozenset[str]:
         """Return the targets of a service that this entry prefers."""
-        homes = self._homes.get(service)
-        if homes is None:
+        subset = self._subsets.get(service)
+        if subset is None:
             listed = sorted(
                 self.list_targets(service),
                 key=lambda one: make_address_key(one.entry.host),
             )
             count = len(self._entries)
-            homes = frozenset(
+            subset = frozenset(
                 one.ident
                 for index, one in enumerate(listed)
                 if count
                 and self._entries[index * count // len(listed)] == self._own_host
             )
-            self._homes[service] = homes
-        return homes
+            self._subsets[service] = subset
+        return subset
 
-    def is_home(self, address: str) -> bool:
+    def is_in_subset(self, address: str) -> bool:
         """Tell whether the target at an address is one that this entry prefers."""
         held = self._by_address.get(address)
-        return held is not None and held.ident in self.list_homes(held.entry.service)
+        return held is not None and held.ident in self.list_subset(held.entry.service)
 
     def _forget_lists(self) -> None:
         """Let the lists be made anew: the targets changed."""
         self._listed.clear()
-        self._homes.clear()
+        self._subsets.clear()
 
     def list_keys(self) -> set[tuple[str, int, str]]:
         """Return the addresses and incarnations of all targets."""
@@ -275,13 +275,13 @@
         usable = [t for t in with_room if t.ejected_until <= now]
         if not usable:
             return min(with_room, key=lambda t: t.ejected_until, default=None)
-        homes = self.list_homes(service)
-        near = [t for t in usable if t.ident in homes]
-        away = [t for t in usable if t.ident not in homes]
-        if homes and len(away) > AWAY_CHOICES:
+        subset = self.list_subset(service)
+        near = [t for t in usable if t.ident in subset]
+        away = [t for t in usable if t.ident not in subset]
+        if subset and len(away) > AWAY_CHOICES:
             away = [away[int(draws() * len(away))] for _ in range(AWAY_CHOICES)]
         loads = [(self.compute_load(now, t, entries), draws(), t) for t in near]
-        handicap = AWAY_LOAD if homes else 0.0
+        handicap = AWAY_LOAD if subset else 0.0
         loads += [
             (self.compute_load(now, t, entries) + handicap, draws(), t) for t in away
         ]
@@ -303,8 +303,8 @@
         if target.entry.service not in self.lockstep_services:
             return True
         most = MOST_LOAD * target.entry.slots
-        homes = self.list_homes(target.entry.service)
-        if homes and target.ident not in homes:
+        subset = self.list_subset(target.entry.service)
+        if subset and target.ident not in subset:
             most = max(most - AWAY_ROOM, 1.0)
         return target.estimate_running(now, entries) < most
 
--- a/test/test_direct_placing.py
+++ b/test/test_direct_placing.py
@@ -60,34 +60,34 @@
     )  # fmt: skip
 
 
-def test_each_target_is_the_home_of_one_entry_and_parts_are_equal() -> None:
+def test_each_target_is_in_the_subset_of_one_entry_and_parts_are_equal() -> None:
     pools = [make_pool(host, 64) for host in HOSTS]
-    homes = [pool.list_homes("model") for pool in pools]
-    assert sorted(ident for one in homes for ident in one) == sorted(
+    subset = [pool.list_subset("model") for pool in pools]
+    assert sorted(ident for one in subset for ident in one) == sorted(
         f"t{n}" for n in range(64)
     )
-    assert {len(one) for one in homes} <= {4, 5}
+    assert {len(one) for one in subset} <= {4, 5}
     # An entry that is lost leaves its part to the others.
     pools[0].set_entries(HOSTS[0], HOSTS[1:])
     rest = [host for host in HOSTS if host != HOSTS[5]]
     pools[0].set_entries(HOSTS[0], rest)
-    assert len(pools[0].list_homes("model")) in (5, 6)
+    assert len(pools[0].list_subset("model")) in (5, 6)
 
 
-def test_homes_are_taken_while_they_have_room_and_others_when_they_are_full() -> None:
+def test_subset_is_taken_while_it_has_room_and_others_when_it_is_full() -> None:
     pool = make_pool(HOSTS[0], 64)
-    homes = pool.list_homes("model")
+    subset = pool.list_subset("model")
     for n in range(64):
         pool.on_report(0.0, make_report(n, 0))
     draw = random.Random(3).random
     taken = []
-    for _ in range(len(homes) * SLOTS + 3):
+    for _ in range(len(subset) * SLOTS + 3):
         target = pool.choose(0.1, "model", (), 13, draw)
         assert target is not None
         pool.on_send(target, 0.1)
         taken.append(target.ident)
-    assert set(taken[: len(homes)]) == homes
-    assert len(set(taken[-3:]) - homes) == 3
+    assert set(taken[: len(subset)]) == subset
+    assert len(set(taken[-3:]) - subset) == 3
 
 
 def test_what_was_sent_after_the_reading_still_counts() -> None:
