--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -10,8 +10,8 @@
 therefore prefers its subset, an equal part of a service's targets, and looks elsewhere
 only at a few targets drawn at random. Entries and targets are paired in the order of
 their addresses, which puts most of a subset into the entry's own place; entries that
-differ about who is there only prefer other targets. The load that this answers is played by
-``sardinesaddle bench rankchoice``.
+differ about who is there only prefer other targets. The load that this answers is
+played by ``sardinesaddle bench rankchoice``.
 
 A target is held apart for a while after failures in a row. If all targets of a
 service are held apart, the one whose time is up first is taken: a wrong suspicion
@@ -46,9 +46,7 @@
 FAILURE_WEIGHT: typing.Final = 0.2  # of the newest result in the moving average
 FAILURE_LOAD: typing.Final = 1.5  # full slots that a target which always fails is worth
 FULL_PAUSE_S: typing.Final = 0.15  # after a refusal unrun: half a report period
-MOST_LOAD: typing.Final = (
-    1.0  # full slots; the rest waits in order here (bench rankchoice)
-)
+MOST_LOAD: typing.Final = 1.0  # full slots; the rest waits here (bench rankchoice)
 START_GRACE_S: typing.Final = 1.5  # sidecars that start with an entry report by then
 PLACE_LOAD: typing.Final = 0.02  # full slots that another place is worth
 AWAY_LOAD: typing.Final = 0.4  # full slots that the subset is worth (bench rankchoice)
