Name a group's ranks anew in each epoch; let a broken stream wait for room elsewhere

Cause 1, found by reading: the digest of the lists that an entry sends left the epoch out. If rank 0 is the last to report a new epoch, the lists look as they were, are not sent, and the leader knows no ranks in that epoch, so that maps are not switched until an entry starts or leaves. The test failed first (no ranks in epoch 2), then passed. Cause 2: the wait for room was counted from the caller's request, so a stream that broke off after 1.5 s was given up if no rank had room in that moment. It now waits up to 0.8 s from the break, ahead of those who are late already. The test failed first (cut after two events), then passed. Ruled out: a longer wait, since callers leave 2 s after the last event.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -273,7 +273,7 @@
             )
         entries = sorted(self._list_entries())
         ranks = self._list_ranks(report)
-        digest = zlib.crc32(repr((entries, ranks)).encode())
+        digest = zlib.crc32(repr((report.epoch, entries, ranks)).encode())
         is_near = self.targets.is_in_subset(report.target)
         if digest == report.lists_seen:
             return messages.ReportReply(digest, is_near)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -35,6 +35,7 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet's resend
 MAX_CONNECTS: typing.Final = 4
 QUEUE_S: typing.Final = 1.5  # callers leave a silent stream after 2 s
+RESUME_S: typing.Final = 0.8  # callers leave after 2 s, of which silence took 1.2
 LEAST_URGENT: typing.Final = 9  # of the scale that engines know
 MIN_SEND_S: typing.Final = 0.02  # less time left than this serves nobody
 
@@ -153,12 +154,17 @@
 
     async def _find_target(self, job: work.Work) -> targetpool.Target | None:
         """Return the target for the next attempt; wait if one may come up in time."""
-        arrived_at = job.req.arrived_at
+        since = job.req.arrived_at
+        due_at, until = since + job.route.objective_s, since + QUEUE_S
+        if job.first_at:
+            # The caller has a part of a stream already and does not wait long for more.
+            since = asyncio.get_running_loop().time()
+            due_at = until = since + RESUME_S
         waiter = waitline.Waiter(
             find_urgency(job),
-            arrived_at,
-            arrived_at + job.route.objective_s,
-            min(arrived_at + QUEUE_S, job.ends_at - MIN_SEND_S),
+            since,
+            due_at,
+            min(until, job.ends_at - MIN_SEND_S),
             job.tried,
         )
         return await self.rooms.find(job.service, waiter)
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -222,12 +222,12 @@
         try:
             while True:
                 told = (self._changes, self._turns)
-                report = self._make_report(host)
+                report = self.make_report(host)
                 reply = await peer.call(report, REPORT_TIMEOUT_S)
                 is_near = False
                 if isinstance(reply, messages.ReportReply):
                     self._listed_at[host] = loop.time()
-                    self._on_reply(host, report.epoch, reply)
+                    self.on_reply(host, report.epoch, reply)
                     is_near = reply.is_near
                 elif (
                     host not in seeds
@@ -255,7 +255,7 @@
                 ):
                     await self._changed.wait()
 
-    def _on_reply(self, host: str, epoch: int, reply: messages.ReportReply) -> None:
+    def on_reply(self, host: str, epoch: int, reply: messages.ReportReply) -> None:
         """Take over the entries and the group's sidecars."""
         lists = self._lists.get(host)
         if lists is None or lists.digest != reply.digest:
@@ -264,7 +264,7 @@
         for other in lists.entries:
             self._start_reports(other)
 
-    def _make_report(self, host: str) -> messages.Report:
+    def make_report(self, host: str) -> messages.Report:
         """Return the newest state."""
         loop = asyncio.get_running_loop()
         state = self.state
--- a/test/test_direct_maps.py
+++ b/test/test_direct_maps.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import typing
 
@@ -20,10 +21,13 @@
     groupleader,
     mapswitch,
     messages,
+    nodesettings,
     rankdesk,
     sidecarnode,
 )
+from sardinesaddle.platform import catalogformat
 from sardinesaddle.standins import rankgroup, world
+from test import directfleet as df
 
 RANKS: typing.Final = 4
 SHAPE: typing.Final = expertplan.Shape((1.0,) * RANKS, 16, 6, 2, 0.85, 0.148)
@@ -316,3 +320,41 @@
     assert one.values == [0.0, 0.0, 0.0]
     assert one.estimate()[0] > 0.0
     assert one.estimate()[1] > 0.0
+
+
+def test_leader_learns_its_ranks_anew_in_a_new_epoch() -> None:
+    # The sidecar of rank 0 is the last one that reports the new epoch.
+    async def scenario(fleet: df.Fleet) -> None:
+        entry = fleet.entries[0]
+        state = engine.EngineState(0, 0, 1.0, 0, "g", 1, 0, 3, True, 5, 0, 0, 0, 0, 0)
+        leading = sidecarnode.SidecarNode(
+            nodesettings.SidecarSettings(
+                name="s0", host="s0", place="p", store="127.0.0.1:1",
+                node_ports=(1, 1), target="127.0.0.1:1",
+            ),
+            rankgroup.RankEngine(rankgroup.RankGroup(3, 1), 0),
+            catalogformat.PlatformCodec(),
+            random.Random(1),
+        )  # fmt: skip
+
+        async def report_all(epoch: int) -> None:
+            leading.state = dataclasses.replace(state, epoch=epoch)
+            for rank in (1, 2):
+                await entry.answer(
+                    messages.Report(
+                        f"s{rank}", f"t{rank}", True, 0, 0, 1.0, "g", epoch, rank, 3,
+                        True, 1.0,
+                    )
+                )  # fmt: skip
+            report = leading.make_report("e0")
+            reply = await entry.answer(report)
+            assert isinstance(reply, messages.ReportReply)
+            leading.on_reply("e0", report.epoch, reply)
+
+        await report_all(1)
+        await report_all(1)
+        assert leading.get_rank_hosts() == {0: "s0", 1: "s1", 2: "s2"}
+        await report_all(2)
+        assert leading.get_rank_hosts() == {0: "s0", 1: "s1", 2: "s2"}
+
+    df.play(scenario)
--- a/test/test_direct_requests.py
+++ b/test/test_direct_requests.py
@@ -489,3 +489,50 @@
         assert times[-1] - times[0] > 0.4
 
     df.play(scenario)
+
+
+def test_stream_that_breaks_off_late_waits_for_room_elsewhere() -> None:
+    # Load: the only other rank is full for half a second more.
+    async def break_late(
+        target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(df.make_stream_head(call.ident))
+        for number in (1, 2):
+            writer.write(df.make_chunk(df.make_event(number)))
+            await asyncio.sleep(1.0)
+        df.reset(writer)
+        return False
+
+    async def scenario(fleet: df.Fleet) -> None:
+        config = df.make_config(version=2)
+        engine = {"slots": 4, "sets": 6, "experts": 64}
+        config["services"] = [{"name": "plain"}, {"name": "engines", "engine": engine}]
+        fleet.store.put("op/config", config)
+        first = await fleet.add_target("t1", "engines", break_late)
+        other = await fleet.add_target("t2", "engines", stream_three)
+        await fleet.settle(0.2)
+        node = fleet.entries[0]
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+
+        async def report_regularly() -> None:
+            while True:
+                running = 4 if loop.time() < began_at + 2.5 else 0
+                for name, target, load in (("a", first, 0), ("b", other, running)):
+                    address = f"127.0.0.1:{target.port}"
+                    await node.answer(
+                        messages.Report(
+                            name, address, True, load, 0, 1.0, name, 1, 0, 1, True, 1.0
+                        )
+                    )
+                await asyncio.sleep(0.1)
+
+        reporting = asyncio.create_task(report_regularly())
+        await asyncio.sleep(0.05)
+        got = await fleet.call("/stream/a")
+        reporting.cancel()
+        assert got.is_whole
+        assert len(first.calls) == len(other.calls) == 1
+        assert other.calls[0].at - began_at >= 2.5
+
+    df.play(scenario)
