Soak: sidecars and a lock-step group whose maps are switched under faults

Real sidecars lead a stand-in group behind proxies; no pass may mix maps and the group must go on at the end.

--- a/test/soak.py
+++ b/test/soak.py
@@ -1,14 +1,16 @@
-"""A randomized soak: real entries as processes, faults from outside, promises checked.
+"""A randomized soak: real processes, faults from outside, promises checked.
 
     python -m test.soak [--seeds N] [--first SEED] [--seconds S]
 
-Each seed plays one run: three entries as separate processes, a store, and targets
-behind loopback proxies, all in this process. Callers keep their connections open
-until the entry is gone. Faults come in series and overlap: entries are paused, killed,
-stopped, told to reload; proxies delay, reset or swallow bytes one way or both; the
-store fails, falls silent or forgets its history; versions change. A planned run has
-only stops, reloads and versions, and then no request may be lost. At the end
-everything is healed, and the entries must serve and have the newest version.
+Each seed plays one run: three entries and a group of three sidecars as separate
+processes; a store, plain targets and a lock-step group of engines behind loopback
+proxies in this one. Callers keep their connections open until the entry is gone.
+Faults come in series and overlap: processes are paused, killed, stopped, told to
+reload; proxies delay, reset or swallow bytes one way or both; the store fails, falls
+silent or forgets its history; versions change; the group breaks and forms again, and
+orders are carried out late. A planned run has only stops, reloads, versions and shifts
+of demand, and then no request may be lost. At the end everything is healed: entries
+must serve and have the newest version, and the group must make passes.
 """
 
 import argparse
@@ -30,7 +32,9 @@
 import loguru
 
 from sardinesaddle.direct import replica, start
+from sardinesaddle.standins import rankgroup
 from test import directfleet as df
+from test import soakengine
 
 ENTRIES: typing.Final = 3
 TARGETS: typing.Final = {"plain": 3, "engines": 3}
@@ -160,15 +164,17 @@
     }
 
 
-class EntryProcess:
-    """An entry as a process."""
+class NodeProcess:
+    """An entry or a sidecar as a process."""
 
     def __init__(
-        self, index: int, folder: pathlib.Path, cfg: dict[str, object]
+        self, role: str, index: int, folder: pathlib.Path, cfg: dict[str, object]
     ) -> None:
+        self.name = f"{role} {index}"
         self.index = index
-        self._path = folder / f"entry-{index}.json"
-        self._log = folder / f"entry-{index}.log"
+        self._role = role
+        self._path = folder / f"{role}-{index}.json"
+        self._log = folder / f"{role}-{index}.log"
         self._path.write_text(json.dumps(cfg))
         self._proc: subprocess.Popen[bytes] | None = None
         # Until then what befalls its requests is excused, by the loop's time.
@@ -179,7 +185,7 @@
     def start(self) -> None:
         """Start the process."""
         self.started_at = asyncio.get_running_loop().time()
-        command = [sys.executable, "-m", "sardinesaddle.direct", "entry"]
+        command = [sys.executable, "-m", "sardinesaddle.direct", self._role]
         env = os.environ | {start.SETTINGS_VARIABLE: str(self._path)}
         with self._log.open("ab") as log:
             self._proc = subprocess.Popen(command, stdout=log, env=env)
@@ -230,7 +236,10 @@
         self._folder = folder
         self._page = StorePage(self.store)
         self._proxies: list[Proxy] = []
-        self._processes: list[EntryProcess] = []
+        self._processes: list[NodeProcess] = []
+        self._sidecars: list[NodeProcess] = []
+        self._group = rankgroup.RankGroup(soakengine.RANKS, seed)
+        self._running: collections.Counter[str] = collections.Counter()
         self.ports = []
         self._version = 1
         self._runs: collections.Counter[str] = collections.Counter()
@@ -239,6 +248,12 @@
         self.asked = self.served = 0
         self.broken: list[str] = []
 
+    @property
+    def switches(self) -> int:
+        """How many orders to arm were carried out."""
+        orders = [one for rank in self._group.ranks for one in rank.orders]
+        return orders.count(("arm", 200))
+
     def _break(self, promise: str, text: str) -> None:
         """Take note of a broken promise."""
         now = asyncio.get_running_loop().time()
@@ -249,7 +264,7 @@
     async def start(self) -> None:
         """Start everything."""
         store_port = await self._page.start()
-        self.store.put("op/config", df.make_config(1, timeout_ms=PATIENCE_MS))
+        self._put_config(1, "key-a")
         for service, count in TARGETS.items():
             script = self._answer if service == "plain" else self._stream
             for number in range(count):
@@ -268,9 +283,23 @@
                 "node_ports": [ports[-1], ports[-1]],
                 "seeds": ["127.0.4.10:1", "127.0.4.11:1"],
             }
-            process = EntryProcess(index, self._folder, cfg)
+            process = NodeProcess("entry", index, self._folder, cfg)
             process.start()
             self._processes.append(process)
+        for index in range(soakengine.RANKS):
+            cfg = {
+                "name": f"s{index}",
+                "host": f"127.0.4.{20 + index}",
+                "place": "p",
+                "store": f"{HOST}:{store_port}",
+                "node_ports": [ports[-1], ports[-1]],
+                "seeds": ["127.0.4.10:1", "127.0.4.11:1"],
+                "target": f"127.0.0.1:{self._proxies[TARGETS['plain'] + index].port}",
+                "service": "engines",
+            }
+            process = NodeProcess("sidecar", index, self._folder, cfg)
+            process.start()
+            self._sidecars.append(process)
         for index in range(ENTRIES):
             await self._wait_until_serving(index)
 
@@ -286,6 +315,11 @@
         entry = {"service": service, "addr": addr, "zone": "p", "slots": 4}
         self.store.put(f"servers/{name}", {**entry, "state": "ready"})
 
+    def _put_config(self, version: int, key: str) -> None:
+        """Put a version of the configuration in force."""
+        config = soakengine.make_config(version, (key,), PATIENCE_MS)
+        self.store.put("op/config", config)
+
     async def connect(self, entry: int = 0) -> df.Conn:
         """Open a connection to an entry."""
         host = f"127.0.4.{10 + entry}"
@@ -316,7 +350,27 @@
     async def _stream(
         self, target: df.ScriptedTarget, call: df.Call, writer: asyncio.StreamWriter
     ) -> bool:
-        """Stream events, from where the request goes on."""
+        """Stream events, from where the request goes on; or answer a sidecar."""
+        if call.path.startswith(soakengine.PAGES):
+            index = int(target.name.rpartition("-")[2])
+            running = self._running[target.name]
+            writer.write(
+                await soakengine.answer_sidecar(self._group, index, call, running)
+            )
+            return True
+        if not self._group.is_open:
+            head = df.make_head(503, ("Not-Executed", "1"), ("Content-Length", "0"))
+            writer.write(head)
+            return True
+        self._running[target.name] += 1
+        try:
+            await self._write_events(call, writer)
+        finally:
+            self._running[target.name] -= 1
+        return True
+
+    async def _write_events(self, call: df.Call, writer: asyncio.StreamWriter) -> None:
+        """Run a stream."""
         self._runs[call.ident] += 1
         writer.write(df.make_stream_head(call.ident))
         first = int(call.headers.get("last-event-id", "0")) + 1
@@ -324,7 +378,6 @@
             await asyncio.sleep(self.rng.uniform(0.01, 0.06))
             writer.write(df.make_chunk(df.make_event(number)))
         writer.write(df.make_chunk(b""))
-        return True
 
     # Callers.
 
@@ -397,22 +450,41 @@
         """Start faults one after the other; they overlap."""
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self._seconds
-        planned = [self._restart, self._reload, self._change_version]
-        rough = [self._pause, self._kill, self._harm_target, self._harm_store]
+        planned = [self._restart, self._reload, self._change_version, self._shift]
+        rough = [
+            self._pause,
+            self._kill,
+            self._harm_target,
+            self._harm_store,
+            self._break_group,
+        ]
         kinds = planned if self.is_planned else [*planned, *rough, *rough]
         async with asyncio.TaskGroup() as group:
             while loop.time() < ends_at:
                 group.create_task(self.rng.choice(kinds)())
                 await asyncio.sleep(self.rng.uniform(0.1, 0.8))
 
-    def _excuse(self, process: EntryProcess, seconds: float) -> None:
+    def _excuse(self, process: NodeProcess, seconds: float) -> None:
         """Excuse what befalls an entry's requests, and those under way."""
         until = asyncio.get_running_loop().time() + seconds
         process.excused_until = max(process.excused_until, until)
 
+    async def _shift(self) -> None:
+        """Let other experts be in demand."""
+        self._group.shift(0.7)
+
+    async def _break_group(self) -> None:
+        """Let the group break and form again, with some orders late."""
+        self._group.late_share = self.rng.choice((0.0, 0.3))
+        self._group.is_open = False
+        await asyncio.sleep(self.rng.uniform(0.2, 0.8))
+        if not self._group.is_open:
+            self._group.form_again()
+            self._group.is_open = True
+
     async def _pause(self) -> None:
-        """Suspend an entry."""
-        process = self.rng.choice(self._processes)
+        """Suspend an entry or a sidecar."""
+        process = self.rng.choice([*self._processes, *self._sidecars])
         seconds = self.rng.uniform(0.2, 1.5)
         self._excuse(process, seconds + HEAL_S)
         process.send(signal.SIGSTOP)
@@ -420,8 +492,8 @@
         process.send(signal.SIGCONT)
 
     async def _kill(self) -> None:
-        """Kill an entry and start it again."""
-        process = self.rng.choice(self._processes)
+        """Kill an entry or a sidecar and start it again."""
+        process = self.rng.choice([*self._processes, *self._sidecars])
         if not process.is_running or process.is_expected_to_end:
             return
         self._excuse(process, START_LIMIT_S)
@@ -455,8 +527,7 @@
     async def _change_version(self) -> None:
         """Put a new version of the configuration in force."""
         self._version += self.rng.randint(1, 5)
-        config = df.make_config(self._version, timeout_ms=PATIENCE_MS)
-        self.store.put("op/config", config)
+        self._put_config(self._version, "key-a")
 
     async def _harm_target(self) -> None:
         """Let a proxy misbehave for a while."""
@@ -483,9 +554,9 @@
         """Take note of processes that end by themselves."""
         while True:
             await asyncio.sleep(0.1)
-            for process in self._processes:
+            for process in (*self._processes, *self._sidecars):
                 if not process.is_running and not process.is_expected_to_end:
-                    text = f"entry {process.index} ended by itself with"
+                    text = f"{process.name} ended by itself with"
                     self._break("ENDS", f"{text} {process.status}")
                     process.start()
 
@@ -503,6 +574,7 @@
             helpers = [
                 loop.create_task(self._measure_lag()),
                 loop.create_task(self._watch_ends()),
+                loop.create_task(self._group.run()),
             ]
             await self._play_faults()
             await self._check_recovery()
@@ -513,7 +585,7 @@
             await asyncio.sleep(1.0)
             self._check_runs()
         finally:
-            for process in self._processes:
+            for process in (*self._processes, *self._sidecars):
                 process.end()
             await self._page.stop()
             for proxy in self._proxies:
@@ -525,14 +597,18 @@
         """Check that healed entries serve, and soon have the newest version."""
         for proxy in self._proxies:
             proxy.mode = "pass"
-        for process in self._processes:
+        for process in (*self._processes, *self._sidecars):
             process.send(signal.SIGCONT)
+        self._group.late_share = 0.0
         await asyncio.sleep(HEAL_S)
+        step = self._group.step
+        await asyncio.sleep(1.0)
+        if self._group.step == step:
+            self._break("STUCK", f"pass {step + 1} is held")
         for index in range(ENTRIES):
             await self._wait_until_serving(index)
         self._version += 1
-        config = df.make_config(self._version, ("key-b",), PATIENCE_MS)
-        self.store.put("op/config", config)
+        self._put_config(self._version, "key-b")
         await asyncio.sleep(CONFIG_S + self._lag_s)
         for index in range(ENTRIES):
             for key, status in (("key-a", 401), ("key-b", 200)):
@@ -555,6 +631,8 @@
                 may_repeat = call.path.startswith(("/free/", "/stream/"))
                 if not may_repeat and self._runs[call.ident] > 1:
                     self._break("TWICE", f"{call.ident} ran {self._runs[call.ident]}")
+        if self._group.mixed_passes:
+            self._break("MAP", f"passes {self._group.mixed_passes[:5]} mixed maps")
         if self.served * 4 < self.asked:
             self._break("RECOVER", f"{self.served} of {self.asked} served")
 
@@ -586,7 +664,8 @@
     for seed in range(args.first, args.first + args.seeds):
         soak = play(seed, args.seconds, base / str(seed))
         kind = "planned" if soak.is_planned else "rough"
-        text = f"seed {seed} {kind}: {soak.served} of {soak.asked} served"
+        text = f"seed {seed} {kind}: {soak.served} of {soak.asked} served,"
+        text += f" {soak.switches} switches of a rank's map"
         print(text, *soak.broken[:5], sep="\n  ", flush=True)
         failed += bool(soak.broken)
     print(f"{failed} of {args.seeds} failed; logs in {base}")
--- /dev/null
+++ b/test/soakengine.py
@@ -0,0 +1,81 @@
+"""Engines of a lock-step group for the soak: their pages and orders over HTTP."""
+
+import msgspec
+
+from sardinesaddle.direct import engine
+from sardinesaddle.standins import rankgroup
+from test import directfleet as df
+
+PAGES = ("/report", "/picked", "/order")
+RANKS = 3
+
+
+def make_config(version: int, keys: tuple[str, ...], timeout_ms: int) -> object:
+    """Return a configuration whose engines work in lock step."""
+    model = rankgroup.MODEL
+    described = {
+        "slots": 4,
+        "stride": model.stride,
+        "sets": model.layer_sets,
+        "experts": model.experts,
+        "places": model.places,
+        "spare": model.spare,
+        "expert_mb": 100.0,
+        "expert_share": model.expert_share,
+    }
+    config = df.make_config(version, keys, timeout_ms)
+    config["services"] = [{"name": "plain"}, {"name": "engines", "engine": described}]
+    return config
+
+
+def make_whole(body: object, status: int = 200) -> bytes:
+    """Return an answer to a sidecar."""
+    data = msgspec.json.encode(body)
+    head = df.make_head(
+        status,
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(data))),
+    )
+    return head + data
+
+
+def read_report(group: rankgroup.RankGroup, index: int, running: int) -> object:
+    """Return what an engine reports."""
+    rank = group.ranks[index]
+    armed = {"version": rank.armed, "step": rank.armed_step} if rank.armed else None
+    state = "open" if group.is_open else "broken"
+    return {
+        "running": running,
+        "group": {"name": "g", "epoch": group.epoch, "rank": index, "state": state},
+        "size": group.size,
+        "step": group.step,
+        "map": rank.version,
+        "prepared": rank.prepared or None,
+        "armed": armed,
+        "held": (group.held_step or None) if index == 0 else None,
+    }
+
+
+async def answer_sidecar(
+    group: rankgroup.RankGroup, index: int, call: df.Call, running: int
+) -> bytes:
+    """Answer a call of a page or an order."""
+    rank = group.ranks[index]
+    if call.path == "/report":
+        return make_whole(read_report(group, index, running))
+    if call.path == "/picked":
+        counts = list(rank.counts)
+        return make_whole({"step": group.step, "epoch": group.epoch, "counts": counts})
+    if call.path.startswith("/picked?"):
+        return make_whole({"map": {"version": rank.version, "experts": rank.experts}})
+    order = msgspec.json.decode(call.body)
+    given = engine.EngineOrder(
+        order["op"],
+        order["epoch"],
+        None,
+        order.get("version", 0),
+        order.get("step", 0),
+        order.get("map"),
+    )
+    status = await rankgroup.RankEngine(group, index).give_order(given)
+    return make_whole({}, status if isinstance(status, int) else 500)
