--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -62,7 +62,6 @@
 
     ``pace`` over 1 means that the engine is slow. ``age_s`` is the time since the
     engine was read. ``lists_seen`` is the digest of the lists that the entry sent last.
-    ``pass_s`` is how long the group's passes take, 0 if that is not known.
     """
 
     sender: str
@@ -79,7 +78,6 @@
     skew: float
     age_s: float = 0.0
     lists_seen: int = 0
-    pass_s: float = 0.0
 
 
 class ReportReply(msgspec.Struct, frozen=True, array_like=True, tag="report_reply"):
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -20,7 +20,6 @@
     groupleader,
     messages,
     nodesettings,
-    passpace,
     rankdesk,
     rpc,
 )
@@ -63,7 +62,6 @@
         self._listed_at: dict[str, float] = {}
         self.state: engine.EngineState | None = None
         self._read_at = 0.0
-        self._pace = passpace.PassPace()
         # Replaced when it is set: each waiter learns of each change once.
         self._changed = asyncio.Event()
         self._changes = 0
@@ -190,8 +188,6 @@
                     got.is_open,
                 )
             self.state = got
-            is_busy = got.running > 0 and got.is_open
-            self._pace.on_reading(asked_at, got.epoch, got.step, is_busy)
         self._note_change(before)
         return self.state
 
@@ -288,7 +284,6 @@
             skew=self._leader.skew,
             age_s=round(loop.time() - self._read_at, 3),
             lists_seen=0 if lists is None else lists.digest,
-            pass_s=round(self._pace.pass_s, 3),
         )
 
     async def drain(self) -> None:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -22,11 +22,9 @@
 
 Ranks of a lock-step group work only while the whole group does, which their sidecars
 report; the first word of a new epoch holds for all ranks, so that those who waited do
-not all meet the rank that spoke first. While a group's passes take too long, for a slow
-rank or a hold that stands, its ranks take one request each and the rest goes to other
-groups; with no better group all stay in use. An entry that has just started waits for
-those reports before it trusts them. A rank takes as many requests as it has slots: the
-rest waits at the entry, for whichever rank has room first.
+not all meet the rank that spoke first. An entry that has just started waits for those
+reports before it trusts them. A rank takes only a little more than its slots hold:
+the rest waits at the entry, for whichever rank has room first.
 
 Targets leave by their own mark, by the store's word, or by an answer from another
 target at their address. Entries of targets that lapse while the store cannot be
@@ -54,10 +52,6 @@
 AWAY_LOAD: typing.Final = 0.4  # full slots that the subset is worth (bench rankchoice)
 AWAY_ROOM: typing.Final = 1  # slots left to a target's own entry (bench rankchoice)
 AWAY_CHOICES: typing.Final = 3  # targets looked at beside the subset (bench rankchoice)
-SLOW_PASS_S: typing.Final = 0.25  # of 23 passes a stream takes 6 of a caller's 8 s
-SLOW_ROOM: typing.Final = (
-    1.0  # keeps a slow group in passes, so that its map can change
-)
 REPORT_HOP_S: typing.Final = 0.01  # from a sidecar to an entry, and its handling
 
 
@@ -125,8 +119,6 @@
         self._subsets: dict[str, frozenset[str]] = {}
         self._started_at: float | None = None
         self.lockstep_services: frozenset[str] = frozenset()
-        # When a group's passes were last heard to take how long.
-        self._passes: dict[str, tuple[float, float]] = {}
         # The newest epoch of each group, and whether the group is open in it.
         self._groups: dict[str, tuple[int, bool]] = {}
         self._targets: dict[str, Target] = {}
@@ -252,8 +244,6 @@
         if held is None:
             return
         self._note_group(report)
-        if report.pass_s > 0.0:
-            self._passes[report.group] = (now, report.pass_s)
         held.report = report
         held.reported_at = now
         held.forget_before(now - REPORT_HOP_S - report.age_s)
@@ -268,18 +258,6 @@
         elif report.epoch == epoch and not report.is_open:
             self._groups[report.group] = (epoch, False)
 
-    def list_slow_groups(self, now: float, service: str) -> set[str]:
-        """Return the groups whose passes take too long, if others are better."""
-        groups: dict[str, bool] = {}
-        for one in self.list_targets(service):
-            if one.report is not None and one.report.group and self.is_open(now, one):
-                heard_at, pass_s = self._passes.get(one.report.group, (now, 0.0))
-                is_slow = pass_s > SLOW_PASS_S and now - heard_at < REPORT_TTL_S
-                groups[one.report.group] = is_slow
-        if all(groups.values()):
-            return set()
-        return {group for group, is_slow in groups.items() if is_slow}
-
     def choose(
         self,
         now: float,
@@ -291,8 +269,7 @@
         """Return the target that should take the next request."""
         listed = [t for t in self.list_targets(service) if t.ident not in excluded]
         is_open = [t for t in listed if self.is_open(now, t)]
-        slow = self.list_slow_groups(now, service)
-        with_room = [t for t in is_open if self.has_room(now, t, entries, slow)]
+        with_room = [t for t in is_open if self.has_room(now, t, entries)]
         usable = [t for t in with_room if t.ejected_until <= now]
         if not usable:
             return min(with_room, key=lambda t: t.ejected_until, default=None)
@@ -317,13 +294,7 @@
             for one in self.list_targets(service)
         )
 
-    def has_room(
-        self,
-        now: float,
-        target: Target,
-        entries: int,
-        slow_groups: typing.Collection[str] = (),
-    ) -> bool:
+    def has_room(self, now: float, target: Target, entries: int) -> bool:
         """Tell whether a request would begin soon enough at a target."""
         if target.full_until > now:
             return False
@@ -333,8 +304,6 @@
         subset = self.list_subset(target.entry.service)
         if subset and target.ident not in subset:
             most = max(most - AWAY_ROOM, 1.0)
-        if target.report is not None and target.report.group in slow_groups:
-            most = SLOW_ROOM
         return target.estimate_running(now, entries) < most
 
     def is_open(self, now: float, target: Target) -> bool:
--- a/test/test_direct_placing.py
+++ b/test/test_direct_placing.py
@@ -1,12 +1,10 @@
 """Which target takes a request, who goes first, and what callers get under load."""
 
 import asyncio
-import collections
 import collections.abc
 import random
 import typing
 
-import msgspec
 import pytest
 
 from sardinesaddle.bench import rankchoice
@@ -14,7 +12,6 @@
     catalog,
     knowledge,
     messages,
-    passpace,
     roomfinder,
     targetpool,
     waitline,
@@ -237,56 +234,3 @@
         return load * tally.worth / tally.asked
 
     assert measure(2.0) >= measure(1.0)
-
-
-def test_pace_shows_slow_passes_and_holds_but_no_idle_group() -> None:
-    pace = passpace.PassPace()
-    for tenth in range(20):
-        pace.on_reading(tenth * 0.1, 1, int(tenth * 0.1 / 0.075), True)
-    assert pace.pass_s == pytest.approx(0.075, rel=0.4)
-    step = int(1.9 / 0.075)
-    for tenth in range(20, 26):
-        pace.on_reading(tenth * 0.1, 1, step, True)
-    assert pace.pass_s > 0.4
-    for tenth in range(26, 36):
-        pace.on_reading(tenth * 0.1, 1, step + 1 + (tenth - 26), True)
-    assert pace.pass_s < 0.12
-    # The requests end, and the group makes no passes any more.
-    for tenth in range(36, 60):
-        pace.on_reading(tenth * 0.1, 1, step + 10, False)
-    assert pace.pass_s == 0.0
-    pace.on_reading(6.0, 2, 1, True)
-    assert pace.pass_s == 0.0
-
-
-def test_requests_avoid_a_group_whose_passes_take_too_long() -> None:
-    # Load: 12 requests for two groups of four ranks with two slots; a rank of one
-    # group is twelve times slower than usual.
-    pool = make_pool("", 8)
-    pool.set_entries("", ())
-    draw = random.Random(3).random
-
-    def report(slow_pass_s: float, other_pass_s: float) -> None:
-        for n in range(8):
-            told = make_report(n, 0)
-            group, pass_s = ("a", slow_pass_s) if n < 4 else ("b", other_pass_s)
-            pool.on_report(
-                1.0, msgspec.structs.replace(told, group=group, pass_s=pass_s)
-            )
-
-    def send_all(count: int) -> collections.Counter[bool]:
-        found: collections.Counter[bool] = collections.Counter()
-        for _ in range(count):
-            target = pool.choose(1.01, "model", (), 1, draw)
-            if target is not None:
-                pool.on_send(target, 1.01)
-                found[int(target.ident[1:]) < 4] += 1
-        return found
-
-    report(0.6, 0.08)
-    assert send_all(12) == {True: 4, False: 8}
-    # With no better group both are used.
-    pool = make_pool("", 8)
-    pool.set_entries("", ())
-    report(0.6, 0.5)
-    assert send_all(16) == {True: 8, False: 8}
