--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -23,8 +23,8 @@
 Ranks of a lock-step group work only while the whole group does, which their sidecars
 report; the first word of a new epoch holds for all ranks, so that those who waited do
 not all meet the rank that spoke first. An entry that has just started waits for those
-reports before it trusts them. A rank takes only a little more than its slots hold:
-the rest waits at the entry, for whichever rank has room first.
+reports before it trusts them. A rank takes as many requests as it has slots: the rest
+waits at the entry, for whichever rank has room first.
 
 Targets leave by their own mark, by the store's word, or by an answer from another
 target at their address. Entries of targets that lapse while the store cannot be
