--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -239,6 +239,7 @@
         self.connection_count = 0
         self.port = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start listening."""
@@ -250,10 +251,18 @@
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections, as the end of a process does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            reset_connection(writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve the requests of one connection."""
+        self._writers.add(writer)
         self.connection_count += 1
         connection_number = self.connection_count
         state = h11.Connection(h11.SERVER)
@@ -269,6 +278,7 @@
                 state = h11.Connection(h11.SERVER)
         except OSError:
             pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _run_responder(
