Move the heartbeats between entries to a module of their own

Change: entrypeers.EntryPeers finds entries and sends heartbeats; EntryNode observes it. Subsets are computed anew when an entry is found or lost, not at each heartbeat (set_entries ignored the others).

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -17,6 +17,7 @@
 
 from sardinesaddle.direct import (
     catalog,
+    entrypeers,
     entrystate,
     forward,
     freshness,
@@ -37,14 +38,10 @@
 CONFIG_WATCH_S: typing.Final = 1.5
 # A lost response delays a change by one watch; target changes must apply in 2 s.
 TARGETS_WATCH_S: typing.Final = 1.5
-HEARTBEAT_PERIOD_S: typing.Final = 0.25
-HEARTBEATS_PER_PERIOD: typing.Final = 3  # sent by an entry to all others together
-HEARTBEAT_TIMEOUT_S: typing.Final = 0.5
 FETCH_TIMEOUT_S: typing.Final = 1.0
 FETCH_DELAY_S: typing.Final = 0.1  # the entry's own watch usually returns first
 STORE_WATCHERS: typing.Final = 6  # enough that some reach the store in any outage
 MAINTENANCE_PERIOD_S: typing.Final = 0.25
-ENTRY_TTL_S: typing.Final = 10.0  # an entry is removed after this time without contact
 KEY_AGE_MARGIN_S: typing.Final = 1.0  # a watch may miss changes of the last second
 # Longer than a watch and its slack: the confirmation by the store is overdue.
 STALE_CONFIG_AGE_S: typing.Final = 2.5
@@ -55,7 +52,7 @@
 OUTAGE_MARGIN_S: typing.Final = 3.0
 
 
-class EntryNode(entrystate.EntryState, rpc.Handler):
+class EntryNode(entrystate.EntryState, entrypeers.PeerObserver, rpc.Handler):
     """An entry: connects the replicas, the request path and the peers."""
 
     def __init__(
@@ -100,8 +97,7 @@
             self.forwarder, header_codec, self._get_max_body, limits.idle_timeout_s
         )
         self._server = rpc.Server(self, cfg.host, cfg.node_port)
-        self._last_heard: dict[str, float] = {}
-        self._heartbeat_tasks: dict[str, asyncio.Task[None]] = {}
+        self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
         self._reports: dict[str, messages.Report] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self.is_draining = False
@@ -114,12 +110,12 @@
 
     def _may_rely_on_peers(self) -> bool:
         """Return whether enough entries with lower addresses watch the store."""
-        lower_hosts = sum(host < self._cfg.host for host in self._last_heard)
+        lower_hosts = sum(host < self._cfg.host for host in self._peers.hosts)
         return lower_hosts >= STORE_WATCHERS
 
     def count_entries(self) -> int:
         """Return the number of entries, this one included."""
-        return len(self._last_heard) + 1
+        return len(self._peers.hosts) + 1
 
     def _get_max_body(self) -> int:
         """Return the limit on request bodies in bytes."""
@@ -233,9 +229,9 @@
     async def handle_request(self, msg: messages.Request) -> messages.Reply | None:
         """Return the reply to a heartbeat, a fetch or a report."""
         if isinstance(msg, messages.Heartbeat):
-            self._on_entry_alive(msg.sender)
+            self._peers.on_entry_alive(msg.sender)
             return messages.HeartbeatReply(
-                self._list_entries(), self._list_prefix_states()
+                self._peers.list_entries(), self._list_prefix_states()
             )
         if isinstance(msg, messages.FetchRequest):
             return self._make_fetch_reply(msg)
@@ -243,10 +239,6 @@
             return self._on_report(msg)
         return None
 
-    def _list_entries(self) -> list[str]:
-        """Return the hosts of all live entries, this one included."""
-        return [self._cfg.host, *self._last_heard]
-
     def _list_prefix_states(self) -> list[messages.PrefixState]:
         """Return the state of this entry's replicas."""
         return [
@@ -292,7 +284,7 @@
                 report.is_group_open,
                 report.is_alive,
             )
-        entries = sorted(self._list_entries())
+        entries = sorted(self._peers.list_entries())
         ranks = self._list_ranks(report)
         digest = zlib.crc32(repr((report.epoch, entries, ranks)).encode())
         wants_every_change = self.targets.is_in_subset(report.target)
@@ -310,56 +302,20 @@
             if other.group == report.group and other.epoch == report.epoch
         )
 
-    def _on_entry_alive(self, host: str) -> None:
-        """Record that an entry is alive, and start to send it heartbeats."""
-        if host == self._cfg.host:
-            return
-        loop = asyncio.get_running_loop()
-        if host not in self._last_heard:
-            loguru.logger.info("event=entry_found host={}", host)
-        self._last_heard[host] = loop.time()
-        self.targets.set_entries(self._cfg.host, self._last_heard)
-        self._start_heartbeats(host)
-
-    def _start_heartbeats(self, host: str) -> None:
-        """Start the heartbeats to an entry unless they are running."""
-        if host != self._cfg.host and host not in self._heartbeat_tasks:
-            loop = asyncio.get_running_loop()
-            self._heartbeat_tasks[host] = loop.create_task(self._run_heartbeats(host))
+    # Other entries.
 
-    async def _run_heartbeats(self, host: str) -> None:
-        """Send heartbeats to an entry until it expires; seeds are retried forever."""
-        loop = asyncio.get_running_loop()
-        peer = rpc.Peer(host, self._cfg.node_port)
-        seeds = self._cfg.list_seed_hosts()
-        started_at = loop.time()
-        try:
-            while True:
-                await self._send_heartbeat(peer)
-                last_heard = self._last_heard.get(host, started_at)
-                if loop.time() - last_heard > ENTRY_TTL_S:
-                    if self._last_heard.pop(host, None) is not None:
-                        self.targets.set_entries(self._cfg.host, self._last_heard)
-                        loguru.logger.info("event=entry_lost host={}", host)
-                    if host not in seeds:
-                        break
-                periods = max(len(self._heartbeat_tasks) / HEARTBEATS_PER_PERIOD, 1.0)
-                jitter = 0.75 + self._rng.random() / 2
-                await asyncio.sleep(HEARTBEAT_PERIOD_S * periods * jitter)
-        finally:
-            peer.close()
-            self._heartbeat_tasks.pop(host, None)
-
-    async def _send_heartbeat(self, peer: rpc.Peer) -> None:
-        """Send one heartbeat; fetch the changes that the reply shows to be missing."""
-        sent_at = self._clock.read()
-        heartbeat = messages.Heartbeat(self._cfg.host, self._list_entries())
-        reply = await peer.call(heartbeat, HEARTBEAT_TIMEOUT_S)
-        if not isinstance(reply, messages.HeartbeatReply):
-            return
-        self._on_entry_alive(peer.host)
-        for host in reply.entries:
-            self._start_heartbeats(host)
+    def read_clock(self) -> float:
+        """Return the time of the clock that counts suspension."""
+        return self._clock.read()
+
+    def on_entries_changed(self) -> None:
+        """Compute this entry's subset of the targets anew."""
+        self.targets.set_entries(self._cfg.host, self._peers.hosts)
+
+    async def on_heartbeat_reply(
+        self, peer: rpc.Peer, reply: messages.HeartbeatReply, sent_at: float
+    ) -> None:
+        """Fetch the changes of the store that the reply shows to be missing."""
         for state in reply.prefix_states:
             watcher = self._watchers.get(state.prefix)
             if watcher is None:
@@ -396,8 +352,7 @@
         await self._server.start()
         for watcher in self._watchers.values():
             self._tasks.append(loop.create_task(watcher.run()))
-        for host in self._cfg.list_seed_hosts():
-            self._start_heartbeats(host)
+        self._peers.set_seeds(self._cfg.list_seed_hosts())
         self._tasks.append(loop.create_task(self._run_maintenance()))
         await self.frontend.start(*nodesettings.split_address(self._cfg.front))
 
@@ -405,8 +360,7 @@
         """Apply new seeds and bounds; changed addresses need a restart."""
         self._cfg = cfg
         self.forwarder.set_bounds(make_bounds(cfg))
-        for host in cfg.list_seed_hosts():
-            self._start_heartbeats(host)
+        self._peers.set_seeds(cfg.list_seed_hosts())
 
     async def _run_maintenance(self) -> None:
         """Periodically remove expired targets and connections and update gauges."""
@@ -447,7 +401,8 @@
         loguru.logger.info("event=stop active={}", self.frontend.active_requests)
         # The frontend stops first, so that it accepts no request that is cut off.
         await self.frontend.stop()
-        for task in [*self._tasks, *self._heartbeat_tasks.values()]:
+        await self._peers.stop()
+        for task in self._tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
