Refuse requests that crash the targets that run them, at every entry

Callers saw: targets ended one after another under one request that came back, and the requests beside it were cut off each time.

Cause: what a request did to its targets lived in RequestState and ended with each attempt; a caller that returned had a new attempt id, often another entry, and entries told each other nothing. A limit over all entries was kept in the memory of one attempt.

Change: an entry whose exchange is cut connects to the target once more; a refused connection shows a crash (crashdetector). The crash is recorded against the contents that it left unanswered, also those whose callers had left (crashledger). Entries merge their records by union, announced at once in heartbeats and repeated until acknowledged, all of them to an entry that restarted. Content with two crashes is guilty unless another content has the same two; then each may run once more, apart from the others, in the entry's own subset. Guilty content is refused with 503 and the time to come back. Completed content is cleared, and crashes that a guilty content explains do not count against its neighbours.

Conclusion: the limit now rests on what all entries know. Not covered: entries that all restart forget; a dark target (silent, not refused) is not counted.

--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -177,7 +177,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetRegistration:
-    """A target's registration; ``warmup_s`` is how long it still runs slowly."""
+    """A target's registration.
+
+    ``warmup_s`` is how long it still runs slowly, ``started_ms`` the Unix time of its
+    start in milliseconds, 0 if it does not state that.
+    """
 
     target_id: str
     service: str
@@ -187,3 +191,9 @@
     slots: int
     state: TargetState
     warmup_s: float
+    started_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies one run of the target, which may restart under its id."""
+        return f"{self.target_id}@{self.started_ms}"
--- /dev/null
+++ b/sardinesaddle/direct/crashledger.py
@@ -0,0 +1,249 @@
+"""Remembers under which requests targets crashed, and which requests to refuse.
+
+Some requests crash every target that runs them, and their callers send them again, at
+any entry. The ledger records, for each request content, the incarnations of targets
+that crashed while it ran there. Content with two crashes is guilty unless another
+content has the same two, which explains them as well; then both may run once more,
+apart from each other. Content with three crashes is always guilty. Guilty content is
+refused.
+
+Requests that only ran beside a guilty one differ from it in two ways. First, crashes
+that guilty contents explain do not count against them. Second, they run to their end
+when they are sent again. Content that was completed is cleared: the crashes recorded so
+far no longer count. Content that many callers send at once may be running on several
+targets that crash for other reasons, so content that was completed in the last
+``COMPLETION_MEMORY_S`` is not recorded at all.
+
+A refusal ends ``FIRST_REFUSAL_S`` after the last crash, so that a wrong one does not
+last. If the content crashes another target then, the next refusal is longer.
+
+All entries merge their ledgers. A record holds two sets of incarnations, those that
+crashed and those that are cleared, which only grow; merging takes the union, so records
+may arrive in any order and any number of times.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from sardinesaddle.direct import messages
+
+MIN_GUILTY_CRASHES: typing.Final = 2  # if no other content explains them
+MAX_CRASHES: typing.Final = 3  # guilty, whatever explains them
+FIRST_REFUSAL_S: typing.Final = 600.0
+REFUSAL_GROWTH: typing.Final = 4.0
+MAX_REFUSAL_S: typing.Final = 24 * 3600.0
+# Callers complete content that many of them send several times a second.
+COMPLETION_MEMORY_S: typing.Final = 2.0
+MAX_RECORDS: typing.Final = (
+    1024  # beyond this, the one with the oldest crash is dropped
+)
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRecord:
+    """The incarnations of targets that crashed while a request content ran there.
+
+    ``last_crash_at`` is the time of the last crash, ``change_number`` that of the last
+    change to this record in this process's ledger.
+    """
+
+    last_crash_at: float
+    change_number: int = 0
+    crashed: set[str] = dataclasses.field(default_factory=set)
+    cleared: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def counted(self) -> set[str]:
+        """The crashes that count against the content."""
+        return self.crashed - self.cleared
+
+
+class CrashLedger:
+    """The crash records of an entry, merged with those of the others.
+
+    Times are of a clock that counts suspension. ``change_number`` increases with each
+    change.
+    """
+
+    __slots__ = (
+        "_completed_at",
+        "_guilty",
+        "_guilty_change_number",
+        "_records",
+        "change_number",
+    )
+
+    def __init__(self) -> None:
+        self._records: dict[str, CrashRecord] = {}
+        # The last completion of each content, the oldest first.
+        self._completed_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.change_number = 0
+        # The guilty contents, as computed at a change number.
+        self._guilty: dict[str, CrashRecord] = {}
+        self._guilty_change_number = 0
+
+    def get_crash_count(self, content_id: str) -> int:
+        """Return how many crashes the content may have caused."""
+        record = self._records.get(content_id)
+        if record is None:
+            return 0
+        guilty = self._find_guilty()
+        if content_id in guilty:
+            return len(record.counted)
+        return len(find_unexplained(record, guilty.values()))
+
+    def compute_refusal_s(self, now: float, content_id: str) -> float:
+        """Return for how long a content is still refused, 0.0 if it may run."""
+        record = self._find_guilty().get(content_id)
+        if record is None:
+            return 0.0
+        extra_crashes = len(record.counted) - MIN_GUILTY_CRASHES
+        refusal_s = min(FIRST_REFUSAL_S * REFUSAL_GROWTH**extra_crashes, MAX_REFUSAL_S)
+        return max(record.last_crash_at + refusal_s - now, 0.0)
+
+    def _find_guilty(self) -> dict[str, CrashRecord]:
+        """Return the records of the guilty contents."""
+        if self._guilty_change_number != self.change_number:
+            self._guilty_change_number = self.change_number
+            self._guilty = find_guilty(self._records)
+        return self._guilty
+
+    def format_counts(self, content_ids: list[str]) -> str:
+        """Return contents with their crash counts, for the log."""
+        return ",".join(f"{c}:{self.get_crash_count(c)}" for c in content_ids)
+
+    def count_refused(self, now: float) -> int:
+        """Return the number of contents that are refused."""
+        return sum(self.compute_refusal_s(now, c) > 0.0 for c in self._find_guilty())
+
+    def record_crash(self, now: float, content_id: str, incarnation: str) -> bool:
+        """Count a target's crash against a content; return whether it is new."""
+        if self._was_completed_recently(now, content_id):
+            return False
+        return self._merge_record(now, content_id, {incarnation}, set())
+
+    def record_completion(self, now: float, content_id: str) -> bool:
+        """Clear a content that a target completed; return whether that changes it."""
+        self._completed_at[content_id] = now
+        self._completed_at.move_to_end(content_id)
+        while next(iter(self._completed_at.values())) < now - COMPLETION_MEMORY_S:
+            self._completed_at.popitem(last=False)
+        return self._clear(content_id)
+
+    def _was_completed_recently(self, now: float, content_id: str) -> bool:
+        """Return whether a content was completed within ``COMPLETION_MEMORY_S``."""
+        completed_at = self._completed_at.get(content_id)
+        return completed_at is not None and now - completed_at <= COMPLETION_MEMORY_S
+
+    def _clear(self, content_id: str) -> bool:
+        """Clear the crashes counted so far; return whether there were any."""
+        record = self._records.get(content_id)
+        if record is None or not record.counted:
+            return False
+        record.cleared |= record.crashed
+        self._number_change(record)
+        return True
+
+    def _number_change(self, record: CrashRecord) -> None:
+        """Give a record the next change number."""
+        self.change_number += 1
+        record.change_number = self.change_number
+
+    def _merge_record(
+        self,
+        crash_at: float,
+        content_id: str,
+        crashed: typing.AbstractSet[str],
+        cleared: typing.AbstractSet[str],
+    ) -> bool:
+        """Merge incarnations into a record; return whether the record changes."""
+        record = self._records.get(content_id)
+        if record is None:
+            record = CrashRecord(crash_at)
+            self._records[content_id] = record
+        record.last_crash_at = max(record.last_crash_at, crash_at)
+        if crashed <= record.crashed and cleared <= record.cleared:
+            return False
+        record.crashed |= crashed
+        record.cleared |= cleared
+        self._number_change(record)
+        if len(self._records) > MAX_RECORDS:
+            oldest = min(
+                self._records, key=lambda key: self._records[key].last_crash_at
+            )
+            del self._records[oldest]
+        return True
+
+    def list_changes(self, now: float, after: int) -> list[messages.CrashRecord]:
+        """Return the records changed after a change number, for other entries."""
+        return [
+            messages.CrashRecord(
+                content_id,
+                sorted(record.crashed),
+                sorted(record.cleared),
+                max(now - record.last_crash_at, 0.0),
+            )
+            for content_id, record in self._records.items()
+            if record.change_number > after
+        ]
+
+    def merge(self, now: float, records: list[messages.CrashRecord]) -> list[str]:
+        """Merge the records of another entry; return the contents that changed."""
+        changed = []
+        for wire in records:
+            is_changed = self._merge_record(
+                now - wire.last_crash_age_s,
+                wire.content_id,
+                set(wire.crashed),
+                set(wire.cleared),
+            )
+            if self._was_completed_recently(now, wire.content_id):
+                is_changed |= self._clear(wire.content_id)
+            if is_changed:
+                changed.append(wire.content_id)
+        return changed
+
+
+def find_unexplained(
+    record: CrashRecord, others: collections.abc.Iterable[CrashRecord]
+) -> set[str]:
+    """Return the counted crashes of a record that none of the others explains.
+
+    A record whose crashes are all in the given one explains none of them.
+    """
+    unexplained = record.counted
+    for other in others:
+        if not other.counted <= record.counted:
+            unexplained = unexplained - other.counted
+    return unexplained
+
+
+def has_rival(record: CrashRecord, records: dict[str, CrashRecord]) -> bool:
+    """Return whether another content explains all crashes of a record."""
+    return any(
+        record.counted <= other.counted
+        for other in records.values()
+        if other is not record
+    )
+
+
+def find_guilty(records: dict[str, CrashRecord]) -> dict[str, CrashRecord]:
+    """Return the records of the contents that are guilty of their crashes."""
+    suspects = {
+        content_id: record
+        for content_id, record in records.items()
+        if len(record.counted) >= MAX_CRASHES
+        or (
+            len(record.counted) >= MIN_GUILTY_CRASHES and not has_rival(record, records)
+        )
+    }
+    return {
+        content_id: record
+        for content_id, record in suspects.items()
+        if len(record.counted) >= MAX_CRASHES
+        or find_unexplained(record, suspects.values())
+    }
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -17,6 +17,8 @@
 
 from sardinesaddle.direct import (
     catalog,
+    crashdetector,
+    crashledger,
     entrypeers,
     entrystate,
     forward,
@@ -89,15 +91,27 @@
             )
         }
         bounds = make_bounds(cfg)
+        self.crash_ledger = crashledger.CrashLedger()
+        self._incarnation = rng.getrandbits(32) | 1
+        self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
+        detector = crashdetector.CrashDetector(
+            self.crash_ledger, self.pool, clock, self._peers.announce
+        )
         self.forwarder = forward.Forwarder(
-            self, self.targets, self.pool, header_codec, bounds, self.metrics, rng
+            self,
+            self.targets,
+            self.pool,
+            header_codec,
+            bounds,
+            self.metrics,
+            rng,
+            detector,
         )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
             self.forwarder, header_codec, self._get_max_body, limits.idle_timeout_s
         )
         self._server = rpc.Server(self, cfg.host, cfg.node_port)
-        self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
         self._reports: dict[str, messages.Report] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self.is_draining = False
@@ -230,8 +244,11 @@
         """Return the reply to a heartbeat, a fetch or a report."""
         if isinstance(msg, messages.Heartbeat):
             self._peers.on_entry_alive(msg.sender)
+            self._merge_crash_records(msg)
             return messages.HeartbeatReply(
-                self._peers.list_entries(), self._list_prefix_states()
+                self._peers.list_entries(),
+                self._list_prefix_states(),
+                self._incarnation,
             )
         if isinstance(msg, messages.FetchRequest):
             return self._make_fetch_reply(msg)
@@ -312,6 +329,25 @@
         """Compute this entry's subset of the targets anew."""
         self.targets.set_entries(self._cfg.host, self._peers.hosts)
 
+    def list_crash_records(self, after: int) -> tuple[list[messages.CrashRecord], int]:
+        """Return the crash records that changed, and the newest change number."""
+        ledger = self.crash_ledger
+        if ledger.change_number == after:
+            return [], after
+        return ledger.list_changes(self._clock.read(), after), ledger.change_number
+
+    def _merge_crash_records(self, heartbeat: messages.Heartbeat) -> None:
+        """Merge another entry's crash records."""
+        if not heartbeat.crash_records:
+            return
+        changed = self.crash_ledger.merge(self._clock.read(), heartbeat.crash_records)
+        if changed:
+            loguru.logger.info(
+                "event=crashes_merged source={} contents={}",
+                heartbeat.sender,
+                self.crash_ledger.format_counts(changed),
+            )
+
     async def on_heartbeat_reply(
         self, peer: rpc.Peer, reply: messages.HeartbeatReply, sent_at: float
     ) -> None:
@@ -377,6 +413,7 @@
                 self.config_version,
                 self.compute_config_age(),
                 len(self.targets),
+                self.crash_ledger.count_refused(self._clock.read()),
             )
 
     async def drain(self) -> None:
--- a/sardinesaddle/direct/entrypeers.py
+++ b/sardinesaddle/direct/entrypeers.py
@@ -4,10 +4,17 @@
 the replies to its own. It sends heartbeats to each of them until one has not been heard
 of for ``ENTRY_TTL_S``; seeds are retried forever. With many entries each one gets
 heartbeats less often, so that their number for a process stays bounded.
+
+Heartbeats also carry the changes to this entry's crash ledger that the receiver has
+not acknowledged yet. A crash that this entry found itself is announced at once; records
+that it got from others go with the regular heartbeats, for entries that the others do
+not reach. A receiver that restarted gets all records again.
 """
 
 import abc
 import asyncio
+import contextlib
+import dataclasses
 import random
 import typing
 
@@ -21,8 +28,23 @@
 ENTRY_TTL_S: typing.Final = 10.0  # an entry is removed after this time without contact
 
 
+@dataclasses.dataclass(slots=True)
+class LedgerCursor:
+    """Which changes of the crash ledger a receiver of heartbeats has.
+
+    ``incarnation`` is that of the receiver's process.
+    """
+
+    incarnation: int = 0
+    change_number: int = 0
+
+
 class PeerObserver(abc.ABC):
-    """Uses what the exchange with other entries brings."""
+    """Provides what heartbeats carry and uses what they bring."""
+
+    @abc.abstractmethod
+    def list_crash_records(self, after: int) -> tuple[list[messages.CrashRecord], int]:
+        """Return the records changed after a change number, and the newest number."""
 
     @abc.abstractmethod
     def on_entries_changed(self) -> None:
@@ -52,6 +74,8 @@
         self._seeds: list[str] = []
         self._last_heard: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        # Set and replaced when all entries get a heartbeat at once.
+        self._announced = asyncio.Event()
 
     @property
     def hosts(self) -> list[str]:
@@ -79,6 +103,11 @@
             self._observer.on_entries_changed()
         self._start_heartbeats(host)
 
+    def announce(self) -> None:
+        """Send a heartbeat to all entries at once."""
+        self._announced.set()
+        self._announced = asyncio.Event()
+
     def _start_heartbeats(self, host: str) -> None:
         """Start the heartbeats to an entry unless they are running."""
         if host != self._host and host not in self._tasks:
@@ -89,10 +118,12 @@
         """Send heartbeats to an entry until it expires; seeds are retried forever."""
         loop = asyncio.get_running_loop()
         peer = rpc.Peer(host, self._node_port)
+        cursor = LedgerCursor()
         started_at = loop.time()
         try:
             while True:
-                await self._send_heartbeat(peer)
+                announced = self._announced
+                await self._send_heartbeat(peer, cursor)
                 last_heard = self._last_heard.get(host, started_at)
                 if loop.time() - last_heard > ENTRY_TTL_S:
                     if self._last_heard.pop(host, None) is not None:
@@ -102,18 +133,26 @@
                         break
                 periods = max(len(self._tasks) / HEARTBEATS_PER_PERIOD, 1.0)
                 jitter = 0.75 + self._rng.random() / 2
-                await asyncio.sleep(HEARTBEAT_PERIOD_S * periods * jitter)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(HEARTBEAT_PERIOD_S * periods * jitter):
+                        await announced.wait()
         finally:
             peer.close()
             self._tasks.pop(host, None)
 
-    async def _send_heartbeat(self, peer: rpc.Peer) -> None:
+    async def _send_heartbeat(self, peer: rpc.Peer, cursor: LedgerCursor) -> None:
         """Send one heartbeat and pass the reply on."""
         sent_at = self._observer.read_clock()
-        heartbeat = messages.Heartbeat(self._host, self.list_entries())
+        records, newest = self._observer.list_crash_records(cursor.change_number)
+        heartbeat = messages.Heartbeat(self._host, self.list_entries(), records)
         reply = await peer.call(heartbeat, HEARTBEAT_TIMEOUT_S)
         if not isinstance(reply, messages.HeartbeatReply):
             return
+        if reply.incarnation == cursor.incarnation or cursor.change_number == 0:
+            cursor.change_number = newest
+        else:
+            cursor.change_number = 0
+        cursor.incarnation = reply.incarnation
         self.on_entry_alive(peer.host)
         for host in reply.entries:
             self._start_heartbeats(host)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -7,6 +7,9 @@
 sent or every target stated that it did not run the request. If the outcome is
 unknown, it responds 502 or 504.
 
+A request whose content has crashed several targets, at any entry, is refused; see
+``crashledger``.
+
 A stream that breaks off is resumed at another target after the last complete event if
 its route allows that. Otherwise the caller's connection is aborted, so that the
 response does not look complete.
@@ -20,6 +23,7 @@
 
 from sardinesaddle.direct import (
     catalog,
+    crashdetector,
     entrystate,
     headercodec,
     nodemetrics,
@@ -55,8 +59,10 @@
         bounds: entrystate.RequestBounds,
         entry_metrics: nodemetrics.EntryMetrics,
         rng: random.Random,
+        crashes: crashdetector.CrashDetector,
     ) -> None:
         self._entry_state = entry_state
+        self._crashes = crashes
         self._header_codec = header_codec
         self._targets = targets
         self._pool = pool
@@ -157,6 +163,13 @@
         last_error: requeststate.TargetError | None = None
         while True:
             target = await self._find_target(state)
+            refusal_s = self._crashes.compute_refusal_s(state.content_id)
+            if refusal_s:
+                if target is not None:
+                    self._end_attempt(state, target)
+                return await self._finish_without_response(
+                    state, responder, last_error, "quarantined", refusal_s
+                )
             if target is None:
                 # Random times keep callers from retrying simultaneously.
                 retry_after_s = requeststate.RETRY_AFTER_NO_CAPACITY_S * (
@@ -168,6 +181,8 @@
             outcome = await self._attempt(state, target, responder)
             if isinstance(outcome, requeststate.Completed):
                 self._targets.on_success(target)
+                if outcome.is_success:
+                    self._crashes.on_completed(state.content_id)
                 self._log(state.req, state, "answered", outcome.status, target)
                 return None
             reason = self._record_outcome(target, outcome)
@@ -175,6 +190,8 @@
             state.tried_targets.add(target.target_id)
             if isinstance(outcome, requeststate.TargetError):
                 last_error = outcome
+            if is_broken(outcome):
+                await self._crashes.probe(target)
             if not self._may_retry(state, outcome):
                 return await self._finish_without_response(
                     state, responder, last_error, reason
@@ -184,6 +201,9 @@
         self, state: requeststate.RequestState
     ) -> targetpool.Target | None:
         """Return the target for the next attempt; wait in the queue if none is free."""
+        if self._crashes.compute_refusal_s(state.content_id):
+            return None
+        state.crash_count = self._crashes.get_crash_count(state.content_id)
         waiting_since = state.req.arrived_at
         due_at, expires_at = (
             waiting_since + state.route.latency_objective_s,
@@ -199,6 +219,7 @@
             due_at,
             min(expires_at, state.deadline - MIN_REMAINING_S),
             state.tried_targets,
+            state.crash_count,
         )
         return await self.scheduler.acquire_target(state.service, queued_request)
 
@@ -217,7 +238,7 @@
                 self._targets.on_capacity_refusal(now, target)
             return outcome.reason
         assert isinstance(outcome, upstream.Failure)
-        is_unreachable = outcome.kind is upstream.FailureKind.CONNECT
+        is_unreachable = not outcome.was_sent
         if self._targets.on_failure(now, target, is_unreachable):
             loguru.logger.info(
                 "event=target_ejected target={} reason={} streak={} for_s={:.1f}",
@@ -282,20 +303,33 @@
                 key, now(), CONNECT_TIMEOUT_S, is_new=not state.may_run_twice
             )
             if isinstance(conn, upstream.Failure):
+                if conn.kind is upstream.FailureKind.CONNECTION_REFUSED:
+                    self._crashes.on_connection_refused(target)
                 return conn
             exchange = upstream.Exchange(
                 conn,
                 self._header_codec.attempt_id_header,
                 state.req.metadata.attempt_id,
             )
+            outcome: responserelay.Outcome | None = None
             try:
-                return await self._exchange(state, target, exchange, responder)
+                outcome = await self._exchange(state, target, exchange, responder)
+                return outcome
             finally:
                 if exchange.finish(now()):
                     self._pool.release(key, conn)
+                if outcome is None or isinstance(outcome, upstream.Failure):
+                    self._crashes.on_unanswered(target, state.content_id)
         finally:
-            self._targets.on_end(target, now())
-            self.scheduler.dispatch(registration.service)
+            self._end_attempt(state, target)
+
+    def _end_attempt(
+        self, state: requeststate.RequestState, target: targetpool.Target
+    ) -> None:
+        """Give up the target's slot and dispatch the next request to it."""
+        now = asyncio.get_running_loop().time()
+        self._targets.on_end(target, now, state.crash_count)
+        self.scheduler.dispatch(target.registration.service)
 
     async def _exchange(
         self,
@@ -418,6 +452,15 @@
     return min(max(priority, 0), LOWEST_PRIORITY)
 
 
+def is_broken(outcome: responserelay.Outcome) -> bool:
+    """Return whether the target closed the connection before its response ended."""
+    return (
+        isinstance(outcome, upstream.Failure)
+        and outcome.was_sent
+        and outcome.kind in crashdetector.BROKEN_KINDS
+    )
+
+
 def refuse_not_run(
     reason: str, retry_after_s: float = requeststate.RETRY_AFTER_SHORT_S
 ) -> requeststate.Refusal:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -26,18 +26,41 @@
     age_s: float
 
 
+class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The incarnations of targets that crashed while a request content ran there.
+
+    Those in ``cleared`` do not count against the content. ``last_crash_age_s`` is the
+    time since the last crash.
+    """
+
+    content_id: str
+    crashed: list[str]
+    cleared: list[str]
+    last_crash_age_s: float
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
-    """Sent by an entry to another entry, with the entries that the sender has found."""
+    """Sent by an entry to another entry, with the entries that the sender has found.
+
+    ``crash_records`` are those that changed since the last heartbeat that the receiver
+    replied to.
+    """
 
     sender: str
     entries: list[str]
+    crash_records: list[CrashRecord] = []
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat_reply"):
-    """The receiver's own list of entries, and the state of its replicas."""
+    """The receiver's own list of entries, and the state of its replicas.
+
+    ``incarnation`` is a random number of the receiver's process, 0 if it does not take
+    crash records.
+    """
 
     entries: list[str]
     prefix_states: list[PrefixState]
+    incarnation: int = 0
 
 
 class FetchRequest(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -42,6 +42,9 @@
             "config_age_seconds", "Seconds since the configuration was confirmed."
         )
         self._targets = self.make_gauge("targets", "Targets registered.")
+        self._refused_contents = self.make_gauge(
+            "refused_contents", "Request contents refused since targets crashed."
+        )
 
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
@@ -61,12 +64,17 @@
         self._retries.inc({"service": service})
 
     def set_state(
-        self, config_version: int, config_age_s: float, target_count: int
+        self,
+        config_version: int,
+        config_age_s: float,
+        target_count: int,
+        refused_content_count: int,
     ) -> None:
         """Set the gauges; infinite ages are capped at 1e6 s."""
         self._config_version.set({}, config_version)
         self._config_age.set({}, min(config_age_s, 1e6))
         self._targets.set({}, target_count)
+        self._refused_contents.set({}, refused_content_count)
 
 
 class SidecarMetrics(NodeMetrics):
--- a/sardinesaddle/direct/requestqueue.py
+++ b/sardinesaddle/direct/requestqueue.py
@@ -36,6 +36,7 @@
     ``priority`` 0 is the highest. ``first_event_deadline`` is when the response
     should begin, ``wait_deadline`` when the request leaves the queue.
     ``excluded_targets`` are identifiers of targets that already failed for it.
+    ``crash_count`` is the number of targets that crashed while it ran there.
     """
 
     priority: int
@@ -43,6 +44,7 @@
     first_event_deadline: float
     wait_deadline: float
     excluded_targets: typing.Collection[str] = ()
+    crash_count: int = 0
     assigned_target: targetpool.Target | None = None
 
     def can_meet_deadline(self, now: float) -> bool:
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -61,7 +61,7 @@
         except asyncio.CancelledError:
             target = self._withdraw(service, request)
             if target is not None:
-                self._targets.on_end(target, loop.time())
+                self._targets.on_end(target, loop.time(), request.crash_count)
                 self.dispatch(service)
             raise
 
@@ -89,10 +89,15 @@
         now = asyncio.get_running_loop().time()
         entry_count = self._entry_state.count_entries()
         target = self._targets.choose_target(
-            now, service, request.excluded_targets, entry_count, self._rng.random
+            now,
+            service,
+            request.excluded_targets,
+            entry_count,
+            self._rng.random,
+            request.crash_count,
         )
         if target is not None:
-            self._targets.on_send(target, now)
+            self._targets.on_send(target, now, request.crash_count)
             self._queues[service].record_dequeue(now, request)
         return target
 
@@ -109,7 +114,7 @@
         for request in queue.list_in_dispatch_order(now):
             target = self._try_assign(service, request)
             if target is None and is_capacity_expected:
-                if request.excluded_targets:
+                if request.excluded_targets or request.crash_count:
                     continue
                 break
             self._resolve(queue, request, target)
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -89,6 +89,11 @@
 
     status: int
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the target ran the request with success."""
+        return 200 <= self.status < 300
+
 
 @dataclasses.dataclass(slots=True)
 class RequestState:
@@ -96,8 +101,9 @@
 
     Times are the event loop's. ``may_have_run`` is set while a target may run or have
     run the request. ``content_id`` is the same for all attempts of a caller at one
-    request. ``last_event`` is the number of the last stream event that was
-    relayed to the caller. ``attempt_log`` lists target and reason of each
+    request; ``crash_count`` is how many targets had crashed under that content when
+    the present attempt began. ``last_event`` is the number of the last stream event
+    that was relayed to the caller. ``attempt_log`` lists target and reason of each
     failed attempt.
     """
 
@@ -107,6 +113,7 @@
     account: catalog.Account | None
     content_id: str
     deadline: float
+    crash_count: int = 0
     send_count: int = 0
     may_have_run: bool = False
     connect_failures: int = 0
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -14,6 +14,11 @@
 own place. Entries that disagree about which entries exist only prefer other targets.
 ``sardinesaddle bench rankchoice`` simulates this load.
 
+Requests under which targets crashed before (suspects) are kept apart, so that the next
+crash tells which of them caused it. A suspect of one crash prefers a target without
+other suspects of this entry. A suspect of more crashes waits for one in this entry's
+subset, which no other entry uses for such suspects.
+
 Targets are ejected for a while after consecutive failures (outlier ejection). If all
 targets of a service are ejected, the one whose ejection ends first is used, so that
 wrong suspicions cannot stop a service.
@@ -59,6 +64,10 @@
 # Slots of a target that only entries with the target in their subset may use.
 OUTSIDE_SUBSET_RESERVED_SLOTS: typing.Final = 1
 OUTSIDE_SUBSET_SAMPLE_SIZE: typing.Final = 3  # targets
+# Share of slots. A target with a suspect is used when the others are nearly full.
+SUSPECT_LOAD_PENALTY: typing.Final = 0.8
+# From so many crashes on, a suspect waits for a target without other suspects.
+CRASHES_TO_ISOLATE: typing.Final = 2
 REPORT_DELAY_S: typing.Final = 0.01  # network and handling, sidecar to entry
 
 
@@ -72,6 +81,7 @@
     registration: catalog.TargetRegistration
     created_rev: int = 0
     own_in_flight: int = 0
+    own_suspects: int = 0
     report: messages.Report | None = None
     reported_at: float = 0.0
     recent_sends: collections.deque[float] = dataclasses.field(
@@ -292,14 +302,23 @@
         excluded: typing.Collection[str],
         entry_count: int,
         random_fraction: typing.Callable[[], float],
+        crash_count: int = 0,
     ) -> Target | None:
         """Return the target for the next request, or None if none has capacity.
 
         ``random_fraction`` returns numbers in [0, 1); they also break ties.
+        ``crash_count`` is how many targets crashed while the request ran there.
         """
         candidates = [
             t for t in self.list_available(service) if t.target_id not in excluded
         ]
+        if crash_count >= CRASHES_TO_ISOLATE:
+            own_targets = self.list_subset(service)
+            candidates = [
+                t
+                for t in candidates
+                if t.target_id in own_targets and not t.own_suspects
+            ]
         open_targets = [t for t in candidates if self.is_group_open(now, t)]
         with_capacity = [
             t for t in open_targets if self.has_capacity(now, t, entry_count)
@@ -329,11 +348,12 @@
     def may_have_capacity_soon(self, now: float, service: str) -> bool:
         """Return whether it is worth waiting for a target of the service.
 
-        That is so if a target is in backoff, is a rank with limited slots, or belongs
-        to a group that is not open.
+        That is so if a target is in backoff, runs a suspect, is a rank with limited
+        slots, or belongs to a group that is not open.
         """
         return any(
             candidate.backoff_until > now
+            or candidate.own_suspects
             or service in self.lockstep_services
             or not self.is_group_open(now, candidate)
             for candidate in self.list_available(service)
@@ -382,17 +402,24 @@
         load += FAILURE_LOAD_PENALTY * target.failure_rate
         if target.registration.place != self._place:
             load += REMOTE_PLACE_LOAD_PENALTY
+        if target.own_suspects:
+            load += SUSPECT_LOAD_PENALTY
         return load
 
-    def on_send(self, target: Target, now: float) -> None:
-        """Count a request that is about to be sent."""
+    def on_send(self, target: Target, now: float, crash_count: int = 0) -> None:
+        """Count a request that is about to be sent.
+
+        ``crash_count`` is the number of targets that crashed while it ran there.
+        """
         target.own_in_flight += 1
+        target.own_suspects += crash_count > 0
         target.recent_sends.append(now)
         target.discard_before(now - REPORT_TTL_S)
 
-    def on_end(self, target: Target, now: float) -> None:
-        """Count the end of a request, however it ended."""
+    def on_end(self, target: Target, now: float, crash_count: int = 0) -> None:
+        """Count the end of a request, however it ended; arguments as in on_send."""
         target.own_in_flight -= 1
+        target.own_suspects -= crash_count > 0
         target.recent_ends.append(now)
 
     def on_success(self, target: Target) -> None:
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -31,9 +31,14 @@
 
 
 class FailureKind(enum.Enum):
-    """Why an exchange failed."""
+    """Why an exchange failed.
+
+    ``CONNECTION_REFUSED`` shows that no process listens at the target's address;
+    ``CONNECT`` is any other failure to connect.
+    """
 
     CONNECT = "connect"
+    CONNECTION_REFUSED = "connection_refused"
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
@@ -332,16 +337,35 @@
             conn.is_idle = False
             self.reused += 1
             return conn
+        return await self._open(key, connect_timeout_s)
+
+    async def open_idle(
+        self, key: PoolKey, now: float, connect_timeout_s: float
+    ) -> Failure | None:
+        """Add a new idle connection to the pool; return the failure if there is one."""
+        conn = await self._open(key, connect_timeout_s)
+        if isinstance(conn, Failure):
+            return conn
+        conn.idle_since = now
+        conn.is_idle = True
+        self.release(key, conn)
+        return None
+
+    async def _open(
+        self, key: PoolKey, connect_timeout_s: float
+    ) -> Connection | Failure:
+        """Open a connection to a target."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(connect_timeout_s):
-                _, opened_conn = await loop.create_connection(
-                    Connection, key[0], key[1]
-                )
+                _, conn = await loop.create_connection(Connection, key[0], key[1])
         except (TimeoutError, OSError) as exc:
-            return Failure(FailureKind.CONNECT, False, f"{type(exc).__name__}: {exc}")
+            kind = FailureKind.CONNECT
+            if isinstance(exc, ConnectionRefusedError):
+                kind = FailureKind.CONNECTION_REFUSED
+            return Failure(kind, False, f"{type(exc).__name__}: {exc}")
         self.opened += 1
-        return opened_conn
+        return conn
 
     def release(self, key: PoolKey, conn: Connection) -> None:
         """Return a connection to the pool; close it if the pool is full."""
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -107,7 +107,10 @@
 
 
 class WireTarget(msgspec.Struct, frozen=True):
-    """A target's registration; ``cold_left_ms`` is its remaining warm-up time."""
+    """A target's registration; ``cold_left_ms`` is its remaining warm-up time.
+
+    ``born`` is the Unix time of the target's start in milliseconds.
+    """
 
     service: str
     addr: str
@@ -115,6 +118,7 @@
     slots: int
     state: typing.Literal["ready", "draining"]
     cold_left_ms: float = 0.0
+    born: int = 0
 
 
 def decode_catalog(data: bytes) -> catalog.Catalog | Fault:
@@ -221,6 +225,7 @@
         if is_draining
         else catalog.TargetState.READY,
         warmup_s=wire.cold_left_ms * SECONDS_PER_MS,
+        started_ms=wire.born,
     )
 
 
