Keep the retries of all entries within the limit when entries restart or part

A limit over all entries was kept in the memory of one process. An entry that restarted had forgotten what it spent and took the whole allowance until it found the others; entries that lost each other divided by fewer; a reload with other bounds forgot what was spent.

Change: an entry uses none of the allowance in its first second and a smaller part for one window after a restart (all of its part at the first start of the system); it divides by the largest number of entries of the last ten minutes; new bounds keep the history.

Conclusion: an entry that starts inside a partition of more than ten seconds still sees only its side; that is not bounded.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -71,6 +71,8 @@
         self._rng = rng
         self._clock = clock
         self.catalog = None
+        self.started_at = 0.0
+        self.is_first_start = cfg.is_first_start
         self.targets = targetpool.TargetPool(cfg.place)
         self.targets.set_entries(cfg.host, ())
         self.metrics = nodemetrics.EntryMetrics(cfg.name)
@@ -385,6 +387,8 @@
     async def start(self) -> None:
         """Start to listen, to watch the store and to contact the seeds."""
         loop = asyncio.get_running_loop()
+        self.started_at = loop.time()
+        loguru.logger.info("event=entry_starts first_start={}", self.is_first_start)
         await self._server.start()
         for watcher in self._watchers.values():
             self._tasks.append(loop.create_task(watcher.run()))
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -73,10 +73,12 @@
         self._retry_budgets: dict[str, retrybudget.RetryBudget] = {}
 
     def set_bounds(self, bounds: entrystate.RequestBounds) -> None:
-        """Apply new bounds; if they differ, the retry budgets are created anew."""
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._retry_budgets.clear()
+        """Apply new bounds; what was spent of the retry budgets still counts."""
+        self._bounds = bounds
+        for budget in self._retry_budgets.values():
+            budget.set_limits(
+                bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
+            )
 
     async def handle(
         self, req: requeststate.Request, responder: requeststate.Responder
@@ -87,7 +89,9 @@
         if isinstance(state, requeststate.Refusal):
             await self._refuse(req, responder, state, None)
             return
-        self._get_retry_budget(state.service).on_request(loop.time())
+        budget = self._get_retry_budget(state.service)
+        budget.on_request(loop.time())
+        budget.on_entry_count(loop.time(), self._entry_state.count_entries())
         try:
             async with asyncio.timeout_at(state.deadline):
                 refusal = await self._attempt_all(state, responder)
@@ -151,7 +155,11 @@
         if budget is None:
             bounds = self._bounds
             budget = retrybudget.RetryBudget(
-                bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
+                bounds.retry_ratio,
+                bounds.retry_allowance,
+                bounds.retry_window_s,
+                self._entry_state.started_at,
+                self._entry_state.is_first_start,
             )
             self._retry_budgets[service] = budget
         return budget
@@ -263,9 +271,7 @@
         now = asyncio.get_running_loop().time()
         if state.deadline - now < MIN_REMAINING_S:
             return False
-        if not self._get_retry_budget(state.service).try_spend(
-            now, self._entry_state.count_entries()
-        ):
+        if not self._get_retry_budget(state.service).try_spend(now):
             return False
         self._metrics.count_retry(state.service)
         return True
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -61,10 +61,14 @@
 class EntrySettings(
     NodeSettings, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
-    """Settings of an entry; it serves callers at ``front``, readiness at ``ready``."""
+    """Settings of an entry; it serves callers at ``front``, readiness at ``ready``.
+
+    ``is_first_start`` is set if no process of the system ran before.
+    """
 
     front: Address
     ready: Address
+    is_first_start: bool = False
     bounds: EntryBounds = EntryBounds()
 
 
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -443,6 +443,7 @@
             seeds=["127.0.1.1:1"],
             front=f"{host}:{front_port}",
             ready=f"{host}:1",
+            is_first_start=True,
         )
         clock = LoopClock()
         node = entrynode.EntryNode(
--- a/test/test_direct_scheduling.py
+++ b/test/test_direct_scheduling.py
@@ -26,6 +26,8 @@
     """The state of an entry that is the only one and has no configuration."""
 
     catalog = None
+    started_at = 0.0
+    is_first_start = False
 
     def compute_config_age(self) -> float:
         """Return an age of 0 s."""
