Keep crash records in sidecars, for entries that all restart

Cause: the records lived in entries alone.

Change: the sidecar of rank 0 of each group exchanges records with every entry once a second (crashkeeper); an entry that restarted gets all of them within a second. Old entries are left out: they do not state that they take records.

Cost: one message a second for each entry at rank 0.

Conclusion: a loss of all processes, sidecars included, still forgets everything; the request then costs two or three targets once more.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -246,7 +246,7 @@
         """Return the reply to a heartbeat, a fetch or a report."""
         if isinstance(msg, messages.Heartbeat):
             self._peers.on_entry_alive(msg.sender)
-            self._merge_crash_records(msg)
+            self._merge_crash_records(msg.crash_records, msg.sender)
             return messages.HeartbeatReply(
                 self._peers.list_entries(),
                 self._list_prefix_states(),
@@ -256,6 +256,8 @@
             return self._make_fetch_reply(msg)
         if isinstance(msg, messages.Report):
             return self._on_report(msg)
+        if isinstance(msg, messages.CrashSync):
+            return self._sync_crash_records(msg)
         return None
 
     def _list_prefix_states(self) -> list[messages.PrefixState]:
@@ -308,8 +310,8 @@
         digest = zlib.crc32(repr((report.epoch, entries, ranks)).encode())
         wants_every_change = self.targets.is_in_subset(report.target)
         if digest == report.known_digest:
-            return messages.ReportReply(digest, wants_every_change)
-        return messages.ReportReply(digest, wants_every_change, entries, ranks)
+            entries, ranks = [], []
+        return messages.ReportReply(digest, wants_every_change, entries, ranks, True)
 
     def _list_ranks(self, report: messages.Report) -> list[tuple[int, str]]:
         """Return the hosts of a group's sidecars by rank, if the reporter is rank 0."""
@@ -338,18 +340,25 @@
             return [], after
         return ledger.list_changes(self._clock.read(), after), ledger.change_number
 
-    def _merge_crash_records(self, heartbeat: messages.Heartbeat) -> None:
-        """Merge another entry's crash records."""
-        if not heartbeat.crash_records:
-            return
-        changed = self.crash_ledger.merge(self._clock.read(), heartbeat.crash_records)
+    def _merge_crash_records(
+        self, records: list[messages.CrashRecord], source: str
+    ) -> None:
+        """Merge the crash records of another process."""
+        changed = self.crash_ledger.merge(self._clock.read(), records)
         if changed:
             loguru.logger.info(
                 "event=crashes_merged source={} contents={}",
-                heartbeat.sender,
+                source,
                 self.crash_ledger.format_counts(changed),
             )
 
+    def _sync_crash_records(self, msg: messages.CrashSync) -> messages.CrashSyncReply:
+        """Merge a sidecar's crash records; return those that it lacks."""
+        is_known = msg.known_incarnation == self._incarnation
+        records, newest = self.list_crash_records(msg.known_change if is_known else 0)
+        self._merge_crash_records(msg.crash_records, msg.sender)
+        return messages.CrashSyncReply(self._incarnation, newest, records)
+
     async def on_heartbeat_reply(
         self, peer: rpc.Peer, reply: messages.HeartbeatReply, sent_at: float
     ) -> None:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -121,12 +121,35 @@
 
     Both lists are empty if ``digest`` equals the ``known_digest`` of the report.
     ``wants_every_change`` asks the sidecar to report each change of load at once.
+    ``takes_crash_records`` is set if the entry replies to ``CrashSync``.
     """
 
     digest: int
     wants_every_change: bool
     entries: list[str] = []
     ranks: list[tuple[int, str]] = []
+    takes_crash_records: bool = False
+
+
+class CrashSync(msgspec.Struct, frozen=True, array_like=True, tag="crash_sync"):
+    """Crash records that a sidecar keeps and the entry may lack.
+
+    ``known_change`` is the change number of the entry's ledger up to which the sender
+    has its records, if the entry's process still has ``known_incarnation``.
+    """
+
+    sender: str
+    crash_records: list[CrashRecord]
+    known_incarnation: int
+    known_change: int
+
+
+class CrashSyncReply(msgspec.Struct, frozen=True, array_like=True, tag="crash_reply"):
+    """The records that the sidecar lacks, and the entry's newest change number."""
+
+    incarnation: int
+    change_number: int
+    crash_records: list[CrashRecord]
 
 
 class ReadRank(msgspec.Struct, frozen=True, array_like=True, tag="read_rank"):
@@ -178,8 +201,15 @@
     reason: str
 
 
-Request = Heartbeat | FetchRequest | Report | ReadRank | OrderRank
-Reply = HeartbeatReply | FetchReply | ReportReply | RankReply | UnavailableReply
+Request = Heartbeat | FetchRequest | Report | CrashSync | ReadRank | OrderRank
+Reply = (
+    HeartbeatReply
+    | FetchReply
+    | ReportReply
+    | CrashSyncReply
+    | RankReply
+    | UnavailableReply
+)
 
 ENCODER: typing.Final = msgspec.msgpack.Encoder()
 REQUEST_DECODER: typing.Final = msgspec.msgpack.Decoder(Request)
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -1,7 +1,8 @@
 """The sidecar process of the direct path: reports its engine's state to the entries.
 
 The sidecar reads the state on the engine's own host, where reading is fast and cheap.
-It reports the state to every entry when it changes, and periodically otherwise.
+It reports the state to every entry when it changes, and periodically otherwise. The
+sidecar of rank 0 also keeps the entries' crash records.
 """
 
 import asyncio
@@ -14,7 +15,9 @@
 
 from sardinesaddle.direct import (
     catalog,
+    crashkeeper,
     engine,
+    freshness,
     groupleader,
     messages,
     nodemetrics,
@@ -50,9 +53,11 @@
         cfg: nodesettings.SidecarSettings,
         local_engine: engine.Engine,
         store_decoder: storedecoder.StoreDecoder,
+        clock: freshness.SuspendAwareClock,
         rng: random.Random,
     ) -> None:
         self._cfg = cfg
+        self._keeper = crashkeeper.CrashKeeper(cfg.host, clock)
         self._store_decoder = store_decoder
         self._engine = local_engine
         self._rng = rng
@@ -241,6 +246,8 @@
                     self._last_listed[host] = loop.time()
                     self.on_reply(host, report.epoch, reply)
                     wants_every_change = reply.wants_every_change
+                    if reply.takes_crash_records and report.rank == 0:
+                        await self._keeper.sync_if_due(peer)
                 elif (
                     host not in seeds
                     and loop.time() - self._last_listed[host] > ENTRY_TTL_S
--- a/sardinesaddle/direct/start.py
+++ b/sardinesaddle/direct/start.py
@@ -70,7 +70,9 @@
     session = make_session()
     local_engine = engines.PlatformEngine(session, cfg.target)
     store_decoder = catalogformat.PlatformStoreDecoder()
-    node = sidecarnode.SidecarNode(cfg, local_engine, store_decoder, random.Random())
+    node = sidecarnode.SidecarNode(
+        cfg, local_engine, store_decoder, freshness.BootTimeClock(), random.Random()
+    )
     return node, node.metrics, session
 
 
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -406,7 +406,8 @@
         self.ports: list[int] = []
         self.clocks: list[LoopClock] = []
         self.targets: dict[str, ScriptedTarget] = {}
-        self._node_port = 0
+        self.node_port = 0
+        self._started_count = 0
 
     async def add_target(
         self, name: str, service: str, respond: Responder = respond_with_name
@@ -432,27 +433,28 @@
         The first entry is the seed peer of all others.
         """
         host = f"127.0.1.{len(self.entries) + 1}"
-        self._node_port = self._node_port or find_free_port(host)
+        self.node_port = self.node_port or find_free_port(host)
         front_port = find_free_port(host)
         cfg = nodesettings.EntrySettings(
             name=host,
             host=host,
             place="p",
             store="127.0.0.1:1",
-            node_ports=(self._node_port, self._node_port),
+            node_ports=(self.node_port, self.node_port),
             seeds=["127.0.1.1:1"],
             front=f"{host}:{front_port}",
             ready=f"{host}:1",
             is_first_start=True,
         )
         clock = LoopClock()
+        self._started_count += 1
         node = entrynode.EntryNode(
             cfg,
             store or self.store,
             catalogformat.PlatformStoreDecoder(),
             headers.PlatformHeaderCodec(),
             clock,
-            random.Random(len(self.entries) + 1),
+            random.Random(self._started_count),
         )
         await node.start()
         self.entries.append(node)
@@ -460,6 +462,12 @@
         self.ports.append(front_port)
         return node
 
+    async def stop_first_entry(self) -> None:
+        """Stop the entry that was started first; the others move up in the lists."""
+        await self.entries.pop(0).stop()
+        self.ports.pop(0)
+        self.clocks.pop(0)
+
     async def send_request(
         self,
         path: str,
--- a/test/test_direct_maps.py
+++ b/test/test_direct_maps.py
@@ -347,6 +347,7 @@
             ),
             rankgroup.RankEngine(rankgroup.RankGroup(3, 1), 0),
             catalogformat.PlatformStoreDecoder(),
+            df.LoopClock(),
             random.Random(1),
         )  # fmt: skip
 
--- a/test/test_direct_quarantine.py
+++ b/test/test_direct_quarantine.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from sardinesaddle.direct import crashledger, messages, requeststate, rpc
+from sardinesaddle.direct import (
+    crashkeeper,
+    crashledger,
+    messages,
+    requeststate,
+    rpc,
+)
 from test import directfleet as df
 
 DOWNTIME_S = 2.0
@@ -193,6 +199,39 @@
     df.run_scenario(scenario, entry_count=3)
 
 
+def test_entries_that_all_restart_refuse_the_crashing_request() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = CrashingTargets(fleet)
+        await targets.add(4)
+        await fleet.settle()
+        keeper = crashkeeper.CrashKeeper("sidecar", df.LoopClock())
+
+        async def sync() -> None:
+            while True:
+                for number in range(len(fleet.entries)):
+                    peer = rpc.Peer(f"127.0.1.{number + 1}", fleet.node_port)
+                    await keeper.sync_if_due(peer)
+                    peer.close()
+                await asyncio.sleep(0.1)
+
+        sync_task = asyncio.create_task(sync())
+        await fleet.send_request("/free/poison")
+        await fleet.settle(3.0)
+        old_entries = list(fleet.entries)
+        for _ in old_entries:
+            await fleet.stop_first_entry()
+        assert not fleet.entries
+        await fleet.settle(1.0)
+        for _ in old_entries:
+            await fleet.add_entry()
+        await fleet.settle(CONTACT_S)
+        assert (await fleet.send_request("/free/poison", 1)).status == 503
+        assert len(targets.crash_times) == 2
+        sync_task.cancel()
+
+    df.run_scenario(scenario, entry_count=2)
+
+
 def test_broken_exchanges_with_running_targets_refuse_nothing() -> None:
     async def reset_after_request(
         target: df.ScriptedTarget,
