Send requests that crash targets in the soak

Change: rough runs send three guilty contents through all entries beside suspensions, kills, stops and late orders; a target and its proxy refuse connections for a while and come back as a new incarnation. A completed content is no longer announced at once: it goes with the regular heartbeats.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -51,7 +51,7 @@
 class CrashDetector:
     """Tells the ledger of an entry which targets crashed under which requests.
 
-    ``on_recorded`` is called after the ledger has changed.
+    ``on_recorded`` is called after a crash was recorded.
     """
 
     def __init__(
@@ -82,7 +82,6 @@
         """Record that a target ran a content to its end."""
         if self._ledger.record_completion(self._clock.read(), content_id):
             loguru.logger.info("event=content_cleared content={}", content_id)
-            self._on_recorded()
 
     def _get_exchanges(self, target: targetpool.Target) -> TargetExchanges:
         """Return what is tracked for a target's incarnation."""
--- a/test/soak.py
+++ b/test/soak.py
@@ -1,16 +1,17 @@
 """A randomized soak test: injects faults into real processes and checks promises.
 
-    python -m test.soak [--seeds N] [--first SEED] [--seconds S]
+    python -m test.soak [--seeds N] [--first SEED] [--seconds S] [--entries N]
 
-Each seed is one run. Three entries and the three sidecars of a group are separate
-processes. The store, the plain targets and the lock-step group of engines run in this
-process, the targets behind loopback proxies. Callers keep a connection open until the
-entry closes it.
+Each seed is one run. The entries, three by default, and the three sidecars of a group
+are separate processes. The store, the plain targets and the lock-step group of engines
+run in this process, the targets behind loopback proxies. Callers keep a connection open
+until the entry closes it.
 
 Faults overlap. Processes are suspended, killed, stopped or sent SIGHUP. Proxies
 delay, reset or swallow bytes in one or both directions. The store fails, stops
 responding or compacts its history. Configuration versions change. The group breaks and
-reforms, and engines execute orders late. A planned run has only stops, reloads, new
+reforms, and engines execute orders late. Some requests crash each target that runs
+them, and come again at any entry. A planned run has only stops, reloads, new
 versions and demand shifts; in such a run no request may be lost.
 
 At the end all faults are cleared: the entries must serve requests and have the newest
@@ -21,8 +22,9 @@
 although its caller got a status that says it did not; TIMEOUT, a response later than
 the request's deadline allows; MIXED, the response to another request; ORDER, wrong
 events in a stream; GRACE, an entry that did not stop in time; ENDS, a process that
-exited unexpectedly; RECOVER, CONFIG, STUCK, an entry or group that did not recover; and
-MAP, a pass with mixed expert maps.
+exited unexpectedly; BUDGET, a request sent too often after it crashed three targets;
+INNOCENT, a request refused for crashes that it did not cause; RECOVER, CONFIG, STUCK,
+an entry or group that did not recover; and MAP, a pass with mixed expert maps.
 """
 
 import argparse
@@ -57,6 +59,11 @@
 READ_SLACK_S: typing.Final = 0.2  # the users' bound for reading a request
 RECOVERY_S: typing.Final = 3.0  # the users' bound for reconnecting
 CONFIG_PROPAGATION_S: typing.Final = 2.0  # the users' bound for a new version
+CONTACT_S: typing.Final = 3.0  # the users' bound for a process to learn of others
+MAX_LATE_SENDS: typing.Final = 3  # the users' bound, CONTACT_S after the third crash
+GUILTY_PATHS: typing.Final = ("/free/poison-1", "/free/poison-2", "/once/poison-3")
+GUILTY_SHARE: typing.Final = 0.03  # of the requests of a run that is not planned
+INNOCENT_RETRY_AFTER_S: typing.Final = 60.0  # refusals for crashes are longer
 START_TIMEOUT_S: typing.Final = 30.0
 INTERPRETER_START_S: typing.Final = 1.0  # until SIGHUP no longer ends the process
 STOP_GRACE_S: typing.Final = 8.0
@@ -89,6 +96,12 @@
         self._server.close()
         self.reset()
 
+    async def crash(self, downtime_s: float) -> None:
+        """Refuse connections for a while, as after the end of the target's process."""
+        await self.stop()
+        await asyncio.sleep(downtime_s)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
@@ -216,10 +229,13 @@
         self.excuse_ends_at = 0.0
         self.is_exit_expected = False
         self.started_at = 0.0
+        # From then on the process knows what the others know, unless it is disturbed.
+        self.in_touch_from = 0.0
 
     def start(self) -> None:
         """Start the process; its log lines are appended to the log file."""
         self.started_at = asyncio.get_running_loop().time()
+        self.in_touch_from = self.started_at + INTERPRETER_START_S + CONTACT_S
         command = [sys.executable, "-m", "sardinesaddle.direct", self._role]
         env = os.environ | {start.SETTINGS_VARIABLE: str(self._settings_path)}
         with self._log_path.open("ab") as log:
@@ -264,7 +280,14 @@
     ``violations`` are the broken promises that the run found.
     """
 
-    def __init__(self, seed: int, seconds: float, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        directory: pathlib.Path,
+        entry_count: int = ENTRY_COUNT,
+    ) -> None:
+        self._entry_count = entry_count
         self.rng = random.Random(seed)
         self.is_planned = seed % 3 == 0
         self.store = df.MemoryStore()
@@ -282,6 +305,10 @@
         self._version = 1
         self._executions: collections.Counter[str] = collections.Counter()
         self._not_executed_ids: set[str] = set()
+        self._senders: dict[str, NodeProcess] = {}
+        self._crash_times: dict[str, list[float]] = {path: [] for path in GUILTY_PATHS}
+        self._late_sends: collections.Counter[str] = collections.Counter()
+        self._restart_tasks: set[asyncio.Task[None]] = set()
         self._lag_s = 0.0
         self.request_count = self.served_count = 0
         self.violations: list[str] = []
@@ -292,6 +319,11 @@
         orders = [order for rank in self._group.ranks for order in rank.order_log]
         return orders.count(("arm", 200))
 
+    @property
+    def crash_count(self) -> int:
+        """The number of targets that guilty requests crashed."""
+        return sum(len(times) for times in self._crash_times.values())
+
     def _record_violation(self, promise: str, text: str) -> None:
         """Record a broken promise with the event loop's time."""
         now = asyncio.get_running_loop().time()
@@ -307,19 +339,22 @@
             respond = self._respond if service == "plain" else self._respond_with_stream
             for number in range(count):
                 await self._add_target(f"{service}-{number}", service, respond)
-        ports = [df.find_free_port(STORE_HOST) for _ in range(2 * ENTRY_COUNT + 1)]
-        self.ports = ports[:ENTRY_COUNT]
-        for index in range(ENTRY_COUNT):
-            host = f"127.0.4.{10 + index}"
+        ports = [
+            df.find_free_port(STORE_HOST) for _ in range(2 * self._entry_count + 1)
+        ]
+        self.ports = ports[: self._entry_count]
+        for index in range(self._entry_count):
+            host = make_entry_host(index)
             cfg: dict[str, object] = {
                 "name": f"e{index}",
                 "host": host,
                 "place": "p",
                 "store": f"{STORE_HOST}:{store_port}",
                 "front": f"{host}:{ports[index]}",
-                "ready": f"{host}:{ports[ENTRY_COUNT + index]}",
+                "ready": f"{host}:{ports[self._entry_count + index]}",
                 "node_ports": [ports[-1], ports[-1]],
                 "seeds": ["127.0.4.10:1", "127.0.4.11:1"],
+                "is_first_start": True,
             }
             process = NodeProcess("entry", index, self._directory, cfg)
             process.start()
@@ -327,7 +362,7 @@
         for index in range(soakengine.RANK_COUNT):
             cfg = {
                 "name": f"s{index}",
-                "host": f"127.0.4.{20 + index}",
+                "host": f"127.0.3.{20 + index}",
                 "place": "p",
                 "store": f"{STORE_HOST}:{store_port}",
                 "node_ports": [ports[-1], ports[-1]],
@@ -339,7 +374,7 @@
             process = NodeProcess("sidecar", index, self._directory, cfg)
             process.start()
             self._sidecar_processes.append(process)
-        for index in range(ENTRY_COUNT):
+        for index in range(self._entry_count):
             await self._wait_until_serving(index)
 
     async def _add_target(self, name: str, service: str, respond: df.Responder) -> None:
@@ -350,6 +385,10 @@
         await proxy.start()
         self.targets[name] = target
         self._proxies.append(proxy)
+        self._register_target(name, service, proxy)
+
+    def _register_target(self, name: str, service: str, proxy: FaultProxy) -> None:
+        """Write a target's registration, with the address of its proxy."""
         addr = f"127.0.0.1:{proxy.port}"
         registration = {"service": service, "addr": addr, "zone": "p", "slots": 4}
         self.store.put(f"servers/{name}", {**registration, "state": "ready"})
@@ -361,7 +400,7 @@
 
     async def connect(self, entry_index: int = 0) -> df.ClientConnection:
         """Open a connection to an entry's front port, within 1 s."""
-        host = f"127.0.4.{10 + entry_index}"
+        host = make_entry_host(entry_index)
         async with asyncio.timeout(1.0):
             return await asyncio.open_connection(host, self.ports[entry_index])
 
@@ -387,12 +426,42 @@
     ) -> bool:
         """Count an execution of a request and respond with its identifier."""
         self._executions[request.attempt_id] += 1
+        if request.path in GUILTY_PATHS:
+            self._crash(target, request)
+            return False
         await asyncio.sleep(self.rng.uniform(0.0, 0.08))
         writer.write(
             df.make_response(request.attempt_id, f"ran {request.attempt_id}".encode())
         )
         return True
 
+    def _crash(self, target: df.ScriptedTarget, request: df.ReceivedRequest) -> None:
+        """Crash a target under a guilty request, and count it if it is too late."""
+        loop = asyncio.get_running_loop()
+        crash_times = self._crash_times[request.path]
+        sender = self._senders[request.attempt_id]
+        is_late = len(crash_times) >= 3 and loop.time() > crash_times[2] + CONTACT_S
+        if is_late and loop.time() > sender.in_touch_from:
+            self._late_sends[request.path] += 1
+            if self._late_sends[request.path] == MAX_LATE_SENDS + 1:
+                text = f"{request.path} crashed {len(crash_times)} before"
+                self._record_violation("BUDGET", f"{text}, by {sender.name}")
+        crash_times.append(loop.time())
+        proxy = self._proxies[int(target.name.rstrip("+").rpartition("-")[2])]
+        task = loop.create_task(self._restart_target(target, proxy))
+        self._restart_tasks.add(task)
+        task.add_done_callback(self._restart_tasks.discard)
+
+    async def _restart_target(
+        self, target: df.ScriptedTarget, proxy: FaultProxy
+    ) -> None:
+        """Crash a plain target and start it again as a new incarnation."""
+        await proxy.crash(self.rng.uniform(0.3, 1.5))
+        with contextlib.suppress(KeyError):
+            self.store.delete(f"servers/{target.name}")
+        target.name += "+"
+        self._register_target(target.name, "plain", proxy)
+
     async def _respond_with_stream(
         self,
         target: df.ScriptedTarget,
@@ -442,7 +511,7 @@
         conn: df.ClientConnection | None = None
         while True:
             await asyncio.sleep(self.rng.uniform(0.01, 0.1))
-            entry_index = caller_index % ENTRY_COUNT
+            entry_index = caller_index % self._entry_count
             process = self._entry_processes[entry_index]
             try:
                 if conn is None or conn[0].at_eof() or conn[1].is_closing():
@@ -452,6 +521,9 @@
                 continue
             attempt_id = f"{self.rng.getrandbits(64):016x}"
             path = self.rng.choice(paths)
+            if not self.is_planned and self.rng.random() < GUILTY_SHARE:
+                path = self.rng.choice(GUILTY_PATHS)
+            self._senders[attempt_id] = process
             loop = asyncio.get_running_loop()
             sent_at = loop.time()
             limit_s = REQUEST_DEADLINE_MS / 1000 + RESPONSE_SLACK_S + 3.0
@@ -479,6 +551,9 @@
         is_excused: bool,
     ) -> None:
         """Check the promises that a single response can show."""
+        retry_after_s = float(response.headers.get("retry-after", 0.0))
+        if retry_after_s > INNOCENT_RETRY_AFTER_S and path not in GUILTY_PATHS:
+            self._record_violation("INNOCENT", f"{attempt_id} {path} is refused")
         if response.status in NOT_EXECUTED_STATUSES and path in (
             "/once/a",
             "/unique/a",
@@ -579,9 +654,11 @@
         process = self.rng.choice([*self._entry_processes, *self._sidecar_processes])
         seconds = self.rng.uniform(0.2, 1.5)
         self._excuse_failures(process, seconds + RECOVERY_S)
+        process.in_touch_from = float("inf")
         process.signal_if_running(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         process.signal_if_running(signal.SIGCONT)
+        process.in_touch_from = asyncio.get_running_loop().time() + CONTACT_S
 
     async def _kill_and_restart_process(self) -> None:
         """Kill a random entry or sidecar and restart it."""
@@ -682,6 +759,8 @@
             await self._store_server.stop()
             for proxy in self._proxies:
                 await proxy.stop()
+            for task in self._restart_tasks:
+                task.cancel()
             for target in self.targets.values():
                 await target.stop()
 
@@ -697,12 +776,12 @@
         await asyncio.sleep(1.0)
         if self._group.step == step_before:
             self._record_violation("STUCK", f"pass {step_before + 1} is held")
-        for index in range(ENTRY_COUNT):
+        for index in range(self._entry_count):
             await self._wait_until_serving(index)
         self._version += 1
         self._put_config(self._version, "key-b")
         await asyncio.sleep(CONFIG_PROPAGATION_S + self._lag_s)
-        for index in range(ENTRY_COUNT):
+        for index in range(self._entry_count):
             for key, status in (("key-a", 401), ("key-b", 200)):
                 try:
                     response = await self.send_request(
@@ -739,12 +818,22 @@
             )
 
 
-def run_seed(seed: int, seconds: float, directory: pathlib.Path) -> SoakRun:
+def make_entry_host(index: int) -> str:
+    """Return the loopback address of an entry."""
+    return f"127.0.{4 + index // 200}.{10 + index % 200}"
+
+
+def run_seed(
+    seed: int,
+    seconds: float,
+    directory: pathlib.Path,
+    entry_count: int = ENTRY_COUNT,
+) -> SoakRun:
     """Run one seed; return the run with its violations."""
     directory.mkdir(parents=True, exist_ok=True)
 
     async def run() -> SoakRun:
-        soak = SoakRun(seed, seconds, directory)
+        soak = SoakRun(seed, seconds, directory, entry_count)
         # Connections that are still open at the end are cancelled with the loop, which
         # the loop would log as errors.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
@@ -760,17 +849,19 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--entries", type=int, default=ENTRY_COUNT)
     args = parser.parse_args()
     loguru.logger.remove()
     log_dir = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
-        soak = run_seed(seed, args.seconds, log_dir / str(seed))
+        soak = run_seed(seed, args.seconds, log_dir / str(seed), args.entries)
         kind = "planned" if soak.is_planned else "rough"
         text = (
             f"seed {seed} {kind}: {soak.served_count} of {soak.request_count} served,"
         )
-        text += f" {soak.map_switch_count} switches of a rank's map"
+        text += f" {soak.map_switch_count} switches of a rank's map,"
+        text += f" {soak.crash_count} crashes under guilty requests"
         print(text, *soak.violations[:5], sep="\n  ", flush=True)
         failed += bool(soak.violations)
     print(f"{failed} of {args.seeds} failed; logs in {log_dir}")
