Index crash records by crash

Cause: finding the guilty contents compared every record with every other.

Change: CrashIndex looks only at contents that share a crash.

--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -23,7 +23,6 @@
 """
 
 import collections
-import collections.abc
 import dataclasses
 import typing
 
@@ -54,10 +53,56 @@
     crashed: set[str] = dataclasses.field(default_factory=set)
     cleared: set[str] = dataclasses.field(default_factory=set)
 
-    @property
-    def counted(self) -> set[str]:
-        """The crashes that count against the content."""
-        return self.crashed - self.cleared
+
+class CrashIndex:
+    """The contents by crash, and those that are guilty of their crashes.
+
+    ``counted`` are the crashes of each content that count against it.
+    """
+
+    __slots__ = ("_by_crash", "counted", "guilty")
+
+    def __init__(self, records: dict[str, CrashRecord]) -> None:
+        self.counted = {
+            content_id: counted
+            for content_id, record in records.items()
+            if (counted := record.crashed - record.cleared)
+        }
+        self._by_crash: dict[str, set[str]] = {}
+        for content_id, counted in self.counted.items():
+            for incarnation in counted:
+                self._by_crash.setdefault(incarnation, set()).add(content_id)
+        suspects = {
+            content_id
+            for content_id, counted in self.counted.items()
+            if len(counted) >= MAX_CRASHES
+            or (len(counted) >= MIN_GUILTY_CRASHES and not self._has_rival(content_id))
+        }
+        self.guilty = {
+            content_id
+            for content_id in suspects
+            if len(self.counted[content_id]) >= MAX_CRASHES
+            or self.count_unexplained(content_id, suspects)
+        }
+
+    def _has_rival(self, content_id: str) -> bool:
+        """Return whether another content explains all crashes of a content."""
+        same_crashes = [self._by_crash[crash] for crash in self.counted[content_id]]
+        return len(set.intersection(*same_crashes)) > 1
+
+    def count_unexplained(self, content_id: str, explaining: set[str]) -> int:
+        """Count the crashes of a content that none of the explaining contents explains.
+
+        A content whose crashes are all among the given one's explains none of them.
+        """
+        counted = self.counted[content_id]
+        return sum(
+            all(
+                self.counted[other] <= counted
+                for other in self._by_crash[crash] & explaining
+            )
+            for crash in counted
+        )
 
 
 class CrashLedger:
@@ -69,8 +114,8 @@
 
     __slots__ = (
         "_completed_at",
-        "_guilty",
-        "_guilty_change_number",
+        "_index",
+        "_index_change_number",
         "_records",
         "change_number",
     )
@@ -82,35 +127,33 @@
             collections.OrderedDict()
         )
         self.change_number = 0
-        # The guilty contents, as computed at a change number.
-        self._guilty: dict[str, CrashRecord] = {}
-        self._guilty_change_number = 0
+        self._index = CrashIndex({})
+        self._index_change_number = 0
+
+    def _get_index(self) -> CrashIndex:
+        """Return the index of the records, computed anew after a change."""
+        if self._index_change_number != self.change_number:
+            self._index_change_number = self.change_number
+            self._index = CrashIndex(self._records)
+        return self._index
 
     def get_crash_count(self, content_id: str) -> int:
         """Return how many crashes the content may have caused."""
-        record = self._records.get(content_id)
-        if record is None:
+        index = self._get_index()
+        if content_id not in index.counted:
             return 0
-        guilty = self._find_guilty()
-        if content_id in guilty:
-            return len(record.counted)
-        return len(find_unexplained(record, guilty.values()))
+        if content_id in index.guilty:
+            return len(index.counted[content_id])
+        return index.count_unexplained(content_id, index.guilty)
 
     def compute_refusal_s(self, now: float, content_id: str) -> float:
         """Return for how long a content is still refused, 0.0 if it may run."""
-        record = self._find_guilty().get(content_id)
-        if record is None:
+        index = self._get_index()
+        if content_id not in index.guilty:
             return 0.0
-        extra_crashes = len(record.counted) - MIN_GUILTY_CRASHES
+        extra_crashes = len(index.counted[content_id]) - MIN_GUILTY_CRASHES
         refusal_s = min(FIRST_REFUSAL_S * REFUSAL_GROWTH**extra_crashes, MAX_REFUSAL_S)
-        return max(record.last_crash_at + refusal_s - now, 0.0)
-
-    def _find_guilty(self) -> dict[str, CrashRecord]:
-        """Return the records of the guilty contents."""
-        if self._guilty_change_number != self.change_number:
-            self._guilty_change_number = self.change_number
-            self._guilty = find_guilty(self._records)
-        return self._guilty
+        return max(self._records[content_id].last_crash_at + refusal_s - now, 0.0)
 
     def format_counts(self, content_ids: list[str]) -> str:
         """Return contents with their crash counts, for the log."""
@@ -118,7 +161,9 @@
 
     def count_refused(self, now: float) -> int:
         """Return the number of contents that are refused."""
-        return sum(self.compute_refusal_s(now, c) > 0.0 for c in self._find_guilty())
+        return sum(
+            self.compute_refusal_s(now, c) > 0.0 for c in self._get_index().guilty
+        )
 
     def record_crash(self, now: float, content_id: str, incarnation: str) -> bool:
         """Count a target's crash against a content; return whether it is new."""
@@ -142,7 +187,7 @@
     def _clear(self, content_id: str) -> bool:
         """Clear the crashes counted so far; return whether there were any."""
         record = self._records.get(content_id)
-        if record is None or not record.counted:
+        if record is None or record.crashed <= record.cleared:
             return False
         record.cleared |= record.crashed
         self._number_change(record)
@@ -206,44 +251,3 @@
             if is_changed:
                 changed.append(wire.content_id)
         return changed
-
-
-def find_unexplained(
-    record: CrashRecord, others: collections.abc.Iterable[CrashRecord]
-) -> set[str]:
-    """Return the counted crashes of a record that none of the others explains.
-
-    A record whose crashes are all in the given one explains none of them.
-    """
-    unexplained = record.counted
-    for other in others:
-        if not other.counted <= record.counted:
-            unexplained = unexplained - other.counted
-    return unexplained
-
-
-def has_rival(record: CrashRecord, records: dict[str, CrashRecord]) -> bool:
-    """Return whether another content explains all crashes of a record."""
-    return any(
-        record.counted <= other.counted
-        for other in records.values()
-        if other is not record
-    )
-
-
-def find_guilty(records: dict[str, CrashRecord]) -> dict[str, CrashRecord]:
-    """Return the records of the contents that are guilty of their crashes."""
-    suspects = {
-        content_id: record
-        for content_id, record in records.items()
-        if len(record.counted) >= MAX_CRASHES
-        or (
-            len(record.counted) >= MIN_GUILTY_CRASHES and not has_rival(record, records)
-        )
-    }
-    return {
-        content_id: record
-        for content_id, record in suspects.items()
-        if len(record.counted) >= MAX_CRASHES
-        or find_unexplained(record, suspects.values())
-    }
