Count no crash of a leaving target; wait for isolation only where it is asked for

A target that is leaving may end with requests, which would count against them. A request that has tried all targets of a plain service waited up to 1.5 s while some suspect ran, though only suspects of two crashes need to wait; what cannot be served is to be refused at once.

Change: the end of a draining target counts against nobody; only a request that must run apart from other suspects waits for a target without one.

Figures: test_end_of_a_leaving_target_counts_against_nobody; without the check the request's content had one crash.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -8,7 +8,8 @@
 
 The crash counts against all requests of this entry whose exchange with the target ended
 without a response within ``UNANSWERED_MEMORY_S`` of it. That includes exchanges that
-were cancelled because their caller had left.
+were cancelled because their caller had left. The end of a target that is leaving counts
+against nobody.
 """
 
 import asyncio
@@ -19,7 +20,7 @@
 
 import loguru
 
-from sardinesaddle.direct import crashledger, freshness, targetpool, upstream
+from sardinesaddle.direct import catalog, crashledger, freshness, targetpool, upstream
 
 UNANSWERED_MEMORY_S: typing.Final = 1.0  # exchanges end at once when a target crashes
 PROBE_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet
@@ -144,6 +145,8 @@
 
     def _record(self, target: targetpool.Target, exchanges: TargetExchanges) -> None:
         """Count the target's crash against the requests that it left unanswered."""
+        if target.registration.state is catalog.TargetState.DRAINING:
+            return
         now = self._clock.read()
         changed = []
         for ended_at, content_id in exchanges.unanswered:
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -35,9 +35,7 @@
 MAX_REFUSAL_S: typing.Final = 24 * 3600.0
 # Callers complete content that many of them send several times a second.
 COMPLETION_MEMORY_S: typing.Final = 2.0
-MAX_RECORDS: typing.Final = (
-    1024  # beyond this, the one with the oldest crash is dropped
-)
+MAX_RECORDS: typing.Final = 1024  # beyond this, those with the oldest crash go
 
 
 @dataclasses.dataclass(slots=True)
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -79,7 +79,7 @@
         """Return whether a target may get capacity before the wait deadline."""
         now = asyncio.get_running_loop().time()
         return now < request.wait_deadline and self._targets.may_have_capacity_soon(
-            now, service
+            now, service, request.crash_count
         )
 
     def _try_assign(
@@ -110,10 +110,11 @@
         if queue is None or not len(queue):
             return
         now = asyncio.get_running_loop().time()
-        is_capacity_expected = self._targets.may_have_capacity_soon(now, service)
         for request in queue.list_in_dispatch_order(now):
             target = self._try_assign(service, request)
-            if target is None and is_capacity_expected:
+            if target is None and self._targets.may_have_capacity_soon(
+                now, service, request.crash_count
+            ):
                 if request.excluded_targets or request.crash_count:
                     continue
                 break
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -345,15 +345,19 @@
         ]
         return min(loads, key=lambda scored: scored[:2])[2]
 
-    def may_have_capacity_soon(self, now: float, service: str) -> bool:
+    def may_have_capacity_soon(
+        self, now: float, service: str, crash_count: int = 0
+    ) -> bool:
         """Return whether it is worth waiting for a target of the service.
 
-        That is so if a target is in backoff, runs a suspect, is a rank with limited
-        slots, or belongs to a group that is not open.
+        That is so if a target is in backoff, is a rank with limited slots, or belongs
+        to a group that is not open; for a request that must run apart from other
+        suspects, also if a target runs one.
         """
+        is_isolated = crash_count >= CRASHES_TO_ISOLATE
         return any(
             candidate.backoff_until > now
-            or candidate.own_suspects
+            or (is_isolated and candidate.own_suspects)
             or service in self.lockstep_services
             or not self.is_group_open(now, candidate)
             for candidate in self.list_available(service)
--- a/test/test_direct_quarantine.py
+++ b/test/test_direct_quarantine.py
@@ -255,6 +255,22 @@
     df.run_scenario(scenario)
 
 
+def test_end_of_a_leaving_target_counts_against_nobody() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = CrashingTargets(fleet)
+        await targets.add(1)
+        await fleet.settle()
+        task = asyncio.create_task(fleet.send_request("/free/a"))
+        await fleet.settle(0.1)
+        fleet.register("plain-0", "plain", "draining")
+        await fleet.settle(0.1)
+        fleet.targets["plain-0"].crash()
+        await task
+        assert fleet.entries[0].crash_ledger.change_number == 0
+
+    df.run_scenario(scenario)
+
+
 def test_content_of_many_callers_survives_crashes_of_other_causes() -> None:
     # Every target runs the same content when two of the targets crash at once.
     async def scenario(fleet: df.Fleet) -> None:
