Use the terms of the field for requests that crash targets

Cause: "guilty", "innocent" and "rival" are figures of speech; the field says poisonous, quarantined and suspect, and the project's other path does.

--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -2,17 +2,17 @@
 
 Some requests crash every target that runs them, and their callers send them again, at
 any entry. The ledger records, for each request content, the incarnations of targets
-that crashed while it ran there. Content with two crashes is guilty unless another
-content has the same two, which explains them as well; then both may run once more,
-apart from each other. Content with three crashes is always guilty. Guilty content is
-refused.
-
-Requests that only ran beside a guilty one differ from it in two ways. First, crashes
-that guilty contents explain do not count against them. Second, they run to their end
-when they are sent again. Content that was completed is cleared: the crashes recorded so
-far no longer count. Content that many callers send at once may be running on several
-targets that crash for other reasons, so content that was completed in the last
-``COMPLETION_MEMORY_S`` is not recorded at all.
+that crashed while it ran there. Content with two crashes is quarantined, that is,
+refused, unless another content has the same two and so explains them as well; then both
+may run once more, apart from each other. Content with three crashes is always
+quarantined.
+
+Requests that only ran beside the cause of a crash differ from it in two ways. First,
+crashes that quarantined contents explain do not count against them. Second, they run to
+their end when they are sent again. Content that was completed is cleared: the crashes
+recorded so far no longer count. Content that many callers send at once may be running
+on several targets that crash for other reasons, so content that was completed in the
+last ``COMPLETION_MEMORY_S`` is not recorded at all.
 
 A refusal ends ``FIRST_REFUSAL_S`` after the last crash, so that a wrong one does not
 last. If the content crashes another target then, the next refusal is longer.
@@ -28,8 +28,8 @@
 
 from sardinesaddle.direct import messages
 
-MIN_GUILTY_CRASHES: typing.Final = 2  # if no other content explains them
-MAX_CRASHES: typing.Final = 3  # guilty, whatever explains them
+MIN_CRASHES: typing.Final = 2  # quarantined if no other content explains them
+MAX_CRASHES: typing.Final = 3  # quarantined in any case
 FIRST_REFUSAL_S: typing.Final = 600.0
 REFUSAL_GROWTH: typing.Final = 4.0
 MAX_REFUSAL_S: typing.Final = 24 * 3600.0
@@ -53,12 +53,12 @@
 
 
 class CrashIndex:
-    """The contents by crash, and those that are guilty of their crashes.
+    """The contents by crash, and which of them are quarantined.
 
     ``counted`` are the crashes of each content that count against it.
     """
 
-    __slots__ = ("_by_crash", "counted", "guilty")
+    __slots__ = ("_by_crash", "counted", "quarantined")
 
     def __init__(self, records: dict[str, CrashRecord]) -> None:
         self.counted = {
@@ -74,16 +74,16 @@
             content_id
             for content_id, counted in self.counted.items()
             if len(counted) >= MAX_CRASHES
-            or (len(counted) >= MIN_GUILTY_CRASHES and not self._has_rival(content_id))
+            or (len(counted) >= MIN_CRASHES and not self._has_alternative(content_id))
         }
-        self.guilty = {
+        self.quarantined = {
             content_id
             for content_id in suspects
             if len(self.counted[content_id]) >= MAX_CRASHES
             or self.count_unexplained(content_id, suspects)
         }
 
-    def _has_rival(self, content_id: str) -> bool:
+    def _has_alternative(self, content_id: str) -> bool:
         """Return whether another content explains all crashes of a content."""
         same_crashes = [self._by_crash[crash] for crash in self.counted[content_id]]
         return len(set.intersection(*same_crashes)) > 1
@@ -140,16 +140,16 @@
         index = self._get_index()
         if content_id not in index.counted:
             return 0
-        if content_id in index.guilty:
+        if content_id in index.quarantined:
             return len(index.counted[content_id])
-        return index.count_unexplained(content_id, index.guilty)
+        return index.count_unexplained(content_id, index.quarantined)
 
     def compute_refusal_s(self, now: float, content_id: str) -> float:
         """Return for how long a content is still refused, 0.0 if it may run."""
         index = self._get_index()
-        if content_id not in index.guilty:
+        if content_id not in index.quarantined:
             return 0.0
-        extra_crashes = len(index.counted[content_id]) - MIN_GUILTY_CRASHES
+        extra_crashes = len(index.counted[content_id]) - MIN_CRASHES
         refusal_s = min(FIRST_REFUSAL_S * REFUSAL_GROWTH**extra_crashes, MAX_REFUSAL_S)
         return max(self._records[content_id].last_crash_at + refusal_s - now, 0.0)
 
@@ -160,7 +160,7 @@
     def count_refused(self, now: float) -> int:
         """Return the number of contents that are refused."""
         return sum(
-            self.compute_refusal_s(now, c) > 0.0 for c in self._get_index().guilty
+            self.compute_refusal_s(now, c) > 0.0 for c in self._get_index().quarantined
         )
 
     def record_crash(self, now: float, content_id: str, incarnation: str) -> bool:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -10,6 +10,7 @@
 from test import soak
 
 SECONDS = 4.0
+POISON_SECONDS = 8.0  # long enough to send a request after it was known everywhere
 
 
 @pytest.mark.parametrize(
@@ -27,3 +28,11 @@
     run = soak.run_seed(seed, SECONDS, tmp_path)
     assert run.violations == []
     assert run.served_count > 0
+
+
+def test_requests_that_crash_targets_are_stopped_in_a_soak(
+    tmp_path: pathlib.Path,
+) -> None:
+    run = soak.run_seed(1, POISON_SECONDS, tmp_path)
+    assert run.violations == []
+    assert run.crash_count > 0
