Let requests crash ranks of the group in the soak, too

Cause: the soak's poisonous requests reached plain targets alone. A rank that ends breaks its group, and the requests at the other ranks end as well.

Change: four poisonous contents, two of them streams at the engines; the group breaks and reforms with the rank.

--- a/test/soak.py
+++ b/test/soak.py
@@ -61,7 +61,12 @@
 CONFIG_PROPAGATION_S: typing.Final = 2.0  # the users' bound for a new version
 CONTACT_S: typing.Final = 3.0  # the users' bound for a process to learn of others
 MAX_LATE_SENDS: typing.Final = 3  # the users' bound, CONTACT_S after the third crash
-POISON_PATHS: typing.Final = ("/free/poison-1", "/free/poison-2", "/once/poison-3")
+POISON_PATHS: typing.Final = (
+    "/free/poison-1",
+    "/once/poison-2",
+    "/stream/poison-3",
+    "/unique/poison-4",
+)
 POISON_SHARE: typing.Final = 0.03  # of the requests of a run that is not planned
 OTHER_RETRY_AFTER_S: typing.Final = 60.0  # refusals for crashes are longer
 START_TIMEOUT_S: typing.Final = 30.0
@@ -448,20 +453,28 @@
                 text = f"{request.path} crashed {len(crash_times)} before"
                 self._record_violation("BUDGET", f"{text}, by {sender.name}")
         crash_times.append(loop.time())
-        proxy = self._proxies[int(target.name.rstrip("+").rpartition("-")[2])]
-        task = loop.create_task(self._restart_target(target, proxy))
+        task = loop.create_task(self._restart_target(target))
         self._restart_tasks.add(task)
         task.add_done_callback(self._restart_tasks.discard)
 
-    async def _restart_target(
-        self, target: df.ScriptedTarget, proxy: FaultProxy
-    ) -> None:
-        """Crash a plain target and start it again as a new incarnation."""
+    async def _restart_target(self, target: df.ScriptedTarget) -> None:
+        """Crash a target and start it again as a new incarnation.
+
+        The group of an engine breaks, and reforms when the engine is back.
+        """
+        service, index = split_target_name(target.name)
+        is_rank = service == "engines"
+        proxy = self._proxies[index + (TARGET_COUNTS["plain"] if is_rank else 0)]
+        if is_rank:
+            self._group.is_open = False
         await proxy.crash(self.rng.uniform(0.3, 1.5))
         with contextlib.suppress(KeyError):
             self.store.delete(f"servers/{target.name}")
         target.name += "+"
-        self._register_target(target.name, "plain", proxy)
+        self._register_target(target.name, service, proxy)
+        if is_rank:
+            self._group.reform()
+            self._group.is_open = True
 
     async def _respond_with_stream(
         self,
@@ -471,7 +484,7 @@
     ) -> bool:
         """Respond with an event stream, or to a request of a sidecar."""
         if request.path.startswith(soakengine.ENGINE_PATHS):
-            index = int(target.name.rpartition("-")[2])
+            _, index = split_target_name(target.name)
             running = self._running_streams[target.name]
             writer.write(
                 await soakengine.respond_to_sidecar(
@@ -485,6 +498,10 @@
             )
             writer.write(head)
             return True
+        if request.path in POISON_PATHS:
+            self._executions[request.attempt_id] += 1
+            self._crash(target, request)
+            return False
         self._running_streams[target.name] += 1
         try:
             await self._write_events(request, writer)
@@ -819,6 +836,12 @@
             )
 
 
+def split_target_name(name: str) -> tuple[str, int]:
+    """Return the service and the index of a target, whatever its incarnation."""
+    service, _, index = name.rstrip("+").rpartition("-")
+    return service, int(index)
+
+
 def make_entry_host(index: int) -> str:
     """Return the loopback address of an entry."""
     return f"127.0.{4 + index // 200}.{10 + index % 200}"
