Say in log and metrics what showed a crash

After the fact neither log nor metrics told whether a crash was missed or never looked for: a line of a crash did not name its evidence, a probe without a verdict left no count, and a request's line did not say how many crashes were known.

No decision changes: test_direct_quarantine and test_direct_requests pass as before.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -16,11 +16,19 @@
 import collections
 import collections.abc
 import dataclasses
+import enum
 import typing
 
 import loguru
 
-from sardinesaddle.direct import catalog, crashledger, freshness, targetpool, upstream
+from sardinesaddle.direct import (
+    catalog,
+    crashledger,
+    freshness,
+    nodemetrics,
+    targetpool,
+    upstream,
+)
 
 UNANSWERED_MEMORY_S: typing.Final = 1.0  # exchanges end at once when a target crashes
 PROBE_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet
@@ -30,6 +38,12 @@
 )
 
 
+class Evidence(enum.Enum):
+    """What showed that a target crashed."""
+
+    REFUSED = "refused"
+
+
 @dataclasses.dataclass(slots=True)
 class TargetExchanges:
     """The unanswered exchanges with one incarnation of a target.
@@ -60,11 +74,13 @@
         ledger: crashledger.CrashLedger,
         pool: upstream.ConnectionPool,
         clock: freshness.SuspendAwareClock,
+        entry_metrics: nodemetrics.EntryMetrics,
         on_recorded: collections.abc.Callable[[], None],
     ) -> None:
         self._ledger = ledger
         self._pool = pool
         self._clock = clock
+        self._metrics = entry_metrics
         self._on_recorded = on_recorded
         # By incarnation, the least recently used first.
         self._exchanges: collections.OrderedDict[str, TargetExchanges] = (
@@ -125,6 +141,7 @@
         finally:
             exchanges.probe = None
         outcome = "accepted" if failure is None else failure.kind.value
+        self._metrics.count_probe(outcome)
         loguru.logger.info(
             "event=target_probed target={} outcome={} unanswered={}",
             registration.target_id,
@@ -157,9 +174,11 @@
         exchanges.unanswered.clear()
         if not changed:
             return
+        self._metrics.count_crash(Evidence.REFUSED.value)
         loguru.logger.info(
-            "event=target_crashed target={} contents={}",
+            "event=target_crashed target={} evidence={} contents={}",
             target.target_id,
+            Evidence.REFUSED.value,
             self._ledger.format_counts(changed),
         )
         self._on_recorded()
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -97,7 +97,7 @@
         self._incarnation = rng.getrandbits(32) | 1
         self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
         detector = crashdetector.CrashDetector(
-            self.crash_ledger, self.pool, clock, self._peers.announce
+            self.crash_ledger, self.pool, clock, self.metrics, self._peers.announce
         )
         self.forwarder = forward.Forwarder(
             self,
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -427,12 +427,12 @@
         service = state.service if state else ""
         self._metrics.count_response(service, status, now - req.arrived_at)
         loguru.logger.info(
-            "event=request id={} content={} outcome={} status={} route={} service={}"
-            " target={} sends={} tried={} first_ms={:.0f} ms={:.0f} left_ms={:.0f}"
-            " config={}"
-            " config_age_s={:.2f}",
+            "event=request id={} content={} crashes={} outcome={} status={} route={}"
+            " service={} target={} sends={} tried={} first_ms={:.0f} ms={:.0f}"
+            " left_ms={:.0f} config={} config_age_s={:.2f}",
             req.metadata.attempt_id,
             state.content_id if state else "",
+            state.crash_count if state else 0,
             outcome,
             status,
             state.route.name if state else "",
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -45,6 +45,12 @@
         self._refused_contents = self.make_gauge(
             "refused_contents", "Request contents refused since targets crashed."
         )
+        self._probes = self.make_counter(
+            "target_probes_total", "Connections after a broken exchange, by outcome."
+        )
+        self._crashes = self.make_counter(
+            "target_crashes_total", "Crashes counted against requests, by evidence."
+        )
 
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
@@ -63,6 +69,14 @@
         """Count a retry."""
         self._retries.inc({"service": service})
 
+    def count_probe(self, outcome: str) -> None:
+        """Count a connection that was made to learn whether a target crashed."""
+        self._probes.inc({"outcome": outcome})
+
+    def count_crash(self, evidence: str) -> None:
+        """Count a target's crash that counts against requests of this entry."""
+        self._crashes.inc({"evidence": evidence})
+
     def set_state(
         self,
         config_version: int,
