--- /dev/null
+++ b/test/crashingtargets.py
@@ -0,0 +1,117 @@
+"""Targets for tests that crash when a request whose path contains "poison" runs."""
+
+import asyncio
+import enum
+import typing
+
+from sardinesaddle.platform import headers
+from test import directfleet as df
+
+CONTACT_S: typing.Final = 3.0  # the users' bound for a fact to be known at all entries
+MAX_LATE_SENDS: typing.Final = 3  # the users' bound, after the third crash + CONTACT_S
+REQUEST_S: typing.Final = 0.5  # of requests that crash nothing
+REGISTRATION_S: typing.Final = 0.1  # from the start of a target to its registration
+LAPSE_S: typing.Final = 3.6  # three of the users' heartbeat intervals
+
+
+class Ending(enum.Enum):
+    """What the end of a target looks like to the entries."""
+
+    # Connections are reset and then refused, until the target starts again.
+    REFUSED = "refused"
+    # The next incarnation listens at the address before the connections are reset.
+    REPLACED = "replaced"
+    # Connections stay open without a byte, new ones hang.
+    SILENT = "silent"
+
+
+class CrashingTargets:
+    """Targets that crash when a request whose path contains "poison" begins to run.
+
+    A crashed target comes back after ``downtime_s`` at its address with a new id; after
+    ``Ending.REPLACED`` it is back at once. Its registration lapses after ``LAPSE_S``.
+    Times are the event loop's.
+    """
+
+    def __init__(
+        self,
+        fleet: df.Fleet,
+        ending: Ending = Ending.REFUSED,
+        downtime_s: float = 2.0,
+    ) -> None:
+        self._fleet = fleet
+        self._ending = ending
+        self._downtime_s = downtime_s
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.send_times: list[float] = []
+        self.crash_times: list[float] = []
+
+    async def add(self, count: int, service: str = "plain") -> None:
+        """Start and register a number of targets."""
+        for number in range(count):
+            name = f"{service}-{number}"
+            await self._fleet.add_target(name, service, self._respond)
+
+    async def _respond(
+        self,
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Crash at a poisonous request; respond to others after ``REQUEST_S``."""
+        loop = asyncio.get_running_loop()
+        if request.headers[headers.EXPECTED_TARGET.lower()] != target.name:
+            no_body = ("Content-Length", "0")
+            writer.write(df.make_response_head(headers.STATUS_MISDIRECTED, no_body))
+            return True
+        if "poison" not in request.path:
+            await asyncio.sleep(REQUEST_S)
+            writer.write(df.make_response(request.attempt_id))
+            return True
+        self.send_times.append(loop.time())
+        self.crash_times.append(loop.time())
+        name = target.name
+        target.name += "+"
+        self._start_task(self._let_lapse(name))
+        if self._ending is Ending.SILENT:
+            target.fall_silent()
+            self._start_task(self._restart(target))
+            await asyncio.Event().wait()
+        elif self._ending is Ending.REFUSED:
+            target.crash()
+            self._start_task(self._restart(target))
+        else:
+            await target.stop()
+            await target.start()
+            target.reset_connections()
+            self._start_task(self._register(target))
+        return False
+
+    def _start_task(self, coro: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _let_lapse(self, name: str) -> None:
+        """Remove the registration of a target that ended."""
+        await asyncio.sleep(LAPSE_S)
+        self._fleet.store.delete(f"servers/{name}")
+
+    async def _restart(self, target: df.ScriptedTarget) -> None:
+        """Start a crashed target again as a new incarnation."""
+        await asyncio.sleep(self._downtime_s)
+        await target.start()
+        await self._register(target)
+
+    async def _register(self, target: df.ScriptedTarget) -> None:
+        """Register the new incarnation of a target."""
+        await asyncio.sleep(REGISTRATION_S)
+        self._fleet.targets[target.name] = target
+        self._fleet.register(target.name, target.name.partition("-")[0])
+
+    def count_late_sends(self) -> int:
+        """Count the sends later than ``CONTACT_S`` after the third crash."""
+        if len(self.crash_times) < 3:
+            return 0
+        return sum(at > self.crash_times[2] + CONTACT_S for at in self.send_times)
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -240,9 +240,14 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # While the host is silent: a socket that accepts nothing, and its queue.
+        self._silent_sockets: list[socket.socket] = []
 
     async def start(self) -> None:
         """Start listening."""
+        for sock in self._silent_sockets:
+            sock.close()
+        self._silent_sockets.clear()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -255,9 +260,31 @@
         """Stop listening and reset all connections, as the end of a process does."""
         if self._server is not None:
             self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections."""
         for writer in self._writers:
             reset_connection(writer)
 
+    def fall_silent(self) -> None:
+        """Accept and reset nothing any more, as a host without power.
+
+        New connections hang, since the queue of the listening socket is full.
+        """
+        if self._server is not None:
+            self._server.close()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self._silent_sockets.append(listener)
+        for _ in range(2):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", self.port))
+            self._silent_sockets.append(sock)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -468,6 +495,12 @@
         self.ports.pop(0)
         self.clocks.pop(0)
 
+    async def stop_last_entry(self) -> None:
+        """Stop the entry that was started last."""
+        await self.entries.pop().stop()
+        self.ports.pop()
+        self.clocks.pop()
+
     async def send_request(
         self,
         path: str,
--- /dev/null
+++ b/test/test_direct_crash_evidence.py
@@ -0,0 +1,215 @@
+"""Tests of what shows that a target crashed, and of who learns it when."""
+
+import asyncio
+
+import pytest
+
+from sardinesaddle.direct import crashledger, entrypeers, requeststate, upstream
+from test import crashingtargets, test_direct_quarantine
+from test import directfleet as df
+
+POISONOUS_PATHS = [
+    ("/free/poison", "plain"),
+    ("/once/poison", "plain"),
+    ("/stream/poison", "engines"),
+]
+RETURN_PERIOD_S = 0.4
+RETURNS = 25
+
+
+async def send_from_all_sides(fleet: df.Fleet, path: str) -> None:
+    """Send a request again and again, to each entry in turn, as they are released."""
+    loop = asyncio.get_running_loop()
+    attempts = []
+    for number in range(RETURNS):
+        entry_index = number % len(fleet.entries)
+        attempts.append(loop.create_task(fleet.send_request(path, entry_index)))
+        await fleet.settle(RETURN_PERIOD_S)
+    await asyncio.gather(*attempts)
+
+
+@pytest.mark.parametrize(("path", "service"), POISONOUS_PATHS)
+def test_request_is_stopped_if_crashed_targets_are_replaced_at_once(
+    path: str, service: str
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(
+            fleet, crashingtargets.Ending.REPLACED
+        )
+        await targets.add(8, service)
+        await fleet.settle()
+        await send_from_all_sides(fleet, path)
+        assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
+
+    df.run_scenario(scenario, entry_count=3)
+
+
+@pytest.mark.parametrize(("path", "service"), POISONOUS_PATHS)
+def test_request_is_stopped_if_hosts_of_crashed_targets_fall_silent(
+    path: str, service: str
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(
+            fleet, crashingtargets.Ending.SILENT, downtime_s=3.0
+        )
+        await targets.add(24, service)
+        await fleet.settle()
+        await send_from_all_sides(fleet, path)
+        assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
+
+    df.run_scenario(scenario, entry_count=3)
+
+
+def test_request_is_stopped_if_the_first_probe_is_lost(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    probed = set()
+    original_open_idle = upstream.ConnectionPool.open_idle
+
+    async def open_idle(
+        self: upstream.ConnectionPool,
+        key: upstream.PoolKey,
+        now: float,
+        connect_timeout_s: float,
+    ) -> upstream.Failure | None:
+        if key not in probed:
+            probed.add(key)
+            await asyncio.sleep(connect_timeout_s)
+            return upstream.Failure(upstream.FailureKind.CONNECT, False)
+        return await original_open_idle(self, key, now, connect_timeout_s)
+
+    async def scenario(fleet: df.Fleet) -> None:
+        monkeypatch.setattr(upstream.ConnectionPool, "open_idle", open_idle)
+        targets = crashingtargets.CrashingTargets(fleet)
+        await targets.add(8)
+        await fleet.settle()
+        await send_from_all_sides(fleet, "/free/poison")
+        assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
+
+    df.run_scenario(scenario, entry_count=3)
+
+
+def test_crash_found_later_counts_against_a_caller_that_left() -> None:
+    async def crash_late(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        asyncio.get_running_loop().call_later(0.12, target.crash)
+        await asyncio.sleep(1.0)
+        return False
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", crash_late)
+        await fleet.settle()
+        await fleet.send_request("/free/poison", disconnect_after_s=0.1)
+        await fleet.settle(2.0)
+        await fleet.send_request("/free/other")
+        content_id = requeststate.compute_content_id(
+            "/free/poison", "alice", b"question"
+        )
+        assert fleet.entries[0].crash_ledger.get_crash_count(content_id) == 1
+
+    df.run_scenario(scenario)
+
+
+def test_entry_that_restarts_among_many_refuses_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(fleet)
+        await targets.add(4)
+        await fleet.settle()
+        # With hundreds of entries, each hears from another only now and then.
+        monkeypatch.setattr(entrypeers, "HEARTBEAT_PERIOD_S", 30.0)
+        await fleet.settle(1.0)
+        await fleet.send_request("/free/poison")
+        await fleet.settle(3.0)
+        await fleet.stop_last_entry()
+        await fleet.add_entry()
+        await fleet.settle(0.3)
+        assert (await fleet.send_request("/free/poison", 1)).status == 503
+        assert len(targets.crash_times) == 2
+
+    df.run_scenario(scenario, entry_count=2)
+
+
+def test_full_ledger_keeps_a_content_with_two_crashes() -> None:
+    ledger = crashledger.CrashLedger()
+    for target in ("a", "b"):
+        ledger.record_crash(0.0, "poison", target)
+    for number in range(2 * crashledger.MAX_RECORDS):
+        ledger.record_crash(10.0, f"beside-{number}", "c")
+    assert ledger.compute_refusal_s(11.0, "poison") > 0.0
+
+
+def test_request_ends_when_its_silent_target_is_replaced() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(
+            fleet, crashingtargets.Ending.SILENT, downtime_s=1.5
+        )
+        await targets.add(1)
+        await fleet.settle()
+        began_at = asyncio.get_running_loop().time()
+        response = await fleet.send_request("/once/poison")
+        assert response.status == 502
+        assert response.finished_at - began_at < 2.0
+
+    df.run_scenario(scenario)
+
+
+def test_targets_that_only_lost_touch_count_against_nobody() -> None:
+    async def stay_silent(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await asyncio.Event().wait()
+        return False
+
+    async def scenario(fleet: df.Fleet) -> None:
+        for name in ("t1", "t2"):
+            await fleet.add_target(name, "plain", stay_silent)
+        await fleet.settle()
+        for target in fleet.targets.values():
+            target.fall_silent()
+        for entry_index in (0, 1):
+            await fleet.send_request("/free/a", entry_index)
+        for target in fleet.targets.values():
+            target.respond = df.respond_with_name
+            await target.start()
+        # Other requests show that the targets run.
+        for number in range(8):
+            await fleet.send_request(f"/free/{number}", number % 2)
+            await fleet.settle(0.5)
+        for entry_index in (0, 1):
+            assert (await fleet.send_request("/free/a", entry_index)).status == 200
+
+    df.run_scenario(scenario, entry_count=2)
+
+
+@pytest.mark.parametrize(
+    "ending", [crashingtargets.Ending.REPLACED, crashingtargets.Ending.SILENT]
+)
+def test_requests_beside_a_crashing_request_are_served_however_targets_end(
+    ending: crashingtargets.Ending,
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(fleet, ending, downtime_s=3.0)
+        await targets.add(8)
+        await fleet.settle()
+        poison_task = asyncio.create_task(send_from_all_sides(fleet, "/free/poison"))
+        callers = []
+        for number in range(40):
+            entries = [(number + turn) % 3 for turn in range(30)]
+            callers.append(
+                test_direct_quarantine.send_until_served(
+                    fleet, f"/free/{number}", entries
+                )
+            )
+        results = await asyncio.gather(*callers)
+        await poison_task
+        assert [statuses[-1] for statuses in results] == [200] * 40
+        assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
+
+    df.run_scenario(scenario, entry_count=3)
--- a/test/test_direct_quarantine.py
+++ b/test/test_direct_quarantine.py
@@ -14,68 +14,10 @@
     requeststate,
     rpc,
 )
+from test import crashingtargets
 from test import directfleet as df
 
-DOWNTIME_S = 2.0
-CONTACT_S = 3.0  # the users' bound for a fact to be known at all entries
-MAX_LATE_SENDS = 3  # the users' bound, after the third crash and CONTACT_S
-REQUEST_S = 0.5  # of requests that crash nothing
-
-
-class CrashingTargets:
-    """Targets that crash when a request whose path contains "poison" begins to run.
-
-    A crashed target comes back after ``DOWNTIME_S`` at its address with a new id. Times
-    are the event loop's.
-    """
-
-    def __init__(self, fleet: df.Fleet) -> None:
-        self._fleet = fleet
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.send_times: list[float] = []
-        self.crash_times: list[float] = []
-
-    async def add(self, count: int, service: str = "plain") -> None:
-        """Start and register a number of targets."""
-        for number in range(count):
-            name = f"{service}-{number}"
-            await self._fleet.add_target(name, service, self._respond)
-
-    async def _respond(
-        self,
-        target: df.ScriptedTarget,
-        request: df.ReceivedRequest,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Crash at a poisonous request; respond to others after ``REQUEST_S``."""
-        loop = asyncio.get_running_loop()
-        if "poison" not in request.path:
-            await asyncio.sleep(REQUEST_S)
-            writer.write(df.make_response(request.attempt_id))
-            return True
-        self.send_times.append(loop.time())
-        self.crash_times.append(loop.time())
-        target.crash()
-        task = loop.create_task(self._restart(target))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return False
-
-    async def _restart(self, target: df.ScriptedTarget) -> None:
-        """Start a crashed target again as a new incarnation."""
-        service = target.name.partition("-")[0]
-        await asyncio.sleep(DOWNTIME_S)
-        self._fleet.store.delete(f"servers/{target.name}")
-        target.name += "+"
-        self._fleet.targets[target.name] = target
-        await target.start()
-        self._fleet.register(target.name, service)
-
-    def count_late_sends(self) -> int:
-        """Count the sends later than ``CONTACT_S`` after the third crash."""
-        if len(self.crash_times) < 3:
-            return 0
-        return sum(at > self.crash_times[2] + CONTACT_S for at in self.send_times)
+CONTACT_S = crashingtargets.CONTACT_S
 
 
 @pytest.mark.parametrize(
@@ -90,13 +32,13 @@
     path: str, service: str
 ) -> None:
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(8, service)
         await fleet.settle()
         for attempt in range(30):
             await fleet.send_request(path, entry_index=attempt % 3)
             await fleet.settle(0.3)
-        assert targets.count_late_sends() <= MAX_LATE_SENDS
+        assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
 
     df.run_scenario(scenario, entry_count=3)
 
@@ -118,7 +60,7 @@
 @pytest.mark.parametrize("target_count", [3, 8])
 def test_requests_beside_a_crashing_request_are_served(target_count: int) -> None:
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(target_count)
         await fleet.settle()
 
@@ -143,7 +85,7 @@
 
 def test_refusal_tells_the_caller_when_to_return() -> None:
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(3)
         await fleet.settle()
         await fleet.send_request("/free/poison")
@@ -157,7 +99,7 @@
 
 def test_entry_that_starts_later_refuses_the_crashing_request() -> None:
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(4)
         await fleet.settle()
         await fleet.send_request("/free/poison")
@@ -185,7 +127,7 @@
         return await original_call(self, msg, timeout_s)
 
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(6)
         await fleet.settle()
         monkeypatch.setattr(rpc.Peer, "call", call)
@@ -201,7 +143,7 @@
 
 def test_entries_that_all_restart_refuse_the_crashing_request() -> None:
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(4)
         await fleet.settle()
         keeper = crashkeeper.CrashKeeper("sidecar", df.LoopClock())
@@ -257,7 +199,7 @@
 
 def test_end_of_a_leaving_target_counts_against_nobody() -> None:
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(1)
         await fleet.settle()
         task = asyncio.create_task(fleet.send_request("/free/a"))
@@ -274,7 +216,7 @@
 def test_content_of_many_callers_survives_crashes_of_other_causes() -> None:
     # Every target runs the same content when two of the targets crash at once.
     async def scenario(fleet: df.Fleet) -> None:
-        targets = CrashingTargets(fleet)
+        targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(4)
         await fleet.settle()
 
