Believe a crash on more than a refused connection

What callers saw in the reproduction: a request that crashes targets is sent on and on, where the next incarnation listens before the entry has connected once more, where the host falls silent, or where that one connection is lost.

Cause: the fate of a target was judged by one kind of evidence (a refused connection) within one second. What was not decided then was forgotten with the attempt.

Change: an exchange that ended without a response stays unresolved for ten seconds, until its target responds to a later request, its content is completed elsewhere, or the target is known to have ended: refused, replaced by another incarnation (by its registration or a misdirected request), or no longer registered without having stated that it leaves. The crash counts against what was unresolved. Exchanges that still run at a replaced target are broken off at once instead of at their deadline.

Why it works: whatever becomes of a process that ended, its registration lapses or is replaced, and it answers nothing after that; a target that lives answers others. Ruled out: counting every broken exchange (resets and garbled responses are common), and asking the target's health page (a probe is billed and the next incarnation answers it).

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -1,19 +1,25 @@
 """Finds out which targets crashed, and which requests were running there.
 
 A broken exchange alone does not show that its target crashed: connections are reset for
-many reasons, and the target may run on. The entry therefore connects to the target once
-more. If that is refused, no process listens any more, and the target has crashed. A
-connection that is neither accepted nor refused shows nothing, since the network may be
-down.
-
-The crash counts against all requests of this entry whose exchange with the target ended
-without a response within ``UNANSWERED_MEMORY_S`` of it. That includes exchanges that
-were cancelled because their caller had left. The end of a target that is leaving counts
-against nobody.
+many reasons, and the target may run on. An exchange that ended without a response stays
+unresolved until it is known what became of its target, for ``UNRESOLVED_S`` at most.
+
+Each of these shows that a target's process has ended:
+
+- A new connection is refused: no process listens any more. After a broken exchange the
+  entry connects to the target once more to find that out.
+- Another incarnation has taken its address or its identifier, as its registration or a
+  misdirected request shows. Connections are accepted again then.
+- The store no longer lists it, although it did not state that it would leave.
+
+The crash then counts against the contents of all unresolved exchanges with the target.
+That includes exchanges that were cancelled because their caller had left. A response of
+the target to a later request shows the opposite and resolves them, and so does the
+completion of their content at another target. The end of a target that is leaving
+counts against nobody.
 """
 
 import asyncio
-import collections
 import collections.abc
 import dataclasses
 import enum
@@ -30,37 +36,68 @@
     upstream,
 )
 
-UNANSWERED_MEMORY_S: typing.Final = 1.0  # exchanges end at once when a target crashes
+# Longer than the registration of a target that ended lasts, with the watch's delay.
+UNRESOLVED_S: typing.Final = 10.0
 PROBE_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet
-MAX_TRACKED_TARGETS: typing.Final = 256
 BROKEN_KINDS: typing.Final = frozenset(
     {upstream.FailureKind.CLOSED, upstream.FailureKind.RESET}
 )
 
 
 class Evidence(enum.Enum):
-    """What showed that a target crashed."""
+    """What showed that a target ended."""
 
     REFUSED = "refused"
+    REPLACED = "replaced"
+    UNREGISTERED = "unregistered"
+
+
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended: a misdirected one was answered by another target."""
+
+    ANSWERED = "answered"
+    UNANSWERED = "unanswered"
+    MISDIRECTED = "misdirected"
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class SentRequest:
+    """A request that was sent to a target.
+
+    ``ended_at`` is when its exchange ended without a response. Times are of a clock
+    that counts suspension.
+    """
+
+    content_id: str
+    conn: upstream.Connection
+    sent_at: float
+    ended_at: float = freshness.NEVER
 
 
 @dataclasses.dataclass(slots=True)
 class TargetExchanges:
-    """The unanswered exchanges with one incarnation of a target.
+    """The exchanges with one incarnation of a target.
 
-    ``unanswered`` are the times and contents of those that ended recently.
-    ``crashed_at`` is when the target was last found to have crashed.
+    ``ended_at`` is when the target was found to have ended, ``NEVER`` while it is not
+    known to have.
     """
 
-    unanswered: collections.deque[tuple[float, str]] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    crashed_at: float = freshness.NEVER
+    running: set[SentRequest] = dataclasses.field(default_factory=set)
+    unresolved: list[SentRequest] = dataclasses.field(default_factory=list)
+    ended_at: float = freshness.NEVER
+    evidence: Evidence = Evidence.REFUSED
     probe: asyncio.Task[None] | None = None
 
-    def has_just_crashed(self, now: float) -> bool:
-        """Return whether a crash was found within ``UNANSWERED_MEMORY_S``."""
-        return now - self.crashed_at <= UNANSWERED_MEMORY_S
+    @property
+    def has_ended(self) -> bool:
+        """Whether the target is known to have ended."""
+        return self.ended_at != freshness.NEVER
+
+    def is_needed(self, oldest: float) -> bool:
+        """Return whether this holds more than what ended before ``oldest``."""
+        return bool(
+            self.running or self.unresolved or self.probe or self.ended_at >= oldest
+        )
 
 
 class CrashDetector:
@@ -82,10 +119,7 @@
         self._clock = clock
         self._metrics = entry_metrics
         self._on_recorded = on_recorded
-        # By incarnation, the least recently used first.
-        self._exchanges: collections.OrderedDict[str, TargetExchanges] = (
-            collections.OrderedDict()
-        )
+        self._exchanges: dict[str, TargetExchanges] = {}  # by incarnation
 
     def compute_refusal_s(self, content_id: str) -> float:
         """Return for how long a content is still refused, 0.0 if it may run."""
@@ -97,32 +131,60 @@
 
     def on_completed(self, content_id: str) -> None:
         """Record that a target ran a content to its end."""
+        for exchanges in self._exchanges.values():
+            if exchanges.unresolved:
+                exchanges.unresolved = [
+                    sent
+                    for sent in exchanges.unresolved
+                    if sent.content_id != content_id
+                ]
         if self._ledger.record_completion(self._clock.read(), content_id):
             loguru.logger.info("event=content_cleared content={}", content_id)
 
     def _get_exchanges(self, target: targetpool.Target) -> TargetExchanges:
-        """Return what is tracked for a target's incarnation."""
+        """Return the exchanges with a target's incarnation."""
         incarnation = target.registration.incarnation
-        exchanges = self._exchanges.setdefault(incarnation, TargetExchanges())
-        self._exchanges.move_to_end(incarnation)
-        if len(self._exchanges) > MAX_TRACKED_TARGETS:
-            self._exchanges.popitem(last=False)
-        return exchanges
-
-    def on_unanswered(self, target: targetpool.Target, content_id: str) -> None:
-        """Record that an exchange ended without a response."""
+        return self._exchanges.setdefault(incarnation, TargetExchanges())
+
+    def on_sent(
+        self, target: targetpool.Target, content_id: str, conn: upstream.Connection
+    ) -> SentRequest:
+        """Record that a request is sent to a target on a connection."""
+        sent = SentRequest(content_id, conn, self._clock.read())
+        self._get_exchanges(target).running.add(sent)
+        return sent
+
+    def on_exchange_end(
+        self, target: targetpool.Target, sent: SentRequest, how: ExchangeEnd
+    ) -> None:
+        """Record how the exchange that ``on_sent`` began has ended."""
         exchanges = self._get_exchanges(target)
-        now = self._clock.read()
-        exchanges.unanswered.append((now, content_id))
-        while exchanges.unanswered[0][0] < now - UNANSWERED_MEMORY_S:
-            exchanges.unanswered.popleft()
-        if exchanges.has_just_crashed(now):
-            self._record(target, exchanges)
+        exchanges.running.discard(sent)
+        if how is ExchangeEnd.ANSWERED:
+            exchanges.ended_at = freshness.NEVER
+            exchanges.unresolved = [
+                other for other in exchanges.unresolved if other.ended_at > sent.sent_at
+            ]
+        elif how is ExchangeEnd.UNANSWERED:
+            sent.ended_at = self._clock.read()
+            exchanges.unresolved.append(sent)
+            if exchanges.has_ended:
+                self._record(target, exchanges)
+
+    def expire(self) -> None:
+        """Drop what ended more than ``UNRESOLVED_S`` ago."""
+        oldest = self._clock.read() - UNRESOLVED_S
+        for incarnation, exchanges in list(self._exchanges.items()):
+            exchanges.unresolved = [
+                sent for sent in exchanges.unresolved if sent.ended_at >= oldest
+            ]
+            if not exchanges.is_needed(oldest):
+                del self._exchanges[incarnation]
 
     async def probe(self, target: targetpool.Target) -> None:
         """Find out whether a target crashed; call after a broken exchange."""
         exchanges = self._get_exchanges(target)
-        if exchanges.has_just_crashed(self._clock.read()):
+        if exchanges.has_ended:
             return
         if exchanges.probe is None:
             loop = asyncio.get_running_loop()
@@ -143,42 +205,51 @@
         outcome = "accepted" if failure is None else failure.kind.value
         self._metrics.count_probe(outcome)
         loguru.logger.info(
-            "event=target_probed target={} outcome={} unanswered={}",
+            "event=target_probed target={} outcome={} unresolved={}",
             registration.target_id,
             outcome,
-            len(exchanges.unanswered),
+            len(exchanges.unresolved),
         )
         if (
             failure is not None
             and failure.kind is upstream.FailureKind.CONNECTION_REFUSED
         ):
-            self.on_connection_refused(target)
+            self.on_target_ended(target, Evidence.REFUSED)
+
+    def on_target_ended(self, target: targetpool.Target, evidence: Evidence) -> None:
+        """Record that a target's process has ended.
 
-    def on_connection_refused(self, target: targetpool.Target) -> None:
-        """Record that a target crashed: nothing listens at its address."""
+        The exchanges that run there are broken off if the target was replaced. One that
+        is only unlisted may still respond.
+        """
         exchanges = self._get_exchanges(target)
-        exchanges.crashed_at = self._clock.read()
+        exchanges.ended_at = self._clock.read()
+        exchanges.evidence = evidence
         self._record(target, exchanges)
+        if evidence is Evidence.REPLACED:
+            for sent in exchanges.running:
+                sent.conn.abort()
 
     def _record(self, target: targetpool.Target, exchanges: TargetExchanges) -> None:
-        """Count the target's crash against the requests that it left unanswered."""
+        """Count the target's end against its unresolved requests."""
+        unresolved, exchanges.unresolved = exchanges.unresolved, []
         if target.registration.state is catalog.TargetState.DRAINING:
             return
         now = self._clock.read()
-        changed = []
-        for ended_at, content_id in exchanges.unanswered:
-            if now - ended_at <= UNANSWERED_MEMORY_S and self._ledger.record_crash(
-                now, content_id, target.registration.incarnation
-            ):
-                changed.append(content_id)
-        exchanges.unanswered.clear()
+        incarnation = target.registration.incarnation
+        changed = [
+            sent.content_id
+            for sent in unresolved
+            if now - sent.ended_at <= UNRESOLVED_S
+            and self._ledger.record_crash(now, sent.content_id, incarnation)
+        ]
         if not changed:
             return
-        self._metrics.count_crash(Evidence.REFUSED.value)
+        self._metrics.count_crash(exchanges.evidence.value)
         loguru.logger.info(
             "event=target_crashed target={} evidence={} contents={}",
             target.target_id,
-            Evidence.REFUSED.value,
+            exchanges.evidence.value,
             self._ledger.format_counts(changed),
         )
         self._on_recorded()
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -96,7 +96,7 @@
         self.crash_ledger = crashledger.CrashLedger()
         self._incarnation = rng.getrandbits(32) | 1
         self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
-        detector = crashdetector.CrashDetector(
+        self._crashes = crashdetector.CrashDetector(
             self.crash_ledger, self.pool, clock, self.metrics, self._peers.announce
         )
         self.forwarder = forward.Forwarder(
@@ -107,7 +107,7 @@
             bounds,
             self.metrics,
             rng,
-            detector,
+            self._crashes,
         )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
@@ -202,6 +202,8 @@
             )
             self.targets.remove(target_id)
             return
+        for replaced in self.targets.find_replaced(registration, change.created_rev):
+            self._crashes.on_target_ended(replaced, crashdetector.Evidence.REPLACED)
         if self.targets.register(registration, change.created_rev):
             loguru.logger.info(
                 "event=target_{} target={} service={} address={}:{} rev={} source={}",
@@ -231,6 +233,7 @@
             outcome = "lapsed"
         else:
             self.targets.remove(target_id)
+            self._crashes.on_target_ended(target, crashdetector.Evidence.UNREGISTERED)
             outcome = "gone"
         loguru.logger.info(
             "event=target_{} target={} rev={} source={}",
@@ -417,10 +420,14 @@
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             now = loop.time()
-            for target_id in self.targets.remove_expired(now):
+            for target in self.targets.remove_expired(now):
+                self._crashes.on_target_ended(
+                    target, crashdetector.Evidence.UNREGISTERED
+                )
                 loguru.logger.info(
-                    "event=target_gone target={} source=lapse", target_id
+                    "event=target_gone target={} source=lapse", target.target_id
                 )
+            self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
             self.metrics.set_state(
                 self.config_version,
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -240,8 +240,9 @@
             self._targets.on_error_response(target)
             return f"error_{outcome.status}"
         if isinstance(outcome, requeststate.Refusal):
-            if outcome.reason == "misplaced":
+            if outcome.reason == responserelay.MISPLACED:
                 self._targets.on_stale_address(target)
+                self._crashes.on_target_ended(target, crashdetector.Evidence.REPLACED)
             elif outcome.status == requeststate.STATUS_NOT_RUN:
                 self._targets.on_capacity_refusal(now, target)
             return outcome.reason
@@ -310,7 +311,9 @@
             )
             if isinstance(conn, upstream.Failure):
                 if conn.kind is upstream.FailureKind.CONNECTION_REFUSED:
-                    self._crashes.on_connection_refused(target)
+                    self._crashes.on_target_ended(
+                        target, crashdetector.Evidence.REFUSED
+                    )
                 return conn
             exchange = upstream.Exchange(
                 conn,
@@ -318,14 +321,15 @@
                 state.req.metadata.attempt_id,
             )
             outcome: responserelay.Outcome | None = None
+            sent = self._crashes.on_sent(target, state.content_id, conn)
             try:
                 outcome = await self._exchange(state, target, exchange, responder)
                 return outcome
             finally:
                 if exchange.finish(now()):
                     self._pool.release(key, conn)
-                if outcome is None or isinstance(outcome, upstream.Failure):
-                    self._crashes.on_unanswered(target, state.content_id)
+                how = classify_exchange_end(outcome)
+                self._crashes.on_exchange_end(target, sent, how)
         finally:
             self._end_attempt(state, target)
 
@@ -467,6 +471,20 @@
     )
 
 
+def classify_exchange_end(
+    outcome: responserelay.Outcome | None,
+) -> crashdetector.ExchangeEnd:
+    """Return how an exchange ended; without an outcome it was cancelled."""
+    if outcome is None or isinstance(outcome, upstream.Failure):
+        return crashdetector.ExchangeEnd.UNANSWERED
+    if (
+        isinstance(outcome, requeststate.Refusal)
+        and outcome.reason == responserelay.MISPLACED
+    ):
+        return crashdetector.ExchangeEnd.MISDIRECTED
+    return crashdetector.ExchangeEnd.ANSWERED
+
+
 def refuse_not_run(
     reason: str, retry_after_s: float = requeststate.RETRY_AFTER_SHORT_S
 ) -> requeststate.Refusal:
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -13,6 +13,7 @@
 
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
+MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
 NOT_RUN_STATUSES: typing.Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that the request was not run."""
 
@@ -67,9 +68,7 @@
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
         if metadata.was_not_run:
             await self._discard_body()
-            reason = (
-                "misplaced" if metadata.is_wrong_target else f"refused_{head.status}"
-            )
+            reason = MISPLACED if metadata.is_wrong_target else f"refused_{head.status}"
             return requeststate.Refusal(
                 requeststate.STATUS_NOT_RUN, reason, requeststate.RETRY_AFTER_SHORT_S
             )
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -241,6 +241,28 @@
         known.removal_deadline = None
         return is_state_changed
 
+    def find_replaced(
+        self, registration: catalog.TargetRegistration, created_rev: int
+    ) -> list[Target]:
+        """Return the targets that must have ended, since another one is registered.
+
+        That is one with the same identifier that started earlier, or one that was
+        registered earlier at the same address. Call this before ``register``.
+        """
+        replaced = []
+        same_id = self._targets.get(registration.target_id)
+        if same_id and same_id.registration.incarnation != registration.incarnation:
+            replaced.append(same_id)
+        address = f"{registration.host}:{registration.port}"
+        known = self._by_address.get(address)
+        if (
+            known is not None
+            and known.target_id != registration.target_id
+            and known.created_rev < created_rev
+        ):
+            replaced.append(known)
+        return replaced
+
     def remove(self, target_id: str) -> None:
         """Remove a target; another one registered at its address takes its place."""
         removed = self._targets.pop(target_id, None)
@@ -263,16 +285,16 @@
         if known is not None and known.removal_deadline is None:
             known.removal_deadline = deadline
 
-    def remove_expired(self, now: float) -> list[str]:
-        """Remove the targets past their removal deadline; return their identifiers."""
+    def remove_expired(self, now: float) -> list[Target]:
+        """Remove the targets past their removal deadline and return them."""
         expired = [
-            target_id
-            for target_id, candidate in self._targets.items()
+            candidate
+            for candidate in self._targets.values()
             if candidate.removal_deadline is not None
             and candidate.removal_deadline <= now
         ]
-        for target_id in expired:
-            self.remove(target_id)
+        for target in expired:
+            self.remove(target.target_id)
         return expired
 
     def on_report(self, now: float, report: messages.Report) -> None:
--- a/test/test_direct_crash_evidence.py
+++ b/test/test_direct_crash_evidence.py
@@ -44,13 +44,14 @@
     df.run_scenario(scenario, entry_count=3)
 
 
+@pytest.mark.parametrize("downtime_s", [3.0, 30.0])
 @pytest.mark.parametrize(("path", "service"), POISONOUS_PATHS)
 def test_request_is_stopped_if_hosts_of_crashed_targets_fall_silent(
-    path: str, service: str
+    path: str, service: str, downtime_s: float
 ) -> None:
     async def scenario(fleet: df.Fleet) -> None:
         targets = crashingtargets.CrashingTargets(
-            fleet, crashingtargets.Ending.SILENT, downtime_s=3.0
+            fleet, crashingtargets.Ending.SILENT, downtime_s
         )
         await targets.add(24, service)
         await fleet.settle()
