Keep records with most crashes when the ledger is full

What callers would see: after many targets ended at once (a thousand requests ran there), a request that crashes targets is sent on again.

Cause: a full ledger dropped the record with the oldest crash, whoever it was about, and each of the many that only ran beside a crash is newer than the one that caused two.

Change: the records with the fewest counted crashes go, of these the oldest, 64 at a time. Test: test_full_ledger_keeps_a_content_with_two_crashes, failed before.

--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -35,7 +35,8 @@
 MAX_REFUSAL_S: typing.Final = 24 * 3600.0
 # Callers complete content that many of them send several times a second.
 COMPLETION_MEMORY_S: typing.Final = 2.0
-MAX_RECORDS: typing.Final = 1024  # beyond this, those with the oldest crash go
+MAX_RECORDS: typing.Final = 1024  # beyond this, those with the fewest crashes go
+DROPPED_RECORDS: typing.Final = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,12 +216,23 @@
         record.cleared |= cleared
         self._number_change(record)
         if len(self._records) > MAX_RECORDS:
-            oldest = min(
-                self._records, key=lambda key: self._records[key].last_crash_at
-            )
-            del self._records[oldest]
+            self._drop_least_important()
         return True
 
+    def _drop_least_important(self) -> None:
+        """Drop the records with the fewest crashes that count, of these the oldest.
+
+        When many targets end at once, the contents that ran there fill the ledger.
+        Several are dropped at a time, since finding them takes a millisecond.
+        """
+
+        def get_importance(content_id: str) -> tuple[int, float]:
+            record = self._records[content_id]
+            return len(record.crashed - record.cleared), record.last_crash_at
+
+        for content_id in sorted(self._records, key=get_importance)[:DROPPED_RECORDS]:
+            del self._records[content_id]
+
     def list_changes(self, now: float, after: int) -> list[messages.CrashRecord]:
         """Return the records changed after a change number, for other entries."""
         return [
