Let an entry that starts fetch the crash records

What callers would see: after an entry restarts in a large fleet, a request that is refused elsewhere is sent on there and crashes more targets.

Cause: an entry learned of crashes only from heartbeats that others send to it, up to 31 s apart among 370 entries (0.25 s x 370 / 3), and the first one after a restart only shows its sender that all records are due.

Change: after its start an entry fetches all records from the first three entries that answer it. Three, as one may have started itself, and so that a start in a large fleet does not read the same records from everyone. Test: test_entry_that_restarts_among_many_refuses_at_once, failed before: 502 and a third crash, now 503 at 0.3 s after the start.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -41,6 +41,7 @@
 # A lost response delays a change by one watch; target changes must apply in 2 s.
 TARGETS_WATCH_S: typing.Final = 1.5
 FETCH_TIMEOUT_S: typing.Final = 1.0
+MAX_CRASH_SOURCES: typing.Final = 3  # one may have just started, too
 FETCH_DELAY_S: typing.Final = 0.1  # the entry's own watch usually returns first
 STORE_WATCHERS: typing.Final = 6  # enough that some reach the store in any outage
 MAINTENANCE_PERIOD_S: typing.Final = 0.25
@@ -114,6 +115,8 @@
             self.forwarder, header_codec, self._get_max_body, limits.idle_timeout_s
         )
         self._server = rpc.Server(self, cfg.host, cfg.node_port)
+        # The entries that this one has fetched all crash records from.
+        self._crash_sources: set[str] = set()
         self._reports: dict[str, messages.Report] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self.is_draining = False
@@ -365,7 +368,13 @@
     async def on_heartbeat_reply(
         self, peer: rpc.Peer, reply: messages.HeartbeatReply, sent_at: float
     ) -> None:
-        """Fetch the changes of the store that the reply shows to be missing."""
+        """Fetch what the reply shows to be missing: changes of the store, crashes."""
+        if (
+            reply.incarnation
+            and len(self._crash_sources) < MAX_CRASH_SOURCES
+            and peer.host not in self._crash_sources
+        ):
+            await self._fetch_crash_records(peer)
         for state in reply.prefix_states:
             watcher = self._watchers.get(state.prefix)
             if watcher is None:
@@ -379,6 +388,17 @@
                 # This replica now has all that the peer had when it replied.
                 watcher.freshness.confirm_by_peer(sent_at, state.age_s)
 
+    async def _fetch_crash_records(self, peer: rpc.Peer) -> None:
+        """Fetch all crash records of another entry, after the start.
+
+        The heartbeats of others bring them later; among many entries these are rare.
+        """
+        request = messages.CrashSync(self._cfg.host, [], 0, 0)
+        reply = await peer.call(request, FETCH_TIMEOUT_S)
+        if isinstance(reply, messages.CrashSyncReply):
+            self._crash_sources.add(peer.host)
+            self._merge_crash_records(reply.crash_records, peer.host)
+
     async def _fetch_changes(
         self, peer: rpc.Peer, watcher: storewatcher.StoreWatcher
     ) -> None:
