--- a/test/test_direct_crash_evidence.py
+++ b/test/test_direct_crash_evidence.py
@@ -61,7 +61,9 @@
     df.run_scenario(scenario, entry_count=3)
 
 
+@pytest.mark.parametrize("is_store_down", [False, True])
 def test_request_is_stopped_if_the_first_probe_is_lost(
+    is_store_down: bool,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     probed = set()
@@ -84,7 +86,9 @@
         targets = crashingtargets.CrashingTargets(fleet)
         await targets.add(8)
         await fleet.settle()
-        await send_from_all_sides(fleet, "/free/poison")
+        fleet.store.is_down = is_store_down
+        # An anonymous route, since keys are not accepted during a longer outage.
+        await send_from_all_sides(fleet, "/open/poison")
         assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
 
     df.run_scenario(scenario, entry_count=3)
