Let targets end in three ways in the soak, and callers return with their own content

In the soak a target that crashed always refused connections until it was back, and requests that crash nothing had the same content for all callers, so that they were never suspected (content that others complete all the time). Now the target refuses, is replaced at once or falls silent at random; targets turn away what is meant for another incarnation, as real ones do; and each request has content of its own, with which its caller may come back until it is served. QUARANTINE is thus checked for neighbours, too.

--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -225,6 +225,24 @@
     return True
 
 
+def open_silent_sockets(port: int) -> list[socket.socket]:
+    """Make new connections to a port of 127.0.0.1 hang until the sockets are closed.
+
+    One socket listens and accepts nothing, the others fill its queue.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", port))
+    listener.listen(0)
+    sockets = [listener]
+    for _ in range(2):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(("127.0.0.1", port))
+        sockets.append(sock)
+    return sockets
+
+
 class ScriptedTarget:
     """A target whose ``respond`` callback handles each request.
 
@@ -268,22 +286,10 @@
             reset_connection(writer)
 
     def fall_silent(self) -> None:
-        """Accept and reset nothing any more, as a host without power.
-
-        New connections hang, since the queue of the listening socket is full.
-        """
+        """Accept and reset nothing any more, as a host without power."""
         if self._server is not None:
             self._server.close()
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(("127.0.0.1", self.port))
-        listener.listen(0)
-        self._silent_sockets.append(listener)
-        for _ in range(2):
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.connect_ex(("127.0.0.1", self.port))
-            self._silent_sockets.append(sock)
+        self._silent_sockets = open_silent_sockets(self.port)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -513,6 +519,7 @@
         attempt_id: str = "",
         conn: ClientConnection | None = None,
         since_drain_s: float = 0.0,
+        body: bytes = b"question",
     ) -> ReceivedResponse:
         """Send a request to an entry and read the response to its end.
 
@@ -534,7 +541,8 @@
             *extra_headers,
         ]
         state = h11.Connection(h11.CLIENT)
-        body = b"" if method == "GET" else b"question"
+        if method == "GET":
+            body = b""
         if body:
             fields.append(("Content-Length", str(len(body))))
         request = h11.Request(method=method, target=path, headers=fields)
--- a/test/soak.py
+++ b/test/soak.py
@@ -11,8 +11,10 @@
 delay, reset or swallow bytes in one or both directions. The store fails, stops
 responding or compacts its history. Configuration versions change. The group breaks and
 reforms, and engines execute orders late. Some requests crash each target that runs
-them, and come again at any entry. A planned run has only stops, reloads, new
-versions and demand shifts; in such a run no request may be lost.
+them, and come again at any entry; the target then refuses connections, is replaced at
+once or falls silent. Callers of other requests come back with the same content, too.
+A planned run has only stops, reloads, new versions and demand shifts; in such a run no
+request may be lost.
 
 At the end all faults are cleared: the entries must serve requests and have the newest
 configuration, and the group must run passes.
@@ -46,9 +48,10 @@
 import loguru
 
 from sardinesaddle.direct import replica, start
+from sardinesaddle.platform import headers
 from sardinesaddle.standins import rankgroup
+from test import crashingtargets, soakengine
 from test import directfleet as df
-from test import soakengine
 
 ENTRY_COUNT: typing.Final = 3
 TARGET_COUNTS: typing.Final = {"plain": 3, "engines": 3}
@@ -68,6 +71,7 @@
     "/unique/poison-4",
 )
 POISON_SHARE: typing.Final = 0.03  # of the requests of a run that is not planned
+RETURN_SHARE: typing.Final = 0.7  # of the requests that were not served
 OTHER_RETRY_AFTER_S: typing.Final = 60.0  # refusals for crashes are longer
 START_TIMEOUT_S: typing.Final = 30.0
 INTERPRETER_START_S: typing.Final = 1.0  # until SIGHUP no longer ends the process
@@ -87,6 +91,8 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # The connections of a host that fell silent.
+        self._muted: set[asyncio.StreamWriter] = set()
         self.mode = "pass"
         self.port = 0
 
@@ -101,10 +107,24 @@
         self._server.close()
         self.reset()
 
-    async def crash(self, downtime_s: float) -> None:
-        """Refuse connections for a while, as after the end of the target's process."""
-        await self.stop()
+    async def end_target(
+        self, ending: crashingtargets.Ending, downtime_s: float
+    ) -> None:
+        """Let the target's process look ended for a while, then replaced."""
+        if ending is crashingtargets.Ending.REPLACED:
+            self.reset()
+            return
+        assert self._server is not None
+        self._server.close()
+        silent_sockets = []
+        if ending is crashingtargets.Ending.REFUSED:
+            self.reset()
+        else:
+            self._muted |= self._writers
+            silent_sockets = df.open_silent_sockets(self.port)
         await asyncio.sleep(downtime_s)
+        for sock in silent_sockets:
+            sock.close()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
     def reset(self) -> None:
@@ -129,9 +149,12 @@
             asyncio.create_task(self._forward(upstream_reader, writer, "mute_back")),
         ]
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        if writer in self._muted and not reader.at_eof():
+            await tasks[0]
         for task in tasks:
             task.cancel()
         self._writers -= {writer, upstream_writer}
+        self._muted -= {writer, upstream_writer}
         writer.close()
         upstream_writer.close()
 
@@ -145,6 +168,8 @@
         """
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                if writer in self._muted:
+                    continue
                 if self.mode in (mute_mode, "silent"):
                     await asyncio.sleep(3600.0)
                 if self.mode == "delay":
@@ -430,6 +455,9 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Count an execution of a request and respond with its identifier."""
+        if is_misdirected(target, request):
+            write_refusal(writer, headers.STATUS_MISDIRECTED)
+            return True
         self._executions[request.attempt_id] += 1
         if request.path in POISON_PATHS:
             self._crash(target, request)
@@ -453,25 +481,30 @@
                 text = f"{request.path} crashed {len(crash_times)} before"
                 self._record_violation("BUDGET", f"{text}, by {sender.name}")
         crash_times.append(loop.time())
-        task = loop.create_task(self._restart_target(target))
+        ending = self.rng.choice(list(crashingtargets.Ending))
+        task = loop.create_task(self._restart_target(target, ending))
         self._restart_tasks.add(task)
         task.add_done_callback(self._restart_tasks.discard)
 
-    async def _restart_target(self, target: df.ScriptedTarget) -> None:
+    async def _restart_target(
+        self, target: df.ScriptedTarget, ending: crashingtargets.Ending
+    ) -> None:
         """Crash a target and start it again as a new incarnation.
 
         The group of an engine breaks, and reforms when the engine is back.
         """
+        old_name = target.name
+        target.name += "+"
         service, index = split_target_name(target.name)
         is_rank = service == "engines"
         proxy = self._proxies[index + (TARGET_COUNTS["plain"] if is_rank else 0)]
         if is_rank:
             self._group.is_open = False
-        await proxy.crash(self.rng.uniform(0.3, 1.5))
-        with contextlib.suppress(KeyError):
-            self.store.delete(f"servers/{target.name}")
-        target.name += "+"
+        await proxy.end_target(ending, self.rng.uniform(0.3, 1.5))
+        await asyncio.sleep(crashingtargets.REGISTRATION_S)
         self._register_target(target.name, service, proxy)
+        with contextlib.suppress(KeyError):
+            self.store.delete(f"servers/{old_name}")
         if is_rank:
             self._group.reform()
             self._group.is_open = True
@@ -492,11 +525,9 @@
                 )
             )
             return True
-        if not self._group.is_open:
-            head = df.make_response_head(
-                503, ("Not-Executed", "1"), ("Content-Length", "0")
-            )
-            writer.write(head)
+        if is_misdirected(target, request) or not self._group.is_open:
+            is_other = is_misdirected(target, request)
+            write_refusal(writer, headers.STATUS_MISDIRECTED if is_other else 503)
             return True
         if request.path in POISON_PATHS:
             self._executions[request.attempt_id] += 1
@@ -527,6 +558,7 @@
         """Send requests to one entry, one at a time, on a connection kept open."""
         paths = ("/once/a", "/free/a", "/stream/a", "/unique/a")
         conn: df.ClientConnection | None = None
+        returning: tuple[str, bytes] | None = None
         while True:
             await asyncio.sleep(self.rng.uniform(0.01, 0.1))
             entry_index = caller_index % self._entry_count
@@ -538,9 +570,9 @@
                 conn = None
                 continue
             attempt_id = f"{self.rng.getrandbits(64):016x}"
-            path = self.rng.choice(paths)
+            path, body = returning or (self.rng.choice(paths), attempt_id.encode())
             if not self.is_planned and self.rng.random() < POISON_SHARE:
-                path = self.rng.choice(POISON_PATHS)
+                path, body = self.rng.choice(POISON_PATHS), b"poison"
             self._senders[attempt_id] = process
             loop = asyncio.get_running_loop()
             sent_at = loop.time()
@@ -548,7 +580,11 @@
             response = await self.send_request(
                 path, entry_index, deadline_ms=REQUEST_DEADLINE_MS,
                 attempt_id=attempt_id, conn=conn, disconnect_after_s=limit_s,
+                body=body,
             )  # fmt: skip
+            # Some callers come back with the same request until it is served.
+            is_back = response.status != 200 and self.rng.random() < RETURN_SHARE
+            returning = (path, body) if is_back and path not in POISON_PATHS else None
             self.request_count += 1
             self.served_count += response.status == 200 and response.is_complete
             is_excused = sent_at < process.excuse_ends_at
@@ -836,6 +872,17 @@
             )
 
 
+def is_misdirected(target: df.ScriptedTarget, request: df.ReceivedRequest) -> bool:
+    """Return whether a request is for another incarnation of a target."""
+    return request.headers.get(headers.EXPECTED_TARGET.lower()) != target.name
+
+
+def write_refusal(writer: asyncio.StreamWriter, status: int) -> None:
+    """Write a response which states that the request was not run."""
+    fields = ((headers.NOT_RUN, "1"), ("Content-Length", "0"))
+    writer.write(df.make_response_head(status, *fields))
+
+
 def split_target_name(name: str) -> tuple[str, int]:
     """Return the service and the index of a target, whatever its incarnation."""
     service, _, index = name.rstrip("+").rpartition("-")
