--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -78,25 +78,20 @@
 class TargetExchanges:
     """The exchanges with one incarnation of a target.
 
-    ``ended_at`` is when the target was found to have ended, ``NEVER`` while it is not
-    known to have.
+    ``evidence`` shows since ``found_at`` that the target has ended; it is None while
+    the target may run.
     """
 
     running: set[SentRequest] = dataclasses.field(default_factory=set)
     unresolved: list[SentRequest] = dataclasses.field(default_factory=list)
-    ended_at: float = freshness.NEVER
-    evidence: Evidence = Evidence.REFUSED
+    evidence: Evidence | None = None
+    found_at: float = freshness.NEVER
     probe: asyncio.Task[None] | None = None
 
-    @property
-    def has_ended(self) -> bool:
-        """Whether the target is known to have ended."""
-        return self.ended_at != freshness.NEVER
-
     def is_needed(self, oldest: float) -> bool:
-        """Return whether this holds more than what ended before ``oldest``."""
+        """Return whether this holds more than what was found before ``oldest``."""
         return bool(
-            self.running or self.unresolved or self.probe or self.ended_at >= oldest
+            self.running or self.unresolved or self.probe or self.found_at >= oldest
         )
 
 
@@ -161,15 +156,15 @@
         exchanges = self._get_exchanges(target)
         exchanges.running.discard(sent)
         if how is ExchangeEnd.ANSWERED:
-            exchanges.ended_at = freshness.NEVER
+            exchanges.evidence = None
             exchanges.unresolved = [
                 other for other in exchanges.unresolved if other.ended_at > sent.sent_at
             ]
         elif how is ExchangeEnd.UNANSWERED:
             sent.ended_at = self._clock.read()
             exchanges.unresolved.append(sent)
-            if exchanges.has_ended:
-                self._record(target, exchanges)
+            if exchanges.evidence is not None:
+                self._record_crash(target, exchanges, exchanges.evidence)
 
     def expire(self) -> None:
         """Drop what ended more than ``UNRESOLVED_S`` ago."""
@@ -184,7 +179,7 @@
     async def probe(self, target: targetpool.Target) -> None:
         """Find out whether a target crashed; call after a broken exchange."""
         exchanges = self._get_exchanges(target)
-        if exchanges.has_ended:
+        if exchanges.evidence is not None:
             return
         if exchanges.probe is None:
             loop = asyncio.get_running_loop()
@@ -223,14 +218,19 @@
         is only unlisted may still respond.
         """
         exchanges = self._get_exchanges(target)
-        exchanges.ended_at = self._clock.read()
         exchanges.evidence = evidence
-        self._record(target, exchanges)
+        exchanges.found_at = self._clock.read()
+        self._record_crash(target, exchanges, evidence)
         if evidence is Evidence.REPLACED:
             for sent in exchanges.running:
                 sent.conn.abort()
 
-    def _record(self, target: targetpool.Target, exchanges: TargetExchanges) -> None:
+    def _record_crash(
+        self,
+        target: targetpool.Target,
+        exchanges: TargetExchanges,
+        evidence: Evidence,
+    ) -> None:
         """Count the target's end against its unresolved requests."""
         unresolved, exchanges.unresolved = exchanges.unresolved, []
         if target.registration.state is catalog.TargetState.DRAINING:
@@ -245,11 +245,11 @@
         ]
         if not changed:
             return
-        self._metrics.count_crash(exchanges.evidence.value)
+        self._metrics.count_crash(evidence.value)
         loguru.logger.info(
             "event=target_crashed target={} evidence={} contents={}",
             target.target_id,
-            exchanges.evidence.value,
+            evidence.value,
             self._ledger.format_counts(changed),
         )
         self._on_recorded()
