Count a crash against the incarnation that a request was sent to

Found by reading, before any user saw it: a target that restarts under its own id and states a later start is registered in place. A request that still ran at the silent old incarnation was then filed under the new one: the crash counted against nobody, and the record of the exchange was kept for good.

Change: a sent request names the incarnation; whether a target had stated that it leaves is kept with what is known of that incarnation. Test: test_request_counts_a_crash_if_its_silent_target_restarts_under_its_id, 0 crashes before, 1 now. test_request_is_stopped_if_targets_restart_under_their_ids (three endings, three kinds of route) passed before, too, since a later return made up for it.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -62,12 +62,13 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class SentRequest:
-    """A request that was sent to a target.
+    """A request that was sent to an incarnation of a target.
 
     ``ended_at`` is when its exchange ended without a response. Times are of a clock
     that counts suspension.
     """
 
+    incarnation: str
     content_id: str
     conn: upstream.Connection
     sent_at: float
@@ -79,13 +80,14 @@
     """The exchanges with one incarnation of a target.
 
     ``evidence`` shows since ``found_at`` that the target has ended; it is None while
-    the target may run.
+    the target may run. ``is_leaving`` is set if it had stated that it would leave.
     """
 
     running: set[SentRequest] = dataclasses.field(default_factory=set)
     unresolved: list[SentRequest] = dataclasses.field(default_factory=list)
     evidence: Evidence | None = None
     found_at: float = freshness.NEVER
+    is_leaving: bool = False
     probe: asyncio.Task[None] | None = None
 
     def is_needed(self, oldest: float) -> bool:
@@ -136,24 +138,23 @@
         if self._ledger.record_completion(self._clock.read(), content_id):
             loguru.logger.info("event=content_cleared content={}", content_id)
 
-    def _get_exchanges(self, target: targetpool.Target) -> TargetExchanges:
-        """Return the exchanges with a target's incarnation."""
-        incarnation = target.registration.incarnation
+    def _get_exchanges(self, incarnation: str) -> TargetExchanges:
+        """Return the exchanges with an incarnation of a target."""
         return self._exchanges.setdefault(incarnation, TargetExchanges())
 
     def on_sent(
         self, target: targetpool.Target, content_id: str, conn: upstream.Connection
     ) -> SentRequest:
         """Record that a request is sent to a target on a connection."""
-        sent = SentRequest(content_id, conn, self._clock.read())
-        self._get_exchanges(target).running.add(sent)
+        incarnation = target.registration.incarnation
+        sent = SentRequest(incarnation, content_id, conn, self._clock.read())
+        self._get_exchanges(incarnation).running.add(sent)
         return sent
 
-    def on_exchange_end(
-        self, target: targetpool.Target, sent: SentRequest, how: ExchangeEnd
-    ) -> None:
+    def on_exchange_end(self, sent: SentRequest, how: ExchangeEnd) -> None:
         """Record how the exchange that ``on_sent`` began has ended."""
-        exchanges = self._get_exchanges(target)
+        # The target may have been registered again, under its id, in the meantime.
+        exchanges = self._get_exchanges(sent.incarnation)
         exchanges.running.discard(sent)
         if how is ExchangeEnd.ANSWERED:
             exchanges.evidence = None
@@ -164,7 +165,7 @@
             sent.ended_at = self._clock.read()
             exchanges.unresolved.append(sent)
             if exchanges.evidence is not None:
-                self._record_crash(target, exchanges, exchanges.evidence)
+                self._record_crash(sent.incarnation, exchanges, exchanges.evidence)
 
     def expire(self) -> None:
         """Drop what ended more than ``UNRESOLVED_S`` ago."""
@@ -178,7 +179,7 @@
 
     async def probe(self, target: targetpool.Target) -> None:
         """Find out whether a target crashed; call after a broken exchange."""
-        exchanges = self._get_exchanges(target)
+        exchanges = self._get_exchanges(target.registration.incarnation)
         if exchanges.evidence is not None:
             return
         if exchanges.probe is None:
@@ -217,26 +218,26 @@
         The exchanges that run there are broken off if the target was replaced. One that
         is only unlisted may still respond.
         """
-        exchanges = self._get_exchanges(target)
+        incarnation = target.registration.incarnation
+        exchanges = self._get_exchanges(incarnation)
+        exchanges.is_leaving |= (
+            target.registration.state is catalog.TargetState.DRAINING
+        )
         exchanges.evidence = evidence
         exchanges.found_at = self._clock.read()
-        self._record_crash(target, exchanges, evidence)
+        self._record_crash(incarnation, exchanges, evidence)
         if evidence is Evidence.REPLACED:
             for sent in exchanges.running:
                 sent.conn.abort()
 
     def _record_crash(
-        self,
-        target: targetpool.Target,
-        exchanges: TargetExchanges,
-        evidence: Evidence,
+        self, incarnation: str, exchanges: TargetExchanges, evidence: Evidence
     ) -> None:
-        """Count the target's end against its unresolved requests."""
+        """Count a target's end against its unresolved requests."""
         unresolved, exchanges.unresolved = exchanges.unresolved, []
-        if target.registration.state is catalog.TargetState.DRAINING:
+        if exchanges.is_leaving:
             return
         now = self._clock.read()
-        incarnation = target.registration.incarnation
         changed = [
             sent.content_id
             for sent in unresolved
@@ -248,7 +249,7 @@
         self._metrics.count_crash(evidence.value)
         loguru.logger.info(
             "event=target_crashed target={} evidence={} contents={}",
-            target.target_id,
+            incarnation,
             evidence.value,
             self._ledger.format_counts(changed),
         )
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -329,7 +329,7 @@
                 if exchange.finish(now()):
                     self._pool.release(key, conn)
                 how = classify_exchange_end(outcome)
-                self._crashes.on_exchange_end(target, sent, how)
+                self._crashes.on_exchange_end(sent, how)
         finally:
             self._end_attempt(state, target)
 
--- a/test/crashingtargets.py
+++ b/test/crashingtargets.py
@@ -30,7 +30,8 @@
 
     A crashed target comes back after ``downtime_s`` at its address with a new id; after
     ``Ending.REPLACED`` it is back at once. Its registration lapses after ``LAPSE_S``.
-    Times are the event loop's.
+    With ``keeps_id`` it comes back under its id, and states a later start. Times are
+    the event loop's.
     """
 
     def __init__(
@@ -38,10 +39,12 @@
         fleet: df.Fleet,
         ending: Ending = Ending.REFUSED,
         downtime_s: float = 2.0,
+        keeps_id: bool = False,
     ) -> None:
         self._fleet = fleet
         self._ending = ending
         self._downtime_s = downtime_s
+        self._keeps_id = keeps_id
         self._tasks: set[asyncio.Task[None]] = set()
         self.send_times: list[float] = []
         self.crash_times: list[float] = []
@@ -70,9 +73,9 @@
             return True
         self.send_times.append(loop.time())
         self.crash_times.append(loop.time())
-        name = target.name
-        target.name += "+"
-        self._start_task(self._let_lapse(name))
+        if not self._keeps_id:
+            self._start_task(self._let_lapse(target.name))
+            target.name += "+"
         if self._ending is Ending.SILENT:
             target.fall_silent()
             self._start_task(self._restart(target))
@@ -108,7 +111,9 @@
         """Register the new incarnation of a target."""
         await asyncio.sleep(REGISTRATION_S)
         self._fleet.targets[target.name] = target
-        self._fleet.register(target.name, target.name.partition("-")[0])
+        service = target.name.partition("-")[0]
+        started_ms = len(self.crash_times)
+        self._fleet.register(target.name, service, started_ms=started_ms)
 
     def count_late_sends(self) -> int:
         """Count the sends later than ``CONTACT_S`` after the third crash."""
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -452,11 +452,19 @@
         self.register(name, service)
         return target
 
-    def register(self, name: str, service: str, state: str = "ready") -> None:
+    def register(
+        self, name: str, service: str, state: str = "ready", started_ms: int = 0
+    ) -> None:
         """Write a target's registration to the store."""
-        addr = f"127.0.0.1:{self.targets[name].port}"
-        registration = {"service": service, "addr": addr, "zone": "p", "slots": 4}
-        self.store.put(f"servers/{name}", {**registration, "state": state})
+        registration = {
+            "service": service,
+            "addr": f"127.0.0.1:{self.targets[name].port}",
+            "zone": "p",
+            "slots": 4,
+            "state": state,
+            "born": started_ms,
+        }
+        self.store.put(f"servers/{name}", registration)
 
     async def add_entry(
         self, store: storewatcher.Store | None = None
--- a/test/test_direct_crash_evidence.py
+++ b/test/test_direct_crash_evidence.py
@@ -61,6 +61,23 @@
     df.run_scenario(scenario, entry_count=3)
 
 
+@pytest.mark.parametrize("ending", list(crashingtargets.Ending))
+@pytest.mark.parametrize(("path", "service"), POISONOUS_PATHS)
+def test_request_is_stopped_if_targets_restart_under_their_ids(
+    path: str, service: str, ending: crashingtargets.Ending
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(
+            fleet, ending, downtime_s=1.0, keeps_id=True
+        )
+        await targets.add(2, service)
+        await fleet.settle()
+        await send_from_all_sides(fleet, path)
+        assert targets.count_late_sends() <= crashingtargets.MAX_LATE_SENDS
+
+    df.run_scenario(scenario, entry_count=3)
+
+
 @pytest.mark.parametrize("is_store_down", [False, True])
 def test_request_is_stopped_if_the_first_probe_is_lost(
     is_store_down: bool,
@@ -163,6 +180,22 @@
     df.run_scenario(scenario)
 
 
+def test_request_counts_a_crash_if_its_silent_target_restarts_under_its_id() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(
+            fleet, crashingtargets.Ending.SILENT, downtime_s=1.0, keeps_id=True
+        )
+        await targets.add(1)
+        await fleet.settle()
+        assert (await fleet.send_request("/once/poison")).status == 502
+        content_id = requeststate.compute_content_id(
+            "/once/poison", "alice", b"question"
+        )
+        assert fleet.entries[0].crash_ledger.get_crash_count(content_id) == 1
+
+    df.run_scenario(scenario)
+
+
 def test_targets_that_only_lost_touch_count_against_nobody() -> None:
     async def stay_silent(
         target: df.ScriptedTarget,
