--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -570,6 +570,19 @@
             writer.transport.abort()
         return response
 
+    async def send_until_served(
+        self, path: str, entries: collections.abc.Iterable[int]
+    ) -> list[int]:
+        """Send a request to one entry after the other; return the statuses so far."""
+        statuses = []
+        for entry_index in entries:
+            response = await self.send_request(path, entry_index)
+            statuses.append(response.status)
+            if response.status == 200:
+                break
+            await self.settle(0.3)
+        return statuses
+
     async def connect(self, entry_index: int = 0) -> ClientConnection:
         """Open a TCP connection to an entry's front port."""
         host = f"127.0.1.{entry_index + 1}"
--- a/test/test_direct_crash_evidence.py
+++ b/test/test_direct_crash_evidence.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sardinesaddle.direct import crashledger, entrypeers, requeststate, upstream
-from test import crashingtargets, test_direct_quarantine
+from test import crashingtargets
 from test import directfleet as df
 
 POISONOUS_PATHS = [
@@ -226,25 +226,20 @@
     df.run_scenario(scenario, entry_count=2)
 
 
-@pytest.mark.parametrize(
-    "ending", [crashingtargets.Ending.REPLACED, crashingtargets.Ending.SILENT]
-)
+@pytest.mark.parametrize("target_count", [3, 8])
+@pytest.mark.parametrize("ending", list(crashingtargets.Ending))
 def test_requests_beside_a_crashing_request_are_served_however_targets_end(
-    ending: crashingtargets.Ending,
+    ending: crashingtargets.Ending, target_count: int
 ) -> None:
     async def scenario(fleet: df.Fleet) -> None:
         targets = crashingtargets.CrashingTargets(fleet, ending, downtime_s=3.0)
-        await targets.add(8)
+        await targets.add(target_count)
         await fleet.settle()
         poison_task = asyncio.create_task(send_from_all_sides(fleet, "/free/poison"))
         callers = []
         for number in range(40):
             entries = [(number + turn) % 3 for turn in range(30)]
-            callers.append(
-                test_direct_quarantine.send_until_served(
-                    fleet, f"/free/{number}", entries
-                )
-            )
+            callers.append(fleet.send_until_served(f"/free/{number}", entries))
         results = await asyncio.gather(*callers)
         await poison_task
         assert [statuses[-1] for statuses in results] == [200] * 40
--- a/test/test_direct_quarantine.py
+++ b/test/test_direct_quarantine.py
@@ -1,7 +1,6 @@
 """Tests of requests that crash the targets that run them, and of their neighbours."""
 
 import asyncio
-import collections.abc
 import itertools
 import random
 
@@ -43,20 +42,6 @@
     df.run_scenario(scenario, entry_count=3)
 
 
-async def send_until_served(
-    fleet: df.Fleet, path: str, entries: collections.abc.Iterable[int]
-) -> list[int]:
-    """Send a request to one entry after the other; return the statuses so far."""
-    statuses = []
-    for entry_index in entries:
-        response = await fleet.send_request(path, entry_index)
-        statuses.append(response.status)
-        if response.status == 200:
-            break
-        await fleet.settle(0.3)
-    return statuses
-
-
 @pytest.mark.parametrize("target_count", [3, 8])
 def test_requests_beside_a_crashing_request_are_served(target_count: int) -> None:
     async def scenario(fleet: df.Fleet) -> None:
@@ -74,7 +59,7 @@
         for number in range(60):
             # Each caller returns until it is served, the first time at another entry.
             entries = [(number + turn) % 3 for turn in range(12)]
-            callers.append(send_until_served(fleet, f"/free/{number}", entries))
+            callers.append(fleet.send_until_served(f"/free/{number}", entries))
         results = await asyncio.gather(*callers)
         await poison_task
         assert [statuses[-1] for statuses in results] == [200] * 60
