Count no crash against a request that was sent to a host already silent

Trace: it was sent on an idle connection to plain-0, whose host was silent by then, and 0.6 s later, when the registration showed the next incarnation, on an idle connection to plain-2, silent as well. Both ends were counted against it, two crashes that nothing else explained.

Change: a request on an idle connection counts only if the target closed that connection. A dead idle connection also no longer costs a retry its only send. A crash keeps the first evidence of it in log and metrics.

Test: test_request_sent_on_idle_connections_of_silent_hosts_counts_no_crash, 503 with Retry-After 599.50 before, 200 now. The other tests of crashes pass as before.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -17,6 +17,10 @@
 the target to a later request shows the opposite and resolves them, and so does the
 completion of their content at another target. The end of a target that is leaving
 counts against nobody.
+
+A request that was sent on an idle connection may never have reached its target, if that
+had fallen silent before. It counts only if the target closed the connection. Content
+that got no response is sent on new connections from then on.
 """
 
 import asyncio
@@ -53,10 +57,15 @@
 
 
 class ExchangeEnd(enum.Enum):
-    """How an exchange ended: a misdirected one was answered by another target."""
+    """How an exchange ended.
+
+    ``BROKEN``: the target closed the connection; ``SILENT``: the entry did, without a
+    response; ``MISDIRECTED``: another target responded.
+    """
 
     ANSWERED = "answered"
-    UNANSWERED = "unanswered"
+    BROKEN = "broken"
+    SILENT = "silent"
     MISDIRECTED = "misdirected"
 
 
@@ -64,15 +73,18 @@
 class SentRequest:
     """A request that was sent to an incarnation of a target.
 
-    ``ended_at`` is when its exchange ended without a response. Times are of a clock
-    that counts suspension.
+    ``ended_at`` is when its exchange ended without a response. ``has_arrived`` is set
+    if the target was there when the request was sent. Times are of a clock that counts
+    suspension.
     """
 
     incarnation: str
     content_id: str
     conn: upstream.Connection
     sent_at: float
+    has_arrived: bool
     ended_at: float = freshness.NEVER
+    was_aborted: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,6 +129,8 @@
         self._metrics = entry_metrics
         self._on_recorded = on_recorded
         self._exchanges: dict[str, TargetExchanges] = {}  # by incarnation
+        # When the last exchange of a content ended without a response.
+        self._unanswered_at: dict[str, float] = {}
 
     def compute_refusal_s(self, content_id: str) -> float:
         """Return for how long a content is still refused, 0.0 if it may run."""
@@ -126,8 +140,13 @@
         """Return how many targets crashed while this content ran there."""
         return self._ledger.get_crash_count(content_id)
 
+    def needs_new_connection(self, content_id: str) -> bool:
+        """Return whether a content got no response before, and no completion since."""
+        return content_id in self._unanswered_at
+
     def on_completed(self, content_id: str) -> None:
         """Record that a target ran a content to its end."""
+        self._unanswered_at.pop(content_id, None)
         for exchanges in self._exchanges.values():
             if exchanges.unresolved:
                 exchanges.unresolved = [
@@ -147,7 +166,8 @@
     ) -> SentRequest:
         """Record that a request is sent to a target on a connection."""
         incarnation = target.registration.incarnation
-        sent = SentRequest(incarnation, content_id, conn, self._clock.read())
+        now = self._clock.read()
+        sent = SentRequest(incarnation, content_id, conn, now, not conn.was_idle)
         self._get_exchanges(incarnation).running.add(sent)
         return sent
 
@@ -161,8 +181,10 @@
             exchanges.unresolved = [
                 other for other in exchanges.unresolved if other.ended_at > sent.sent_at
             ]
-        elif how is ExchangeEnd.UNANSWERED:
+        elif how is not ExchangeEnd.MISDIRECTED:
             sent.ended_at = self._clock.read()
+            sent.has_arrived |= how is ExchangeEnd.BROKEN and not sent.was_aborted
+            self._unanswered_at[sent.content_id] = sent.ended_at
             exchanges.unresolved.append(sent)
             if exchanges.evidence is not None:
                 self._record_crash(sent.incarnation, exchanges, exchanges.evidence)
@@ -176,6 +198,9 @@
             ]
             if not exchanges.is_needed(oldest):
                 del self._exchanges[incarnation]
+        for content_id, ended_at in list(self._unanswered_at.items()):
+            if ended_at < oldest:
+                del self._unanswered_at[content_id]
 
     async def probe(self, target: targetpool.Target) -> None:
         """Find out whether a target crashed; call after a broken exchange."""
@@ -223,11 +248,12 @@
         exchanges.is_leaving |= (
             target.registration.state is catalog.TargetState.DRAINING
         )
-        exchanges.evidence = evidence
+        exchanges.evidence = exchanges.evidence or evidence
         exchanges.found_at = self._clock.read()
-        self._record_crash(incarnation, exchanges, evidence)
+        self._record_crash(incarnation, exchanges, exchanges.evidence)
         if evidence is Evidence.REPLACED:
             for sent in exchanges.running:
+                sent.was_aborted = True
                 sent.conn.abort()
 
     def _record_crash(
@@ -241,7 +267,8 @@
         changed = [
             sent.content_id
             for sent in unresolved
-            if now - sent.ended_at <= UNRESOLVED_S
+            if sent.has_arrived
+            and now - sent.ended_at <= UNRESOLVED_S
             and self._ledger.record_crash(now, sent.content_id, incarnation)
         ]
         if not changed:
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -306,9 +306,10 @@
         key = (registration.host, registration.port, registration.target_id)
         now = asyncio.get_running_loop().time
         try:
-            conn = await self._pool.acquire(
-                key, now(), CONNECT_TIMEOUT_S, is_new=not state.may_run_twice
+            is_new = not state.may_run_twice or self._crashes.needs_new_connection(
+                state.content_id
             )
+            conn = await self._pool.acquire(key, now(), CONNECT_TIMEOUT_S, is_new)
             if isinstance(conn, upstream.Failure):
                 if conn.kind is upstream.FailureKind.CONNECTION_REFUSED:
                     self._crashes.on_target_ended(
@@ -475,8 +476,12 @@
     outcome: responserelay.Outcome | None,
 ) -> crashdetector.ExchangeEnd:
     """Return how an exchange ended; without an outcome it was cancelled."""
-    if outcome is None or isinstance(outcome, upstream.Failure):
-        return crashdetector.ExchangeEnd.UNANSWERED
+    if outcome is None:
+        return crashdetector.ExchangeEnd.SILENT
+    if isinstance(outcome, upstream.Failure):
+        is_closed = outcome.kind in crashdetector.BROKEN_KINDS
+        ends = crashdetector.ExchangeEnd
+        return ends.BROKEN if is_closed else ends.SILENT
     if (
         isinstance(outcome, requeststate.Refusal)
         and outcome.reason == responserelay.MISPLACED
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -75,7 +75,11 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to a target."""
+    """One connection to a target.
+
+    ``was_idle`` is set if it was idle before its present request: the target may have
+    fallen silent in the meantime.
+    """
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -85,6 +89,7 @@
         self.is_closed = False
         self.was_reset = False
         self.is_idle = False
+        self.was_idle = False
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
 
@@ -335,6 +340,7 @@
                 conn.abort()
                 continue
             conn.is_idle = False
+            conn.was_idle = True
             self.reused += 1
             return conn
         return await self._open(key, connect_timeout_s)
--- a/test/test_direct_crash_evidence.py
+++ b/test/test_direct_crash_evidence.py
@@ -17,6 +17,16 @@
 RETURNS = 25
 
 
+async def stay_silent(
+    target: df.ScriptedTarget,
+    request: df.ReceivedRequest,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Respond nothing until the caller disconnects."""
+    await asyncio.Event().wait()
+    return False
+
+
 async def send_from_all_sides(fleet: df.Fleet, path: str) -> None:
     """Send a request again and again, to each entry in turn, as they are released."""
     loop = asyncio.get_running_loop()
@@ -196,15 +206,30 @@
     df.run_scenario(scenario)
 
 
-def test_targets_that_only_lost_touch_count_against_nobody() -> None:
-    async def stay_silent(
-        target: df.ScriptedTarget,
-        request: df.ReceivedRequest,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        await asyncio.Event().wait()
-        return False
+def test_request_sent_on_idle_connections_of_silent_hosts_counts_no_crash() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = [await fleet.add_target(name, "plain") for name in ("t1", "t2")]
+        await fleet.settle()
+        # Both targets get a connection that stays idle.
+        await asyncio.gather(*(fleet.send_request("/free/0") for _ in range(4)))
+        assert {len(target.requests) > 0 for target in targets} == {True}
+        for target in targets:
+            target.respond = stay_silent
+            target.fall_silent()
+        assert (await fleet.send_request("/free/a")).status != 200
+        for target in targets:
+            await target.start()
+            target.respond = df.respond_with_name
+            target.name += "+"
+            fleet.targets[target.name] = target
+            fleet.register(target.name, "plain")
+        await fleet.settle()
+        assert (await fleet.send_request("/free/a")).status == 200
 
+    df.run_scenario(scenario)
+
+
+def test_targets_that_only_lost_touch_count_against_nobody() -> None:
     async def scenario(fleet: df.Fleet) -> None:
         for name in ("t1", "t2"):
             await fleet.add_target(name, "plain", stay_silent)
