--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -39,6 +39,14 @@
         return port
 
 
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Return different TCP ports that are currently free on an address."""
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(find_free_port(host))
+    return list(ports)
+
+
 class LoopClock(freshness.SuspendAwareClock):
     """The event loop's clock; ``suspended_s`` simulates a suspension of the host."""
 
--- a/test/soak.py
+++ b/test/soak.py
@@ -370,9 +370,7 @@
             respond = self._respond if service == "plain" else self._respond_with_stream
             for number in range(count):
                 await self._add_target(f"{service}-{number}", service, respond)
-        ports = [
-            df.find_free_port(STORE_HOST) for _ in range(2 * self._entry_count + 1)
-        ]
+        ports = df.find_free_ports(STORE_HOST, 2 * self._entry_count + 1)
         self.ports = ports[: self._entry_count]
         for index in range(self._entry_count):
             host = make_entry_host(index)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -36,6 +36,8 @@
         1,
         # A rank that crashed during the final check was counted as a held pass.
         803,
+        # A request on idle connections to silent hosts was suspected of crashes.
+        928,
     ],
 )
 def test_requests_that_crash_targets_are_stopped_in_a_soak(
