Tell callers to come back soon while records of a crash may be missing

Trace: it ran at plain-0 and plain-1 beside a poisonous request that crashed both within 0.1 s during an outage of the store. Its entry recorded both crashes against it at 58.720 and 58.768; the records of the cause came from another entry at 58.830 and 58.951 and cleared it. It was refused once, at 58.779.

Waiting with the refusal itself would cost more targets; the wrong part is the time that the caller is told. Within 3 s of a crash, the users' bound for all entries to know, it is now told to come back when that time is over, and the whole time after it.

test_refusal_tells_the_caller_when_to_return demanded the whole time at once, which no entry can know then; it now demands at most 3 s at first and over 500 s after them.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -133,7 +133,7 @@
         self._unanswered_at: dict[str, float] = {}
 
     def compute_refusal_s(self, content_id: str) -> float:
-        """Return for how long a content is still refused, 0.0 if it may run."""
+        """Return after how long callers may come back, 0.0 if the content may run."""
         return self._ledger.compute_refusal_s(self._clock.read(), content_id)
 
     def get_crash_count(self, content_id: str) -> int:
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -15,7 +15,9 @@
 last ``COMPLETION_MEMORY_S`` is not recorded at all.
 
 A refusal ends ``FIRST_REFUSAL_S`` after the last crash, so that a wrong one does not
-last. If the content crashes another target then, the next refusal is longer.
+last. If the content crashes another target then, the next refusal is longer. Within
+``SETTLING_S`` of a crash callers are told to come back after that time, since a record
+that explains it may still be on its way from another entry.
 
 All entries merge their ledgers. A record holds two sets of incarnations, those that
 crashed and those that are cleared, which only grow; merging takes the union, so records
@@ -30,6 +32,7 @@
 
 MIN_CRASHES: typing.Final = 2  # quarantined if no other content explains them
 MAX_CRASHES: typing.Final = 3  # quarantined in any case
+SETTLING_S: typing.Final = 3.0  # the time in which all entries learn of a crash
 FIRST_REFUSAL_S: typing.Final = 600.0
 REFUSAL_GROWTH: typing.Final = 4.0
 MAX_REFUSAL_S: typing.Final = 24 * 3600.0
@@ -146,10 +149,13 @@
         return index.count_unexplained(content_id, index.quarantined)
 
     def compute_refusal_s(self, now: float, content_id: str) -> float:
-        """Return for how long a content is still refused, 0.0 if it may run."""
+        """Return after how long callers may come back, 0.0 if the content may run."""
         index = self._get_index()
         if content_id not in index.quarantined:
             return 0.0
+        settling_s = self._records[content_id].last_crash_at + SETTLING_S - now
+        if settling_s > 0.0:
+            return settling_s
         extra_crashes = len(index.counted[content_id]) - MIN_CRASHES
         refusal_s = min(FIRST_REFUSAL_S * REFUSAL_GROWTH**extra_crashes, MAX_REFUSAL_S)
         return max(self._records[content_id].last_crash_at + refusal_s - now, 0.0)
--- a/test/test_direct_quarantine.py
+++ b/test/test_direct_quarantine.py
@@ -76,6 +76,10 @@
         await fleet.send_request("/free/poison")
         response = await fleet.send_request("/free/poison")
         assert response.status == 503
+        assert 0.0 < float(response.headers["retry-after"]) <= CONTACT_S
+        await fleet.settle(CONTACT_S)
+        response = await fleet.send_request("/free/poison")
+        assert response.status == 503
         assert float(response.headers["retry-after"]) > 500.0
         assert len(targets.send_times) == 2
 
@@ -313,6 +317,18 @@
     assert ledger.get_crash_count("beside") == 0
 
 
+def test_neighbour_is_refused_briefly_until_the_cause_is_known() -> None:
+    ledger = crashledger.CrashLedger()
+    other = crashledger.CrashLedger()
+    for target in "ab":
+        ledger.record_crash(0.0, "beside", target)
+        other.record_crash(0.1, "poison", target)
+    other.record_crash(0.1, "poison", "c")
+    assert 0.0 < ledger.compute_refusal_s(0.2, "beside") <= CONTACT_S
+    ledger.merge(0.3, other.list_changes(0.3, 0))
+    assert ledger.compute_refusal_s(0.3, "beside") == 0.0
+
+
 def test_completed_content_is_no_longer_refused() -> None:
     ledger = crashledger.CrashLedger()
     for number in range(3):
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -38,6 +38,8 @@
         803,
         # A request on idle connections to silent hosts was suspected of crashes.
         928,
+        # A neighbour of a crash was told to return in ten minutes, for 60 ms.
+        1043,
     ],
 )
 def test_requests_that_crash_targets_are_stopped_in_a_soak(
