Share what targets of tests answer to misdirected requests

Read as a newcomer: the soak and the crashing targets each checked for another incarnation. One copy now, in the test fleet.

--- a/test/crashingtargets.py
+++ b/test/crashingtargets.py
@@ -63,9 +63,8 @@
     ) -> bool:
         """Crash at a poisonous request; respond to others after ``REQUEST_S``."""
         loop = asyncio.get_running_loop()
-        if request.headers[headers.EXPECTED_TARGET.lower()] != target.name:
-            no_body = ("Content-Length", "0")
-            writer.write(df.make_response_head(headers.STATUS_MISDIRECTED, no_body))
+        if df.is_misdirected(target, request):
+            df.write_refusal(writer, headers.STATUS_MISDIRECTED)
             return True
         if "poison" not in request.path:
             await asyncio.sleep(REQUEST_S)
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -197,6 +197,17 @@
     )
 
 
+def is_misdirected(target: "ScriptedTarget", request: ReceivedRequest) -> bool:
+    """Return whether a request is for another incarnation of a target."""
+    return request.headers.get(headers.EXPECTED_TARGET.lower()) != target.name
+
+
+def write_refusal(writer: asyncio.StreamWriter, status: int) -> None:
+    """Write a response which states that the request was not run."""
+    fields = ((headers.NOT_RUN, "1"), ("Content-Length", "0"))
+    writer.write(make_response_head(status, *fields))
+
+
 def make_stream_head(attempt_id: str) -> bytes:
     """Return the head of a signed, chunked event stream."""
     return make_response_head(
--- a/test/soak.py
+++ b/test/soak.py
@@ -454,8 +454,8 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Count an execution of a request and respond with its identifier."""
-        if is_misdirected(target, request):
-            write_refusal(writer, headers.STATUS_MISDIRECTED)
+        if df.is_misdirected(target, request):
+            df.write_refusal(writer, headers.STATUS_MISDIRECTED)
             return True
         self._executions[request.attempt_id] += 1
         if request.path in POISON_PATHS:
@@ -524,9 +524,9 @@
                 )
             )
             return True
-        if is_misdirected(target, request) or not self._group.is_open:
-            is_other = is_misdirected(target, request)
-            write_refusal(writer, headers.STATUS_MISDIRECTED if is_other else 503)
+        if df.is_misdirected(target, request) or not self._group.is_open:
+            is_other = df.is_misdirected(target, request)
+            df.write_refusal(writer, headers.STATUS_MISDIRECTED if is_other else 503)
             return True
         if request.path in POISON_PATHS:
             self._executions[request.attempt_id] += 1
@@ -882,17 +882,6 @@
             )
 
 
-def is_misdirected(target: df.ScriptedTarget, request: df.ReceivedRequest) -> bool:
-    """Return whether a request is for another incarnation of a target."""
-    return request.headers.get(headers.EXPECTED_TARGET.lower()) != target.name
-
-
-def write_refusal(writer: asyncio.StreamWriter, status: int) -> None:
-    """Write a response which states that the request was not run."""
-    fields = ((headers.NOT_RUN, "1"), ("Content-Length", "0"))
-    writer.write(df.make_response_head(status, *fields))
-
-
 def split_target_name(name: str) -> tuple[str, int]:
     """Return the service and the index of a target, whatever its incarnation."""
     service, _, index = name.rstrip("+").rpartition("-")
