Read the limit that a target states, and show it in log and metrics

Cause: nothing decoded the header, so neither logs nor metrics could tell whether the rate at a rank follows its limit (hypothesis 1), a restart (2) or second sends (3).

Change: the header is decoded in platform/headers.py. A value that is no number is logged and changes nothing.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -25,6 +25,7 @@
     freshness,
     frontend,
     headercodec,
+    limitstatements,
     messages,
     nodemetrics,
     nodesettings,
@@ -95,6 +96,7 @@
         }
         bounds = make_bounds(cfg)
         self.crash_ledger = crashledger.CrashLedger()
+        self.limit_statements = limitstatements.LimitStatements()
         self._incarnation = rng.getrandbits(32) | 1
         self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
         self._crashes = crashdetector.CrashDetector(
@@ -109,6 +111,7 @@
             self.metrics,
             rng,
             self._crashes,
+            self.limit_statements,
         )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
@@ -449,6 +452,7 @@
                 )
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
+            self.metrics.set_target_limits(self.limit_statements.list_limits())
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -26,6 +26,7 @@
     crashdetector,
     entrystate,
     headercodec,
+    limitstatements,
     nodemetrics,
     requestqueue,
     requestscheduler,
@@ -60,8 +61,10 @@
         entry_metrics: nodemetrics.EntryMetrics,
         rng: random.Random,
         crashes: crashdetector.CrashDetector,
+        limits: limitstatements.LimitStatements,
     ) -> None:
         self._entry_state = entry_state
+        self._limits = limits
         self._crashes = crashes
         self._header_codec = header_codec
         self._targets = targets
@@ -352,10 +355,14 @@
         """Send the request on a connection and relay the response."""
         req = state.req
         headers = self._make_upstream_headers(state, target)
+        sent_at = asyncio.get_running_loop().time()
         exchange.send(req.method, req.path, headers, req.body)
         state.send_count += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
 
+        def on_head(metadata: headercodec.ResponseMetadata) -> None:
+            self._record_limit(target, sent_at, metadata)
+
         def on_first_event() -> None:
             state.first_event_at = asyncio.get_running_loop().time()
             self._metrics.observe_first_event(
@@ -363,7 +370,7 @@
             )
 
         relay = responserelay.ResponseRelay(
-            state, exchange, responder, self._header_codec, on_first_event
+            state, exchange, responder, self._header_codec, on_head, on_first_event
         )
         outcome = await relay.run(target)
         if (
@@ -373,6 +380,25 @@
             state.may_have_run = may_have_run_before
         return outcome
 
+    def _record_limit(
+        self,
+        target: targetpool.Target,
+        sent_at: float,
+        metadata: headercodec.ResponseMetadata,
+    ) -> None:
+        """Record the limit that a target states, or that it states none."""
+        incarnation = target.registration.incarnation
+        if metadata.invalid_rate_limit is not None:
+            loguru.logger.warning(
+                "event=target_limit_invalid target={} value={!r:.60}",
+                incarnation,
+                metadata.invalid_rate_limit,
+            )
+            if metadata.rate_limit is None:
+                return
+        now = asyncio.get_running_loop().time()
+        self._limits.on_response(now, incarnation, sent_at, metadata.rate_limit)
+
     def _make_upstream_headers(
         self, state: requeststate.RequestState, target: targetpool.Target
     ) -> headercodec.Headers:
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -44,12 +44,16 @@
 
     ``was_not_run`` is set if the target did not run the request, ``is_wrong_target``
     if it is not the target that the request names, and ``is_signed`` if the response
-    has the target's signature.
+    has the target's signature. ``rate_limit`` is how many requests a second the target
+    takes from all entries together, None if it states no limit. ``invalid_rate_limit``
+    is what it states instead of a number, None if it does not.
     """
 
     was_not_run: bool
     is_wrong_target: bool
     is_signed: bool
+    rate_limit: float | None = None
+    invalid_rate_limit: str | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -52,6 +52,11 @@
             "target_crashes_total", "Crashes counted against requests, by evidence."
         )
 
+        self._target_limits = self.make_gauge(
+            "target_limit", "Requests a second that a target takes; 0 for no limit."
+        )
+        self._limited_targets: set[str] = set()
+
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
         self._responses.inc({"service": service, "status": str(status)})
@@ -77,6 +82,14 @@
         """Count a target's crash that counts against requests of this entry."""
         self._crashes.inc({"evidence": evidence})
 
+    def set_target_limits(self, limits: dict[str, float]) -> None:
+        """Set the limits in force by incarnation; others are set to 0."""
+        for incarnation in self._limited_targets - limits.keys():
+            self._target_limits.set({"target": incarnation}, 0.0)
+        self._limited_targets = set(limits)
+        for incarnation, limit in limits.items():
+            self._target_limits.set({"target": incarnation}, limit)
+
     def set_state(
         self,
         config_version: int,
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -40,7 +40,11 @@
 
 
 class ResponseRelay:
-    """Relays one response; ``on_first_event`` is called at a stream's first event."""
+    """Relays one response.
+
+    ``on_head`` is called with the metadata of its head, and ``on_first_event`` at a
+    stream's first event.
+    """
 
     def __init__(
         self,
@@ -48,12 +52,14 @@
         exchange: upstream.Exchange,
         responder: requeststate.Responder,
         header_codec: headercodec.HeaderCodec,
+        on_head: collections.abc.Callable[[headercodec.ResponseMetadata], None],
         on_first_event: collections.abc.Callable[[], None],
     ) -> None:
         self._state = state
         self._exchange = exchange
         self._responder = responder
         self._header_codec = header_codec
+        self._on_head = on_head
         self._on_first_event = on_first_event
         # Silence does not end a request that may not be repeated.
         self._silence_timeout_s = SILENCE_TIMEOUT_S if state.may_run_twice else None
@@ -66,6 +72,7 @@
         if isinstance(head, upstream.Failure):
             return head
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
+        self._on_head(metadata)
         if metadata.was_not_run:
             await self._discard_body()
             reason = MISPLACED if metadata.is_wrong_target else f"refused_{head.status}"
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -24,8 +24,12 @@
 LENGTH_HINT: typing.Final = "Length-Hint"
 # The number of prompt tokens and the maximum number of output tokens, as "P,O".
 TOKENS: typing.Final = "Token-Usage"
+# Requests a second that the target takes from all entries together.
+RATE_LIMIT: typing.Final = "Server-Limit"
 
 STATUS_MISDIRECTED: typing.Final = 421
+# Larger limits are read as this one, which no target reaches.
+MAX_RATE_LIMIT: typing.Final = 1e6
 
 # The caller's values of these are dropped; the API key never reaches a target.
 _SET_BY_ENTRY: typing.Final = frozenset(
@@ -39,6 +43,15 @@
     return int(text) if text.isdigit() and text.isascii() else None
 
 
+def parse_rate_limit(text: str) -> float | None:
+    """Parse a non-negative decimal number; return None if the text is anything else."""
+    text = text.strip()
+    digits = text.replace(".", "", 1)
+    if not (digits.isdigit() and digits.isascii()):
+        return None
+    return min(float(text), MAX_RATE_LIMIT)
+
+
 class PlatformHeaderCodec(headercodec.HeaderCodec):
     """Converts between the platform's headers and request metadata."""
 
@@ -86,8 +99,14 @@
     ) -> headercodec.ResponseMetadata:
         """Return the metadata in a target's response; names must be in lower case."""
         present = {name for name, _ in headers}
+        limits = [value for name, value in headers if name == RATE_LIMIT.lower()]
+        numbers = [parse_rate_limit(value) for value in limits]
+        valid = [number for number in numbers if number is not None]
+        is_invalid = len(valid) < len(limits)
         return headercodec.ResponseMetadata(
             was_not_run=NOT_RUN.lower() in present or status == STATUS_MISDIRECTED,
             is_wrong_target=status == STATUS_MISDIRECTED,
             is_signed=SIGNATURE.lower() in present,
+            rate_limit=min(valid, default=None),
+            invalid_rate_limit=",".join(limits) if is_invalid else None,
         )
