--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -183,7 +183,12 @@
     return "\r\n".join(lines).encode()
 
 
-def make_response(attempt_id: str, body: bytes = b"done", status: int = 200) -> bytes:
+def make_response(
+    attempt_id: str,
+    body: bytes = b"done",
+    status: int = 200,
+    extra_fields: collections.abc.Iterable[tuple[str, str]] = (),
+) -> bytes:
     """Return a complete response with a Server-Stamp signature."""
     return (
         make_response_head(
@@ -192,6 +197,7 @@
             SIGNATURE_HEADER,
             ("Keep-Alive", "timeout=10"),
             ("Content-Length", str(len(body))),
+            *extra_fields,
         )
         + body
     )
