Keep the requests of all entries to a target within the limit that it states

What callers and operators saw: a target in need that stated 1 request a second got 12 to 13 in 4 s from entries that it had told; 11 are allowed.

Restarts (2) and second sends (3) are not the cause; the test that failed has neither.

Change: limitshares divides each limit without a coordinator. Entries tell each other in heartbeats what they know and claim. An entry uses its lowest claim that all others may hold over the sum of the claims that it knows, so the parts never add up to more than the limit, also in partitions, and a claim rises only when all others acknowledged it. Where a limit is under one request for each entry, only as many entries send as the bound on requests at once allows; an order by hash and demand decide which. Each send takes a token (targetlimits), retries, resumed streams and requests that waited included. Where all targets of a service are limited, requests go to accounts and kinds in turn; what the limit does not reach in time is refused at once with a time that follows from its pace, spread so that who was refused first returns first (returntimes).

Why it works: a token bucket of rate r and capacity b passes 4 r + b in any 4 s.

--- a/sardinesaddle/bench/runner.py
+++ b/sardinesaddle/bench/runner.py
@@ -29,6 +29,7 @@
     "config",
     "expertmaps",
     "rankchoice",
+    "targetlimits",
 )
 WALL_CLOCK_BENCHES: typing.Final = ("path", "capacity")
 NAMES: typing.Final = (*FAST_BENCHES, *SLOW_BENCHES, *WALL_CLOCK_BENCHES)
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -25,7 +25,6 @@
     freshness,
     frontend,
     headercodec,
-    limitstatements,
     messages,
     nodemetrics,
     nodesettings,
@@ -33,6 +32,7 @@
     rpc,
     storedecoder,
     storewatcher,
+    targetlimits,
     targetpool,
     upstream,
 )
@@ -75,7 +75,8 @@
         self.catalog = None
         self.started_at = 0.0
         self.is_first_start = cfg.is_first_start
-        self.targets = targetpool.TargetPool(cfg.place)
+        self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
+        self.targets = targetpool.TargetPool(cfg.place, self.limits)
         self.targets.set_entries(cfg.host, ())
         self.metrics = nodemetrics.EntryMetrics(cfg.name)
         self.pool = upstream.ConnectionPool()
@@ -96,7 +97,6 @@
         }
         bounds = make_bounds(cfg)
         self.crash_ledger = crashledger.CrashLedger()
-        self.limit_statements = limitstatements.LimitStatements()
         self._incarnation = rng.getrandbits(32) | 1
         self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
         self._crashes = crashdetector.CrashDetector(
@@ -111,7 +111,7 @@
             self.metrics,
             rng,
             self._crashes,
-            self.limit_statements,
+            self.limits,
         )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
@@ -256,10 +256,13 @@
         if isinstance(msg, messages.Heartbeat):
             self._peers.on_entry_alive(msg.sender)
             self._merge_crash_records(msg.crash_records, msg.sender)
+            now = asyncio.get_running_loop().time()
+            self.limits.on_message(now, msg.sender, msg.incarnation, msg.limits)
             return messages.HeartbeatReply(
                 self._peers.list_entries(),
                 self._list_prefix_states(),
                 self._incarnation,
+                self.limits.make_update(now, msg.sender, is_reply=True),
             )
         if isinstance(msg, messages.FetchRequest):
             return self._make_fetch_reply(msg)
@@ -338,6 +341,15 @@
         """Return the time of the clock that counts suspension."""
         return self._clock.read()
 
+    @property
+    def incarnation(self) -> int:
+        """A random number of this process."""
+        return self._incarnation
+
+    def make_limit_update(self, host: str) -> messages.LimitUpdate | None:
+        """Return what another entry may lack about limited targets."""
+        return self.limits.make_update(asyncio.get_running_loop().time(), host)
+
     def on_entries_changed(self) -> None:
         """Compute this entry's subset of the targets anew."""
         self.targets.set_entries(self._cfg.host, self._peers.hosts)
@@ -369,9 +381,17 @@
         return messages.CrashSyncReply(self._incarnation, newest, records)
 
     async def on_heartbeat_reply(
-        self, peer: rpc.Peer, reply: messages.HeartbeatReply, sent_at: float
+        self,
+        peer: rpc.Peer,
+        heartbeat: messages.Heartbeat,
+        reply: messages.HeartbeatReply,
+        sent_at: float,
     ) -> None:
-        """Fetch what the reply shows to be missing: changes of the store, crashes."""
+        """Apply limits; fetch changes of the store and crashes that are missing."""
+        now = asyncio.get_running_loop().time()
+        self.limits.on_reply(
+            now, peer.host, reply.incarnation, heartbeat.limits, reply.limits
+        )
         if (
             reply.incarnation
             and len(self._crash_sources) < MAX_CRASH_SOURCES
@@ -452,7 +472,7 @@
                 )
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
-            self.metrics.set_target_limits(self.limit_statements.list_limits())
+            self._refresh_limits(now)
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
@@ -460,6 +480,18 @@
                 self.crash_ledger.count_refused(self._clock.read()),
             )
 
+    def _refresh_limits(self, now: float) -> None:
+        """Compute this entry's parts of the targets' limits."""
+        self.limits.refresh(
+            now,
+            self._peers.hosts,
+            self._peers.list_contacted(),
+            self.targets.list_incarnations(),
+        )
+        self.metrics.set_target_limits(
+            self.limits.statements.list_limits(), self.limits.list_parts()
+        )
+
     async def drain(self) -> None:
         """Fail the readiness check, finish requests in flight, and stop."""
         loop = asyncio.get_running_loop()
@@ -470,6 +502,7 @@
         )
         await asyncio.sleep(NOT_READY_LEAD_S)
         self.frontend.is_draining = True
+        self.limits.withdraw()
         await asyncio.sleep(DRAIN_ACCEPT_S - NOT_READY_LEAD_S)
         self.frontend.refuses_requests = True
         deadline = began_at + self._cfg.bounds.drain_s - KILL_MARGIN_S
@@ -491,6 +524,11 @@
         self.pool.close()
 
 
+def read_loop_time() -> float:
+    """Return the time of the running event loop."""
+    return asyncio.get_running_loop().time()
+
+
 def make_bounds(cfg: nodesettings.EntrySettings) -> entrystate.RequestBounds:
     """Return the bounds of the request path from the settings."""
     return entrystate.RequestBounds(
--- a/sardinesaddle/direct/entrypeers.py
+++ b/sardinesaddle/direct/entrypeers.py
@@ -46,13 +46,26 @@
     def list_crash_records(self, after: int) -> tuple[list[messages.CrashRecord], int]:
         """Return the records changed after a change number, and the newest number."""
 
+    @property
+    @abc.abstractmethod
+    def incarnation(self) -> int:
+        """A random number of this process."""
+
+    @abc.abstractmethod
+    def make_limit_update(self, host: str) -> messages.LimitUpdate | None:
+        """Return what another entry may lack about limited targets."""
+
     @abc.abstractmethod
     def on_entries_changed(self) -> None:
         """Handle that an entry was found or lost."""
 
     @abc.abstractmethod
     async def on_heartbeat_reply(
-        self, peer: rpc.Peer, reply: messages.HeartbeatReply, sent_at: float
+        self,
+        peer: rpc.Peer,
+        heartbeat: messages.Heartbeat,
+        reply: messages.HeartbeatReply,
+        sent_at: float,
     ) -> None:
         """Handle a reply; ``sent_at`` is the observer's time of the heartbeat."""
 
@@ -86,6 +99,10 @@
         """Return the hosts of all live entries, this one included."""
         return [self._host, *self._last_heard]
 
+    def list_contacted(self) -> list[str]:
+        """Return the hosts that get heartbeats, whether they reply or not."""
+        return list(self._tasks)
+
     def set_seeds(self, hosts: list[str]) -> None:
         """Set the seeds and start heartbeats to them."""
         self._seeds = hosts
@@ -144,7 +161,13 @@
         """Send one heartbeat and pass the reply on."""
         sent_at = self._observer.read_clock()
         records, newest = self._observer.list_crash_records(cursor.change_number)
-        heartbeat = messages.Heartbeat(self._host, self.list_entries(), records)
+        heartbeat = messages.Heartbeat(
+            self._host,
+            self.list_entries(),
+            records,
+            self._observer.incarnation,
+            self._observer.make_limit_update(peer.host),
+        )
         reply = await peer.call(heartbeat, HEARTBEAT_TIMEOUT_S)
         if not isinstance(reply, messages.HeartbeatReply):
             return
@@ -156,7 +179,7 @@
         self.on_entry_alive(peer.host)
         for host in reply.entries:
             self._start_heartbeats(host)
-        await self._observer.on_heartbeat_reply(peer, reply, sent_at)
+        await self._observer.on_heartbeat_reply(peer, heartbeat, reply, sent_at)
 
     async def stop(self) -> None:
         """Stop all heartbeats."""
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -26,13 +26,14 @@
     crashdetector,
     entrystate,
     headercodec,
-    limitstatements,
     nodemetrics,
     requestqueue,
     requestscheduler,
     requeststate,
     responserelay,
     retrybudget,
+    returntimes,
+    targetlimits,
     targetpool,
     upstream,
 )
@@ -61,7 +62,7 @@
         entry_metrics: nodemetrics.EntryMetrics,
         rng: random.Random,
         crashes: crashdetector.CrashDetector,
-        limits: limitstatements.LimitStatements,
+        limits: targetlimits.TargetLimits,
     ) -> None:
         self._entry_state = entry_state
         self._limits = limits
@@ -74,6 +75,7 @@
         self._rng = rng
         self.scheduler = requestscheduler.RequestScheduler(entry_state, targets, rng)
         self._retry_budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._return_times = returntimes.ReturnTimes()
 
     def set_bounds(self, bounds: entrystate.RequestBounds) -> None:
         """Apply new bounds; what was spent of the retry budgets still counts."""
@@ -92,6 +94,7 @@
         if isinstance(state, requeststate.Refusal):
             await self._refuse(req, responder, state, None)
             return
+        self._limits.on_request(loop.time(), state.service)
         budget = self._get_retry_budget(state.service)
         budget.on_request(loop.time())
         budget.on_entry_count(loop.time(), self._entry_state.count_entries())
@@ -182,12 +185,9 @@
                     state, responder, last_error, "quarantined", refusal_s
                 )
             if target is None:
-                # Random times keep callers from retrying simultaneously.
-                retry_after_s = requeststate.RETRY_AFTER_NO_CAPACITY_S * (
-                    1.0 + self._rng.random()
-                )
+                reason, retry_after_s = self._explain_no_target(state)
                 return await self._finish_without_response(
-                    state, responder, last_error, "no_target", retry_after_s
+                    state, responder, last_error, reason, retry_after_s
                 )
             outcome = await self._attempt(state, target, responder)
             if isinstance(outcome, requeststate.Completed):
@@ -208,6 +208,21 @@
                     state, responder, last_error, reason
                 )
 
+    def _explain_no_target(self, state: requeststate.RequestState) -> tuple[str, float]:
+        """Return why a request got no target, and when its caller may come back."""
+        now = asyncio.get_running_loop().time()
+        wait_s = self._targets.compute_limit_wait_s(now, state.service, (), 0)
+        if wait_s is None:
+            # Random times keep callers from retrying simultaneously.
+            return "no_target", requeststate.RETRY_AFTER_NO_CAPACITY_S * (
+                1.0 + self._rng.random()
+            )
+        rate = self._targets.compute_limit_rate(now, state.service)
+        delay_s = self._return_times.choose_delay_s(
+            now, state.service, wait_s, rate, self._rng.random()
+        )
+        return "target_limit", delay_s
+
     async def _find_target(
         self, state: requeststate.RequestState
     ) -> targetpool.Target | None:
@@ -231,6 +246,8 @@
             min(expires_at, state.deadline - MIN_REMAINING_S),
             state.tried_targets,
             state.crash_count,
+            "" if state.account is None else state.account.name,
+            state.route.name,
         )
         return await self.scheduler.acquire_target(state.service, queued_request)
 
--- /dev/null
+++ b/sardinesaddle/direct/limitshares.py
@@ -0,0 +1,336 @@
+"""Divides the request limit of a target among the entries, without a coordinator.
+
+Each entry has a claim to each limit, a small number that follows its demand, and tells
+the others. An entry uses the fraction ``n / (n + s)`` of the limit. ``s`` is the sum of
+the claims of the others as far as it knows them. ``n`` is the lowest value of its own
+claim that any other entry may still hold; so an entry lowers its claim at once and
+raises it when all others have acknowledged that. If entry B uses ``n``, every other
+entry counts B with at least ``n``. So the fractions never add up to more than one,
+whoever is cut off or suspended and however late messages are.
+
+Before an entry heard another one's claim, it assumes one that needs no message: the
+entries that are first in an order by hash claim equal parts, the others nothing. An
+entry that it has not reached counts fully. An entry that restarts tells its claims
+before it sends anything, since it has to hear of the others first.
+
+A limit may allow less than one request for each entry. Each entry that sends may have
+one request in hand at any time, so only as many entries may send as the bound on
+requests at once allows (permits). An entry claims a part if it has demand and fewer
+entries than that, which come before it in the order, claim one. An entry sends only if
+its fraction is worth a permit.
+
+Entries that are lost still count for ``retrybudget.ENTRY_COUNT_MEMORY_S``, since they
+may be serving callers. If they hold no more than ``MAX_LOST_SHARE`` together, the
+others adjust without them; the bound on the rate leaves room for that.
+"""
+
+import dataclasses
+import hashlib
+import math
+import typing
+import zlib
+
+from sardinesaddle.direct import retrybudget
+
+MAX_CLAIM: typing.Final = 8
+MAX_LOST_SHARE: typing.Final = 0.25  # of all claims
+
+
+def compute_key(incarnation: str) -> int:
+    """Return the number that stands for an incarnation in messages."""
+    return zlib.crc32(incarnation.encode())
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another entry.
+
+    ``process`` is the number of its present process, 0 before the first contact;
+    ``contacted_at`` is when it first replied. ``claims`` is what it claims, with the
+    ``number`` of that update. ``held`` is the lowest value of this entry's claims that
+    it may hold. ``acknowledged`` is the number of this entry's claims that it has,
+    ``digest`` that of the statements that it has. ``was_told`` is set when its process
+    was sent either.
+    """
+
+    last_known_at: float
+    is_alive: bool = False
+    process: int = 0
+    contacted_at: float | None = None
+    number: int = -1
+    claims: dict[int, int] = dataclasses.field(default_factory=dict)
+    held: dict[int, int] = dataclasses.field(default_factory=dict)
+    acknowledged: int = -1
+    digest: int = 0
+    was_told: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class LimitedKey:
+    """A limit that is divided; ``permits`` is how many entries may send at once.
+
+    ``first_senders`` are the entries that claim a part before any message. ``order``
+    is the position of each known entry in the order by hash. ``others`` is the sum of
+    the claims of all other entries, and ``usable`` the part of this entry's own claim
+    that all of them hold; ``recount`` computes both anew.
+    """
+
+    incarnation: str
+    first_at: float
+    permits: int
+    own_claim: int = 0
+    others: int = 0
+    usable: int = 0
+    first_senders: frozenset[str] = frozenset()
+    order: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """An entry's part of a limit: the fraction, and how many requests at once."""
+
+    fraction: float
+    burst: int
+
+
+NO_SHARE: typing.Final = Share(0.0, 0)
+
+
+class LimitShares:
+    """The claims of an entry and of the others that it knows."""
+
+    def __init__(self, host: str, started_at: float) -> None:
+        self._host = host
+        self._started_at = started_at
+        self._peers: dict[str, Peer] = {}
+        self._keys: dict[int, LimitedKey] = {}
+        # Increases with each change of this entry's claims.
+        self.number = 0
+
+    # The entries.
+
+    def get_peer(self, host: str) -> Peer | None:
+        """Return what is known of another entry, or None."""
+        return self._peers.get(host)
+
+    def set_entries(
+        self,
+        now: float,
+        alive: typing.Collection[str],
+        listed: typing.Collection[str],
+    ) -> None:
+        """Set which entries are alive, and which are known but not reached.
+
+        Others are forgotten some time after they were known last.
+        """
+        has_changed = False
+        for host in {*alive, *listed} - {self._host}:
+            if host not in self._peers:
+                self._peers[host] = Peer(now)
+                has_changed = True
+        for host, peer in list(self._peers.items()):
+            peer.is_alive = host in alive
+            if peer.is_alive:
+                peer.last_known_at = now
+            elif now - peer.last_known_at > retrybudget.ENTRY_COUNT_MEMORY_S:
+                del self._peers[host]
+                has_changed = True
+        if has_changed:
+            for key in self._keys.values():
+                self._set_order(key)
+        self.recount()
+
+    def recount(self) -> None:
+        """Compute the sums of all claims from what is known of each entry."""
+        for key_hash, key in self._keys.items():
+            self._recount_key(key_hash, key)
+
+    def on_process(self, now: float, host: str, process: int) -> Peer:
+        """Note the process of an entry that a message came from."""
+        peer = self._peers.get(host)
+        if peer is None:
+            peer = self._peers[host] = Peer(now)
+            for key in self._keys.values():
+                self._set_order(key)
+        if peer.process != process:
+            peer.process = process
+            peer.contacted_at = None
+            peer.number = peer.acknowledged = -1
+            peer.digest = 0
+            peer.was_told = False
+            peer.claims = {}
+            # A new process gets these before it may send anything.
+            peer.held = self.list_claims()
+            self.recount()
+        return peer
+
+    def on_claims(
+        self, host: str, number: int, claims: typing.Iterable[tuple[int, int]]
+    ) -> None:
+        """Apply the claims of another entry, unless newer ones were applied."""
+        peer = self._peers[host]
+        if number >= peer.number:
+            peer.number = number
+            known = {
+                key_hash: self._get_claim(host, peer, key_hash, key)
+                for key_hash, key in self._keys.items()
+            }
+            peer.claims = dict(claims)
+            for key_hash, key in self._keys.items():
+                claim = self._get_claim(host, peer, key_hash, key)
+                key.others += claim - known[key_hash]
+
+    def on_acknowledged(
+        self, host: str, number: int, claims: typing.Iterable[tuple[int, int]]
+    ) -> None:
+        """Note that another entry holds these claims of this entry.
+
+        If they changed since, it may hold later ones as well.
+        """
+        if number == self.number:
+            peer = self._peers[host]
+            peer.acknowledged = number
+            peer.held = dict(claims)
+
+    def needs_claims(self, host: str) -> bool:
+        """Return whether another entry may lack this entry's claims.
+
+        It has those that are what it assumes without any message.
+        """
+        peer = self._peers[host]
+        if peer.acknowledged == self.number:
+            return False
+        return any(
+            key_hash in peer.held
+            or not is_known_before(peer, key)
+            or key.own_claim != self._get_held(peer, key_hash, key)
+            for key_hash, key in self._keys.items()
+        )
+
+    def on_sent(self, host: str) -> None:
+        """Note that this entry's claims are sent, which may arrive or not."""
+        peer = self._peers[host]
+        for key_hash, key in self._keys.items():
+            held = self._get_held(peer, key_hash, key)
+            peer.held[key_hash] = min(held, key.own_claim)
+
+    # The limits.
+
+    def set_key(self, incarnation: str, first_at: float, permits: int) -> None:
+        """Add a limit, or change the permits of one."""
+        key_hash = compute_key(incarnation)
+        key = self._keys.get(key_hash)
+        if key is None:
+            key = self._keys[key_hash] = LimitedKey(incarnation, first_at, permits)
+            self._set_order(key)
+            key.own_claim = MAX_CLAIM if self._host in key.first_senders else 0
+            self._recount_key(key_hash, key)
+            self.number += 1
+            return
+        key.first_at = min(key.first_at, first_at)
+        if key.permits != permits:
+            key.permits = permits
+            self._set_order(key)
+            self._recount_key(key_hash, key)
+
+    def remove_key(self, incarnation: str) -> None:
+        """Forget a limit that is no longer in force."""
+        if self._keys.pop(compute_key(incarnation), None) is not None:
+            self.number += 1
+
+    def list_claims(self) -> dict[int, int]:
+        """Return this entry's claims."""
+        return {key_hash: key.own_claim for key_hash, key in self._keys.items()}
+
+    def set_demand(self, incarnation: str, demand: float) -> None:
+        """Compute the claim from the demand, as a part of the limit from 0 to 1."""
+        key = self._keys[compute_key(incarnation)]
+        claim = self._compute_claim(key, demand)
+        is_small_change = claim and key.own_claim and abs(claim - key.own_claim) == 1
+        if claim != key.own_claim and not is_small_change:
+            key.own_claim = claim
+            key.usable = min(key.usable, claim)
+            self.number += 1
+
+    def withdraw(self) -> None:
+        """Give up all claims, since this entry stops."""
+        for key in self._keys.values():
+            key.own_claim = key.usable = 0
+        self.number += 1
+
+    def compute_share(self, now: float, incarnation: str) -> Share:
+        """Return the part of a limit that this entry may use now."""
+        if now - self._started_at < retrybudget.ENTRY_DISCOVERY_S:
+            return NO_SHARE
+        key = self._keys[compute_key(incarnation)]
+        total = key.usable + key.others
+        if not key.usable or key.permits * key.usable < total:
+            return NO_SHARE
+        return Share(key.usable / total, key.permits * key.usable // total)
+
+    def _recount_key(self, key_hash: int, key: LimitedKey) -> None:
+        """Compute the sums of one limit; see ``LimitedKey``."""
+        others = lost = 0
+        held = held_by_lost = key.own_claim
+        for host, peer in self._peers.items():
+            claim = self._get_claim(host, peer, key_hash, key)
+            others += claim
+            if peer.is_alive:
+                held = min(held, self._get_held(peer, key_hash, key))
+            else:
+                lost += claim
+                held_by_lost = min(held_by_lost, self._get_held(peer, key_hash, key))
+        may_skip_lost = lost <= MAX_LOST_SHARE * (others + key.own_claim)
+        key.others = others
+        key.usable = held if may_skip_lost else min(held, held_by_lost)
+
+    def _compute_claim(self, key: LimitedKey, demand: float) -> int:
+        """Return the claim for a demand; 0 if enough entries are before this one."""
+        if demand <= 0.0:
+            return 0
+        key_hash = compute_key(key.incarnation)
+        own_position = key.order[self._host]
+        before = sum(
+            self._get_claim(host, peer, key_hash, key) > 0
+            and (key.order[host] < own_position or not peer.is_alive)
+            for host, peer in self._peers.items()
+        )
+        if before >= key.permits:
+            return 0
+        # With a smaller claim, a fraction beside full ones would be worth no permit.
+        others = min(len(self._peers), key.permits - 1)
+        smallest = -(-MAX_CLAIM * others // max(key.permits - 1, 1))
+        claim = math.ceil(MAX_CLAIM * min(demand, 1.0))
+        return min(max(claim, smallest, 1), MAX_CLAIM)
+
+    def _get_claim(self, host: str, peer: Peer, key_hash: int, key: LimitedKey) -> int:
+        """Return what an entry claims, or may claim before it said so."""
+        claim = peer.claims.get(key_hash)
+        if claim is not None:
+            return claim
+        if is_known_before(peer, key) and host not in key.first_senders:
+            return 0
+        return MAX_CLAIM
+
+    def _get_held(self, peer: Peer, key_hash: int, key: LimitedKey) -> int:
+        """Return the lowest value of this entry's claim that another may hold."""
+        held = peer.held.get(key_hash)
+        if held is not None:
+            return held
+        return MAX_CLAIM if self._host in key.first_senders else 0
+
+    def _set_order(self, key: LimitedKey) -> None:
+        """Compute the order of the known entries, and which of them send first."""
+
+        def compute_position(host: str) -> bytes:
+            text = f"{host}/{key.incarnation}".encode()
+            return hashlib.blake2b(text, digest_size=8).digest()
+
+        hosts = sorted((self._host, *self._peers), key=compute_position)
+        key.order = {host: position for position, host in enumerate(hosts)}
+        key.first_senders = frozenset(hosts[: key.permits])
+
+
+def is_known_before(peer: Peer, key: LimitedKey) -> bool:
+    """Return whether an entry was contacted before a limit was stated first."""
+    return peer.contacted_at is not None and peer.contacted_at <= key.first_at
--- a/sardinesaddle/direct/limitstatements.py
+++ b/sardinesaddle/direct/limitstatements.py
@@ -41,12 +41,13 @@
 class LimitStatements:
     """The newest statement of each incarnation that ever stated a limit.
 
-    ``digest`` changes with each limit.
+    ``digest`` changes with each limit, last at ``changed_at``; it is 0 without any.
     """
 
     def __init__(self) -> None:
         self._statements: dict[str, Statement] = {}
         self.digest = 0
+        self.changed_at = 0.0
 
     def get_limit(self, incarnation: str) -> float | None:
         """Return the limit that is in force for an incarnation, or None."""
@@ -90,8 +91,8 @@
         """Apply another entry's statements; return whether a limit changed."""
         has_changed = False
         for wire in statements:
-            stated_at = now - wire.age_s
-            first_at = now - wire.first_age_s
+            stated_at = now - wire.age_ms / 1000.0
+            first_at = now - wire.first_age_ms / 1000.0
             known = self._statements.get(wire.incarnation)
             if known is not None:
                 first_at = known.first_at = min(known.first_at, first_at)
@@ -108,8 +109,8 @@
             messages.LimitStatement(
                 incarnation,
                 statement.limit,
-                now - statement.stated_at,
-                now - statement.first_at,
+                round((now - statement.stated_at) * 1000.0),
+                round((now - statement.first_at) * 1000.0),
             )
             for incarnation, statement in self._statements.items()
         ]
@@ -123,7 +124,7 @@
                 statement.last_registered_at = now
             elif now - statement.last_registered_at > FORGET_S:
                 del self._statements[incarnation]
-                self._update_digest()
+                self._update_digest(now)
 
     def _apply(
         self,
@@ -140,7 +141,7 @@
         self._statements[incarnation] = Statement(limit, first_at, stated_at, now)
         if known is not None and limit == previous:
             return False
-        self._update_digest()
+        self._update_digest(now)
         loguru.logger.info(
             "event=target_limit target={} limit={} previous={} source={} age_s={:.2f}",
             incarnation,
@@ -151,7 +152,8 @@
         )
         return True
 
-    def _update_digest(self) -> None:
+    def _update_digest(self, now: float) -> None:
         """Compute the digest of all limits, independent of their order."""
         limits = sorted((i, repr(s.limit)) for i, s in self._statements.items())
-        self.digest = zlib.crc32(repr(limits).encode())
+        self.digest = zlib.crc32(repr(limits).encode()) if limits else 0
+        self.changed_at = now
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -42,29 +42,28 @@
 class LimitStatement(msgspec.Struct, frozen=True, array_like=True):
     """The request limit that an incarnation of a target states.
 
-    ``limit`` is in requests a second, None if it no longer states one. The ages are
-    those of this statement and of the first limit that it stated.
+    ``limit`` is in requests a second, None if it no longer states one. The ages, in
+    milliseconds, are those of this statement and of the first limit that it stated.
     """
 
     incarnation: str
     limit: float | None
-    age_s: float
-    first_age_s: float
+    age_ms: int
+    first_age_ms: int
 
 
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What an entry tells another one about limited targets.
 
-    ``process`` is a random number of the sender's process, ``number`` increases with
-    its claims. ``claims`` lists its claim to a part of each limit that it knows, by the
-    hash of the incarnation; None if the receiver has them. ``digest`` is that of all
-    limits that the sender knows; ``statements`` is empty if the receiver has them.
+    ``number`` increases with the sender's claims. ``claims`` are its claims to parts of
+    limits, by a hash of the target's incarnation, None if the receiver has them.
+    ``digest`` is that of all limits that the sender knows; ``statements`` lists them if
+    the receiver may lack one.
     """
 
-    process: int
     number: int
-    claims: list[tuple[int, int]] | None
     digest: int
+    claims: list[tuple[int, int]] | None
     statements: list[LimitStatement] = []
 
 
@@ -72,12 +71,14 @@
     """Sent by an entry to another entry, with the entries that the sender has found.
 
     ``crash_records`` are those that changed since the last heartbeat that the receiver
-    replied to. ``limits`` is None if the receiver has all that the sender would tell.
+    replied to. ``incarnation`` is a random number of the sender's process. ``limits``
+    is None if the sender knows of none.
     """
 
     sender: str
     entries: list[str]
     crash_records: list[CrashRecord] = []
+    incarnation: int = 0
     limits: LimitUpdate | None = None
 
 
@@ -85,8 +86,8 @@
     """The receiver's own list of entries, and the state of its replicas.
 
     ``incarnation`` is a random number of the receiver's process, 0 if it does not take
-    crash records. ``limits`` is what the receiver tells the sender, if the heartbeat
-    had such an update; the receiver has applied that one.
+    crash records. ``limits`` is None if the receiver knows of none; it has applied
+    those of the heartbeat.
     """
 
     entries: list[str]
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -55,6 +55,9 @@
         self._target_limits = self.make_gauge(
             "target_limit", "Requests a second that a target takes; 0 for no limit."
         )
+        self._limit_parts = self.make_gauge(
+            "target_limit_part", "Requests a second of it that this entry may send."
+        )
         self._limited_targets: set[str] = set()
 
     def count_response(self, service: str, status: int, seconds: float) -> None:
@@ -82,13 +85,15 @@
         """Count a target's crash that counts against requests of this entry."""
         self._crashes.inc({"evidence": evidence})
 
-    def set_target_limits(self, limits: dict[str, float]) -> None:
-        """Set the limits in force by incarnation; others are set to 0."""
-        for incarnation in self._limited_targets - limits.keys():
-            self._target_limits.set({"target": incarnation}, 0.0)
+    def set_target_limits(
+        self, limits: dict[str, float], parts: dict[str, float]
+    ) -> None:
+        """Set the limits in force and this entry's parts; others are set to 0."""
+        for incarnation in self._limited_targets | limits.keys():
+            labels = {"target": incarnation}
+            self._target_limits.set(labels, limits.get(incarnation, 0.0))
+            self._limit_parts.set(labels, parts.get(incarnation, 0.0))
         self._limited_targets = set(limits)
-        for incarnation, limit in limits.items():
-            self._target_limits.set({"target": incarnation}, limit)
 
     def set_state(
         self,
--- a/sardinesaddle/direct/requestqueue.py
+++ b/sardinesaddle/direct/requestqueue.py
@@ -10,6 +10,10 @@
 A late request is refused at once if, at the recent rate of dequeued late requests, its
 position would not be reached before its wait deadline. That rate is only meaningful
 while requests are dequeued; while a group is broken, all requests wait.
+
+Where the limits of all targets decide, few requests are served, and those of one busy
+account or kind could take them all. There, the account that got the fewest targets
+recently goes first, within it the kind (route) that got the fewest.
 ``sardinesaddle bench rankchoice`` simulates this load.
 """
 
@@ -26,6 +30,7 @@
 MIN_RATE_SPAN_S: typing.Final = 0.25
 RATE_MARGIN_SIGMAS: typing.Final = 2.0  # standard deviations of the expected dequeues
 MIN_DEQUEUES: typing.Final = 8  # in the window; fewer give no usable rate
+FAIR_WINDOW_S: typing.Final = 10.0  # over which accounts and kinds are compared
 PRIORITY_STEP_S: typing.Final = 0.05  # deadline offset per step of lower priority
 
 
@@ -37,6 +42,7 @@
     should begin, ``wait_deadline`` when the request leaves the queue.
     ``excluded_targets`` are identifiers of targets that already failed for it.
     ``crash_count`` is the number of targets that crashed while it ran there.
+    ``account`` and ``kind`` name the client account and the route.
     """
 
     priority: int
@@ -45,6 +51,8 @@
     wait_deadline: float
     excluded_targets: typing.Collection[str] = ()
     crash_count: int = 0
+    account: str = ""
+    kind: str = ""
     assigned_target: targetpool.Target | None = None
 
     def can_meet_deadline(self, now: float) -> bool:
@@ -62,13 +70,22 @@
 class RequestQueue:
     """The waiting requests of one service, with the recent dequeue rate."""
 
-    __slots__ = ("_late_dequeue_times", "_dequeue_times", "_requests")
+    __slots__ = (
+        "_dequeue_times",
+        "_late_dequeue_times",
+        "_recent_dequeues",
+        "_requests",
+    )
 
     def __init__(self) -> None:
         self._requests: list[QueuedRequest] = []
         # When requests were dequeued: all of them, and the late ones.
         self._dequeue_times: collections.deque[float] = collections.deque()
         self._late_dequeue_times: collections.deque[float] = collections.deque()
+        # Times, accounts and kinds of the dequeues within FAIR_WINDOW_S.
+        self._recent_dequeues: collections.deque[tuple[float, str, str]] = (
+            collections.deque()
+        )
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -85,9 +102,32 @@
         """Return all waiting requests, the next one to dispatch first."""
         return sorted(self._requests, key=lambda queued: queued.make_sort_key(now))
 
+    def list_in_fair_order(self, now: float) -> list[QueuedRequest]:
+        """Return all waiting requests; what got fewest targets lately goes first."""
+        self._discard_old_dequeues(now)
+        accounts = collections.Counter(a for _, a, _ in self._recent_dequeues)
+        kinds = collections.Counter((a, k) for _, a, k in self._recent_dequeues)
+        waiting = self.list_in_dispatch_order(now)
+        ordered = []
+        while waiting:
+            index = min(
+                range(len(waiting)),
+                key=lambda i: (
+                    accounts[waiting[i].account],
+                    kinds[waiting[i].account, waiting[i].kind],
+                    i,
+                ),
+            )
+            request = waiting.pop(index)
+            accounts[request.account] += 1
+            kinds[request.account, request.kind] += 1
+            ordered.append(request)
+        return ordered
+
     def record_dequeue(self, now: float, request: QueuedRequest) -> None:
         """Record for the dequeue rate that a request got a target."""
         self._dequeue_times.append(now)
+        self._recent_dequeues.append((now, request.account, request.kind))
         if not request.can_meet_deadline(now):
             self._late_dequeue_times.append(now)
         self._discard_old_dequeues(now)
@@ -97,6 +137,9 @@
         for times in (self._dequeue_times, self._late_dequeue_times):
             while times and times[0] < now - RATE_WINDOW_S:
                 times.popleft()
+        recent = self._recent_dequeues
+        while recent and recent[0][0] < now - FAIR_WINDOW_S:
+            recent.popleft()
 
     def list_unservable(self, now: float) -> list[QueuedRequest]:
         """Return the late requests that will not be reached before their deadline."""
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -5,6 +5,9 @@
 ends, a sidecar reports, or a short period has passed, since backoffs after refusals end
 without an event. A request counts as load of its target as soon as that is assigned, so
 that the entry assigns no slot twice.
+
+If every target of a service states a limit, the limits tell when a request would be
+reached. One that would not be reached before its wait deadline is refused at once.
 """
 
 import asyncio
@@ -78,9 +81,14 @@
     def _may_wait(self, service: str, request: requestqueue.QueuedRequest) -> bool:
         """Return whether a target may get capacity before the wait deadline."""
         now = asyncio.get_running_loop().time()
-        return now < request.wait_deadline and self._targets.may_have_capacity_soon(
+        if now >= request.wait_deadline or not self._targets.may_have_capacity_soon(
             now, service, request.crash_count
+        ):
+            return False
+        wait_s = self._targets.compute_limit_wait_s(
+            now, service, request.excluded_targets, 0
         )
+        return wait_s is None or now + wait_s < request.wait_deadline
 
     def _try_assign(
         self, service: str, request: requestqueue.QueuedRequest
@@ -110,7 +118,15 @@
         if queue is None or not len(queue):
             return
         now = asyncio.get_running_loop().time()
-        for request in queue.list_in_dispatch_order(now):
+        is_all_limited = (
+            self._targets.compute_limit_wait_s(now, service, (), 0) is not None
+        )
+        ordered = (
+            queue.list_in_fair_order(now)
+            if is_all_limited
+            else queue.list_in_dispatch_order(now)
+        )
+        for request in ordered:
             target = self._try_assign(service, request)
             if target is None and self._targets.may_have_capacity_soon(
                 now, service, request.crash_count
@@ -121,6 +137,22 @@
             self._resolve(queue, request, target)
         for request in queue.list_unservable(now):
             self._resolve(queue, request, None)
+        if is_all_limited:
+            self._refuse_beyond_limits(now, service, queue)
+
+    def _refuse_beyond_limits(
+        self, now: float, service: str, queue: requestqueue.RequestQueue
+    ) -> None:
+        """Refuse the requests that the targets' limits do not reach in time."""
+        position = 0
+        for request in queue.list_in_fair_order(now):
+            wait_s = self._targets.compute_limit_wait_s(
+                now, service, request.excluded_targets, position
+            )
+            if wait_s is not None and now + wait_s >= request.wait_deadline:
+                self._resolve(queue, request, None)
+            else:
+                position += 1
 
     def _resolve(
         self,
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -42,7 +42,7 @@
 import dataclasses
 import typing
 
-from sardinesaddle.direct import catalog, messages
+from sardinesaddle.direct import catalog, messages, targetlimits
 
 REPORT_TTL_S: typing.Final = 0.8  # several report periods of at most 0.3 s
 # A registration may return two seconds after the store does; the rest is watch delay.
@@ -130,8 +130,11 @@
 class TargetPool:
     """The targets known to an entry, with load balancing and outlier ejection."""
 
-    def __init__(self, place: str) -> None:
+    def __init__(
+        self, place: str, limits: targetlimits.TargetLimits | None = None
+    ) -> None:
         self._place = place
+        self._limits = limits or targetlimits.TargetLimits("", 0.0)
         self._own_host = ""
         self._entry_hosts: list[str] = []
         # Caches by service: the targets that may get new requests, and the subset.
@@ -216,6 +219,13 @@
             for candidate in self._targets.values()
         }
 
+    def list_incarnations(self) -> dict[str, str]:
+        """Return the services of all registered incarnations."""
+        return {
+            candidate.registration.incarnation: candidate.registration.service
+            for candidate in self._targets.values()
+        }
+
     def get(self, target_id: str) -> Target | None:
         """Return a target by its identifier, or None if it is not registered."""
         return self._targets.get(target_id)
@@ -372,19 +382,63 @@
     ) -> bool:
         """Return whether it is worth waiting for a target of the service.
 
-        That is so if a target is in backoff, is a rank with limited slots, or belongs
-        to a group that is not open; for a request that must run apart from other
-        suspects, also if a target runs one.
+        That is so if a target is in backoff, states a limit, is a rank with limited
+        slots, or belongs to a group that is not open; for a request that must run apart
+        from other suspects, also if a target runs one.
         """
         is_isolated = crash_count >= CRASHES_TO_ISOLATE
         return any(
             candidate.backoff_until > now
+            or self._limits.is_limited(candidate.registration.incarnation)
             or (is_isolated and candidate.own_suspects)
             or service in self.lockstep_services
             or not self.is_group_open(now, candidate)
             for candidate in self.list_available(service)
         )
 
+    def compute_limit_wait_s(
+        self,
+        now: float,
+        service: str,
+        excluded: typing.Collection[str],
+        position: int,
+    ) -> float | None:
+        """Return how long the request at a position waits for limited targets.
+
+        Position 0 is the next request. Returns None if the service has no target that
+        works, or one that states no limit; then limits alone do not decide.
+        """
+        incarnations = self._list_if_all_limited(now, service, excluded)
+        if incarnations is None:
+            return None
+        return self._limits.compute_wait_s(now, incarnations, position)
+
+    def compute_limit_rate(self, now: float, service: str) -> float:
+        """Return the requests a second that the limits of a service's targets allow.
+
+        Infinite if a target states none.
+        """
+        incarnations = self._list_if_all_limited(now, service, ())
+        if incarnations is None:
+            return float("inf")
+        return self._limits.compute_rate(incarnations)
+
+    def _list_if_all_limited(
+        self, now: float, service: str, excluded: typing.Collection[str]
+    ) -> list[str] | None:
+        """Return the incarnations that work, or None if one of them states no limit."""
+        incarnations = []
+        for candidate in self.list_available(service):
+            if candidate.target_id in excluded or not self.is_group_open(
+                now, candidate
+            ):
+                continue
+            incarnation = candidate.registration.incarnation
+            if not self._limits.is_limited(incarnation):
+                return None
+            incarnations.append(incarnation)
+        return incarnations or None
+
     def has_capacity(self, now: float, target: Target, entry_count: int) -> bool:
         """Return whether a target may get another request.
 
@@ -393,6 +447,8 @@
         """
         if target.backoff_until > now:
             return False
+        if not self._limits.may_send(now, target.registration.incarnation):
+            return False
         if target.registration.service not in self.lockstep_services:
             return True
         max_in_flight = MAX_LOAD * target.registration.slots
@@ -437,6 +493,7 @@
 
         ``crash_count`` is the number of targets that crashed while it ran there.
         """
+        self._limits.on_send(now, target.registration.incarnation)
         target.own_in_flight += 1
         target.own_suspects += crash_count > 0
         target.recent_sends.append(now)
