Bound bytes of a target that come without end

What callers saw: a target in trouble may send bytes that are no response, in head or body, until the caller closes. Heads were bounded by h11's buffer and events by their size. Not bounded were the body of a refusal, of a response to another attempt, of one that states no length, and the pages that a sidecar reads from its engine: those requests lasted until their deadline while the entry read on, and the connection stayed in use.

Cause: reads were bounded in time alone, and each piece that arrived renewed the time.

Change: a refusal's body of over 64 KB is not read on (the refusal counts all the same); a response to another attempt ends the exchange after 256 KB, one without a stated length after 64 MB; an engine's page is a fault after 4 MB. The request goes on as after any malformed response.

A response with a stated length is bounded by it, as before.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -13,6 +13,7 @@
 
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
+MAX_REFUSAL_BYTES: typing.Final = 64 * 1024  # of the body of a refusal
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
 NOT_RUN_STATUSES: typing.Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that the request was not run."""
@@ -93,13 +94,18 @@
         return await self._relay_buffered(target, head)
 
     async def _discard_body(self) -> None:
-        """Read and drop the body of a refusal, so that the connection can be reused."""
-        while True:
+        """Read and drop the body of a refusal, so that the connection can be reused.
+
+        The connection is not kept after a longer body.
+        """
+        read_bytes = 0
+        while read_bytes <= MAX_REFUSAL_BYTES:
             data = await read_with_timeout(
                 self._exchange.read_body(), SILENCE_TIMEOUT_S
             )
             if isinstance(data, upstream.Failure | upstream.EndOfBody):
                 return
+            read_bytes += len(data)
 
     async def _relay_buffered(
         self, target: targetpool.Target, head: upstream.ResponseHead
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -25,6 +25,9 @@
 READ_HIGH_WATER_BYTES: typing.Final = 256 * 1024  # reading pauses above this
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
+MAX_SKIPPED_BYTES: typing.Final = 256 * 1024  # of the bodies of such responses
+# Of a response that states no length, and may be without end.
+MAX_UNSIZED_BODY_BYTES: typing.Final = 64 * 1024 * 1024
 IDLE_TIMEOUT_SHARE: typing.Final = 0.5  # of the idle timeout that a target states
 DEFAULT_IDLE_S: typing.Final = 2.0  # for targets that state no idle timeout
 MAX_IDLE_PER_TARGET: typing.Final = 8
@@ -168,6 +171,8 @@
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._body = b""
+        self._body_bytes = 0
+        self._has_length = False
         self._is_complete = False
         self._is_reusable = True
         self._idle_limit_s = DEFAULT_IDLE_S
@@ -203,6 +208,7 @@
             headers = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
             head = ResponseHead(event.status_code, headers)
             if self._is_own_response(head):
+                self._has_length = head.get("content-length") is not None
                 self._read_keep_alive(head)
                 return head
             skipped = await self._skip_response()
@@ -224,12 +230,18 @@
 
     async def _skip_response(self) -> Failure | None:
         """Read the response to another request and reset the parser after it."""
+        skipped_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
             if isinstance(event, h11.EndOfMessage):
                 break
+            skipped_bytes += len(event.data)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                return self._make_failure(
+                    FailureKind.MALFORMED, "long response to another attempt"
+                )
         rest, _ = self._h11.trailing_data
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._encode_request(self._h11)
@@ -253,6 +265,9 @@
         if isinstance(event, Failure):
             return event
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > MAX_UNSIZED_BODY_BYTES and not self._has_length:
+                return self._make_failure(FailureKind.MALFORMED, "response without end")
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._is_complete = True
--- a/sardinesaddle/platform/engines.py
+++ b/sardinesaddle/platform/engines.py
@@ -12,6 +12,9 @@
 # Some orders get no response, and the group may be stalled during the wait.
 ORDER_TIMEOUT_S: typing.Final = 0.05
 
+# The counts of a large engine are a fiftieth of that.
+MAX_PAGE_BYTES: typing.Final = 4 * 1024 * 1024
+
 _FAILURES: typing.Final = (
     aiohttp.ClientError,
     OSError,
@@ -85,6 +88,17 @@
     return wire.version if isinstance(wire, WireVersion) else wire
 
 
+async def read_body(resp: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body of a response, or None if it is over ``MAX_PAGE_BYTES``."""
+    body = bytearray()
+    async for data in resp.content.iter_any():
+        body += data
+        if len(body) > MAX_PAGE_BYTES:
+            resp.close()
+            return None
+    return bytes(body)
+
+
 class PlatformEngine(engine.Engine):
     """A client of the engine at an address; failed calls return ``EngineFault``."""
 
@@ -150,7 +164,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
             ) as resp:
-                await resp.read()
+                await read_body(resp)
                 return resp.status
         except _FAILURES as exc:
             return engine.EngineFault(f"{type(exc).__name__}: {exc}")
@@ -164,7 +178,9 @@
             async with self._session.get(
                 self._base_url + path, timeout=timeout
             ) as resp:
-                data = await resp.read()
+                data = await read_body(resp)
+                if data is None:
+                    return engine.EngineFault(f"over {MAX_PAGE_BYTES} bytes")
                 if resp.status != 200:
                     return engine.EngineFault(f"status {resp.status}")
             return msgspec.json.decode(data, type=kind)
--- /dev/null
+++ b/test/test_direct_endless.py
@@ -0,0 +1,136 @@
+"""Tests that bytes of a target without end are cut off at a bound."""
+
+import asyncio
+import typing
+
+import aiohttp
+import pytest
+
+from sardinesaddle.direct import engine, upstream
+from sardinesaddle.platform import engines, headers
+from test import directfleet as df
+
+FILLER: typing.Final = 32 * 1024 * b"x"
+CHUNKED: typing.Final = ("Transfer-Encoding", "chunked")
+OTHER_ATTEMPT: typing.Final = (headers.ATTEMPT_ID, "another")
+PAUSE_S: typing.Final = 0.01  # between two pieces, since the clock is virtual
+MAX_BODY_BYTES: typing.Final = 1024 * 1024  # in these tests
+# More than any bound, and less than a target sends until the caller's deadline.
+SENT_WITHOUT_BOUND: typing.Final = 8 * 1024 * 1024
+
+
+class EndlessTarget:
+    """Sends a beginning, then the same bytes until the connection is closed."""
+
+    def __init__(self, beginning: bytes, repeated: bytes) -> None:
+        self._beginning = beginning
+        self._repeated = repeated
+        self.sent_bytes = 0
+        self.closed_after_s: list[float] = []
+
+    async def respond(
+        self,
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Send bytes without end, up to what the test takes for endless."""
+        began_at = asyncio.get_running_loop().time()
+        beginning = self._beginning.replace(b"ID", request.attempt_id.encode())
+        writer.write(beginning)
+        try:
+            while self.sent_bytes < SENT_WITHOUT_BOUND and not writer.is_closing():
+                writer.write(self._repeated)
+                await writer.drain()
+                self.sent_bytes += len(self._repeated)
+                await asyncio.sleep(PAUSE_S)
+        except OSError:
+            pass
+        finally:
+            passed_s = asyncio.get_running_loop().time() - began_at
+            self.closed_after_s.append(passed_s)
+        return False
+
+
+def make_head(status: int, *fields: tuple[str, str]) -> bytes:
+    """Return a chunked response's head."""
+    return df.make_response_head(status, *fields, CHUNKED)
+
+
+OWN_ATTEMPT: typing.Final = (headers.ATTEMPT_ID, "ID")
+CHUNK: typing.Final = df.encode_chunk(FILLER)
+EVENT_STREAM: typing.Final = ("Content-Type", "text/event-stream")
+ENDLESS: typing.Final = {
+    "garbage": (b"", FILLER),
+    "head line": (b"HTTP/1.1 200 OK\r\nServer-Stamp: ", FILLER),
+    "head lines": (b"HTTP/1.1 200 OK\r\n", 999 * b"A: b\r\n"),
+    "blank lines": (b"", 9999 * b"\r\n"),
+    "informational": (b"", 99 * b"HTTP/1.1 102 Wait\r\n\r\n"),
+    "other attempt": (make_head(200, OTHER_ATTEMPT, df.SIGNATURE_HEADER), CHUNK),
+    "refusal": (make_head(503, OWN_ATTEMPT, (headers.NOT_RUN, "1")), CHUNK),
+    "unsigned": (make_head(200, OWN_ATTEMPT), CHUNK),
+    "error": (make_head(500, OWN_ATTEMPT), CHUNK),
+    "body": (make_head(200, OWN_ATTEMPT, df.SIGNATURE_HEADER), CHUNK),
+    "chunk extension": (
+        make_head(200, OWN_ATTEMPT, df.SIGNATURE_HEADER) + b"4;",
+        FILLER,
+    ),
+    "event": (
+        make_head(200, OWN_ATTEMPT, df.SIGNATURE_HEADER, EVENT_STREAM),
+        CHUNK,
+    ),
+    "comments": (
+        make_head(200, OWN_ATTEMPT, df.SIGNATURE_HEADER, EVENT_STREAM),
+        df.encode_chunk(9999 * b": x\n\n"),
+    ),
+}
+
+
+@pytest.mark.parametrize("path", ["/once/a", "/stream/a"])
+@pytest.mark.parametrize("kind", list(ENDLESS))
+def test_bytes_without_end_are_cut_off(
+    kind: str, path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "MAX_UNSIZED_BODY_BYTES", MAX_BODY_BYTES)
+
+    async def scenario(fleet: df.Fleet) -> None:
+        endless = EndlessTarget(*ENDLESS[kind])
+        service = "plain" if path == "/once/a" else "engines"
+        await fleet.add_target("endless", service, endless.respond)
+        await fleet.settle()
+        response = await fleet.send_request(path)
+        await fleet.settle()
+        assert response.status != 200 or not response.is_complete
+        assert endless.sent_bytes < SENT_WITHOUT_BOUND
+        # The caller's deadline is four seconds.
+        assert max(endless.closed_after_s) < 3.0
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", ["garbage", "other attempt", "refusal", "unsigned"])
+def test_request_is_sent_to_another_target_after_bytes_without_end(kind: str) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        endless = EndlessTarget(*ENDLESS[kind])
+        await fleet.add_target("endless", "plain", endless.respond)
+        await fleet.settle()
+        first = asyncio.create_task(fleet.send_request("/free/a"))
+        await fleet.add_target("other", "plain")
+        assert (await first).status == 200
+
+    df.run_scenario(scenario)
+
+
+def test_engine_page_without_end_is_a_fault() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        endless = EndlessTarget(
+            make_head(200, ("Content-Type", "application/json")), CHUNK
+        )
+        target = await fleet.add_target("endless", "engines", endless.respond)
+        async with aiohttp.ClientSession() as session:
+            client = engines.PlatformEngine(session, f"127.0.0.1:{target.port}")
+            assert isinstance(await client.read_state(), engine.EngineFault)
+        await fleet.settle()
+        assert endless.sent_bytes < SENT_WITHOUT_BOUND
+
+    df.run_scenario(scenario)
