Tell callers a true time to return from an entry without a part of a limit

Cause: an entry that has no part of any limit (it has just started, it stops, or only some entries may send) told refused callers to return in 5 to 10 s, though other entries served at the pace of the limit meanwhile.

Change: it spreads them at the pace of the whole limit.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -217,7 +217,7 @@
             return "no_target", requeststate.RETRY_AFTER_NO_CAPACITY_S * (
                 1.0 + self._rng.random()
             )
-        rate = self._targets.compute_limit_rate(now, state.service)
+        rate = self._targets.compute_return_rate(now, state.service)
         delay_s = self._return_times.choose_delay_s(
             now, state.service, wait_s, rate, self._rng.random()
         )
--- a/sardinesaddle/direct/returntimes.py
+++ b/sardinesaddle/direct/returntimes.py
@@ -6,6 +6,7 @@
 the second half of that span.
 """
 
+import math
 import typing
 
 MAX_RETURN_S: typing.Final = 10.0
@@ -29,11 +30,14 @@
     ) -> float:
         """Return after how many seconds a caller should come back.
 
-        ``earliest_s`` is when the limits next allow a request of it, ``rate`` how many
-        they allow a second; ``random_fraction`` is in [0, 1).
+        ``earliest_s`` is when the limits next allow a request of this entry, infinite
+        if it has no part of them. ``rate`` is how many callers may come back a second;
+        ``random_fraction`` is in [0, 1).
         """
-        interval_s = 1.0 / rate if rate > 0.0 else MAX_RETURN_S
+        interval_s = 1.0 / rate
         next_place = self._last_places.get(service, now) + interval_s
+        if math.isinf(earliest_s):
+            earliest_s = 0.0
         place = max(now + earliest_s, next_place)
         if place - now > MAX_RETURN_S:
             return MAX_RETURN_S * (0.5 + 0.5 * random_fraction)
--- a/sardinesaddle/direct/targetlimits.py
+++ b/sardinesaddle/direct/targetlimits.py
@@ -156,9 +156,19 @@
         missing = position + 1.0 - sum(bucket.tokens for bucket in buckets)
         return max(first, missing / rate if rate else 0.0)
 
-    def compute_rate(self, incarnations: typing.Iterable[str]) -> float:
-        """Return the requests a second that this entry may send to limited targets."""
-        return sum(self._buckets[incarnation].rate for incarnation in incarnations)
+    def compute_return_rate(self, incarnations: typing.Collection[str]) -> float:
+        """Return the requests a second at which refused callers may come back.
+
+        An entry without a part sends them back at the pace of the limits, since other
+        entries have parts.
+        """
+        own_rate = sum(self._buckets[incarnation].rate for incarnation in incarnations)
+        if own_rate > 0.0:
+            return own_rate
+        limits = self.statements.list_limits()
+        return RATE_FACTOR * sum(
+            max(limits.get(incarnation, 0.0), MIN_RATE) for incarnation in incarnations
+        )
 
     def list_parts(self) -> dict[str, float]:
         """Return the requests a second of this entry by incarnation."""
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -413,15 +413,15 @@
             return None
         return self._limits.compute_wait_s(now, incarnations, position)
 
-    def compute_limit_rate(self, now: float, service: str) -> float:
-        """Return the requests a second that the limits of a service's targets allow.
+    def compute_return_rate(self, now: float, service: str) -> float:
+        """Return the requests a second at which callers that limits refused return.
 
-        Infinite if a target states none.
+        Infinite if a target of the service states no limit.
         """
         incarnations = self._list_if_all_limited(now, service, ())
         if incarnations is None:
             return float("inf")
-        return self._limits.compute_rate(incarnations)
+        return self._limits.compute_return_rate(incarnations)
 
     def _list_if_all_limited(
         self, now: float, service: str, excluded: typing.Collection[str]
