Let an entry that stops leave its part of a limit to the others

What callers saw: from the stop of an entry until its restart, its part of a limit was used by nobody. Cause: it gave up its claims once, and the next refresh claimed them again from the demand of the last half minute. Change: it gives them up for good.

Evidence: test_entry_that_stops_leaves_its_part_to_the_others, the part of the remaining entry of a limit of 4: 1.9 before, 3.8 now.

--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -106,6 +106,7 @@
         self._keys: dict[int, LimitedKey] = {}
         # Increases with each change of this entry's claims.
         self.number = 0
+        self._is_withdrawn = False
 
     # The entries.
 
@@ -223,7 +224,8 @@
         if key is None:
             key = self._keys[key_hash] = LimitedKey(incarnation, first_at, permits)
             self._set_order(key)
-            key.own_claim = MAX_CLAIM if self._host in key.first_senders else 0
+            is_first = self._host in key.first_senders and not self._is_withdrawn
+            key.own_claim = MAX_CLAIM if is_first else 0
             self._recount_key(key_hash, key)
             self.number += 1
             return
@@ -253,7 +255,8 @@
             self.number += 1
 
     def withdraw(self) -> None:
-        """Give up all claims, since this entry stops."""
+        """Give up all claims for good, since this entry stops."""
+        self._is_withdrawn = True
         for key in self._keys.values():
             key.own_claim = key.usable = 0
         self.number += 1
@@ -286,7 +289,7 @@
 
     def _compute_claim(self, key: LimitedKey, demand: float) -> int:
         """Return the claim for a demand; 0 if enough entries are before this one."""
-        if demand <= 0.0:
+        if demand <= 0.0 or self._is_withdrawn:
             return 0
         key_hash = compute_key(key.incarnation)
         own_position = key.order[self._host]
