Let requests wait for a rank without a limit that may reopen

Cause: ranks that are not open were left out when the limits were asked how long a request waits, so the one limited rank decided. Change: a target without a limit counts whether it is open or not, as before limits. Also: the soak lets a target of each service state a limit that changes and ends, and checks what it gets (LIMIT).

Evidence: test_request_waits_for_a_rank_without_a_limit_that_reopens failed before (2.0 s instead of None).

--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -405,8 +405,8 @@
     ) -> float | None:
         """Return how long the request at a position waits for limited targets.
 
-        Position 0 is the next request. Returns None if the service has no target that
-        works, or one that states no limit; then limits alone do not decide.
+        Position 0 is the next request. Returns None if no target of the service works,
+        or one states no limit, even if it is closed now; then limits do not decide.
         """
         incarnations = self._list_if_all_limited(now, service, excluded)
         if incarnations is None:
@@ -426,17 +426,16 @@
     def _list_if_all_limited(
         self, now: float, service: str, excluded: typing.Collection[str]
     ) -> list[str] | None:
-        """Return the incarnations that work, or None if one of them states no limit."""
+        """Return the limited incarnations that work, or None if others may serve."""
         incarnations = []
         for candidate in self.list_available(service):
-            if candidate.target_id in excluded or not self.is_group_open(
-                now, candidate
-            ):
+            if candidate.target_id in excluded:
                 continue
             incarnation = candidate.registration.incarnation
             if not self._limits.is_limited(incarnation):
                 return None
-            incarnations.append(incarnation)
+            if self.is_group_open(now, candidate):
+                incarnations.append(incarnation)
         return incarnations or None
 
     def has_capacity(self, now: float, target: Target, entry_count: int) -> bool:
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -214,7 +214,9 @@
     writer.write(make_response_head(status, *fields))
 
 
-def make_stream_head(attempt_id: str) -> bytes:
+def make_stream_head(
+    attempt_id: str, extra_fields: collections.abc.Iterable[tuple[str, str]] = ()
+) -> bytes:
     """Return the head of a signed, chunked event stream."""
     return make_response_head(
         200,
@@ -222,6 +224,7 @@
         SIGNATURE_HEADER,
         ("Content-Type", "text/event-stream"),
         ("Transfer-Encoding", "chunked"),
+        *extra_fields,
     )
 
 
--- a/test/soak.py
+++ b/test/soak.py
@@ -13,6 +13,7 @@
 reforms, and engines execute orders late. Some requests crash each target that runs
 them, and come again at any entry; the target then refuses connections, is replaced at
 once or falls silent. Callers of other requests come back with the same content, too.
+In most runs one target of each service states a request limit, which changes and ends.
 A planned run has only stops, reloads, new versions and demand shifts; in such a run no
 request may be lost.
 
@@ -25,6 +26,7 @@
 the request's deadline allows; MIXED, the response to another request; ORDER, wrong
 events in a stream; GRACE, an entry that did not stop in time; ENDS, a process that
 exited unexpectedly; BUDGET, a request sent too often after it crashed three targets;
+LIMIT, a target that got more requests than the limit that it states allows;
 QUARANTINE, a request refused for crashes that it did not cause; RECOVER, CONFIG, STUCK,
 an entry or group that did not recover; and MAP, a pass with mixed expert maps.
 """
@@ -50,7 +52,7 @@
 from sardinesaddle.direct import replica, start
 from sardinesaddle.platform import headers
 from sardinesaddle.standins import rankgroup
-from test import crashingtargets, soakengine
+from test import crashingtargets, limitedtargets, soakengine
 from test import directfleet as df
 
 ENTRY_COUNT: typing.Final = 3
@@ -73,6 +75,8 @@
 )
 POISON_SHARE: typing.Final = 0.03  # of the requests of a run that is not planned
 RETURN_SHARE: typing.Final = 0.7  # of the requests that were not served
+LIMITS: typing.Final = (0.5, 1.0, 2.0, 6.0, 20.0)  # requests a second
+LIMIT_SHARE: typing.Final = 0.8  # of the runs
 OTHER_RETRY_AFTER_S: typing.Final = 60.0  # refusals for crashes are longer
 START_TIMEOUT_S: typing.Final = 30.0
 INTERPRETER_START_S: typing.Final = 1.0  # until SIGHUP no longer ends the process
@@ -340,6 +344,8 @@
         self._crash_times: dict[str, list[float]] = {path: [] for path in POISON_PATHS}
         self._late_sends: collections.Counter[str] = collections.Counter()
         self._restart_tasks: set[asyncio.Task[None]] = set()
+        self._limit_records: dict[str, limitedtargets.LimitRecord] = {}
+        self.limited_count = 0
         self._lag_s = 0.0
         self.request_count = self.served_count = 0
         self.violations: list[str] = []
@@ -458,15 +464,50 @@
             df.write_refusal(writer, headers.STATUS_MISDIRECTED)
             return True
         self._executions[request.attempt_id] += 1
+        self._check_limit(target, request)
         if request.path in POISON_PATHS:
             self._crash(target, request)
             return False
         await asyncio.sleep(self.rng.uniform(0.0, 0.08))
+        body = f"ran {request.attempt_id}".encode()
+        extra_fields = self._state_limit(target, request)
         writer.write(
-            df.make_response(request.attempt_id, f"ran {request.attempt_id}".encode())
+            df.make_response(request.attempt_id, body, extra_fields=extra_fields)
         )
         return True
 
+    def _name_sender(self, request: df.ReceivedRequest) -> str:
+        """Return a name of the process that sent a request."""
+        process = self._senders[request.attempt_id]
+        return f"{process.name} {process.started_at}"
+
+    def _check_limit(
+        self, target: df.ScriptedTarget, request: df.ReceivedRequest
+    ) -> None:
+        """Record a violation if a request exceeds the limit that a target states."""
+        record = self._limit_records.get(target.name)
+        if record is None or request.attempt_id not in self._senders:
+            return
+        now = asyncio.get_running_loop().time()
+        sender = self._senders[request.attempt_id]
+        is_in_touch = now > sender.in_touch_from + self._lag_s
+        violation = record.on_arrival(now, self._name_sender(request), is_in_touch)
+        self.limited_count += 1
+        if violation is not None:
+            self._record_violation("LIMIT", f"{target.name} got {violation}")
+
+    def _state_limit(
+        self, target: df.ScriptedTarget, request: df.ReceivedRequest
+    ) -> list[tuple[str, str]]:
+        """Return the header fields that state the limit of a target, if it has one."""
+        record = self._limit_records.get(target.name)
+        if record is None or record.limit is None:
+            return []
+        if request.attempt_id in self._senders:
+            now = asyncio.get_running_loop().time()
+            record.on_response(now, self._name_sender(request))
+        return [(limitedtargets.LIMIT_HEADER, str(record.limit))]
+
     def _crash(self, target: df.ScriptedTarget, request: df.ReceivedRequest) -> None:
         """Crash a target under a poisonous request, and count it if it is too late."""
         loop = asyncio.get_running_loop()
@@ -528,23 +569,28 @@
             is_other = df.is_misdirected(target, request)
             df.write_refusal(writer, headers.STATUS_MISDIRECTED if is_other else 503)
             return True
+        self._check_limit(target, request)
         if request.path in POISON_PATHS:
             self._executions[request.attempt_id] += 1
             self._crash(target, request)
             return False
         self._running_streams[target.name] += 1
         try:
-            await self._write_events(request, writer)
+            await self._write_events(target, request, writer)
         finally:
             self._running_streams[target.name] -= 1
         return True
 
     async def _write_events(
-        self, request: df.ReceivedRequest, writer: asyncio.StreamWriter
+        self,
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
     ) -> None:
         """Count an execution and send the events after the Last-Event-Id."""
         self._executions[request.attempt_id] += 1
-        writer.write(df.make_stream_head(request.attempt_id))
+        extra_fields = self._state_limit(target, request)
+        writer.write(df.make_stream_head(request.attempt_id, extra_fields))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(self.rng.uniform(0.01, 0.06))
@@ -761,6 +807,27 @@
         await asyncio.sleep(self.rng.uniform(0.2, 1.2))
         proxy.mode = "pass"
 
+    async def _change_limits(self) -> None:
+        """Let one target of each service state a limit, which changes now and then."""
+        if self.rng.random() >= LIMIT_SHARE:
+            return
+        records = []
+        for service, count in TARGET_COUNTS.items():
+            index = self.rng.randrange(count)
+            names = [
+                n for n in self.targets if split_target_name(n) == (service, index)
+            ]
+            record = limitedtargets.LimitRecord()
+            self._limit_records[self.targets[names[0]].name] = record
+            records.append(record)
+        loop = asyncio.get_running_loop()
+        while True:
+            record = self.rng.choice(records)
+            limits = LIMITS if record.limit is None else (None, *LIMITS)
+            record.set_limit(loop.time(), self.rng.choice(limits))
+            # Some stand for so long that the bound applies.
+            await asyncio.sleep(self.rng.choice((0.5, 12.0)))
+
     async def _disturb_store(self) -> None:
         """Make the store fail or hang for a while, or compact its history."""
         fault = self.rng.choice(("down", "silent", "compact"))
@@ -797,6 +864,7 @@
                 loop.create_task(self._measure_lag()),
                 loop.create_task(self._detect_unexpected_exits()),
                 loop.create_task(self._group.run()),
+                loop.create_task(self._change_limits()),
             ]
             await self._inject_faults()
             await self._check_recovery()
@@ -931,7 +999,8 @@
             f"seed {seed} {kind}: {soak.served_count} of {soak.request_count} served,"
         )
         text += f" {soak.map_switch_count} switches of a rank's map,"
-        text += f" {soak.crash_count} crashes under poisonous requests"
+        text += f" {soak.crash_count} crashes under poisonous requests,"
+        text += f" {soak.limited_count} requests at targets that state limits"
         print(text, *soak.violations[:5], sep="\n  ", flush=True)
         failed += bool(soak.violations)
     print(f"{failed} of {args.seeds} failed; logs in {log_dir}")
--- a/test/test_direct_targetlimits.py
+++ b/test/test_direct_targetlimits.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sardinesaddle.direct import (
+    catalog,
     entrypeers,
     limitshares,
     limitstatements,
@@ -13,6 +14,7 @@
     returntimes,
     rpc,
     targetlimits,
+    targetpool,
 )
 from sardinesaddle.platform import headers
 from test import directfleet as df
@@ -155,8 +157,7 @@
     target: df.ScriptedTarget, request: df.ReceivedRequest, writer: asyncio.StreamWriter
 ) -> bool:
     """Send the next event of a stream, with a limit of 1 a second, and break off."""
-    head = df.make_stream_head(request.attempt_id)
-    writer.write(head[:-2] + f"{lt.LIMIT_HEADER}: 1\r\n\r\n".encode())
+    writer.write(df.make_stream_head(request.attempt_id, [(lt.LIMIT_HEADER, "1")]))
     number = int(request.headers.get("last-event-id", "0")) + 1
     writer.write(df.encode_chunk(df.make_sse_event(number)))
     await asyncio.sleep(0.02)
@@ -208,6 +209,51 @@
     df.run_scenario(scenario)
 
 
+def test_request_waits_for_a_rank_without_a_limit_that_reopens() -> None:
+    limits = targetlimits.TargetLimits("e", -10.0)
+    pool = targetpool.TargetPool("p", limits)
+    pool.lockstep_services = frozenset({"engines"})
+    for number, is_open in enumerate((True, False)):
+        pool.register(make_registration(number))
+        group = f"g{number}"
+        pool.on_report(0.0, make_report(number, group, is_open))
+    limits.on_response(0.0, "r0@0", 0.0, 0.5)
+    assert pool.compute_limit_wait_s(0.1, "engines", (), 0) is None
+    assert pool.compute_limit_wait_s(0.1, "engines", ("r1",), 0) is not None
+
+
+def make_registration(number: int) -> catalog.TargetRegistration:
+    """Return the registration of a rank."""
+    return catalog.TargetRegistration(
+        target_id=f"r{number}",
+        service="engines",
+        host=f"10.0.0.{number}",
+        port=80,
+        place="p",
+        slots=4,
+        state=catalog.TargetState.READY,
+        warmup_s=0.0,
+    )
+
+
+def make_report(number: int, group: str, is_open: bool) -> messages.Report:
+    """Return a sidecar's report on a rank."""
+    return messages.Report(
+        sender=f"s{number}",
+        target=f"10.0.0.{number}:80",
+        is_alive=True,
+        running=0,
+        waiting=0,
+        slowdown=1.0,
+        group=group,
+        epoch=1,
+        rank=number,
+        size=1,
+        is_group_open=is_open,
+        skew=1.0,
+    )
+
+
 def test_request_waits_for_a_limit_that_reaches_it_in_time() -> None:
     async def scenario(fleet: df.Fleet) -> None:
         await add_limited(fleet, "2")
@@ -345,6 +391,17 @@
     assert shares.compute_share(2.0, "t").fraction == pytest.approx(8 / 10)
 
 
+def test_record_of_a_limit_finds_one_request_too_many() -> None:
+    record = lt.LimitRecord()
+    record.set_limit(0.0, 1.0)
+    record.on_response(0.1, "e")
+    violations = [record.on_arrival(8.0 + n / 10, "e", True) for n in range(12)]
+    assert [v is not None for v in violations] == 11 * [False] + [True]
+    assert record.on_arrival(9.5, "not told", True) is None
+    record.set_limit(9.6, None)
+    assert record.on_arrival(9.7, "e", True) is None
+
+
 def test_limited_targets_go_to_accounts_and_kinds_in_turn() -> None:
     queue = requestqueue.RequestQueue()
     waiting = []
