Forget statements of targets that are gone, though others still tell them

Cause, found by reading: entries drop a statement a minute after its target is no longer registered, at slightly different times, and told it to each other again meanwhile; each kept it for another minute, without end.

Change: a statement that is older than that, about a target that is not registered, is not taken from another entry. The test of forgetting covers it (failed before).

--- a/sardinesaddle/direct/limitstatements.py
+++ b/sardinesaddle/direct/limitstatements.py
@@ -48,6 +48,7 @@
         self._statements: dict[str, Statement] = {}
         self.digest = 0
         self.changed_at = 0.0
+        self._registered: typing.Container[str] = ()
 
     def get_limit(self, incarnation: str) -> float | None:
         """Return the limit that is in force for an incarnation, or None."""
@@ -94,6 +95,8 @@
             stated_at = now - wire.age_ms / 1000.0
             first_at = now - wire.first_age_ms / 1000.0
             known = self._statements.get(wire.incarnation)
+            if known is None and self._is_forgotten(wire):
+                continue
             if known is not None:
                 first_at = known.first_at = min(known.first_at, first_at)
                 if stated_at <= known.stated_at:
@@ -119,6 +122,7 @@
         self, now: float, registered: typing.Container[str]
     ) -> None:
         """Drop the statements of incarnations that have not been registered lately."""
+        self._registered = registered
         for incarnation, statement in list(self._statements.items()):
             if incarnation in registered:
                 statement.last_registered_at = now
@@ -126,6 +130,15 @@
                 del self._statements[incarnation]
                 self._update_digest(now)
 
+    def _is_forgotten(self, wire: messages.LimitStatement) -> bool:
+        """Return whether this entry would have dropped a statement.
+
+        Without this, entries that drop it at different times would keep it forever.
+        """
+        return (
+            wire.incarnation not in self._registered and wire.age_ms / 1000.0 > FORGET_S
+        )
+
     def _apply(
         self,
         now: float,
--- a/test/test_direct_targetlimits.py
+++ b/test/test_direct_targetlimits.py
@@ -359,8 +359,12 @@
     statements.forget_unregistered(59.0, {"t"})
     statements.forget_unregistered(100.0, set())
     assert statements.get_limit("t") == 2.0
+    others = statements.make_messages(119.0)
     statements.forget_unregistered(120.0, set())
     assert statements.get_limit("t") is None
+    # Another entry drops it a little later.
+    assert not statements.merge(120.0, others, "e")
+    assert statements.get_limit("t") is None
 
 
 @pytest.mark.parametrize("limit", [0.0, 0.1, 0.2, 0.5, 1.0, 5.0, 50.0, 500.0])
