--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -10,6 +10,7 @@
 from test import soak
 
 SECONDS = 4.0
+LIMIT_SECONDS = 14.0  # 3 s until the bound applies, and some windows of 4 s
 POISON_SECONDS = 8.0  # long enough to send a request after it was known everywhere
 
 
@@ -48,3 +49,13 @@
     run = soak.run_seed(seed, POISON_SECONDS, tmp_path)
     assert run.violations == []
     assert run.crash_count > 0
+
+
+# A planned run and one with all faults; without the limits both break LIMIT.
+@pytest.mark.parametrize("seed", [2121, 2120])
+def test_targets_get_what_their_limits_allow_in_a_soak(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    run = soak.run_seed(seed, LIMIT_SECONDS, tmp_path)
+    assert run.violations == []
+    assert run.limited_count > 0
