--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -36,7 +36,7 @@
 MAX_LOST_SHARE: typing.Final = 0.25  # of all claims
 
 
-def compute_key(incarnation: str) -> int:
+def compute_limit_id(incarnation: str) -> int:
     """Return the number that stands for an incarnation in messages."""
     return zlib.crc32(incarnation.encode())
 
@@ -49,8 +49,8 @@
     ``contacted_at`` is when it first replied. ``claims`` is what it claims, with the
     ``number`` of that update. ``held`` is the lowest value of this entry's claims that
     it may hold. ``acknowledged`` is the number of this entry's claims that it has,
-    ``digest`` that of the statements that it has. ``was_told`` is set when its process
-    was sent either.
+    ``digest`` that of the statements that it has. ``was_told`` is set when this entry's
+    claims were sent to its process.
     """
 
     last_known_at: float
@@ -66,7 +66,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class LimitedKey:
+class DividedLimit:
     """A limit that is divided; ``permits`` is how many entries may send at once.
 
     ``first_senders`` are the entries that claim a part before any message. ``order``
@@ -103,7 +103,7 @@
         self._host = host
         self._started_at = started_at
         self._peers: dict[str, Peer] = {}
-        self._keys: dict[int, LimitedKey] = {}
+        self._limits: dict[int, DividedLimit] = {}
         # Increases with each change of this entry's claims.
         self.number = 0
         self._is_withdrawn = False
@@ -137,22 +137,22 @@
                 del self._peers[host]
                 has_changed = True
         if has_changed:
-            for key in self._keys.values():
-                self._set_order(key)
+            for limit in self._limits.values():
+                self._set_order(limit)
         self.recount()
 
     def recount(self) -> None:
         """Compute the sums of all claims from what is known of each entry."""
-        for key_hash, key in self._keys.items():
-            self._recount_key(key_hash, key)
+        for limit_id, limit in self._limits.items():
+            self._recount_limit(limit_id, limit)
 
     def on_process(self, now: float, host: str, process: int) -> Peer:
         """Note the process of an entry that a message came from."""
         peer = self._peers.get(host)
         if peer is None:
             peer = self._peers[host] = Peer(now)
-            for key in self._keys.values():
-                self._set_order(key)
+            for limit in self._limits.values():
+                self._set_order(limit)
         if peer.process != process:
             peer.process = process
             peer.contacted_at = None
@@ -173,13 +173,13 @@
         if number >= peer.number:
             peer.number = number
             known = {
-                key_hash: self._get_claim(host, peer, key_hash, key)
-                for key_hash, key in self._keys.items()
+                limit_id: self._get_claim(host, peer, limit_id, limit)
+                for limit_id, limit in self._limits.items()
             }
             peer.claims = dict(claims)
-            for key_hash, key in self._keys.items():
-                claim = self._get_claim(host, peer, key_hash, key)
-                key.others += claim - known[key_hash]
+            for limit_id, limit in self._limits.items():
+                claim = self._get_claim(host, peer, limit_id, limit)
+                limit.others += claim - known[limit_id]
 
     def on_acknowledged(
         self, host: str, number: int, claims: typing.Iterable[tuple[int, int]]
@@ -202,138 +202,144 @@
         if peer.acknowledged == self.number:
             return False
         return any(
-            key_hash in peer.held
-            or not is_known_before(peer, key)
-            or key.own_claim != self._get_held(peer, key_hash, key)
-            for key_hash, key in self._keys.items()
+            limit_id in peer.held
+            or not is_known_before(peer, limit)
+            or limit.own_claim != self._get_held(peer, limit_id, limit)
+            for limit_id, limit in self._limits.items()
         )
 
     def on_sent(self, host: str) -> None:
         """Note that this entry's claims are sent, which may arrive or not."""
         peer = self._peers[host]
-        for key_hash, key in self._keys.items():
-            held = self._get_held(peer, key_hash, key)
-            peer.held[key_hash] = min(held, key.own_claim)
+        for limit_id, limit in self._limits.items():
+            held = self._get_held(peer, limit_id, limit)
+            peer.held[limit_id] = min(held, limit.own_claim)
 
     # The limits.
 
-    def set_key(self, incarnation: str, first_at: float, permits: int) -> None:
+    def set_limit(self, incarnation: str, first_at: float, permits: int) -> None:
         """Add a limit, or change the permits of one."""
-        key_hash = compute_key(incarnation)
-        key = self._keys.get(key_hash)
-        if key is None:
-            key = self._keys[key_hash] = LimitedKey(incarnation, first_at, permits)
-            self._set_order(key)
-            is_first = self._host in key.first_senders and not self._is_withdrawn
-            key.own_claim = MAX_CLAIM if is_first else 0
-            self._recount_key(key_hash, key)
+        limit_id = compute_limit_id(incarnation)
+        limit = self._limits.get(limit_id)
+        if limit is None:
+            limit = self._limits[limit_id] = DividedLimit(
+                incarnation, first_at, permits
+            )
+            self._set_order(limit)
+            is_first = self._host in limit.first_senders and not self._is_withdrawn
+            limit.own_claim = MAX_CLAIM if is_first else 0
+            self._recount_limit(limit_id, limit)
             self.number += 1
             return
-        key.first_at = min(key.first_at, first_at)
-        if key.permits != permits:
-            key.permits = permits
-            self._set_order(key)
-            self._recount_key(key_hash, key)
+        limit.first_at = min(limit.first_at, first_at)
+        if limit.permits != permits:
+            limit.permits = permits
+            self._set_order(limit)
+            self._recount_limit(limit_id, limit)
 
-    def remove_key(self, incarnation: str) -> None:
+    def remove_limit(self, incarnation: str) -> None:
         """Forget a limit that is no longer in force."""
-        if self._keys.pop(compute_key(incarnation), None) is not None:
+        if self._limits.pop(compute_limit_id(incarnation), None) is not None:
             self.number += 1
 
     def list_claims(self) -> dict[int, int]:
         """Return this entry's claims."""
-        return {key_hash: key.own_claim for key_hash, key in self._keys.items()}
+        return {limit_id: limit.own_claim for limit_id, limit in self._limits.items()}
 
     def set_demand(self, incarnation: str, demand: float) -> None:
         """Compute the claim from the demand, as a part of the limit from 0 to 1."""
-        key = self._keys[compute_key(incarnation)]
-        claim = self._compute_claim(key, demand)
-        is_small_change = claim and key.own_claim and abs(claim - key.own_claim) == 1
-        if claim != key.own_claim and not is_small_change:
-            key.own_claim = claim
-            key.usable = min(key.usable, claim)
+        limit = self._limits[compute_limit_id(incarnation)]
+        claim = self._compute_claim(limit, demand)
+        is_small_change = (
+            claim and limit.own_claim and abs(claim - limit.own_claim) == 1
+        )
+        if claim != limit.own_claim and not is_small_change:
+            limit.own_claim = claim
+            limit.usable = min(limit.usable, claim)
             self.number += 1
 
     def withdraw(self) -> None:
         """Give up all claims for good, since this entry stops."""
         self._is_withdrawn = True
-        for key in self._keys.values():
-            key.own_claim = key.usable = 0
+        for limit in self._limits.values():
+            limit.own_claim = limit.usable = 0
         self.number += 1
 
     def compute_share(self, now: float, incarnation: str) -> Share:
         """Return the part of a limit that this entry may use now."""
         if now - self._started_at < retrybudget.ENTRY_DISCOVERY_S:
             return NO_SHARE
-        key = self._keys[compute_key(incarnation)]
-        total = key.usable + key.others
-        if not key.usable or key.permits * key.usable < total:
+        limit = self._limits[compute_limit_id(incarnation)]
+        total = limit.usable + limit.others
+        if not limit.usable or limit.permits * limit.usable < total:
             return NO_SHARE
-        return Share(key.usable / total, key.permits * key.usable // total)
+        return Share(limit.usable / total, limit.permits * limit.usable // total)
 
-    def _recount_key(self, key_hash: int, key: LimitedKey) -> None:
-        """Compute the sums of one limit; see ``LimitedKey``."""
+    def _recount_limit(self, limit_id: int, limit: DividedLimit) -> None:
+        """Compute the sums of one limit; see ``DividedLimit``."""
         others = lost = 0
-        held = held_by_lost = key.own_claim
+        held = held_by_lost = limit.own_claim
         for host, peer in self._peers.items():
-            claim = self._get_claim(host, peer, key_hash, key)
+            claim = self._get_claim(host, peer, limit_id, limit)
             others += claim
             if peer.is_alive:
-                held = min(held, self._get_held(peer, key_hash, key))
+                held = min(held, self._get_held(peer, limit_id, limit))
             else:
                 lost += claim
-                held_by_lost = min(held_by_lost, self._get_held(peer, key_hash, key))
-        may_skip_lost = lost <= MAX_LOST_SHARE * (others + key.own_claim)
-        key.others = others
-        key.usable = held if may_skip_lost else min(held, held_by_lost)
+                held_by_lost = min(held_by_lost, self._get_held(peer, limit_id, limit))
+        may_skip_lost = lost <= MAX_LOST_SHARE * (others + limit.own_claim)
+        limit.others = others
+        limit.usable = held if may_skip_lost else min(held, held_by_lost)
 
-    def _compute_claim(self, key: LimitedKey, demand: float) -> int:
+    def _compute_claim(self, limit: DividedLimit, demand: float) -> int:
         """Return the claim for a demand; 0 if enough entries are before this one."""
         if demand <= 0.0 or self._is_withdrawn:
             return 0
-        key_hash = compute_key(key.incarnation)
-        own_position = key.order[self._host]
+        limit_id = compute_limit_id(limit.incarnation)
+        own_position = limit.order[self._host]
         before = sum(
-            self._get_claim(host, peer, key_hash, key) > 0
-            and (key.order[host] < own_position or not peer.is_alive)
+            self._get_claim(host, peer, limit_id, limit) > 0
+            and (limit.order[host] < own_position or not peer.is_alive)
             for host, peer in self._peers.items()
         )
-        if before >= key.permits:
+        if before >= limit.permits:
             return 0
         # With a smaller claim, a fraction beside full ones would be worth no permit.
-        others = min(len(self._peers), key.permits - 1)
-        smallest = -(-MAX_CLAIM * others // max(key.permits - 1, 1))
+        others = min(len(self._peers), limit.permits - 1)
+        smallest = -(-MAX_CLAIM * others // max(limit.permits - 1, 1))
         claim = math.ceil(MAX_CLAIM * min(demand, 1.0))
         return min(max(claim, smallest, 1), MAX_CLAIM)
 
-    def _get_claim(self, host: str, peer: Peer, key_hash: int, key: LimitedKey) -> int:
+    def _get_claim(
+        self, host: str, peer: Peer, limit_id: int, limit: DividedLimit
+    ) -> int:
         """Return what an entry claims, or may claim before it said so."""
-        claim = peer.claims.get(key_hash)
+        claim = peer.claims.get(limit_id)
         if claim is not None:
             return claim
-        if is_known_before(peer, key) and host not in key.first_senders:
+        if is_known_before(peer, limit) and host not in limit.first_senders:
             return 0
         return MAX_CLAIM
 
-    def _get_held(self, peer: Peer, key_hash: int, key: LimitedKey) -> int:
+    def _get_held(self, peer: Peer, limit_id: int, limit: DividedLimit) -> int:
         """Return the lowest value of this entry's claim that another may hold."""
-        held = peer.held.get(key_hash)
+        held = peer.held.get(limit_id)
         if held is not None:
             return held
-        return MAX_CLAIM if self._host in key.first_senders else 0
+        return MAX_CLAIM if self._host in limit.first_senders else 0
 
-    def _set_order(self, key: LimitedKey) -> None:
+    def _set_order(self, limit: DividedLimit) -> None:
         """Compute the order of the known entries, and which of them send first."""
 
         def compute_position(host: str) -> bytes:
-            text = f"{host}/{key.incarnation}".encode()
+            text = f"{host}/{limit.incarnation}".encode()
             return hashlib.blake2b(text, digest_size=8).digest()
 
         hosts = sorted((self._host, *self._peers), key=compute_position)
-        key.order = {host: position for position, host in enumerate(hosts)}
-        key.first_senders = frozenset(hosts[: key.permits])
+        limit.order = {host: position for position, host in enumerate(hosts)}
+        limit.first_senders = frozenset(hosts[: limit.permits])
 
 
-def is_known_before(peer: Peer, key: LimitedKey) -> bool:
+def is_known_before(peer: Peer, limit: DividedLimit) -> bool:
     """Return whether an entry was contacted before a limit was stated first."""
-    return peer.contacted_at is not None and peer.contacted_at <= key.first_at
+    return peer.contacted_at is not None and peer.contacted_at <= limit.first_at
--- a/sardinesaddle/direct/targetlimits.py
+++ b/sardinesaddle/direct/targetlimits.py
@@ -270,11 +270,11 @@
         limits = self.statements.list_limits()
         for incarnation in self._buckets.keys() - limits.keys():
             del self._buckets[incarnation]
-            self._shares.remove_key(incarnation)
+            self._shares.remove_limit(incarnation)
         for incarnation, limit in limits.items():
             bucket = self._buckets.setdefault(incarnation, TokenBucket(now))
             first_at = self.statements.get_first_at(incarnation)
-            self._shares.set_key(incarnation, first_at, compute_permits(limit))
+            self._shares.set_limit(incarnation, first_at, compute_permits(limit))
             share = self._shares.compute_share(now, incarnation)
             rate = RATE_FACTOR * max(limit, MIN_RATE) * share.fraction
             bucket.set_rate(now, rate, float(share.burst))
--- a/test/test_direct_targetlimits.py
+++ b/test/test_direct_targetlimits.py
@@ -378,10 +378,10 @@
     shares = limitshares.LimitShares("a", -10.0)
     for host in ("b", "c"):
         shares.on_process(-1.0, host, 1).contacted_at = -1.0
-    shares.set_key("t", 0.0, 50)
+    shares.set_limit("t", 0.0, 50)
     shares.set_entries(0.0, {"b", "c"}, ())
     for host in ("b", "c"):
-        shares.on_claims(host, 1, [(limitshares.compute_key("t"), 1)])
+        shares.on_claims(host, 1, [(limitshares.compute_limit_id("t"), 1)])
     shares.set_demand("t", 0.1)
     assert shares.compute_share(0.0, "t").fraction == pytest.approx(1 / 3)
     shares.on_acknowledged("b", shares.number, shares.list_claims().items())
