Keep the parts of a limit within it when an entry starts apart from others

Cause: an entry that starts alone, is suspended or is cut off until its first contact knew only that one for up to a quarter of a second, or had not counted its seeds yet, and took a part as if there were no others.

Change: entries that a message lists count at once, as ones that claim most; an entry that reaches nobody sends nothing to limited targets for ten seconds after its start; none sends before it counted the others. A limit is recorded for the incarnation that the request was sent to, also when the next one registers meanwhile.

--- a/sardinesaddle/bench/targetlimits.py
+++ b/sardinesaddle/bench/targetlimits.py
@@ -58,6 +58,11 @@
     round: list[str] = dataclasses.field(default_factory=list)
     next_peer: int = 0
 
+    @property
+    def listed(self) -> frozenset[str]:
+        """The live entries as this one lists them, itself included."""
+        return frozenset((self.host, *self.last_heard))
+
     def can_run(self, now: float) -> bool:
         """Return whether the entry is up and not suspended."""
         return self.is_up and now >= self.suspended_until
@@ -95,11 +100,11 @@
             entry.known = set(self._hosts) - {entry.host}
             entry.last_heard = dict.fromkeys(entry.known, 0.0)
             for host in entry.known:
-                entry.limits.on_reply(-1.0, host, 1, None, None)
+                entry.limits.on_reply(-1.0, host, 1, (), None, None)
         self.arrivals: list[float] = []
         self.sent_bytes = 0
 
-    def _schedule(self, at: float, handler: typing.Callable[[float], None]) -> None:
+    def call_at(self, at: float, handler: typing.Callable[[float], None]) -> None:
         """Call a handler at a time."""
         self._event_count += 1
         heapq.heappush(self._events, (at, self._event_count, handler))
@@ -107,9 +112,9 @@
     def run(self) -> None:
         """Run the simulation to its end."""
         for entry in self.entries:
-            self._schedule(self._rng.random() * 0.25, self._make_heartbeat(entry))
-            self._schedule(self._rng.random() * 0.25, self._make_refresh(entry))
-            self._schedule(self._rng.random(), self._make_arrival(entry))
+            self.call_at(self._rng.random() * 0.25, self._make_heartbeat(entry))
+            self.call_at(self._rng.random() * 0.25, self._make_refresh(entry))
+            self.call_at(self._rng.random(), self._make_arrival(entry))
         while self._events and self._events[0][0] < self._duration_s:
             at, _, handler = heapq.heappop(self._events)
             handler(at)
@@ -123,7 +128,7 @@
             entry = self.entries[index]
             entry.is_up = False
             entry.waiting.clear()
-            self._schedule(now + DOWNTIME_S, start)
+            self.call_at(now + DOWNTIME_S, start)
 
         def start(now: float) -> None:
             entry = self.entries[index]
@@ -133,7 +138,7 @@
             entry.known = set(self._hosts[:SEED_COUNT]) - {entry.host}
             entry.last_heard = {}
 
-        self._schedule(at, kill)
+        self.call_at(at, kill)
 
     def suspend_at(self, at: float, index: int, seconds: float) -> None:
         """Suspend an entry for a while."""
@@ -141,7 +146,7 @@
         def suspend(now: float) -> None:
             self.entries[index].suspended_until = now + seconds
 
-        self._schedule(at, suspend)
+        self.call_at(at, suspend)
 
     def part_at(self, at: float, side_of: typing.Callable[[int], int]) -> None:
         """Let entries reach only those of the same side from a time on."""
@@ -149,7 +154,7 @@
         def part(now: float) -> None:
             self._sides = [side_of(n) for n in range(len(self.entries))]
 
-        self._schedule(at, part)
+        self.call_at(at, part)
 
     # Heartbeats.
 
@@ -171,7 +176,7 @@
                 self._send_heartbeat(now, entry, entry.round[entry.next_peer])
             per_period = min(entrypeers.HEARTBEATS_PER_PERIOD, max(count, 1))
             period_s = entrypeers.HEARTBEAT_PERIOD_S / per_period
-            self._schedule(now + period_s * (0.75 + self._rng.random() / 2), beat)
+            self.call_at(now + period_s * (0.75 + self._rng.random() / 2), beat)
 
         return beat
 
@@ -190,12 +195,14 @@
                 return
             receiver.known.add(sender.host)
             receiver.last_heard[sender.host] = at
-            receiver.limits.on_message(at, sender.host, generation, update)
+            receiver.limits.on_message(
+                at, sender.host, generation, sender.listed, update
+            )
             reply = receiver.limits.make_update(at, sender.host, is_reply=True)
             self._count_bytes(at, reply)
-            listed = set(receiver.last_heard)
+            listed = receiver.listed
             process = receiver.generation
-            self._schedule(
+            self.call_at(
                 at + self._draw_delay(), lambda end: finish(end, process, reply, listed)
             )
 
@@ -203,16 +210,15 @@
             at: float,
             process: int,
             reply: messages.LimitUpdate | None,
-            listed: set[str],
+            listed: frozenset[str],
         ) -> None:
             if generation != sender.generation or not sender.can_run(at):
                 return
             sender.last_heard[host] = at
-            if len(listed) > len(sender.known):
-                sender.known |= listed - {sender.host}
-            sender.limits.on_reply(at, host, process, update, reply)
+            sender.known |= listed - {sender.host}
+            sender.limits.on_reply(at, host, process, listed, update, reply)
 
-        self._schedule(now + self._draw_delay(), arrive)
+        self.call_at(now + self._draw_delay(), arrive)
 
     def _expire(self, now: float, entry: Entry, host: str) -> None:
         """Take an entry that was not heard of for long for lost."""
@@ -235,7 +241,7 @@
                 entry.limits.refresh(
                     now, entry.last_heard.keys(), entry.known, {TARGET: SERVICE}
                 )
-            self._schedule(now + period_s, refresh)
+            self.call_at(now + period_s, refresh)
 
         return refresh
 
@@ -256,9 +262,9 @@
             rate = self._demand_of(entry.index, now)
             delay_s = self._rng.expovariate(rate) if rate else REDRAW_S
             if delay_s < REDRAW_S:
-                self._schedule(now + delay_s, arrive)
+                self.call_at(now + delay_s, arrive)
             else:
-                self._schedule(now + REDRAW_S, schedule_next)
+                self.call_at(now + REDRAW_S, schedule_next)
 
         def send_waiting(now: float) -> None:
             while entry.waiting and entry.waiting[0] < now - MAX_QUEUE_S:
@@ -272,7 +278,7 @@
                 wait_s = 0.25
                 if entry.limits.is_limited(TARGET):
                     wait_s = entry.limits.compute_wait_s(now, [TARGET], 0)
-                self._schedule(now + min(wait_s + 1e-6, 0.25), send_waiting)
+                self.call_at(now + min(wait_s + 1e-6, 0.25), send_waiting)
 
         return schedule_next
 
@@ -288,7 +294,7 @@
             if generation == entry.generation and entry.can_run(at):
                 entry.limits.on_response(at, TARGET, now, limit)
 
-        self._schedule(now + RESPONSE_S, respond)
+        self.call_at(now + RESPONSE_S, respond)
 
     # Results.
 
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -257,7 +257,9 @@
             self._peers.on_entry_alive(msg.sender)
             self._merge_crash_records(msg.crash_records, msg.sender)
             now = asyncio.get_running_loop().time()
-            self.limits.on_message(now, msg.sender, msg.incarnation, msg.limits)
+            self.limits.on_message(
+                now, msg.sender, msg.incarnation, msg.entries, msg.limits
+            )
             return messages.HeartbeatReply(
                 self._peers.list_entries(),
                 self._list_prefix_states(),
@@ -390,7 +392,12 @@
         """Apply limits; fetch changes of the store and crashes that are missing."""
         now = asyncio.get_running_loop().time()
         self.limits.on_reply(
-            now, peer.host, reply.incarnation, heartbeat.limits, reply.limits
+            now,
+            peer.host,
+            reply.incarnation,
+            reply.entries,
+            heartbeat.limits,
+            reply.limits,
         )
         if (
             reply.incarnation
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -373,12 +373,13 @@
         req = state.req
         headers = self._make_upstream_headers(state, target)
         sent_at = asyncio.get_running_loop().time()
+        incarnation = target.registration.incarnation
         exchange.send(req.method, req.path, headers, req.body)
         state.send_count += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
 
         def on_head(metadata: headercodec.ResponseMetadata) -> None:
-            self._record_limit(target, sent_at, metadata)
+            self._record_limit(incarnation, sent_at, metadata)
 
         def on_first_event() -> None:
             state.first_event_at = asyncio.get_running_loop().time()
@@ -399,12 +400,11 @@
 
     def _record_limit(
         self,
-        target: targetpool.Target,
+        incarnation: str,
         sent_at: float,
         metadata: headercodec.ResponseMetadata,
     ) -> None:
         """Record the limit that a target states, or that it states none."""
-        incarnation = target.registration.incarnation
         if metadata.invalid_rate_limit is not None:
             loguru.logger.warning(
                 "event=target_limit_invalid target={} value={!r:.60}",
--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -10,8 +10,9 @@
 
 Before an entry heard another one's claim, it assumes one that needs no message: the
 entries that are first in an order by hash claim equal parts, the others nothing. An
-entry that it has not reached counts fully. An entry that restarts tells its claims
-before it sends anything, since it has to hear of the others first.
+entry that it has not reached counts fully. An entry that starts tells its claims before
+it sends anything, since it has to hear of the others first; if it reaches none of them
+for ``ISOLATED_START_S``, it assumes the equal parts.
 
 A limit may allow less than one request for each entry. Each entry that sends may have
 one request in hand at any time, so only as many entries may send as the bound on
@@ -34,6 +35,8 @@
 
 MAX_CLAIM: typing.Final = 8
 MAX_LOST_SHARE: typing.Final = 0.25  # of all claims
+# An entry that starts without reaching the others uses nothing for so long.
+ISOLATED_START_S: typing.Final = 10.0
 
 
 def compute_limit_id(incarnation: str) -> int:
@@ -107,6 +110,8 @@
         # Increases with each change of this entry's claims.
         self.number = 0
         self._is_withdrawn = False
+        self._has_started_long_ago = False
+        self._knows_entries = False
 
     # The entries.
 
@@ -124,11 +129,10 @@
 
         Others are forgotten some time after they were known last.
         """
+        self._has_started_long_ago = now - self._started_at > ISOLATED_START_S
+        self._knows_entries = True
+        self.add_entries(now, (*alive, *listed))
         has_changed = False
-        for host in {*alive, *listed} - {self._host}:
-            if host not in self._peers:
-                self._peers[host] = Peer(now)
-                has_changed = True
         for host, peer in list(self._peers.items()):
             peer.is_alive = host in alive
             if peer.is_alive:
@@ -137,10 +141,18 @@
                 del self._peers[host]
                 has_changed = True
         if has_changed:
-            for limit in self._limits.values():
-                self._set_order(limit)
+            self._set_orders()
         self.recount()
 
+    def add_entries(self, now: float, hosts: typing.Iterable[str]) -> None:
+        """Count entries that were not known, as ones that claim most."""
+        new_hosts = {*hosts} - self._peers.keys() - {self._host}
+        if new_hosts:
+            for host in new_hosts:
+                self._peers[host] = Peer(now)
+            self._set_orders()
+            self.recount()
+
     def recount(self) -> None:
         """Compute the sums of all claims from what is known of each entry."""
         for limit_id, limit in self._limits.items():
@@ -148,11 +160,8 @@
 
     def on_process(self, now: float, host: str, process: int) -> Peer:
         """Note the process of an entry that a message came from."""
-        peer = self._peers.get(host)
-        if peer is None:
-            peer = self._peers[host] = Peer(now)
-            for limit in self._limits.values():
-                self._set_order(limit)
+        self.add_entries(now, (host,))
+        peer = self._peers[host]
         if peer.process != process:
             peer.process = process
             peer.contacted_at = None
@@ -267,7 +276,8 @@
 
     def compute_share(self, now: float, incarnation: str) -> Share:
         """Return the part of a limit that this entry may use now."""
-        if now - self._started_at < retrybudget.ENTRY_DISCOVERY_S:
+        has_just_started = now - self._started_at < retrybudget.ENTRY_DISCOVERY_S
+        if has_just_started or not self._knows_entries:
             return NO_SHARE
         limit = self._limits[compute_limit_id(incarnation)]
         total = limit.usable + limit.others
@@ -326,8 +336,15 @@
         held = peer.held.get(limit_id)
         if held is not None:
             return held
+        if peer.process == 0 and not self._has_started_long_ago:
+            return 0
         return MAX_CLAIM if self._host in limit.first_senders else 0
 
+    def _set_orders(self) -> None:
+        """Compute the orders of all limits after a change of the known entries."""
+        for limit in self._limits.values():
+            self._set_order(limit)
+
     def _set_order(self, limit: DividedLimit) -> None:
         """Compute the order of the known entries, and which of them send first."""
 
--- a/sardinesaddle/direct/targetlimits.py
+++ b/sardinesaddle/direct/targetlimits.py
@@ -203,9 +203,18 @@
         )
 
     def on_message(
-        self, now: float, host: str, process: int, update: messages.LimitUpdate | None
+        self,
+        now: float,
+        host: str,
+        process: int,
+        listed: typing.Iterable[str],
+        update: messages.LimitUpdate | None,
     ) -> None:
-        """Apply a heartbeat of another entry; ``process`` is its process's number."""
+        """Apply a heartbeat of another entry or its reply.
+
+        ``process`` is its process's number, ``listed`` are the entries that it knows.
+        """
+        self._shares.add_entries(now, listed)
         peer = self._shares.on_process(now, host, process)
         if update is None:
             return
@@ -220,6 +229,7 @@
         now: float,
         host: str,
         process: int,
+        listed: typing.Iterable[str],
         sent: messages.LimitUpdate | None,
         received: messages.LimitUpdate | None,
     ) -> None:
@@ -229,7 +239,7 @@
             peer.contacted_at = now
         if sent is not None and sent.claims is not None:
             self._shares.on_acknowledged(host, sent.number, sent.claims)
-        self.on_message(now, host, process, received)
+        self.on_message(now, host, process, listed, received)
 
     def withdraw(self) -> None:
         """Leave this entry's parts of all limits to the others."""
--- a/test/test_direct_targetlimits.py
+++ b/test/test_direct_targetlimits.py
@@ -1,9 +1,11 @@
 """Tests that targets get no more requests than the limits that they state."""
 
 import asyncio
+import random
 
 import pytest
 
+from sardinesaddle.bench import targetlimits as bench
 from sardinesaddle.direct import (
     catalog,
     entrypeers,
@@ -406,6 +408,28 @@
     assert record.on_arrival(9.7, "e", True) is None
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize(("entry_count", "limit"), [(4, 50.0), (9, 1.0)])
+def test_parts_of_all_entries_never_add_up_to_more_than_the_bound_allows(
+    entry_count: int, limit: float, seed: int
+) -> None:
+    duration_s = 40.0
+    demand_of = bench.make_moving_demand(entry_count, limit, seed)
+    simulation = bench.Simulation(entry_count, limit, demand_of, duration_s, seed)
+    bench.add_faults(simulation, random.Random(seed), duration_s)
+    sums: list[float] = []
+
+    def add_parts(now: float) -> None:
+        up = [entry for entry in simulation.entries if entry.is_up]
+        sums.append(sum(sum(e.limits.list_parts().values()) for e in up))
+        simulation.call_at(now + 0.05, add_parts)
+
+    simulation.call_at(bench.NAMED_AT_S, add_parts)
+    simulation.run()
+    highest_factor = targetlimits.RATE_FACTOR * (1.0 + limitshares.MAX_LOST_SHARE)
+    assert 0.0 < max(sums) <= highest_factor * limit + 1e-9
+
+
 def test_limited_targets_go_to_accounts_and_kinds_in_turn() -> None:
     queue = requestqueue.RequestQueue()
     waiting = []
