--- a/sardinesaddle/bench/targetlimits.py
+++ b/sardinesaddle/bench/targetlimits.py
@@ -42,6 +42,7 @@
     """An entry; ``generation`` counts its processes.
 
     ``known`` are the entries that get its heartbeats, in the order of ``round``.
+    ``listed`` are those that it tells others to be alive, itself included.
     """
 
     index: int
@@ -52,16 +53,23 @@
     suspended_until: float = 0.0
     known: set[str] = dataclasses.field(default_factory=set)
     last_heard: dict[str, float] = dataclasses.field(default_factory=dict)
+    listed: frozenset[str] = frozenset()
     waiting: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
     round: list[str] = dataclasses.field(default_factory=list)
     next_peer: int = 0
 
-    @property
-    def listed(self) -> frozenset[str]:
-        """The live entries as this one lists them, itself included."""
-        return frozenset((self.host, *self.last_heard))
+    def hear(self, now: float, host: str) -> None:
+        """Record that another entry is alive."""
+        if host not in self.last_heard:
+            self.listed |= {host}
+        self.last_heard[host] = now
+
+    def lose(self, host: str) -> None:
+        """Record that another entry is not alive."""
+        del self.last_heard[host]
+        self.listed -= {host}
 
     def can_run(self, now: float) -> bool:
         """Return whether the entry is up and not suspended."""
@@ -99,6 +107,7 @@
         for entry in self.entries:
             entry.known = set(self._hosts) - {entry.host}
             entry.last_heard = dict.fromkeys(entry.known, 0.0)
+            entry.listed = frozenset(self._hosts)
             for host in entry.known:
                 entry.limits.on_reply(-1.0, host, 1, (), None, None)
         self.arrivals: list[float] = []
@@ -137,6 +146,7 @@
             entry.is_up = True
             entry.known = set(self._hosts[:SEED_COUNT]) - {entry.host}
             entry.last_heard = {}
+            entry.listed = frozenset((entry.host,))
 
         self.call_at(at, kill)
 
@@ -194,7 +204,7 @@
                 self._expire(at, sender, host)
                 return
             receiver.known.add(sender.host)
-            receiver.last_heard[sender.host] = at
+            receiver.hear(at, sender.host)
             receiver.limits.on_message(
                 at, sender.host, generation, sender.listed, update
             )
@@ -214,7 +224,7 @@
         ) -> None:
             if generation != sender.generation or not sender.can_run(at):
                 return
-            sender.last_heard[host] = at
+            sender.hear(at, host)
             sender.known |= listed - {sender.host}
             sender.limits.on_reply(at, host, process, listed, update, reply)
 
@@ -223,7 +233,7 @@
     def _expire(self, now: float, entry: Entry, host: str) -> None:
         """Take an entry that was not heard of for long for lost."""
         if now - entry.last_heard.get(host, now) > entrypeers.ENTRY_TTL_S:
-            del entry.last_heard[host]
+            entry.lose(host)
 
     def _count_bytes(self, now: float, update: messages.LimitUpdate | None) -> None:
         """Count what a message has for the limits."""
