Give each test process ports that no parallel one gives out

Cause: a fleet's node port was one that the kernel named as free on 127.0.1.1, and was then bound on 127.0.1.2 and 127.0.1.3, too, where another of the six test processes, or the entry's own front port, may have got the same number; nothing held it between search and use, either. Ruled out: the code under test, which had not sent a request yet; ports of outgoing connections, which on this machine start from 127.0.0.1.

Change: test/freeports.py. Used by the fleet, the soak and the tests of the process.

Conclusion: a fault of the tests, mended; no check changed.

--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -24,6 +24,7 @@
 )
 from sardinesaddle.platform import catalogformat, headers
 from sardinesaddle.standins import loopdriver
+from test import freeports
 
 Scenario = collections.abc.Callable[
     ["Fleet"], collections.abc.Coroutine[typing.Any, typing.Any, None]
@@ -31,22 +32,6 @@
 SIGNATURE_HEADER: typing.Final = (headers.SIGNATURE, "signed")
 
 
-def find_free_port(host: str) -> int:
-    """Return a TCP port that is currently free on an address."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
-def find_free_ports(host: str, count: int) -> list[int]:
-    """Return different TCP ports that are currently free on an address."""
-    ports: set[int] = set()
-    while len(ports) < count:
-        ports.add(find_free_port(host))
-    return list(ports)
-
-
 class LoopClock(freshness.SuspendAwareClock):
     """The event loop's clock; ``suspended_s`` simulates a suspension of the host."""
 
@@ -502,8 +487,8 @@
         The first entry is the seed peer of all others.
         """
         host = f"127.0.1.{len(self.entries) + 1}"
-        self.node_port = self.node_port or find_free_port(host)
-        front_port = find_free_port(host)
+        self.node_port = self.node_port or freeports.find_free_port(host)
+        front_port = freeports.find_free_port(host)
         cfg = nodesettings.EntrySettings(
             name=host,
             host=host,
--- a/test/soak.py
+++ b/test/soak.py
@@ -52,7 +52,7 @@
 from sardinesaddle.direct import replica, start
 from sardinesaddle.platform import headers
 from sardinesaddle.standins import rankgroup
-from test import crashingtargets, limitedtargets, soakengine
+from test import crashingtargets, freeports, limitedtargets, soakengine
 from test import directfleet as df
 
 ENTRY_COUNT: typing.Final = 3
@@ -195,7 +195,7 @@
         """Start listening; return the port."""
         self._runner = aiohttp.web.ServerRunner(aiohttp.web.Server(self._handle))
         await self._runner.setup()
-        port = df.find_free_port(STORE_HOST)
+        port = freeports.find_free_port(STORE_HOST)
         await aiohttp.web.TCPSite(self._runner, STORE_HOST, port).start()
         return port
 
@@ -380,7 +380,10 @@
             respond = self._respond if service == "plain" else self._respond_with_stream
             for number in range(count):
                 await self._add_target(f"{service}-{number}", service, respond)
-        ports = df.find_free_ports(STORE_HOST, 2 * self._entry_count + 1)
+        ports = [
+            freeports.find_free_port(STORE_HOST)
+            for _ in range(2 * self._entry_count + 1)
+        ]
         self.ports = ports[: self._entry_count]
         for index in range(self._entry_count):
             host = make_entry_host(index)
--- a/test/test_direct_process.py
+++ b/test/test_direct_process.py
@@ -17,7 +17,7 @@
 from sardinesaddle import settings
 from sardinesaddle.direct import nodelog, nodesettings, start
 from sardinesaddle.standins import loopdriver
-from test import directfleet as df
+from test import freeports
 
 HOST: typing.Final = "127.0.3.1"
 START_TIMEOUT_S: typing.Final = 30.0
@@ -25,7 +25,7 @@
 
 def write_settings(directory: pathlib.Path, **changes: object) -> pathlib.Path:
     """Write a settings file for an entry; return its path."""
-    ports = [df.find_free_port(HOST) for _ in range(5)]
+    ports = [freeports.find_free_port(HOST) for _ in range(5)]
     cfg: dict[str, object] = {
         "name": "e1",
         "host": HOST,
