Blame no entry for standstills of the soak itself or of the machine's disk

Trace: the entry got SIGTERM at 11:24:58.662, logged event=stop at 11:25:02.049 and event=end at 02.050, within 3.4 of its 8 s, but was still there at 06.7. The soak then killed it with a blocking wait. For 8.7 s, until 15.4, the soak did nothing, neither as callers nor as targets: both other ranks log engine_lost at 07.288 and engine_found at 15.91, and the three streams were cut as their targets were silent. A killed process that is not gone for seconds is in the kernel; nothing of ours runs then. Ruled out: a hang of ours after event=end, which SIGKILL would have ended.

Change, tests only.

Shown: test_soak_that_stands_still_blames_no_entry, whose soak sleeps 3 s at each shift of demand.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,6 +4,7 @@
 """
 
 import pathlib
+import time
 
 import pytest
 
@@ -23,6 +24,8 @@
         # SIGHUP for a reload ended an entry that was still starting.
         9,
         21,
+        # A wait for an entry that ended slowly made the soak itself stand still.
+        2448,
     ],
 )
 def test_promises_hold_in_a_soak(seed: int, tmp_path: pathlib.Path) -> None:
@@ -31,6 +34,18 @@
     assert run.served_count > 0
 
 
+@pytest.mark.parametrize("seed", [6, 9])
+def test_soak_that_stands_still_blames_no_entry(
+    seed: int, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def stand_still(run: soak.SoakRun) -> None:
+        time.sleep(3.0)
+
+    monkeypatch.setattr(soak.SoakRun, "_shift_demand", stand_still)
+    run = soak.run_seed(seed, SECONDS, tmp_path)
+    assert run.violations == []
+
+
 @pytest.mark.parametrize(
     "seed",
     [
