Read the store's era, and show it in log and metrics

The store states in every response an era that rises when it comes back from an older copy; nothing read it, so no log could tell a change that was dropped as old from one that never came. Responses and faults now carry the era, a change of it is logged for each prefix, and a gauge shows it. A header that is no whole number is logged as an error and the call counts as failed; pages of a listing from two eras are a failed listing. What entries do with revisions is unchanged.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -483,6 +483,7 @@
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
+                self._watchers[self._store_decoder.config_prefix].era,
                 len(self.targets),
                 self.crash_ledger.count_refused(self._clock.read()),
             )
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -41,6 +41,9 @@
         self._config_age = self.make_gauge(
             "config_age_seconds", "Seconds since the configuration was confirmed."
         )
+        self._store_era = self.make_gauge(
+            "store_era", "Era of the store, which rises when it is restored."
+        )
         self._targets = self.make_gauge("targets", "Targets registered.")
         self._refused_contents = self.make_gauge(
             "refused_contents", "Request contents refused since targets crashed."
@@ -99,11 +102,13 @@
         self,
         config_version: int,
         config_age_s: float,
+        store_era: int,
         target_count: int,
         refused_content_count: int,
     ) -> None:
         """Set the gauges; infinite ages are capped at 1e6 s."""
         self._config_version.set({}, config_version)
+        self._store_era.set({}, store_era)
         self._config_age.set({}, min(config_age_s, 1e6))
         self._targets.set({}, target_count)
         self._refused_contents.set({}, refused_content_count)
--- a/sardinesaddle/direct/replica.py
+++ b/sardinesaddle/direct/replica.py
@@ -38,12 +38,13 @@
     """The changes after a revision, complete up to ``complete_rev``.
 
     If ``is_full`` is set, the delta lists all keys, and keys that it lacks do not
-    exist.
+    exist. ``era`` is that of the store, 0 if it states none.
     """
 
     changes: tuple[Change, ...]
     complete_rev: int
     is_full: bool
+    era: int = 0
 
 
 class Replica:
@@ -116,9 +117,7 @@
             del self._items[item.key]
 
 
-def join_pages(
-    pages: collections.abc.Sequence[tuple[tuple[Change, ...], int]],
-) -> Delta:
-    """Join the pages of a listing, each with its revision, to a full delta."""
-    changes = tuple(item for page, _ in pages for item in page)
-    return Delta(changes, pages[0][1], True)
+def join_pages(pages: collections.abc.Sequence[Delta]) -> Delta:
+    """Join the pages of a listing, which are of one era, to a full delta."""
+    changes = tuple(item for page in pages for item in page.changes)
+    return Delta(changes, pages[0].complete_rev, True, pages[0].era)
--- a/sardinesaddle/direct/storewatcher.py
+++ b/sardinesaddle/direct/storewatcher.py
@@ -33,12 +33,13 @@
 class StoreFault:
     """Returned when a call to the store failed; ``reason`` is for logs.
 
-    ``is_history_gone`` means that the store has compacted the revision that a watch
-    would continue from.
+    ``is_history_gone`` means that the store does not have the revision that a watch
+    would continue from. ``era`` is the store's, None if there was no valid response.
     """
 
     reason: str
     is_history_gone: bool
+    era: int | None = None
 
 
 class Store(abc.ABC):
@@ -112,6 +113,7 @@
         self._rng = rng
         self._may_rely_on_peers = may_rely_on_peers
         self._is_listed = False
+        self.era = 0  # the one that the store stated last
 
     def apply(self, delta: replica.Delta, source: str) -> None:
         """Apply a delta from the store or a peer, and report what changed."""
@@ -161,6 +163,7 @@
         else:
             result = await self._store.read_all(self.prefix)
         now = self._clock.read()
+        self._record_era(result.era)
         if isinstance(result, StoreFault):
             if result.is_history_gone:
                 self._is_listed = False
@@ -193,3 +196,16 @@
             asked_at + (wait_s if is_unchanged_for_whole_wait else 0.0)
         )
         return True
+
+    def _record_era(self, era: int | None) -> None:
+        """Log a change of the store's era."""
+        if era is None or era == self.era:
+            return
+        loguru.logger.info(
+            "event=store_era prefix={} era={} previous={} rev={}",
+            self.prefix,
+            era,
+            self.era,
+            self.replica.complete_rev,
+        )
+        self.era = era
--- a/sardinesaddle/platform/store.py
+++ b/sardinesaddle/platform/store.py
@@ -3,9 +3,11 @@
 import asyncio
 import base64
 import binascii
+import dataclasses
 import typing
 
 import aiohttp
+import loguru
 import msgspec
 
 from sardinesaddle.direct import replica, storewatcher
@@ -15,6 +17,8 @@
 MAX_PAGES: typing.Final = 200  # of one listing
 STATUS_OK: typing.Final = 200
 STATUS_HISTORY_COMPACTED: typing.Final = 410
+# Rises by one each time the store comes back from an older copy.
+ERA_HEADER: typing.Final = "Store-Era"
 
 _FAILURES: typing.Final = (
     aiohttp.ClientError,
@@ -59,6 +63,22 @@
     return replica.Change(wire.key, wire.rev, data, wire.created_rev)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreBody:
+    """The body of a successful response, and the era that the store states."""
+
+    data: bytes
+    era: int
+
+
+def parse_era(text: str | None) -> int | None:
+    """Parse the store's era, 0 if it states none; return None if it is no number."""
+    if text is None:
+        return 0
+    text = text.strip()
+    return int(text) if text.isdigit() and text.isascii() else None
+
+
 class PlatformStore(storewatcher.Store):
     """A read-only client of the store; failed calls return ``StoreFault``."""
 
@@ -68,7 +88,7 @@
 
     async def read_all(self, prefix: str) -> replica.Delta | storewatcher.StoreFault:
         """List all keys under a prefix, page by page, and join the pages."""
-        pages: list[tuple[tuple[replica.Change, ...], int]] = []
+        pages: list[replica.Delta] = []
         after = ""
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix} | ({"after": after} if after else {})
@@ -76,11 +96,15 @@
             if isinstance(body, storewatcher.StoreFault):
                 return body
             try:
-                page = msgspec.json.decode(body, type=WirePage)
+                page = msgspec.json.decode(body.data, type=WirePage)
                 items = tuple(decode_item(item) for item in page.items)
             except _FAILURES as exc:
-                return storewatcher.StoreFault(f"invalid page: {exc}", False)
-            pages.append((items, page.store_revision))
+                return storewatcher.StoreFault(f"invalid page: {exc}", False, body.era)
+            pages.append(replica.Delta(items, page.store_revision, True, body.era))
+            if body.era != pages[0].era:
+                return storewatcher.StoreFault(
+                    "the store was restored during the listing", False, body.era
+                )
             if not page.more_pages or not items:
                 return replica.join_pages(pages)
             after = items[-1].key
@@ -101,15 +125,15 @@
         if isinstance(body, storewatcher.StoreFault):
             return body
         try:
-            wire = msgspec.json.decode(body, type=WireEvents)
+            wire = msgspec.json.decode(body.data, type=WireEvents)
             changes = tuple(decode_item(event) for event in wire.events)
         except _FAILURES as exc:
-            return storewatcher.StoreFault(f"invalid events: {exc}", False)
-        return replica.Delta(changes, wire.store_revision, False)
+            return storewatcher.StoreFault(f"invalid events: {exc}", False, body.era)
+        return replica.Delta(changes, wire.store_revision, False, body.era)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> bytes | storewatcher.StoreFault:
+    ) -> StoreBody | storewatcher.StoreFault:
         """GET a resource of the store and return its body."""
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
@@ -117,12 +141,17 @@
                 self._base_url + path, params=query, timeout=timeout
             ) as resp:
                 data = await resp.read()
+                era = parse_era(resp.headers.get(ERA_HEADER))
+                if era is None:
+                    text = resp.headers[ERA_HEADER]
+                    loguru.logger.error("event=store_era_invalid value={!r:.60}", text)
+                    return storewatcher.StoreFault("the era is no number", False)
                 if resp.status == STATUS_HISTORY_COMPACTED:
                     return storewatcher.StoreFault(
-                        "the history after this revision is compacted", True
+                        "the store does not have this revision", True, era
                     )
                 if resp.status != STATUS_OK:
-                    return storewatcher.StoreFault(f"status {resp.status}", False)
-                return data
+                    return storewatcher.StoreFault(f"status {resp.status}", False, era)
+                return StoreBody(data, era)
         except _FAILURES as exc:
             return storewatcher.StoreFault(f"{type(exc).__name__}: {exc}", False)
