--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -43,14 +43,25 @@
         return asyncio.get_running_loop().time() + self.suspended_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a store held at a revision, with the history up to it."""
+
+    rev: int
+    items: dict[str, replica.Change]
+    history: list[replica.Change]
+
+
 class MemoryStore(storewatcher.Store):
     """An in-memory stand-in for the platform's store.
 
     While ``is_down`` is set, calls fail after 4 ms; while ``is_unresponsive`` is set,
-    they fail after 1 s. ``call_count`` counts all reads and watches.
+    they fail after 1 s. ``call_count`` counts all reads and watches. ``era`` is 0 for
+    a store that states none.
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.rev = 1
         self.items: dict[str, replica.Change] = {}
         self.history: list[replica.Change] = []
@@ -75,6 +86,19 @@
         del self.items[key]
         self._record_change(replica.Change(key, self.rev, None))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored later."""
+        return StoreCopy(self.rev, dict(self.items), list(self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later changes are gone, waiting watches are cut."""
+        self.era += 1
+        self.rev = copy.rev
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def compact(self) -> None:
         """Discard the history, so that watches of older revisions fail."""
         self.compacted_rev = self.rev
@@ -93,7 +117,13 @@
             await asyncio.sleep(1.0)
             return storewatcher.StoreFault("silent", False)
         await asyncio.sleep(0.004)
-        return storewatcher.StoreFault("down", False) if self.is_down else None
+        return self._make_fault("down") if self.is_down else None
+
+    def _make_fault(
+        self, reason: str, is_history_gone: bool = False
+    ) -> storewatcher.StoreFault:
+        """Return a fault that states the store's era."""
+        return storewatcher.StoreFault(reason, is_history_gone, self.era)
 
     async def read_all(self, prefix: str) -> replica.Delta | storewatcher.StoreFault:
         """Return all keys under a prefix, or the simulated fault."""
@@ -101,7 +131,7 @@
         if fault is not None:
             return fault
         changes = tuple(c for k, c in self.items.items() if k.startswith(prefix))
-        return replica.Delta(changes, self.rev, True)
+        return replica.Delta(changes, self.rev, True, self.era)
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -112,9 +142,12 @@
             return fault
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
+        era = self.era
         while True:
-            if after < self.compacted_rev:
-                return storewatcher.StoreFault("history is gone", True)
+            if self.era != era:
+                return self._make_fault("cut")
+            if after < self.compacted_rev or after > self.rev:
+                return self._make_fault("history is gone", True)
             if self.is_unresponsive:
                 await asyncio.sleep(1.0)
                 return storewatcher.StoreFault("silent", False)
@@ -122,7 +155,7 @@
                 c for c in self.history if c.rev > after and c.key.startswith(prefix)
             ]
             if changes or loop.time() >= deadline:
-                return replica.Delta(tuple(changes), self.rev, False)
+                return replica.Delta(tuple(changes), self.rev, False, self.era)
             changed = self._changed
             try:
                 async with asyncio.timeout_at(deadline):
@@ -130,7 +163,7 @@
             except TimeoutError:
                 continue
             if self.is_down:
-                return storewatcher.StoreFault("cut", False)
+                return self._make_fault("cut")
 
 
 @dataclasses.dataclass(slots=True)
