Pass on the configuration in force, not whatever the store has

What callers saw: an entry that started while the store had an invalid value under the configuration's key served nothing, though all others had a valid version in force.

Cause: entries relayed the store's latest value, and judged it only when putting it in force. The version that was in force existed nowhere but in the decoded form.

Change: ConfigHolder keeps the valid value with the highest version and is the one place that judges a value, whichever way it came (listing, watch, another entry's replica, another entry's version). Heartbeats name the version in force; an entry with a lower one fetches it. A peer confirms the configuration's age only to entries that have its version. A sidecar takes the engines' model from the version in force and never from a lower one; it took it from the store's value.

Ruled out: that an invalid value was put in force: the decoder refuses it on all paths.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -17,6 +17,7 @@
 
 from sardinesaddle.direct import (
     catalog,
+    configholder,
     crashdetector,
     crashledger,
     entrypeers,
@@ -72,7 +73,7 @@
         self._store_decoder = store_decoder
         self._rng = rng
         self._clock = clock
-        self.catalog = None
+        self._config = configholder.ConfigHolder(store_decoder)
         self.started_at = 0.0
         self.is_first_start = cfg.is_first_start
         self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
@@ -126,6 +127,14 @@
 
     # State for the request path.
 
+    @property
+    def catalog(self) -> catalog.Catalog | None:
+        """The configuration in force; None until the seeds were asked for a newer one.
+
+        A store that was restored before this process started may list an older one.
+        """
+        return self._config.catalog if self._peers.has_asked_seeds else None
+
     def compute_config_age(self) -> float:
         """Return the seconds since the catalog was confirmed to be the newest."""
         return self._watchers[self._store_decoder.config_prefix].compute_age()
@@ -157,43 +166,19 @@
         """Apply changes of the configuration and the targets."""
         for change in new_changes:
             if change.key == self._store_decoder.config_key:
-                self._on_config(change, source)
+                self._offer_config(change.value, change.rev, source)
             elif change.key.startswith(self._store_decoder.targets_prefix):
                 self._on_target(change, source)
 
-    def _on_config(self, change: replica.Change, source: str) -> None:
-        """Put a version of the configuration in force if it is valid and newer."""
-        if change.value is None:
-            loguru.logger.warning("event=config_missing rev={}", change.rev)
-            return
-        new_catalog = self._store_decoder.decode_catalog(change.value)
-        if isinstance(new_catalog, str):
-            loguru.logger.error(
-                "event=config_refused rev={} {}", change.rev, new_catalog
+    def _offer_config(self, value: bytes | None, rev: int, source: str) -> None:
+        """Put a configuration in force if it is valid and newer."""
+        self._config.offer(value, rev, source)
+        if self._config.catalog is not None:
+            self.targets.lockstep_services = frozenset(
+                service.name
+                for service in self._config.catalog.services.values()
+                if service.engine is not None and service.engine.layer_sets
             )
-            return
-        if new_catalog.version <= self.config_version:
-            loguru.logger.info(
-                "event=config_old version={} in_force={} source={}",
-                new_catalog.version,
-                self.config_version,
-                source,
-            )
-            return
-        self.catalog = new_catalog
-        self.targets.lockstep_services = frozenset(
-            service.name
-            for service in new_catalog.services.values()
-            if service.engine is not None and service.engine.layer_sets
-        )
-        loguru.logger.info(
-            "event=config_in_force version={} rev={} source={} routes={} keys={}",
-            new_catalog.version,
-            change.rev,
-            source,
-            len(new_catalog.list_routes()),
-            len(new_catalog.accounts),
-        )
 
     def _on_target(self, change: replica.Change, source: str) -> None:
         """Apply a change of a target's registration."""
@@ -265,9 +250,13 @@
                 self._list_prefix_states(),
                 self._incarnation,
                 self.limits.make_update(now, msg.sender, is_reply=True),
+                self._config.version,
             )
         if isinstance(msg, messages.FetchRequest):
             return self._make_fetch_reply(msg)
+        if isinstance(msg, messages.FetchConfig):
+            value = self._config.get_value_after(msg.version)
+            return messages.ConfigReply(self._config.version, value)
         if isinstance(msg, messages.Report):
             return self._on_report(msg)
         if isinstance(msg, messages.CrashSync):
@@ -414,10 +403,32 @@
                     await asyncio.sleep(FETCH_DELAY_S)
                 if state.changed_rev > watcher.replica.complete_rev:
                     await self._fetch_changes(peer, watcher)
-            if 0 < state.changed_rev <= watcher.replica.complete_rev:
-                # This replica now has all that the peer had when it replied.
+        if reply.config_version > self._config.version:
+            await self._fetch_config(peer)
+        for state in reply.prefix_states:
+            watcher = self._watchers.get(state.prefix)
+            if watcher is not None and self._has_all_of(watcher, state, reply):
                 watcher.freshness.confirm_by_peer(sent_at, state.age_s)
 
+    def _has_all_of(
+        self,
+        watcher: storewatcher.StoreWatcher,
+        state: messages.PrefixState,
+        reply: messages.HeartbeatReply,
+    ) -> bool:
+        """Return whether this entry now has all that a peer had when it replied."""
+        return (
+            0 < state.changed_rev <= watcher.replica.complete_rev
+            and reply.config_version <= self._config.version
+        )
+
+    async def _fetch_config(self, peer: rpc.Peer) -> None:
+        """Fetch the configuration in force at another entry if it is newer."""
+        request = messages.FetchConfig(self._config.version)
+        reply = await peer.call(request, FETCH_TIMEOUT_S)
+        if isinstance(reply, messages.ConfigReply) and reply.value is not None:
+            self._offer_config(reply.value, 0, peer.host)
+
     async def _fetch_crash_records(self, peer: rpc.Peer) -> None:
         """Fetch all crash records of another entry, after the start.
 
--- a/sardinesaddle/direct/entrypeers.py
+++ b/sardinesaddle/direct/entrypeers.py
@@ -87,6 +87,9 @@
         self._seeds: list[str] = []
         self._last_heard: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        # The hosts that were asked, whether they replied or not.
+        self._asked: set[str] = set()
+        self._has_asked_seeds = False
         # Set and replaced when all entries get a heartbeat at once.
         self._announced = asyncio.Event()
 
@@ -103,9 +106,16 @@
         """Return the hosts that get heartbeats, whether they reply or not."""
         return list(self._tasks)
 
+    @property
+    def has_asked_seeds(self) -> bool:
+        """Whether each seed was asked once since the start, and its reply applied."""
+        if not self._has_asked_seeds:
+            self._has_asked_seeds = self._asked.issuperset(self._seeds)
+        return self._has_asked_seeds
+
     def set_seeds(self, hosts: list[str]) -> None:
         """Set the seeds and start heartbeats to them."""
-        self._seeds = hosts
+        self._seeds = [host for host in hosts if host != self._host]
         for host in hosts:
             self._start_heartbeats(host)
 
@@ -141,6 +151,7 @@
             while True:
                 announced = self._announced
                 await self._send_heartbeat(peer, cursor)
+                self._asked.add(host)
                 last_heard = self._last_heard.get(host, started_at)
                 if loop.time() - last_heard > ENTRY_TTL_S:
                     if self._last_heard.pop(host, None) is not None:
--- a/sardinesaddle/direct/entrystate.py
+++ b/sardinesaddle/direct/entrystate.py
@@ -9,15 +9,18 @@
 class EntryState(abc.ABC):
     """State of the entry for the request path.
 
-    ``catalog`` is the configuration in force, None until the first one arrives.
     ``started_at`` is when the process started, on the event loop's clock.
     ``is_first_start`` is set if no process of the system ran before.
     """
 
-    catalog: catalog.Catalog | None
     started_at: float
     is_first_start: bool
 
+    @property
+    @abc.abstractmethod
+    def catalog(self) -> catalog.Catalog | None:
+        """The configuration in force, None until the first one may be used."""
+
     @abc.abstractmethod
     def compute_config_age(self) -> float:
         """Return the seconds since the catalog was confirmed to be the newest."""
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -87,13 +87,15 @@
 
     ``incarnation`` is a random number of the receiver's process, 0 if it does not take
     crash records. ``limits`` is None if the receiver knows of none; it has applied
-    those of the heartbeat.
+    those of the heartbeat. ``config_version`` is that of the configuration in force, 0
+    for none.
     """
 
     entries: list[str]
     prefix_states: list[PrefixState]
     incarnation: int = 0
     limits: LimitUpdate | None = None
+    config_version: int = 0
 
 
 class FetchRequest(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
@@ -124,6 +126,19 @@
     is_full: bool
 
 
+class FetchConfig(msgspec.Struct, frozen=True, array_like=True, tag="fetch_config"):
+    """Requests the configuration in force if its version is above ``version``."""
+
+    version: int
+
+
+class ConfigReply(msgspec.Struct, frozen=True, array_like=True, tag="config_reply"):
+    """The configuration in force as the store had it, None if it is not newer."""
+
+    version: int
+    value: bytes | None
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """State and load of a target, sent by its sidecar to an entry.
 
@@ -234,10 +249,13 @@
     reason: str
 
 
-Request = Heartbeat | FetchRequest | Report | CrashSync | ReadRank | OrderRank
+Request = (
+    Heartbeat | FetchRequest | FetchConfig | Report | CrashSync | ReadRank | OrderRank
+)
 Reply = (
     HeartbeatReply
     | FetchReply
+    | ConfigReply
     | ReportReply
     | CrashSyncReply
     | RankReply
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -80,6 +80,7 @@
         )
         self._model: catalog.EngineModel | None = None
         self._model_at = 0.0
+        self._model_version = 0  # of the configuration that the model is from
 
     @property
     def is_ready(self) -> bool:
@@ -110,19 +111,15 @@
         loop = asyncio.get_running_loop()
         if self._model is not None and loop.time() - self._model_at < MODEL_TTL_S:
             return self._model
-        request = messages.FetchRequest(self._store_decoder.config_prefix, 0)
+        request = messages.FetchConfig(self._model_version)
         for host in list(self._report_tasks):
             peer = rpc.Peer(host, self._cfg.node_port)
             reply = await peer.call(request, FETCH_TIMEOUT_S)
             peer.close()
-            if not isinstance(reply, messages.FetchReply):
+            if not isinstance(reply, messages.ConfigReply):
                 continue
-            for change in reply.changes:
-                if (
-                    change.key == self._store_decoder.config_key
-                    and change.value is not None
-                ):
-                    self._update_model(change.value)
+            if reply.value is not None:
+                self._update_model(reply.value)
             if self._model is not None:
                 self._model_at = loop.time()
                 break
@@ -134,6 +131,9 @@
         if isinstance(current_catalog, str):
             loguru.logger.warning("event=config_refused {}", current_catalog)
             return
+        if current_catalog.version <= self._model_version:
+            return
+        self._model_version = current_catalog.version
         service = current_catalog.services.get(self._cfg.service)
         if service is not None and service.engine is not None:
             self._model = service.engine
