Follow a store that comes back from an older copy

What callers saw: after a restore of the store, changes that had been confirmed were not in force; keys that were taken away stayed admitted, targets that had registered got nothing and targets that were gone were used on; and each entry called the store some 500 times a second.

Cause: revisions were compared across a restore. A restored store gives revisions out again, so a change under a lower or equal revision counted as old, and a watch went on from a revision that now means something else. Class: an order that is only valid within one life of its source (a process, an incarnation, a store) used across two.

Change: - A replica is of one era. What is of an earlier one is dropped; a later one begins with a full listing, from the store or another entry. Entries relay era and revision. - A rise of the era in any response, refusals and 410 included, means a new listing. - For 2.2 s after a restore, or until the operators have written again, no read confirms the replica: the store may lack what it had confirmed. Keys are then admitted by what was confirmed before, and unknown routes get 503 in place of 404. - Departures: entries remember incarnations that leave or are gone, and tell each other, since the copy lists them as ready again. A registration counts only if it was certainly written after the removal. Start times order incarnations of one id. - Registrations that the copy lacks have 2.2 s to return, like those that lapse. - An entry that starts asks its seeds when the present era began.

--- a/sardinesaddle/bench/rankchoice.py
+++ b/sardinesaddle/bench/rankchoice.py
@@ -14,7 +14,13 @@
 import typing
 
 from sardinesaddle.bench import report
-from sardinesaddle.direct import catalog, messages, requestqueue, targetpool
+from sardinesaddle.direct import (
+    catalog,
+    messages,
+    replica,
+    requestqueue,
+    targetpool,
+)
 
 SERVICE: typing.Final = "model"
 ENGINE_READ_PERIOD_S: typing.Final = 0.1
@@ -108,7 +114,7 @@
                 state=catalog.TargetState.READY,
                 warmup_s=0.0,
             )
-            pool.register(record, n + 1)
+            pool.register(record, replica.Position(rev=n + 1))
             pool.on_report(0.0, self._make_report(n, 0.0))
         return pool
 
--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -34,6 +34,7 @@
 from sardinesaddle.direct import (
     catalog,
     crashledger,
+    departures,
     freshness,
     nodemetrics,
     targetpool,
@@ -122,8 +123,10 @@
         clock: freshness.SuspendAwareClock,
         entry_metrics: nodemetrics.EntryMetrics,
         on_recorded: collections.abc.Callable[[], None],
+        left: departures.Departures,
     ) -> None:
         self._ledger = ledger
+        self._departures = left
         self._pool = pool
         self._clock = clock
         self._metrics = entry_metrics
@@ -247,6 +250,7 @@
         exchanges = self._get_exchanges(incarnation)
         exchanges.is_leaving |= (
             target.registration.state is catalog.TargetState.DRAINING
+            or self._departures.is_leaving(incarnation)
         )
         exchanges.evidence = exchanges.evidence or evidence
         exchanges.found_at = self._clock.read()
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -20,6 +20,7 @@
     configholder,
     crashdetector,
     crashledger,
+    departures,
     entrypeers,
     entrystate,
     forward,
@@ -35,6 +36,7 @@
     storewatcher,
     targetlimits,
     targetpool,
+    targetregistry,
     upstream,
 )
 
@@ -53,8 +55,6 @@
 NOT_READY_LEAD_S: typing.Final = 2.2  # two of the balancer's checks fail by then
 DRAIN_ACCEPT_S: typing.Final = 3.2  # after SIGTERM; later requests are refused
 KILL_MARGIN_S: typing.Final = 0.7  # before the platform kills the process
-# Targets whose registration expires this soon after an outage may register again.
-OUTAGE_MARGIN_S: typing.Final = 3.0
 
 
 class EntryNode(entrystate.EntryState, entrypeers.PeerObserver, rpc.Handler):
@@ -77,7 +77,8 @@
         self.started_at = 0.0
         self.is_first_start = cfg.is_first_start
         self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
-        self.targets = targetpool.TargetPool(cfg.place, self.limits)
+        self.departures = departures.Departures()
+        self.targets = targetpool.TargetPool(cfg.place, self.limits, self.departures)
         self.targets.set_entries(cfg.host, ())
         self.metrics = nodemetrics.EntryMetrics(cfg.name)
         self.pool = upstream.ConnectionPool()
@@ -96,12 +97,25 @@
                 (store_decoder.targets_prefix, TARGETS_WATCH_S),
             )
         }
+        self._config_watcher = self._watchers[store_decoder.config_prefix]
         bounds = make_bounds(cfg)
         self.crash_ledger = crashledger.CrashLedger()
         self._incarnation = rng.getrandbits(32) | 1
         self._peers = entrypeers.EntryPeers(cfg.host, cfg.node_port, rng, self)
         self._crashes = crashdetector.CrashDetector(
-            self.crash_ledger, self.pool, clock, self.metrics, self._peers.announce
+            self.crash_ledger,
+            self.pool,
+            clock,
+            self.metrics,
+            self._peers.announce,
+            self.departures,
+        )
+        self._registry = targetregistry.TargetRegistry(
+            store_decoder,
+            self.targets,
+            self.departures,
+            self._crashes,
+            self._watchers[store_decoder.targets_prefix],
         )
         self.forwarder = forward.Forwarder(
             self,
@@ -135,9 +149,13 @@
         """
         return self._config.catalog if self._peers.has_asked_seeds else None
 
+    def may_lack_config(self) -> bool:
+        """Return whether the store may lack a configuration that it had confirmed."""
+        return self._config_watcher.is_settling
+
     def compute_config_age(self) -> float:
         """Return the seconds since the catalog was confirmed to be the newest."""
-        return self._watchers[self._store_decoder.config_prefix].compute_age()
+        return self._config_watcher.compute_age()
 
     def _may_rely_on_peers(self) -> bool:
         """Return whether enough entries with lower addresses watch the store."""
@@ -166,73 +184,31 @@
         """Apply changes of the configuration and the targets."""
         for change in new_changes:
             if change.key == self._store_decoder.config_key:
-                self._offer_config(change.value, change.rev, source)
+                self._on_config(change, source)
             elif change.key.startswith(self._store_decoder.targets_prefix):
-                self._on_target(change, source)
+                self._registry.apply(change, source)
 
-    def _offer_config(self, value: bytes | None, rev: int, source: str) -> None:
-        """Put a configuration in force if it is valid and newer."""
-        self._config.offer(value, rev, source)
+    def _on_config(self, change: replica.Change, source: str) -> None:
+        """Put a version in force; one that was written in this era ends the settling.
+
+        What operators write again after a restore of the store is their newest version.
+        """
+        watcher = self._config_watcher
+        is_valid = self._offer_config(change.value, change.rev, source)
+        is_written_again = not watcher.replica.make_position(change.rev).may_be_copied
+        if is_valid and is_written_again and watcher.is_settling:
+            watcher.end_settling()
+
+    def _offer_config(self, value: bytes | None, rev: int, source: str) -> bool:
+        """Put a configuration in force if it is valid and newer; return if valid."""
+        is_valid = self._config.offer(value, rev, source)
         if self._config.catalog is not None:
             self.targets.lockstep_services = frozenset(
                 service.name
                 for service in self._config.catalog.services.values()
                 if service.engine is not None and service.engine.layer_sets
             )
-
-    def _on_target(self, change: replica.Change, source: str) -> None:
-        """Apply a change of a target's registration."""
-        target_id = self._store_decoder.get_target_id(change.key)
-        if change.value is None:
-            self._on_target_removed(target_id, change.rev, source)
-            return
-        registration = self._store_decoder.decode_target(change.key, change.value)
-        if isinstance(registration, str):
-            loguru.logger.warning(
-                "event=target_refused rev={} {}", change.rev, registration
-            )
-            self.targets.remove(target_id)
-            return
-        for replaced in self.targets.find_replaced(registration, change.created_rev):
-            self._crashes.on_target_ended(replaced, crashdetector.Evidence.REPLACED)
-        if self.targets.register(registration, change.created_rev):
-            loguru.logger.info(
-                "event=target_{} target={} service={} address={}:{} rev={} source={}",
-                registration.state.value,
-                target_id,
-                registration.service,
-                registration.host,
-                registration.port,
-                change.rev,
-                source,
-            )
-
-    def _on_target_removed(self, target_id: str, rev: int, source: str) -> None:
-        """Remove a target; around an outage of the store, after a grace period."""
-        target = self.targets.get(target_id)
-        if target is None:
-            return
-        outage = self._watchers[self._store_decoder.targets_prefix].outage
-        now = self._clock.read()
-        is_around_outage = outage.is_out or now - outage.recovered_at < OUTAGE_MARGIN_S
-        was_draining = target.registration.state is catalog.TargetState.DRAINING
-        if is_around_outage and not was_draining:
-            grace_start = now if outage.is_out else outage.recovered_at
-            grace_s = grace_start - now + targetpool.REREGISTRATION_GRACE_S
-            loop = asyncio.get_running_loop()
-            self.targets.schedule_removal(target_id, loop.time() + grace_s)
-            outcome = "lapsed"
-        else:
-            self.targets.remove(target_id)
-            self._crashes.on_target_ended(target, crashdetector.Evidence.UNREGISTERED)
-            outcome = "gone"
-        loguru.logger.info(
-            "event=target_{} target={} rev={} source={}",
-            outcome,
-            target_id,
-            rev,
-            source,
-        )
+        return is_valid
 
     # Messages of other processes.
 
@@ -241,6 +217,7 @@
         if isinstance(msg, messages.Heartbeat):
             self._peers.on_entry_alive(msg.sender)
             self._merge_crash_records(msg.crash_records, msg.sender)
+            self._merge_departures(msg.departures, msg.sender)
             now = asyncio.get_running_loop().time()
             self.limits.on_message(
                 now, msg.sender, msg.incarnation, msg.entries, msg.limits
@@ -271,6 +248,8 @@
                 watcher.replica.changed_rev,
                 watcher.replica.complete_rev,
                 watcher.compute_age(),
+                watcher.replica.era,
+                watcher.compute_settled_age(),
             )
             for prefix, watcher in self._watchers.items()
         ]
@@ -280,13 +259,18 @@
         watcher = self._watchers.get(msg.prefix)
         if watcher is None:
             return None
-        delta = watcher.replica.make_delta(msg.after)
+        delta = watcher.replica.make_delta(msg.era, msg.after)
         changes = [
             messages.WireChange(c.key, c.rev, c.value, c.created_rev)
             for c in delta.changes
         ]
         return messages.FetchReply(
-            msg.prefix, changes, delta.complete_rev, delta.is_full
+            msg.prefix,
+            changes,
+            delta.complete_rev,
+            delta.is_full,
+            delta.era,
+            watcher.replica.copied_rev,
         )
 
     def _on_report(self, report: messages.Report) -> messages.ReportReply:
@@ -352,6 +336,26 @@
             return [], after
         return ledger.list_changes(self._clock.read(), after), ledger.change_number
 
+    def list_departures(self, after: int) -> tuple[list[messages.Departure], int]:
+        """Return the departures that changed, and the newest change number."""
+        left = self.departures
+        if left.change_number == after:
+            return [], after
+        return left.list_changes(read_loop_time(), after), left.change_number
+
+    def _merge_departures(
+        self, received: list[messages.Departure], source: str
+    ) -> None:
+        """Merge what another entry knows of targets that leave or are gone."""
+        changed = self.departures.merge(read_loop_time(), received)
+        if changed:
+            self.targets.invalidate_lists()
+            loguru.logger.info(
+                "event=departures_merged source={} targets={}",
+                source,
+                ",".join(changed),
+            )
+
     def _merge_crash_records(
         self, records: list[messages.CrashRecord], source: str
     ) -> None:
@@ -369,7 +373,8 @@
         is_known = msg.known_incarnation == self._incarnation
         records, newest = self.list_crash_records(msg.known_change if is_known else 0)
         self._merge_crash_records(msg.crash_records, msg.sender)
-        return messages.CrashSyncReply(self._incarnation, newest, records)
+        left = self.list_departures(0)[0] if msg.known_incarnation == 0 else []
+        return messages.CrashSyncReply(self._incarnation, newest, records, left)
 
     async def on_heartbeat_reply(
         self,
@@ -398,16 +403,20 @@
             watcher = self._watchers.get(state.prefix)
             if watcher is None:
                 continue
-            if state.changed_rev > watcher.replica.complete_rev:
+            if watcher.is_ahead(state.era, state.changed_rev):
                 if not watcher.is_passive:
                     await asyncio.sleep(FETCH_DELAY_S)
-                if state.changed_rev > watcher.replica.complete_rev:
+                if watcher.is_ahead(state.era, state.changed_rev):
                     await self._fetch_changes(peer, watcher)
         if reply.config_version > self._config.version:
             await self._fetch_config(peer)
         for state in reply.prefix_states:
             watcher = self._watchers.get(state.prefix)
-            if watcher is not None and self._has_all_of(watcher, state, reply):
+            if watcher is None:
+                continue
+            if not self._peers.has_asked_seeds:
+                watcher.learn_restore(state.era, state.settled_age_s)
+            if self._has_all_of(watcher, state, reply):
                 watcher.freshness.confirm_by_peer(sent_at, state.age_s)
 
     def _has_all_of(
@@ -418,7 +427,9 @@
     ) -> bool:
         """Return whether this entry now has all that a peer had when it replied."""
         return (
-            0 < state.changed_rev <= watcher.replica.complete_rev
+            state.changed_rev > 0
+            and state.era == watcher.replica.era
+            and state.changed_rev <= watcher.replica.complete_rev
             and reply.config_version <= self._config.version
         )
 
@@ -439,20 +450,23 @@
         if isinstance(reply, messages.CrashSyncReply):
             self._crash_sources.add(peer.host)
             self._merge_crash_records(reply.crash_records, peer.host)
+            self._merge_departures(reply.departures, peer.host)
 
     async def _fetch_changes(
         self, peer: rpc.Peer, watcher: storewatcher.StoreWatcher
     ) -> None:
         """Fetch missing changes from another entry and apply them."""
-        after = watcher.replica.complete_rev
-        request = messages.FetchRequest(watcher.prefix, after)
+        known = watcher.replica
+        request = messages.FetchRequest(watcher.prefix, known.complete_rev, known.era)
         reply = await peer.call(request, FETCH_TIMEOUT_S)
         if not isinstance(reply, messages.FetchReply):
             return
         changes = tuple(
             replica.Change(c.key, c.rev, c.value, c.created_rev) for c in reply.changes
         )
-        delta = replica.Delta(changes, reply.complete_rev, reply.is_full)
+        delta = replica.Delta(
+            changes, reply.complete_rev, reply.is_full, reply.era, reply.copied_rev
+        )
         watcher.apply(delta, peer.host)
 
     # Life cycle.
@@ -481,20 +495,15 @@
         while True:
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             now = loop.time()
-            for target in self.targets.remove_expired(now):
-                self._crashes.on_target_ended(
-                    target, crashdetector.Evidence.UNREGISTERED
-                )
-                loguru.logger.info(
-                    "event=target_gone target={} source=lapse", target.target_id
-                )
+            self._registry.remove_expired(now)
+            self.departures.forget(now, self.targets.list_incarnations())
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
             self._refresh_limits(now)
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
-                self._watchers[self._store_decoder.config_prefix].era,
+                self._config_watcher.replica.era,
                 len(self.targets),
                 self.crash_ledger.count_refused(self._clock.read()),
             )
--- a/sardinesaddle/direct/entrypeers.py
+++ b/sardinesaddle/direct/entrypeers.py
@@ -5,10 +5,10 @@
 of for ``ENTRY_TTL_S``; seeds are retried forever. With many entries each one gets
 heartbeats less often, so that their number for a process stays bounded.
 
-Heartbeats also carry the changes to this entry's crash ledger that the receiver has
-not acknowledged yet. A crash that this entry found itself is announced at once; records
-that it got from others go with the regular heartbeats, for entries that the others do
-not reach. A receiver that restarted gets all records again.
+Heartbeats also carry the changes to this entry's crash ledger and departures that the
+receiver has not acknowledged yet. What this entry found itself is announced at once;
+records that it got from others go with the regular heartbeats, for entries that the
+others do not reach. A receiver that restarted gets all records again.
 """
 
 import abc
@@ -30,13 +30,14 @@
 
 @dataclasses.dataclass(slots=True)
 class LedgerCursor:
-    """Which changes of the crash ledger a receiver of heartbeats has.
+    """Which changes of crash ledger and departures a receiver of heartbeats has.
 
     ``incarnation`` is that of the receiver's process.
     """
 
     incarnation: int = 0
     change_number: int = 0
+    departure_number: int = 0
 
 
 class PeerObserver(abc.ABC):
@@ -46,6 +47,10 @@
     def list_crash_records(self, after: int) -> tuple[list[messages.CrashRecord], int]:
         """Return the records changed after a change number, and the newest number."""
 
+    @abc.abstractmethod
+    def list_departures(self, after: int) -> tuple[list[messages.Departure], int]:
+        """Return the departures changed after a number, and the newest number."""
+
     @property
     @abc.abstractmethod
     def incarnation(self) -> int:
@@ -172,20 +177,23 @@
         """Send one heartbeat and pass the reply on."""
         sent_at = self._observer.read_clock()
         records, newest = self._observer.list_crash_records(cursor.change_number)
+        left, newest_left = self._observer.list_departures(cursor.departure_number)
         heartbeat = messages.Heartbeat(
             self._host,
             self.list_entries(),
             records,
             self._observer.incarnation,
             self._observer.make_limit_update(peer.host),
+            left,
         )
         reply = await peer.call(heartbeat, HEARTBEAT_TIMEOUT_S)
         if not isinstance(reply, messages.HeartbeatReply):
             return
-        if reply.incarnation == cursor.incarnation or cursor.change_number == 0:
-            cursor.change_number = newest
-        else:
-            cursor.change_number = 0
+        is_new_process = reply.incarnation != cursor.incarnation
+        cursor.change_number = 0 if is_new_process and cursor.change_number else newest
+        cursor.departure_number = (
+            0 if is_new_process and cursor.departure_number else newest_left
+        )
         cursor.incarnation = reply.incarnation
         self.on_entry_alive(peer.host)
         for host in reply.entries:
--- a/sardinesaddle/direct/entrystate.py
+++ b/sardinesaddle/direct/entrystate.py
@@ -21,6 +21,10 @@
     def catalog(self) -> catalog.Catalog | None:
         """The configuration in force, None until the first one may be used."""
 
+    @abc.abstractmethod
+    def may_lack_config(self) -> bool:
+        """Return whether the store may lack a configuration that it had confirmed."""
+
     @abc.abstractmethod
     def compute_config_age(self) -> float:
         """Return the seconds since the catalog was confirmed to be the newest."""
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -126,6 +126,7 @@
             return refuse_not_run("no_configuration")
         is_config_stale = (
             self._entry_state.compute_config_age() > self._bounds.stale_age_s
+            or self._entry_state.may_lack_config()
         )
         route = current_catalog.find_route(req.host, req.path)
         if route is None:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -18,12 +18,17 @@
 
     ``changed_rev`` is the revision of the newest change in the replica. All changes up
     to ``complete_rev`` are in it. ``age_s`` is the time since that was confirmed.
+    ``era`` is the store's; revisions of different eras cannot be compared. If the
+    process saw the store come back from a copy, ``settled_age_s`` is the time since
+    what was lost counts as written again, negative before that.
     """
 
     prefix: str
     changed_rev: int
     complete_rev: int
     age_s: float
+    era: int = 0
+    settled_age_s: float | None = None
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -39,6 +44,24 @@
     last_crash_age_s: float
 
 
+Position = tuple[int, int, bool]
+"""Era and revision of a change in the store, and whether it may have been copied."""
+
+
+class Departure(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of the end of an incarnation of a target.
+
+    ``removed`` is where the store removed it, ``returned`` where it registered again.
+    ``age_s`` is the time since the last change to the record.
+    """
+
+    incarnation: str
+    is_leaving: bool
+    removed: Position | None
+    returned: Position | None
+    age_s: float
+
+
 class LimitStatement(msgspec.Struct, frozen=True, array_like=True):
     """The request limit that an incarnation of a target states.
 
@@ -71,8 +94,8 @@
     """Sent by an entry to another entry, with the entries that the sender has found.
 
     ``crash_records`` are those that changed since the last heartbeat that the receiver
-    replied to. ``incarnation`` is a random number of the sender's process. ``limits``
-    is None if the sender knows of none.
+    replied to, and so are ``departures``. ``incarnation`` is a random number of the
+    sender's process. ``limits`` is None if the sender knows of none.
     """
 
     sender: str
@@ -80,6 +103,7 @@
     crash_records: list[CrashRecord] = []
     incarnation: int = 0
     limits: LimitUpdate | None = None
+    departures: list[Departure] = []
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat_reply"):
@@ -99,10 +123,11 @@
 
 
 class FetchRequest(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
-    """Requests the changes of a store prefix after revision ``after``."""
+    """Requests the changes of a store prefix after revision ``after`` of an era."""
 
     prefix: str
     after: int
+    era: int = 0
 
 
 class WireChange(msgspec.Struct, frozen=True, array_like=True):
@@ -117,13 +142,16 @@
 class FetchReply(msgspec.Struct, frozen=True, array_like=True, tag="fetch_reply"):
     """The requested changes, complete up to ``complete_rev``.
 
-    If ``is_full`` is set, the changes list all existing keys of the prefix.
+    If ``is_full`` is set, the changes list all existing keys of the prefix. Changes up
+    to ``copied_rev`` may be older than the era.
     """
 
     prefix: str
     changes: list[WireChange]
     complete_rev: int
     is_full: bool
+    era: int = 0
+    copied_rev: int = 0
 
 
 class FetchConfig(msgspec.Struct, frozen=True, array_like=True, tag="fetch_config"):
@@ -193,11 +221,15 @@
 
 
 class CrashSyncReply(msgspec.Struct, frozen=True, array_like=True, tag="crash_reply"):
-    """The records that the sidecar lacks, and the entry's newest change number."""
+    """The records that the sender lacks, and the entry's newest change number.
+
+    ``departures`` has all that the entry knows, if the sender has no records yet.
+    """
 
     incarnation: int
     change_number: int
     crash_records: list[CrashRecord]
+    departures: list[Departure] = []
 
 
 class ReadRank(msgspec.Struct, frozen=True, array_like=True, tag="read_rank"):
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -42,7 +42,13 @@
 import dataclasses
 import typing
 
-from sardinesaddle.direct import catalog, messages, targetlimits
+from sardinesaddle.direct import (
+    catalog,
+    departures,
+    messages,
+    replica,
+    targetlimits,
+)
 
 REPORT_TTL_S: typing.Final = 0.8  # several report periods of at most 0.3 s
 # A registration may return two seconds after the store does; the rest is watch delay.
@@ -75,11 +81,13 @@
 class Target:
     """A target, its last report, and this entry's own requests and results.
 
-    Times are the event loop's.
+    ``created`` and ``listed`` are where in the store's history its registration was
+    created and last changed. Times are the event loop's.
     """
 
     registration: catalog.TargetRegistration
-    created_rev: int = 0
+    created: replica.Position = replica.BEGINNING
+    listed: replica.Position = replica.BEGINNING
     own_in_flight: int = 0
     own_suspects: int = 0
     report: messages.Report | None = None
@@ -131,10 +139,14 @@
     """The targets known to an entry, with load balancing and outlier ejection."""
 
     def __init__(
-        self, place: str, limits: targetlimits.TargetLimits | None = None
+        self,
+        place: str,
+        limits: targetlimits.TargetLimits | None = None,
+        left: departures.Departures | None = None,
     ) -> None:
         self._place = place
         self._limits = limits or targetlimits.TargetLimits("", 0.0)
+        self._departures = left or departures.Departures()
         self._own_host = ""
         self._entry_hosts: list[str] = []
         # Caches by service: the targets that may get new requests, and the subset.
@@ -161,7 +173,8 @@
     def list_available(self, service: str) -> list[Target]:
         """Return the targets of a service that may get new requests.
 
-        These are ready, at a current address, and the newest at that address.
+        These are ready, have not left, and are the newest at their address, which no
+        other target has taken.
         """
         available = self._available.get(service)
         if available is None:
@@ -171,6 +184,9 @@
                 if candidate.registration.service == service
                 and candidate.registration.state is catalog.TargetState.READY
                 and not candidate.has_stale_address
+                and self._departures.may_serve(
+                    candidate.registration.incarnation, candidate.listed
+                )
                 and self._by_address[candidate.address] is candidate
             ]
             self._available[service] = available
@@ -203,8 +219,8 @@
             known.registration.service
         )
 
-    def _invalidate_lists(self) -> None:
-        """Clear the cached lists and subsets after a change of the targets."""
+    def invalidate_lists(self) -> None:
+        """Clear the cached lists and subsets after targets or departures changed."""
         self._available.clear()
         self._subsets.clear()
 
@@ -230,29 +246,43 @@
         """Return a target by its identifier, or None if it is not registered."""
         return self._targets.get(target_id)
 
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target stated that it leaves."""
+        return (
+            target.registration.state is catalog.TargetState.DRAINING
+            or self._departures.is_leaving(target.registration.incarnation)
+        )
+
     def register(
-        self, registration: catalog.TargetRegistration, created_rev: int = 0
+        self,
+        registration: catalog.TargetRegistration,
+        created: replica.Position = replica.BEGINNING,
+        listed: replica.Position = replica.BEGINNING,
     ) -> bool:
         """Add or update a target; return whether it is new or its state changed.
 
-        ``created_rev`` is the store's revision that created the registration.
+        The positions are those at which the store created and last changed the
+        registration. An incarnation that is known keeps the first one.
         """
         known = self._targets.get(registration.target_id)
-        self._invalidate_lists()
+        self.invalidate_lists()
         if known is None:
-            added = Target(registration, created_rev)
+            added = Target(registration, created, listed)
             self._targets[registration.target_id] = added
-            known = self._by_address.get(added.address)
-            if known is None or known.created_rev < created_rev:
+            at_address = self._by_address.get(added.address)
+            if at_address is None or created.is_after(at_address.created):
                 self._by_address[added.address] = added
             return True
         is_state_changed = known.registration.state is not registration.state
+        if known.registration.incarnation != registration.incarnation:
+            known.created = created
         known.registration = registration
+        known.listed = listed
         known.removal_deadline = None
         return is_state_changed
 
     def find_replaced(
-        self, registration: catalog.TargetRegistration, created_rev: int
+        self, registration: catalog.TargetRegistration, created: replica.Position
     ) -> list[Target]:
         """Return the targets that must have ended, since another one is registered.
 
@@ -268,7 +298,7 @@
         if (
             known is not None
             and known.target_id != registration.target_id
-            and known.created_rev < created_rev
+            and created.is_after(known.created)
         ):
             replaced.append(known)
         return replaced
@@ -278,13 +308,17 @@
         removed = self._targets.pop(target_id, None)
         if removed is None:
             return
-        self._invalidate_lists()
+        self.invalidate_lists()
         if self._by_address.get(removed.address) is not removed:
             return
         del self._by_address[removed.address]
         others = [t for t in self._targets.values() if t.address == removed.address]
         if others:
-            self._by_address[removed.address] = max(others, key=lambda t: t.created_rev)
+            newest = others[0]
+            for other in others[1:]:
+                if other.created.is_after(newest.created):
+                    newest = other
+            self._by_address[removed.address] = newest
 
     def schedule_removal(self, target_id: str, deadline: float) -> None:
         """Remove a target at the deadline unless it is registered again before.
@@ -538,7 +572,7 @@
     def on_stale_address(self, target: Target) -> None:
         """Exclude a target at whose address another target responds."""
         target.has_stale_address = True
-        self._invalidate_lists()
+        self.invalidate_lists()
 
 
 def make_address_sort_key(host: str) -> tuple[tuple[int, str], ...]:
--- a/sardinesaddle/spec/runner.py
+++ b/sardinesaddle/spec/runner.py
@@ -11,6 +11,7 @@
     opaquekeys,
     revisions,
     stepgrants,
+    storeeras,
     storefreshness,
 )
 
@@ -21,6 +22,7 @@
     (stepgrants.StepGrants, stepgrants),
     (mapswitches.MapSwitches, mapswitches),
     (storefreshness.StoreFreshness, storefreshness),
+    (storeeras.StoreEras, storeeras),
 )
 
 
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -61,7 +61,7 @@
     """
 
     def __init__(self) -> None:
-        self.era = 0
+        self.era = 1
         self.rev = 1
         self.items: dict[str, replica.Change] = {}
         self.history: list[replica.Change] = []
--- a/test/test_direct_scheduling.py
+++ b/test/test_direct_scheduling.py
@@ -12,6 +12,7 @@
     catalog,
     entrystate,
     messages,
+    replica,
     requestqueue,
     requestscheduler,
     targetpool,
@@ -29,6 +30,10 @@
     started_at = 0.0
     is_first_start = False
 
+    def may_lack_config(self) -> bool:
+        """Return that the store was not restored."""
+        return False
+
     def compute_config_age(self) -> float:
         """Return an age of 0 s."""
         return 0.0
@@ -49,7 +54,7 @@
                 f"t{index}", "model", f"10.{index % 3}.1.{index}", 80, "p",
                 SLOTS_PER_TARGET, catalog.TargetState.READY, 0.0,
             ),
-            index,
+            replica.Position(rev=index),
         )  # fmt: skip
     return pool
 
--- a/test/test_direct_store.py
+++ b/test/test_direct_store.py
@@ -274,14 +274,14 @@
 def test_replica_delta_carries_deletions_or_is_whole_listing() -> None:
     first, second = replica.Replica(), replica.Replica()
     first.apply(replica.Delta((replica.Change("a", 2, b"1"),), 2, True))
-    second.apply(first.make_delta(0))
+    second.apply(first.make_delta(0, 0))
     first.apply(replica.Delta((replica.Change("a", 3, None),), 3, False))
-    delta = first.make_delta(second.complete_rev)
+    delta = first.make_delta(0, second.complete_rev)
     assert not delta.is_full
     second.apply(delta)
     assert second.get_value("a") is None
     assert second.complete_rev == 3
-    assert first.make_delta(0).is_full
+    assert first.make_delta(0, 0).is_full
 
 
 def test_config_age_counts_from_end_of_last_unchanged_watch() -> None:
