Use a target that registers again at another address

A target that registered under its id again at another address was not found in the table by address, which kept only the first one: list_available raised KeyError, so that callers of its service got 500 (seen in a scenario of test_direct_restore), or, if another target had been registered at the new address before, it got nothing.

--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -114,7 +114,7 @@
     @property
     def address(self) -> str:
         """The address on which the target listens, as in reports."""
-        return f"{self.registration.host}:{self.registration.port}"
+        return make_address(self.registration)
 
     def has_fresh_report(self, now: float) -> bool:
         """Return whether the sidecar reported within ``REPORT_TTL_S``."""
@@ -269,17 +269,35 @@
         if known is None:
             added = Target(registration, created, listed)
             self._targets[registration.target_id] = added
-            at_address = self._by_address.get(added.address)
-            if at_address is None or created.is_after(at_address.created):
-                self._by_address[added.address] = added
+            self._claim_address(added)
             return True
         is_state_changed = known.registration.state is not registration.state
+        is_address_changed = known.address != make_address(registration)
+        if is_address_changed:
+            self._release_address(known)
         if known.registration.incarnation != registration.incarnation:
             known.created = created
         known.registration = registration
         known.listed = listed
         known.removal_deadline = None
-        return is_state_changed
+        if is_address_changed:
+            self._claim_address(known)
+        return is_state_changed or is_address_changed
+
+    def _claim_address(self, target: Target) -> None:
+        """Use a target at its address unless a later one is registered there."""
+        known = self._by_address.get(target.address)
+        if known is None or target.created.is_after(known.created):
+            self._by_address[target.address] = target
+
+    def _release_address(self, target: Target) -> None:
+        """Use another target at a target's address, the last one if there are more."""
+        if self._by_address.get(target.address) is not target:
+            return
+        del self._by_address[target.address]
+        for other in self._targets.values():
+            if other is not target and other.address == target.address:
+                self._claim_address(other)
 
     def find_replaced(
         self, registration: catalog.TargetRegistration, created: replica.Position
@@ -293,8 +311,7 @@
         same_id = self._targets.get(registration.target_id)
         if same_id and same_id.registration.incarnation != registration.incarnation:
             replaced.append(same_id)
-        address = f"{registration.host}:{registration.port}"
-        known = self._by_address.get(address)
+        known = self._by_address.get(make_address(registration))
         if (
             known is not None
             and known.target_id != registration.target_id
@@ -309,16 +326,7 @@
         if removed is None:
             return
         self.invalidate_lists()
-        if self._by_address.get(removed.address) is not removed:
-            return
-        del self._by_address[removed.address]
-        others = [t for t in self._targets.values() if t.address == removed.address]
-        if others:
-            newest = others[0]
-            for other in others[1:]:
-                if other.created.is_after(newest.created):
-                    newest = other
-            self._by_address[removed.address] = newest
+        self._release_address(removed)
 
     def schedule_removal(self, target_id: str, deadline: float) -> None:
         """Remove a target at the deadline unless it is registered again before.
@@ -575,6 +583,11 @@
         self.invalidate_lists()
 
 
+def make_address(registration: catalog.TargetRegistration) -> str:
+    """Return the address at which a target is registered."""
+    return f"{registration.host}:{registration.port}"
+
+
 def make_address_sort_key(host: str) -> tuple[tuple[int, str], ...]:
     """Return a key that sorts IP addresses by the values of their parts."""
     return tuple(
--- a/test/test_direct_scheduling.py
+++ b/test/test_direct_scheduling.py
@@ -274,3 +274,18 @@
         return load * tally.weighted_answers / tally.requests
 
     assert measure_goodput(2.0) >= measure_goodput(1.0)
+
+
+def test_target_that_registers_again_at_another_address_is_used_there() -> None:
+    pool = targetpool.TargetPool("p")
+    pool.set_entries("10.0.1.1", ENTRY_HOSTS)
+    for rev, (target_id, port) in enumerate((("a", 80), ("b", 81), ("a", 81))):
+        registration = catalog.TargetRegistration(
+            target_id, "plain", "10.0.1.9", port, "p", 4, catalog.TargetState.READY, 0.0,
+            started_ms=rev,
+        )  # fmt: skip
+        pool.register(registration, replica.Position(rev=rev))
+    # The later registration at an address is the one in use.
+    assert [t.target_id for t in pool.list_available("plain")] == ["a"]
+    pool.remove("a")
+    assert [t.target_id for t in pool.list_available("plain")] == ["b"]
