Refuse a configuration that contradicts itself

The decoder checked types only: of two accounts with one key the last was taken, of two routes or services of one name the last or the longest, and time limits of zero or less, negative weights and prefixes without their slashes were put in force. Now such a version is refused with the reason, and the one in force stays. Keys are not logged.

What is unknown here stays allowed: kinds of routes, services without an entry, further fields.

--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -1,5 +1,6 @@
 """Decodes values of the platform's store into the types of ``direct.catalog``."""
 
+import collections
 import typing
 
 import msgspec
@@ -13,6 +14,10 @@
 SECONDS_PER_MS: typing.Final = 1e-3
 
 
+PositiveMs = typing.Annotated[float, msgspec.Meta(gt=0)]
+Weight = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class Fault(msgspec.Struct, frozen=True):
     """Returned when a stored value is invalid; ``reason`` is for logs."""
 
@@ -23,7 +28,7 @@
     """A service of a ``traffic_split``, with its weight."""
 
     service: str
-    weight: float = 1.0
+    weight: Weight = 1.0
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -31,9 +36,9 @@
 
     name: str
     host: str
-    prefix: str
+    prefix: typing.Annotated[str, msgspec.Meta(pattern="^/(.*/)?$")]
     kind: str
-    timeout_ms: float
+    timeout_ms: PositiveMs
     target_latency_ms: float = 400.0
     gap_aim_ms: float = 120.0
     priority: int = 5
@@ -99,7 +104,7 @@
 class WireConfig(msgspec.Struct, frozen=True):
     """The whole configuration, as stored under ``CONFIG_KEY``."""
 
-    version: int
+    version: typing.Annotated[int, msgspec.Meta(ge=1)]
     routes: list[WireRoute]
     services: list[WireService]
     tenants: list[WireAccount] = []
@@ -127,6 +132,8 @@
         wire = msgspec.json.decode(data, type=WireConfig)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         return Fault(f"invalid configuration: {exc}")
+    if contradiction := find_contradiction(wire):
+        return Fault(f"invalid configuration: {contradiction}")
     accounts = {
         key: catalog.Account(wire_tenant.name, wire_tenant.priority)
         for wire_tenant in wire.tenants
@@ -143,6 +150,23 @@
     return catalog.Catalog(wire.version, routes, services, accounts, limits)
 
 
+def find_contradiction(wire: WireConfig) -> str | None:
+    """Return what a configuration states twice, and thus not clearly, or None."""
+    routes = [f"route {route.host}{route.prefix}" for route in wire.routes]
+    services = [f"service {service.name}" for service in wire.services]
+    # Keys are secret, so only the account is named.
+    owners: dict[str, str] = {}
+    for account in wire.tenants:
+        for key in account.api_keys:
+            if owners.setdefault(key, account.name) != account.name:
+                return f"accounts {owners[key]} and {account.name} have the same key"
+    for names in filter(None, (routes, services)):
+        name, count = collections.Counter(names).most_common(1)[0]
+        if count > 1:
+            return f"{name} is listed twice"
+    return None
+
+
 def decode_route(wire: WireRoute) -> catalog.Route:
     """Convert a route.
 
--- a/test/test_direct_scheduling.py
+++ b/test/test_direct_scheduling.py
@@ -281,8 +281,8 @@
     pool.set_entries("10.0.1.1", ENTRY_HOSTS)
     for rev, (target_id, port) in enumerate((("a", 80), ("b", 81), ("a", 81))):
         registration = catalog.TargetRegistration(
-            target_id, "plain", "10.0.1.9", port, "p", 4, catalog.TargetState.READY, 0.0,
-            started_ms=rev,
+            target_id, "plain", "10.0.1.9", port, "p", 4, catalog.TargetState.READY,
+            0.0, started_ms=rev,
         )  # fmt: skip
         pool.register(registration, replica.Position(rev=rev))
     # The later registration at an address is the one in use.
--- a/test/test_direct_store.py
+++ b/test/test_direct_store.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import typing
+
+import pytest
 
 from sardinesaddle.direct import replica, storewatcher
 from test import directfleet as df
@@ -15,6 +18,52 @@
     return [node.config_version for node in fleet.entries]
 
 
+def repeat_first(config: dict[str, typing.Any], name: str) -> dict[str, typing.Any]:
+    """Return a configuration that lists the first item of a list once more."""
+    return config | {name: [*config[name], config[name][0]]}
+
+
+def change_first_route(
+    config: dict[str, typing.Any], **fields: object
+) -> dict[str, typing.Any]:
+    """Return a configuration with other fields of the first route."""
+    first, *others = config["routes"]
+    return config | {"routes": [first | fields, *others]}
+
+
+@pytest.mark.parametrize(
+    "make_invalid",
+    [
+        lambda config: repeat_first(config, "routes"),
+        lambda config: repeat_first(config, "services"),
+        lambda config: (
+            config
+            | {"tenants": [*config["tenants"], {"name": "bob", "api_keys": ["key-a"]}]}
+        ),
+        lambda config: config | {"version": 0},
+        lambda config: change_first_route(config, timeout_ms=0),
+        lambda config: change_first_route(config, timeout_ms=-5),
+        lambda config: change_first_route(config, prefix="once/"),
+        lambda config: change_first_route(config, prefix="/once"),
+        lambda config: change_first_route(
+            config, traffic_split=[{"service": "plain", "weight": -1}]
+        ),
+    ],
+)
+def test_config_that_is_not_clear_is_never_put_in_force(
+    make_invalid: typing.Callable[[dict[str, typing.Any]], dict[str, typing.Any]],
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        fleet.store.put("op/config", make_invalid(df.make_config(version=7)))
+        await fleet.settle(0.2)
+        assert list_config_versions(fleet) == [1, 1]
+        fleet.store.put("op/config", df.make_config(version=8))
+        await fleet.settle(0.2)
+        assert list_config_versions(fleet) == [8, 8]
+
+    df.run_scenario(scenario, entry_count=2)
+
+
 class RefusingStore(df.MemoryStore):
     """A store that refuses every call."""
 
