Read for how long a target that refuses wants nothing, and show it in log and metrics

Retry-After of a target's 503 was read by nobody. It is decoded, logged for each refusal and counted by service; a value that is no number is logged as such. What entries do is unchanged.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -381,6 +381,7 @@
 
         def on_head(metadata: headercodec.ResponseMetadata) -> None:
             self._record_limit(incarnation, sent_at, metadata)
+            self._record_rest(state, incarnation, metadata)
 
         def on_first_event() -> None:
             state.first_event_at = asyncio.get_running_loop().time()
@@ -417,6 +418,30 @@
         now = asyncio.get_running_loop().time()
         self._limits.on_response(now, incarnation, sent_at, metadata.rate_limit)
 
+    def _record_rest(
+        self,
+        state: requeststate.RequestState,
+        incarnation: str,
+        metadata: headercodec.ResponseMetadata,
+    ) -> None:
+        """Record for how long a target that refused the request wants nothing."""
+        if metadata.invalid_rest is not None:
+            loguru.logger.warning(
+                "event=target_rest_invalid target={} value={!r:.60}",
+                incarnation,
+                metadata.invalid_rest,
+            )
+        if metadata.rest_s is None:
+            return
+        self._metrics.count_rest(state.service)
+        loguru.logger.info(
+            "event=target_rests target={} rest_s={:.2f} id={} not_run={}",
+            incarnation,
+            metadata.rest_s,
+            state.req.metadata.attempt_id,
+            metadata.was_not_run,
+        )
+
     def _make_upstream_headers(
         self, state: requeststate.RequestState, target: targetpool.Target
     ) -> headercodec.Headers:
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -46,7 +46,9 @@
     if it is not the target that the request names, and ``is_signed`` if the response
     has the target's signature. ``rate_limit`` is how many requests a second the target
     takes from all entries together, None if it states no limit. ``invalid_rate_limit``
-    is what it states instead of a number, None if it does not.
+    is what it states instead of a number, None if it does not. ``rest_s`` is for how
+    long the target wants nothing from this entry, None if it did not ask for that, and
+    ``invalid_rest`` what it states instead of a number.
     """
 
     was_not_run: bool
@@ -54,6 +56,8 @@
     is_signed: bool
     rate_limit: float | None = None
     invalid_rate_limit: str | None = None
+    rest_s: float | None = None
+    invalid_rest: str | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -29,6 +29,10 @@
             "refusals_total", "Requests that the entry itself refused, by reason."
         )
         self._retries = self.make_counter("repeats_total", "Retries by service.")
+        self._rests = self.make_counter(
+            "target_rests_total",
+            "Refusals in which targets asked for rest, by service.",
+        )
         self._first_event_seconds = self.make_histogram(
             "first_event_seconds", "Seconds to the first event of a stream."
         )
@@ -80,6 +84,10 @@
         """Count a retry."""
         self._retries.inc({"service": service})
 
+    def count_rest(self, service: str) -> None:
+        """Count a refusal in which a target of a service asked for rest."""
+        self._rests.inc({"service": service})
+
     def count_probe(self, outcome: str) -> None:
         """Count a connection that was made to learn whether a target crashed."""
         self._probes.inc({"outcome": outcome})
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -26,8 +26,11 @@
 TOKENS: typing.Final = "Token-Usage"
 # Requests a second that the target takes from all entries together.
 RATE_LIMIT: typing.Final = "Server-Limit"
+# Seconds for which a target that refuses with 503 wants nothing from this entry.
+REST: typing.Final = "Retry-After"
 
 STATUS_MISDIRECTED: typing.Final = 421
+STATUS_UNAVAILABLE: typing.Final = 503
 # Larger limits are read as this one, which no target reaches.
 MAX_RATE_LIMIT: typing.Final = 1e6
 
@@ -43,13 +46,11 @@
     return int(text) if text.isdigit() and text.isascii() else None
 
 
-def parse_rate_limit(text: str) -> float | None:
+def parse_decimal(text: str) -> float | None:
     """Parse a non-negative decimal number; return None if the text is anything else."""
     text = text.strip()
     digits = text.replace(".", "", 1)
-    if not (digits.isdigit() and digits.isascii()):
-        return None
-    return min(float(text), MAX_RATE_LIMIT)
+    return float(text) if digits.isdigit() and digits.isascii() else None
 
 
 class PlatformHeaderCodec(headercodec.HeaderCodec):
@@ -100,13 +101,19 @@
         """Return the metadata in a target's response; names must be in lower case."""
         present = {name for name, _ in headers}
         limits = [value for name, value in headers if name == RATE_LIMIT.lower()]
-        numbers = [parse_rate_limit(value) for value in limits]
-        valid = [number for number in numbers if number is not None]
+        numbers = [parse_decimal(value) for value in limits]
+        valid = [min(n, MAX_RATE_LIMIT) for n in numbers if n is not None]
         is_invalid = len(valid) < len(limits)
+        rests: list[str] = []
+        if status == STATUS_UNAVAILABLE:
+            rests = [value for name, value in headers if name == REST.lower()]
+        valid_rests = [n for n in map(parse_decimal, rests) if n is not None]
         return headercodec.ResponseMetadata(
             was_not_run=NOT_RUN.lower() in present or status == STATUS_MISDIRECTED,
             is_wrong_target=status == STATUS_MISDIRECTED,
             is_signed=SIGNATURE.lower() in present,
             rate_limit=min(valid, default=None),
             invalid_rate_limit=",".join(limits) if is_invalid else None,
+            rest_s=max(valid_rests, default=None),
+            invalid_rest=",".join(rests) if len(valid_rests) < len(rests) else None,
         )
