Send nothing to a target that asked this entry for rest

What callers saw: refusal after refusal from a target that wanted nothing, and targets in trouble that got no relief.

Cause: the time in Retry-After was not used; a 503 that states that it was not run stopped sends for 0.15 s, any other 503 for nothing. Class: a statement of a target that nothing decoded, as with its limit.

Change: TargetRests keeps the end of the rest by incarnation, and the check for capacity, which every send passes, asks it. A refused request goes to another target as before. When all targets of a service rest or are limited, a request waits only if its turn comes in time; the others are refused at once with the earliest time at which sends are allowed, one place after the other.

Weighed and not done: telling the other entries; the target asked this one.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -496,10 +496,13 @@
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             now = loop.time()
             self._registry.remove_expired(now)
-            self.departures.forget(now, self.targets.list_incarnations())
+            registered = self.targets.list_incarnations()
+            self.departures.forget(now, registered)
+            self.targets.rests.forget(now, registered)
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
             self._refresh_limits(now)
+            self.metrics.set_rests(self.targets.rests.list_resting(now))
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -206,13 +206,20 @@
                 await self._crashes.probe(target)
             if not self._may_retry(state, outcome):
                 return await self._finish_without_response(
-                    state, responder, last_error, reason
+                    state, responder, last_error, reason, self._choose_return_s(state)
                 )
 
+    def _choose_return_s(self, state: requeststate.RequestState) -> float:
+        """Return when the caller of a request that is not sent again may come back."""
+        now = asyncio.get_running_loop().time()
+        if self._targets.compute_wait_s(now, state.service, (), 0) is None:
+            return requeststate.RETRY_AFTER_SHORT_S
+        return self._explain_no_target(state)[1]
+
     def _explain_no_target(self, state: requeststate.RequestState) -> tuple[str, float]:
         """Return why a request got no target, and when its caller may come back."""
         now = asyncio.get_running_loop().time()
-        wait_s = self._targets.compute_limit_wait_s(now, state.service, (), 0)
+        wait_s = self._targets.compute_wait_s(now, state.service, (), 0)
         if wait_s is None:
             # Random times keep callers from retrying simultaneously.
             return "no_target", requeststate.RETRY_AFTER_NO_CAPACITY_S * (
@@ -222,7 +229,8 @@
         delay_s = self._return_times.choose_delay_s(
             now, state.service, wait_s, rate, self._rng.random()
         )
-        return "target_limit", delay_s
+        is_resting = self._targets.is_resting(now, state.service)
+        return "target_rest" if is_resting else "target_limit", delay_s
 
     async def _find_target(
         self, state: requeststate.RequestState
@@ -433,6 +441,8 @@
             )
         if metadata.rest_s is None:
             return
+        now = asyncio.get_running_loop().time()
+        self._targets.rests.on_refusal(now, incarnation, metadata.rest_s)
         self._metrics.count_rest(state.service)
         loguru.logger.info(
             "event=target_rests target={} rest_s={:.2f} id={} not_run={}",
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -66,6 +66,10 @@
             "target_limit_part", "Requests a second of it that this entry may send."
         )
         self._limited_targets: set[str] = set()
+        self._rest_seconds = self.make_gauge(
+            "target_rest_seconds", "Seconds for which a target still wants nothing."
+        )
+        self._resting_targets: set[str] = set()
 
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
@@ -96,6 +100,13 @@
         """Count a target's crash that counts against requests of this entry."""
         self._crashes.inc({"evidence": evidence})
 
+    def set_rests(self, rests: dict[str, float]) -> None:
+        """Set the remaining seconds of targets that rest; others are set to 0."""
+        for incarnation in self._resting_targets | rests.keys():
+            seconds = rests.get(incarnation, 0.0)
+            self._rest_seconds.set({"target": incarnation}, seconds)
+        self._resting_targets = set(rests)
+
     def set_target_limits(
         self, limits: dict[str, float], parts: dict[str, float]
     ) -> None:
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -6,7 +6,7 @@
 without an event. A request counts as load of its target as soon as that is assigned, so
 that the entry assigns no slot twice.
 
-If every target of a service states a limit, the limits tell when a request would be
+If every target of a service states a limit or rests, that tells when a request would be
 reached. One that would not be reached before its wait deadline is refused at once.
 """
 
@@ -85,9 +85,7 @@
             now, service, request.crash_count
         ):
             return False
-        wait_s = self._targets.compute_limit_wait_s(
-            now, service, request.excluded_targets, 0
-        )
+        wait_s = self._targets.compute_wait_s(now, service, request.excluded_targets, 0)
         return wait_s is None or now + wait_s < request.wait_deadline
 
     def _try_assign(
@@ -118,12 +116,10 @@
         if queue is None or not len(queue):
             return
         now = asyncio.get_running_loop().time()
-        is_all_limited = (
-            self._targets.compute_limit_wait_s(now, service, (), 0) is not None
-        )
+        is_held_back = self._targets.compute_wait_s(now, service, (), 0) is not None
         ordered = (
             queue.list_in_fair_order(now)
-            if is_all_limited
+            if is_held_back
             else queue.list_in_dispatch_order(now)
         )
         for request in ordered:
@@ -137,16 +133,16 @@
             self._resolve(queue, request, target)
         for request in queue.list_unservable(now):
             self._resolve(queue, request, None)
-        if is_all_limited:
-            self._refuse_beyond_limits(now, service, queue)
+        if is_held_back:
+            self._refuse_unreached(now, service, queue)
 
-    def _refuse_beyond_limits(
+    def _refuse_unreached(
         self, now: float, service: str, queue: requestqueue.RequestQueue
     ) -> None:
-        """Refuse the requests that the targets' limits do not reach in time."""
+        """Refuse the requests that limits and rests do not let through in time."""
         position = 0
         for request in queue.list_in_fair_order(now):
-            wait_s = self._targets.compute_limit_wait_s(
+            wait_s = self._targets.compute_wait_s(
                 now, service, request.excluded_targets, position
             )
             if wait_s is not None and now + wait_s >= request.wait_deadline:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -48,6 +48,7 @@
     messages,
     replica,
     targetlimits,
+    targetrests,
 )
 
 REPORT_TTL_S: typing.Final = 0.8  # several report periods of at most 0.3 s
@@ -147,6 +148,7 @@
         self._place = place
         self._limits = limits or targetlimits.TargetLimits("", 0.0)
         self._departures = left or departures.Departures()
+        self.rests = targetrests.TargetRests()
         self._own_host = ""
         self._entry_hosts: list[str] = []
         # Caches by service: the targets that may get new requests, and the subset.
@@ -424,61 +426,82 @@
     ) -> bool:
         """Return whether it is worth waiting for a target of the service.
 
-        That is so if a target is in backoff, states a limit, is a rank with limited
-        slots, or belongs to a group that is not open; for a request that must run apart
-        from other suspects, also if a target runs one.
+        That is so if a target is in backoff, states a limit, rests, is a rank with
+        limited slots, or belongs to a group that is not open; for a request that must
+        run apart from other suspects, also if a target runs one.
         """
         is_isolated = crash_count >= CRASHES_TO_ISOLATE
         return any(
             candidate.backoff_until > now
             or self._limits.is_limited(candidate.registration.incarnation)
+            or self.rests.compute_wait_s(now, candidate.registration.incarnation)
             or (is_isolated and candidate.own_suspects)
             or service in self.lockstep_services
             or not self.is_group_open(now, candidate)
             for candidate in self.list_available(service)
         )
 
-    def compute_limit_wait_s(
+    def compute_wait_s(
         self,
         now: float,
         service: str,
         excluded: typing.Collection[str],
         position: int,
     ) -> float | None:
-        """Return how long the request at a position waits for limited targets.
+        """Return how long the request at a position waits for what holds targets back.
 
         Position 0 is the next request. Returns None if no target of the service works,
-        or one states no limit, even if it is closed now; then limits do not decide.
+        or one neither rests nor states a limit, even if it is closed now; then
+        capacity decides.
         """
-        incarnations = self._list_if_all_limited(now, service, excluded)
-        if incarnations is None:
+        held_back = self._list_if_all_held_back(now, service, excluded)
+        if held_back is None:
             return None
-        return self._limits.compute_wait_s(now, incarnations, position)
+        limited, rests = held_back
+        waits = list(rests)
+        if limited:
+            waits.append(self._limits.compute_wait_s(now, limited, position))
+        return min(waits, default=None)
 
     def compute_return_rate(self, now: float, service: str) -> float:
-        """Return the requests a second at which callers that limits refused return.
+        """Return the requests a second at which callers return that were held back.
 
-        Infinite if a target of the service states no limit.
+        Infinite if a target of the service neither rests nor states a limit.
         """
-        incarnations = self._list_if_all_limited(now, service, ())
-        if incarnations is None:
+        held_back = self._list_if_all_held_back(now, service, ())
+        if held_back is None:
             return float("inf")
-        return self._limits.compute_return_rate(incarnations)
+        limited, rests = held_back
+        rate = targetrests.RETURN_RATE * len(rests)
+        return rate + (self._limits.compute_return_rate(limited) if limited else 0.0)
 
-    def _list_if_all_limited(
+    def is_resting(self, now: float, service: str) -> bool:
+        """Return whether a target of a service wants nothing from this entry."""
+        return any(
+            self.rests.is_resting(now, candidate.registration.incarnation)
+            for candidate in self.list_available(service)
+        )
+
+    def _list_if_all_held_back(
         self, now: float, service: str, excluded: typing.Collection[str]
-    ) -> list[str] | None:
-        """Return the limited incarnations that work, or None if others may serve."""
-        incarnations = []
+    ) -> tuple[list[str], list[float]] | None:
+        """Return the targets that limits or rests hold back, None if others may serve.
+
+        These are the limited incarnations that work, and for those that rest the
+        seconds until they may get a request.
+        """
+        limited, rests = [], []
         for candidate in self.list_available(service):
             if candidate.target_id in excluded:
                 continue
             incarnation = candidate.registration.incarnation
-            if not self._limits.is_limited(incarnation):
+            if rest_s := self.rests.compute_wait_s(now, incarnation):
+                rests.append(rest_s)
+            elif not self._limits.is_limited(incarnation):
                 return None
-            if self.is_group_open(now, candidate):
-                incarnations.append(incarnation)
-        return incarnations or None
+            elif self.is_group_open(now, candidate):
+                limited.append(incarnation)
+        return (limited, rests) if limited or rests else None
 
     def has_capacity(self, now: float, target: Target, entry_count: int) -> bool:
         """Return whether a target may get another request.
@@ -488,7 +511,10 @@
         """
         if target.backoff_until > now:
             return False
-        if not self._limits.may_send(now, target.registration.incarnation):
+        incarnation = target.registration.incarnation
+        if self.rests.compute_wait_s(now, incarnation):
+            return False
+        if not self._limits.may_send(now, incarnation):
             return False
         if target.registration.service not in self.lockstep_services:
             return True
@@ -535,6 +561,7 @@
         ``crash_count`` is the number of targets that crashed while it ran there.
         """
         self._limits.on_send(now, target.registration.incarnation)
+        self.rests.on_send(target.registration.incarnation)
         target.own_in_flight += 1
         target.own_suspects += crash_count > 0
         target.recent_sends.append(now)
--- a/test/restingtargets.py
+++ b/test/restingtargets.py
@@ -1,6 +1,7 @@
 """Targets that ask for rest, and the users' bound on what they receive then."""
 
 import asyncio
+import contextlib
 import typing
 
 from sardinesaddle.platform import headers
@@ -65,7 +66,8 @@
             writer.write(df.make_response(request.attempt_id, target.name.encode()))
             return True
         if not self.refused:
-            self.record.on_rest(now, "", float(self.rest))
+            with contextlib.suppress(ValueError):
+                self.record.on_rest(now, "", float(self.rest))
         self.refused.append(now)
         fields = [("Content-Length", "0"), ("Retry-After", self.rest)]
         if self.states_not_run:
--- a/test/test_direct_targetlimits.py
+++ b/test/test_direct_targetlimits.py
@@ -220,8 +220,8 @@
         group = f"g{number}"
         pool.on_report(0.0, make_report(number, group, is_open))
     limits.on_response(0.0, "r0@0", 0.0, 0.5)
-    assert pool.compute_limit_wait_s(0.1, "engines", (), 0) is None
-    assert pool.compute_limit_wait_s(0.1, "engines", ("r1",), 0) is not None
+    assert pool.compute_wait_s(0.1, "engines", (), 0) is None
+    assert pool.compute_wait_s(0.1, "engines", ("r1",), 0) is not None
 
 
 def make_registration(number: int) -> catalog.TargetRegistration:
