Take nothing that another target states for what the meant one states

A target that has taken the address of another one answers 421; what it stated in that response, its limit, counted for the incarnation that was meant, and a 421 without a limit ended the limit that was known. Such a response now tells nothing of the target that was meant. test_misdirected_request_tells_nothing_of_the_target_that_was_meant failed: a limit of 1.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -388,6 +388,9 @@
         may_have_run_before, state.may_have_run = state.may_have_run, True
 
         def on_head(metadata: headercodec.ResponseMetadata) -> None:
+            if metadata.is_wrong_target:
+                # What another target states of itself is not about this one.
+                return
             self._record_limit(incarnation, sent_at, metadata)
             self._record_rest(state, incarnation, metadata)
 
--- a/test/test_direct_targetlimits.py
+++ b/test/test_direct_targetlimits.py
@@ -454,3 +454,23 @@
     far = [returns.choose_delay_s(0.0, "s", 1.0, 2.0, n / 40) for n in range(40)]
     assert max(far) <= returntimes.MAX_RETURN_S + 0.5
     assert returns.choose_delay_s(0.0, "other", float("inf"), 1.0, 0.0) == 1.0
+
+
+def test_misdirected_request_tells_nothing_of_the_target_that_was_meant() -> None:
+    # The limit is that of another target, which has taken the address.
+    async def misdirect(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        fields = ((lt.LIMIT_HEADER, "1"), ("Content-Length", "0"))
+        writer.write(df.make_response_head(headers.STATUS_MISDIRECTED, *fields))
+        return True
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", misdirect)
+        await fleet.settle()
+        await fleet.send_request("/free/a")
+        assert not fleet.entries[0].limits.statements.list_limits()
+
+    df.run_scenario(scenario)
