Send nothing more to a target that says in a response that it leaves

Change: a response of any status, a stream's head included, that states it ends all sends to that incarnation: first sends, retries, queued and resumed requests. It is recorded as a departure, final for the incarnation, and told to all entries at once; an entry that starts fetches it. An engine's sidecar reads the same on the engine's page and reports it; that counts only with the engine's start time, since another one may have its address. Its end then counts as no crash.

Sidecars send no requests and need no list of departures.

--- a/sardinesaddle/direct/engine.py
+++ b/sardinesaddle/direct/engine.py
@@ -18,6 +18,8 @@
     ``accepted_orders`` counts the orders that the engine accepted. ``step`` is the
     last pass that started. ``slowdown`` above 1 means that the engine is slow. A
     version or step that does not exist is 0; without a group, its name is empty.
+    ``is_leaving`` is set if the engine states that it leaves, ``started_ms`` is the
+    Unix time of its start, 0 if it does not state that.
     """
 
     running: int
@@ -35,6 +37,8 @@
     armed_version: int
     armed_step: int
     held_step: int
+    is_leaving: bool = False
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -127,6 +127,7 @@
             rng,
             self._crashes,
             self.limits,
+            self._on_target_leaving,
         )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
@@ -210,6 +211,17 @@
             )
         return is_valid
 
+    def _on_target_leaving(self, incarnation: str, source: str) -> None:
+        """Send an incarnation that states that it leaves nothing more; tell others."""
+        if not self.departures.on_leaving(read_loop_time(), incarnation):
+            return
+        loguru.logger.info(
+            "event=target_leaving target={} source={}", incarnation, source
+        )
+        self.metrics.count_leaving_target()
+        self.targets.invalidate_lists()
+        self._peers.announce()
+
     # Messages of other processes.
 
     async def handle_request(self, msg: messages.Request) -> messages.Reply | None:
@@ -278,6 +290,8 @@
         loop = asyncio.get_running_loop()
         previous = self._reports.get(report.sender)
         self._reports[report.sender] = report
+        if report.is_leaving:
+            self._on_leaving_report(report)
         self.targets.on_report(loop.time(), report)
         self.forwarder.scheduler.dispatch_all()
         was_usable = previous is None or (previous.is_alive and previous.is_group_open)
@@ -300,6 +314,17 @@
             entries, ranks = [], []
         return messages.ReportReply(digest, wants_every_change, entries, ranks, True)
 
+    def _on_leaving_report(self, report: messages.Report) -> None:
+        """Apply that an engine told its sidecar that it leaves.
+
+        Without its start time it may be another one than the registered one.
+        """
+        target = self.targets.get_at_address(report.target)
+        if target is None or not report.started_ms:
+            return
+        if report.started_ms == target.registration.started_ms:
+            self._on_target_leaving(target.registration.incarnation, report.sender)
+
     def _list_ranks(self, report: messages.Report) -> list[tuple[int, str]]:
         """Return the hosts of a group's sidecars by rank, if the reporter is rank 0."""
         if not report.group or report.rank != 0:
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import collections.abc
 import random
 import typing
 
@@ -63,8 +64,10 @@
         rng: random.Random,
         crashes: crashdetector.CrashDetector,
         limits: targetlimits.TargetLimits,
+        on_target_leaving: collections.abc.Callable[[str, str], None],
     ) -> None:
         self._entry_state = entry_state
+        self._on_target_leaving = on_target_leaving
         self._limits = limits
         self._crashes = crashes
         self._header_codec = header_codec
@@ -393,6 +396,8 @@
                 return
             self._record_limit(incarnation, sent_at, metadata)
             self._record_rest(state, incarnation, metadata)
+            if metadata.is_leaving:
+                self._on_target_leaving(incarnation, "response")
 
         def on_first_event() -> None:
             state.first_event_at = asyncio.get_running_loop().time()
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -44,7 +44,8 @@
 
     ``was_not_run`` is set if the target did not run the request, ``is_wrong_target``
     if it is not the target that the request names, and ``is_signed`` if the response
-    has the target's signature. ``rate_limit`` is how many requests a second the target
+    has the target's signature, and ``is_leaving`` if the target states that it leaves.
+    ``rate_limit`` is how many requests a second the target
     takes from all entries together, None if it states no limit. ``invalid_rate_limit``
     is what it states instead of a number, None if it does not. ``rest_s`` is for how
     long the target wants nothing from this entry, None if it did not ask for that, and
@@ -54,6 +55,7 @@
     was_not_run: bool
     is_wrong_target: bool
     is_signed: bool
+    is_leaving: bool = False
     rate_limit: float | None = None
     invalid_rate_limit: str | None = None
     rest_s: float | None = None
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -173,7 +173,8 @@
     ``is_alive`` is False if the engine did not respond. ``slowdown`` above 1
     means that the engine is slow. ``age_s`` is the time since the engine's state was
     read. ``known_digest`` identifies the lists that the sidecar last received from
-    this entry, or is 0.
+    this entry, or is 0. ``is_leaving`` is set if the engine states that it leaves, and
+    ``started_ms`` is the Unix time of its start, 0 if it does not state that.
     """
 
     sender: str
@@ -190,6 +191,8 @@
     skew: float
     age_s: float = 0.0
     known_digest: int = 0
+    is_leaving: bool = False
+    started_ms: int = 0
 
 
 class ReportReply(msgspec.Struct, frozen=True, array_like=True, tag="report_reply"):
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -33,6 +33,9 @@
             "target_rests_total",
             "Refusals in which targets asked for rest, by service.",
         )
+        self._leaving_targets = self.make_counter(
+            "targets_leaving_total", "Targets that stated in responses that they leave."
+        )
         self._first_event_seconds = self.make_histogram(
             "first_event_seconds", "Seconds to the first event of a stream."
         )
@@ -92,6 +95,10 @@
         """Count a refusal in which a target of a service asked for rest."""
         self._rests.inc({"service": service})
 
+    def count_leaving_target(self) -> None:
+        """Count a target that stated in a response that it leaves."""
+        self._leaving_targets.inc({})
+
     def count_probe(self, outcome: str) -> None:
         """Count a connection that was made to learn whether a target crashed."""
         self._probes.inc({"outcome": outcome})
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -208,9 +208,10 @@
         if (previous is None) != (current is None):
             self._transition_count += 1
         elif previous is not None and current is not None:
-            if (previous.is_group_open, previous.epoch) != (
+            if (previous.is_group_open, previous.epoch, previous.is_leaving) != (
                 current.is_group_open,
                 current.epoch,
+                current.is_leaving,
             ):
                 self._transition_count += 1
             elif (previous.running, previous.waiting) == (
@@ -307,6 +308,8 @@
             skew=self._leader.skew,
             age_s=round(loop.time() - self._state_read_at, 3),
             known_digest=0 if lists is None else lists.digest,
+            is_leaving=state is not None and state.is_leaving,
+            started_ms=0 if state is None else state.started_ms,
         )
 
     async def drain(self) -> None:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -248,6 +248,10 @@
         """Return a target by its identifier, or None if it is not registered."""
         return self._targets.get(target_id)
 
+    def get_at_address(self, address: str) -> Target | None:
+        """Return the target in use at an address, or None."""
+        return self._by_address.get(address)
+
     def is_leaving(self, target: Target) -> bool:
         """Return whether a target stated that it leaves."""
         return (
--- a/sardinesaddle/platform/engines.py
+++ b/sardinesaddle/platform/engines.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sardinesaddle.direct import engine
+from sardinesaddle.platform import headers
 
 CALL_TIMEOUT_S: typing.Final = 0.4  # an engine on the same host responds in a few ms
 # Some orders get no response, and the group may be stalled during the wait.
@@ -58,6 +59,7 @@
     prepared: int | WireVersion | None = None
     armed: int | WireVersion | None = None
     held: int | None = None
+    born: int = 0
 
 
 class WirePicked(msgspec.Struct, frozen=True):
@@ -108,9 +110,10 @@
 
     async def read_state(self) -> engine.EngineState | engine.EngineFault:
         """Read the engine's state."""
-        wire = await self._get("/report", WireReport)
-        if isinstance(wire, engine.EngineFault):
-            return wire
+        page = await self._get_page("/report", WireReport)
+        if isinstance(page, engine.EngineFault):
+            return page
+        wire, is_leaving = page
         group = wire.group or WireGroup()
         armed = wire.armed
         return engine.EngineState(
@@ -129,6 +132,8 @@
             armed_version=get_version(armed),
             armed_step=armed.step if isinstance(armed, WireVersion) else 0,
             held_step=wire.held or 0,
+            is_leaving=is_leaving,
+            started_ms=wire.born,
         )
 
     async def read_counts(self) -> engine.ExpertCounts | engine.EngineFault:
@@ -173,6 +178,13 @@
 
     async def _get(self, path: str, kind: type[Kind]) -> Kind | engine.EngineFault:
         """GET a resource of the engine and decode its JSON body."""
+        page = await self._get_page(path, kind)
+        return page if isinstance(page, engine.EngineFault) else page[0]
+
+    async def _get_page(
+        self, path: str, kind: type[Kind]
+    ) -> tuple[Kind, bool] | engine.EngineFault:
+        """GET a resource; return its decoded body, and whether the engine leaves."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
             async with self._session.get(
@@ -183,6 +195,8 @@
                     return engine.EngineFault(f"over {MAX_PAGE_BYTES} bytes")
                 if resp.status != 200:
                     return engine.EngineFault(f"status {resp.status}")
-            return msgspec.json.decode(data, type=kind)
+                leaving = resp.headers.get(headers.LEAVING, "").strip()
+            body = msgspec.json.decode(data, type=kind)
+            return body, leaving == headers.IS_LEAVING
         except _FAILURES as exc:
             return engine.EngineFault(f"{type(exc).__name__}: {exc}")
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -26,6 +26,9 @@
 TOKENS: typing.Final = "Token-Usage"
 # Requests a second that the target takes from all entries together.
 RATE_LIMIT: typing.Final = "Server-Limit"
+# "1" in each response of a target that leaves.
+LEAVING: typing.Final = "Server-Leaving"
+IS_LEAVING: typing.Final = "1"
 # Seconds for which a target that refuses with 503 wants nothing from this entry.
 REST: typing.Final = "Retry-After"
 
@@ -112,6 +115,10 @@
             was_not_run=NOT_RUN.lower() in present or status == STATUS_MISDIRECTED,
             is_wrong_target=status == STATUS_MISDIRECTED,
             is_signed=SIGNATURE.lower() in present,
+            is_leaving=any(
+                name == LEAVING.lower() and value.strip() == IS_LEAVING
+                for name, value in headers
+            ),
             rate_limit=min(valid, default=None),
             invalid_rate_limit=",".join(limits) if is_invalid else None,
             rest_s=max(valid_rests, default=None),
