Reset the connection of an HTTP/1.0 caller whose response broke off

Found with the tests of responses that end with their connection. What callers saw: a response that broke off after its head had been sent looked complete to a caller of HTTP/1.0. Cause: such a response has no chunks, so its end is the end of the connection, and an aborted connection ended in order. It is now reset.

Evidence: the three cases of test_broken_response_does_not_look_complete_by_http_1_0 ended in order before. Bodies and streams that are complete still do.

--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import socket
+import struct
 import typing
 
 import aiohttp.web
@@ -19,6 +21,7 @@
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
 STATUS_TOO_LARGE: typing.Final = 413
+RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)  # linger for 0 s
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
 WRITE_TIMEOUT_S: typing.Final = 10.0  # then a caller that does not read is cut off
 
@@ -75,8 +78,14 @@
 
     def abort(self) -> None:
         """Close the connection without completing the response."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._request.version < aiohttp.HttpVersion11:
+            # Without chunks, an end in order would look like the end of the body.
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
 
 
 class Frontend:
--- /dev/null
+++ b/test/test_direct_unframed.py
@@ -0,0 +1,151 @@
+"""Tests of responses with neither a length nor chunks: their connection ends them."""
+
+import asyncio
+import collections.abc
+
+import pytest
+
+from sardinesaddle.platform import headers
+from test import directfleet as df
+
+LARGE = b"x" * 600_000  # more than is buffered
+Ending = collections.abc.Callable[[df.ScriptedTarget, asyncio.StreamWriter], None]
+
+
+def close(target: df.ScriptedTarget, writer: asyncio.StreamWriter) -> None:
+    """End the connection in order, after what was written."""
+
+
+def reset(target: df.ScriptedTarget, writer: asyncio.StreamWriter) -> None:
+    """Reset the connection."""
+    df.reset_connection(writer)
+
+
+def make_head(attempt_id: str, content_type: str, version: str = "1.1") -> bytes:
+    """Return the head of a signed response without length and chunks."""
+    head = df.make_response_head(
+        200,
+        (headers.ATTEMPT_ID, attempt_id),
+        df.SIGNATURE_HEADER,
+        ("Content-Type", content_type),
+    )
+    return head.replace(b"HTTP/1.1", f"HTTP/{version}".encode())
+
+
+class UnframedTarget:
+    """Writes parts of a body, each after a moment, and ends in some way."""
+
+    def __init__(
+        self, content_type: str, parts: list[bytes], end: Ending, version: str = "1.1"
+    ) -> None:
+        self.content_type = content_type
+        self.parts = parts
+        self.end = end
+        self.version = version
+
+    async def respond(
+        self,
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Respond to a request, and end the connection."""
+        writer.write(make_head(request.attempt_id, self.content_type, self.version))
+        await asyncio.sleep(0.05)
+        for part in self.parts:
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        await writer.drain()
+        self.end(target, writer)
+        await asyncio.sleep(0.0)
+        return False
+
+
+async def send_http_1_0(fleet: df.Fleet, path: str) -> tuple[bytes, bool]:
+    """Send a request by HTTP/1.0; return what came, and whether it ended in order."""
+    reader, writer = await fleet.connect()
+    writer.write(
+        f"POST {path} HTTP/1.0\r\nHost: h.example\r\n{headers.ATTEMPT_ID}: a1\r\n"
+        f"{headers.DEADLINE}: 4000\r\nAuthorization: Bearer key-a\r\n"
+        "Content-Length: 1\r\n\r\n1".encode()
+    )
+    received = b""
+    try:
+        while data := await reader.read(65536):
+            received += data
+    except ConnectionResetError:
+        return received, False
+    finally:
+        writer.transport.abort()
+    return received, True
+
+
+EVENTS = [df.make_sse_event(number) for number in range(4)]
+STREAM = "text/event-stream"
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("body", [b"a small body", LARGE])
+def test_body_that_ends_with_its_connection_is_complete(
+    body: bytes, version: str
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = UnframedTarget("text/plain", [body[:5], body[5:]], close, version)
+        await fleet.add_target("t1", "plain", target.respond)
+        await fleet.settle()
+        response = await fleet.send_request("/once/a")
+        assert (response.status, response.is_complete) == (200, True)
+        assert response.body == body
+        received, is_orderly = await send_http_1_0(fleet, "/once/b")
+        assert received.endswith(b"\r\n\r\n" + body)
+        assert is_orderly
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_stream_that_ends_with_its_connection_after_an_event_is_complete(
+    version: str,
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = UnframedTarget(STREAM, EVENTS, close, version)
+        await fleet.add_target("t1", "engines", target.respond)
+        await fleet.settle()
+        for path in ("/stream/a", "/unique/a"):
+            response = await fleet.send_request(path)
+            assert (response.status, response.is_complete) == (200, True)
+            assert response.body == b"".join(EVENTS)
+            received, is_orderly = await send_http_1_0(fleet, path)
+            assert received.endswith(b"".join(EVENTS))
+            assert is_orderly
+
+    df.run_scenario(scenario)
+
+
+INSIDE_AN_EVENT = [*EVENTS[:2], EVENTS[2][:9]]
+BETWEEN_EVENTS = EVENTS[:2]
+
+
+@pytest.mark.parametrize(
+    ("path", "parts", "end"),
+    [
+        ("/once/a", [LARGE], reset),
+        ("/unique/a", INSIDE_AN_EVENT, close),
+        ("/unique/a", BETWEEN_EVENTS, reset),
+    ],
+)
+def test_broken_response_does_not_look_complete_by_http_1_0(
+    path: str, parts: list[bytes], end: Ending
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        service, content_type = "plain", "text/plain"
+        if path == "/unique/a":
+            service, content_type = "engines", STREAM
+        broken = UnframedTarget(content_type, parts, end)
+        await fleet.add_target("t1", service, broken.respond)
+        await fleet.settle()
+        received, is_orderly = await send_http_1_0(fleet, path)
+        assert received.split()[1] == b"200"
+        assert not is_orderly
+
+    df.run_scenario(scenario)
