Take a response that ended with its target's process for broken off

Change: after such a response the entry connects to the target once more, as it does after a broken exchange. If the connection is refused, the response is broken off: a body is sent again or fails, a stream is resumed after its last event or the caller's connection is aborted. Targets that leave may end right after their response and are not looked at. The new connection stays in the pool, so the number of connections is the same. A stream of this kind that ends before its first event is broken off, too.

Not told apart: a target that is replaced at its address at once.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -215,6 +215,14 @@
             exchanges.probe = loop.create_task(self._run_probe(target, exchanges))
         await asyncio.shield(exchanges.probe)
 
+    async def has_ended(self, target: targetpool.Target) -> bool:
+        """Return whether a target's process has ended, and not because it leaves."""
+        incarnation = target.registration.incarnation
+        if self._departures.is_leaving(incarnation):
+            return False
+        await self.probe(target)
+        return self._get_exchanges(incarnation).evidence is not None
+
     async def _run_probe(
         self, target: targetpool.Target, exchanges: TargetExchanges
     ) -> None:
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -405,8 +405,17 @@
                 state.service, state.first_event_at - req.arrived_at
             )
 
+        async def has_target_ended() -> bool:
+            return await self._crashes.has_ended(target)
+
         relay = responserelay.ResponseRelay(
-            state, exchange, responder, self._header_codec, on_head, on_first_event
+            state,
+            exchange,
+            responder,
+            self._header_codec,
+            on_head,
+            on_first_event,
+            has_target_ended,
         )
         outcome = await relay.run(target)
         if (
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -3,6 +3,10 @@
 The head of a stream is sent to the caller with the first complete event, so a stream
 that fails before that can be retried at another target. For the same reason, small
 responses are buffered until they are complete; larger ones are relayed as they arrive.
+
+A response that nothing but the end of its connection bounds is complete only if its
+target still runs, as the end of a process looks the same. Such a stream is also broken
+off if it ends within an event or before the first one.
 """
 
 import asyncio
@@ -44,7 +48,8 @@
     """Relays one response.
 
     ``on_head`` is called with the metadata of its head, and ``on_first_event`` at a
-    stream's first event.
+    stream's first event. ``has_target_ended`` finds out whether the target's process
+    has ended.
     """
 
     def __init__(
@@ -55,6 +60,9 @@
         header_codec: headercodec.HeaderCodec,
         on_head: collections.abc.Callable[[headercodec.ResponseMetadata], None],
         on_first_event: collections.abc.Callable[[], None],
+        has_target_ended: collections.abc.Callable[
+            [], collections.abc.Coroutine[typing.Any, typing.Any, bool]
+        ],
     ) -> None:
         self._state = state
         self._exchange = exchange
@@ -62,6 +70,7 @@
         self._header_codec = header_codec
         self._on_head = on_head
         self._on_first_event = on_first_event
+        self._has_target_ended = has_target_ended
         # Silence does not end a request that may not be repeated.
         self._silence_timeout_s = SILENCE_TIMEOUT_S if state.may_run_twice else None
 
@@ -120,6 +129,8 @@
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
+                if failure := await self._find_broken_end():
+                    return failure
                 is_complete = True
             else:
                 body += data
@@ -155,15 +166,25 @@
         while True:
             data = await self._exchange.read_body()
             if isinstance(data, upstream.EndOfBody):
+                if failure := await self._find_broken_end():
+                    return failure
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
             if isinstance(data, upstream.Failure):
                 return data
             await self._responder.write(data)
 
+    async def _find_broken_end(self) -> upstream.Failure | None:
+        """Return a failure if a response ended because its target's process did."""
+        if not self._exchange.is_unframed or not await self._has_target_ended():
+            return None
+        kind = upstream.FailureKind.CLOSED
+        return upstream.Failure(kind, True, "target ended with its response")
+
     async def _relay_stream(self, head: upstream.ResponseHead) -> Outcome:
         """Relay the complete events of a stream as they arrive."""
         parser = sse.EventParser()
+        has_events = False
         while True:
             data = await read_with_timeout(
                 self._exchange.read_body(), self._silence_timeout_s
@@ -171,13 +192,19 @@
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
-                if parser.incomplete_data.strip():
+                is_empty = not has_events and self._state.last_event is None
+                if parser.incomplete_data.strip() or (
+                    is_empty and self._exchange.is_unframed
+                ):
                     kind = upstream.FailureKind.CLOSED
                     return upstream.Failure(kind, True, "stream ends within an event")
+                if failure := await self._find_broken_end():
+                    return failure
                 await self._start_stream(head)
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
             received = parser.feed(data)
+            has_events = has_events or bool(received)
             if parser.is_oversized:
                 kind = upstream.FailureKind.MALFORMED
                 return upstream.Failure(kind, True, "event exceeds the size limit")
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -8,8 +8,9 @@
 - A connection carries one request at a time. Bytes that arrive on an idle connection
   belong to no request; the connection is closed.
 - A response with the id of another attempt is skipped, and the next one is read.
-- A response without a length is complete if the connection was closed in order, and
-  incomplete if it was reset.
+- A response with neither a length nor chunks is complete if the connection was closed
+  in order, and incomplete if it was reset. The end of the target's process closes
+  connections in order, too; ``responserelay`` tells the two apart.
 - A target may drop an idle connection without notice, and the next request on it is
   reset. A request that may run at most once gets a new connection, since it cannot be
   retried after a reset.
@@ -173,6 +174,8 @@
         self._body = b""
         self._body_bytes = 0
         self._has_length = False
+        # Whether the response ends with its connection, as nothing else bounds it.
+        self.is_unframed = False
         self._is_complete = False
         self._is_reusable = True
         self._idle_limit_s = DEFAULT_IDLE_S
@@ -209,6 +212,8 @@
             head = ResponseHead(event.status_code, headers)
             if self._is_own_response(head):
                 self._has_length = head.get("content-length") is not None
+                is_chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
+                self.is_unframed = not self._has_length and not is_chunked
                 self._read_keep_alive(head)
                 return head
             skipped = await self._skip_response()
--- a/test/test_direct_unframed.py
+++ b/test/test_direct_unframed.py
@@ -21,6 +21,11 @@
     df.reset_connection(writer)
 
 
+def crash(target: df.ScriptedTarget, writer: asyncio.StreamWriter) -> None:
+    """End the process: its connections end in order, new ones are refused."""
+    asyncio.get_running_loop().create_task(target.stop())
+
+
 def make_head(attempt_id: str, content_type: str, version: str = "1.1") -> bytes:
     """Return the head of a signed response without length and chunks."""
     head = df.make_response_head(
@@ -61,6 +66,20 @@
         return False
 
 
+async def respond_with_rest(
+    target: df.ScriptedTarget,
+    request: df.ReceivedRequest,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Respond with the events of a stream of four after the last received one."""
+    last = int(request.headers.get(headers.LAST_EVENT.lower(), "-1"))
+    writer.write(df.make_stream_head(request.attempt_id))
+    for number in range(last + 1, 4):
+        writer.write(df.encode_chunk(df.make_sse_event(number)))
+    writer.write(df.encode_chunk(b""))
+    return True
+
+
 async def send_http_1_0(fleet: df.Fleet, path: str) -> tuple[bytes, bool]:
     """Send a request by HTTP/1.0; return what came, and whether it ended in order."""
     reader, writer = await fleet.connect()
@@ -103,6 +122,22 @@
     df.run_scenario(scenario)
 
 
+@pytest.mark.parametrize("end", [reset, crash])
+@pytest.mark.parametrize("body", [b"a small body", LARGE])
+def test_body_that_is_broken_off_does_not_look_complete(
+    body: bytes, end: Ending
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        for number in range(2):
+            target = UnframedTarget("text/plain", [body], end)
+            await fleet.add_target(f"t{number}", "plain", target.respond)
+        await fleet.settle()
+        response = await fleet.send_request("/once/a")
+        assert response.status == 502 or not response.is_complete
+
+    df.run_scenario(scenario)
+
+
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 def test_stream_that_ends_with_its_connection_after_an_event_is_complete(
     version: str,
@@ -126,6 +161,56 @@
 BETWEEN_EVENTS = EVENTS[:2]
 
 
+BROKEN_STREAMS = pytest.mark.parametrize(
+    ("parts", "end"),
+    [
+        (INSIDE_AN_EVENT, close),
+        (INSIDE_AN_EVENT, reset),
+        (INSIDE_AN_EVENT, crash),
+        (BETWEEN_EVENTS, reset),
+        (BETWEEN_EVENTS, crash),
+        ([], close),
+    ],
+)
+
+
+@BROKEN_STREAMS
+def test_stream_that_is_broken_off_does_not_look_complete(
+    parts: list[bytes], end: Ending
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        for number in range(2):
+            broken = UnframedTarget(STREAM, parts, end)
+            await fleet.add_target(f"t{number}", "engines", broken.respond)
+        await fleet.settle()
+        response = await fleet.send_request("/unique/a")
+        assert response.status == 502 or not response.is_complete
+
+    df.run_scenario(scenario)
+
+
+@BROKEN_STREAMS
+def test_stream_that_is_broken_off_is_resumed_at_another_target(
+    parts: list[bytes], end: Ending
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        broken = UnframedTarget(STREAM, parts, end)
+        target = await fleet.add_target("t1", "engines", broken.respond)
+        other = await fleet.add_target("t2", "engines", respond_with_rest)
+        fleet.store.delete("servers/t2")
+        await fleet.settle()
+        task = asyncio.create_task(fleet.send_request("/stream/a"))
+        while not target.requests:
+            await fleet.settle(0.001)
+        fleet.register("t2", "engines")
+        response = await task
+        assert (response.status, response.is_complete) == (200, True)
+        assert response.body == b"".join(EVENTS)
+        assert len(other.requests) == 1
+
+    df.run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     ("path", "parts", "end"),
     [
