Read the shared parts of prompts, and log them with each request

The header with the parts of a prompt was passed on and read by nobody. Its shared parts (all but the last) are decoded, at most 64 of a longer list, and are in the log line of each request. What entries do is unchanged.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -47,6 +47,7 @@
 # Callers give up after 2 s of silence, and 1.2 s pass until a target's times out.
 MAX_RESUME_WAIT_S: typing.Final = 0.8
 LOWEST_PRIORITY: typing.Final = 9  # the engines' scale is from 0 to 9
+MAX_LOGGED_PARTS: typing.Final = 8  # of a prompt
 MIN_REMAINING_S: typing.Final = 0.02  # with less time left no target can respond
 
 
@@ -528,11 +529,12 @@
         service = state.service if state else ""
         self._metrics.count_response(service, status, now - req.arrived_at)
         loguru.logger.info(
-            "event=request id={} content={} crashes={} outcome={} status={} route={}"
-            " service={} target={} sends={} tried={} first_ms={:.0f} ms={:.0f}"
+            "event=request id={} content={} parts={} crashes={} outcome={} status={}"
+            " route={} service={} target={} sends={} tried={} first_ms={:.0f} ms={:.0f}"
             " left_ms={:.0f} config={} config_age_s={:.2f}",
             req.metadata.attempt_id,
             state.content_id if state else "",
+            ",".join(req.metadata.prompt_parts[:MAX_LOGGED_PARTS]),
             state.crash_count if state else 0,
             outcome,
             status,
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -15,7 +15,8 @@
 
     ``output_tokens_hint`` is the caller's estimate of the number of output tokens,
     ``max_output_tokens`` their limit. ``last_event_id`` is the last event of a stream
-    that the caller received.
+    that the caller received. ``prompt_parts`` identifies the parts of the prompt that
+    the request shares with others, in order.
     """
 
     attempt_id: str
@@ -25,6 +26,7 @@
     max_output_tokens: int
     output_tokens_hint: int | None
     last_event_id: int | None
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -24,6 +24,9 @@
 LENGTH_HINT: typing.Final = "Length-Hint"
 # The number of prompt tokens and the maximum number of output tokens, as "P,O".
 TOKENS: typing.Final = "Token-Usage"
+# The parts of the prompt in order, as "ID:TOKENS,..." with hexadecimal ids. The last
+# one is the request's or its session's own; requests share the others.
+PROMPT_PARTS: typing.Final = "Prompt-Prefix"
 # Requests a second that the target takes from all entries together.
 RATE_LIMIT: typing.Final = "Server-Limit"
 # "1" in each response of a target that leaves.
@@ -37,6 +40,10 @@
 # Larger limits are read as this one, which no target reaches.
 MAX_RATE_LIMIT: typing.Final = 1e6
 
+# Of a longer list the parts in the middle are left out.
+MAX_PROMPT_PARTS: typing.Final = 64
+MAX_PART_ID_LENGTH: typing.Final = 32  # bounds records and log lines
+
 # The caller's values of these are dropped; the API key never reaches a target.
 _SET_BY_ENTRY: typing.Final = frozenset(
     {"authorization", "deadline-ms", "expect-instance", "tenant", "request-priority"}
@@ -56,6 +63,19 @@
     return float(text) if digits.isdigit() and digits.isascii() else None
 
 
+def parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the parts that requests share, each once, in order.
+
+    Entries without an id are skipped.
+    """
+    ids = [entry.partition(":")[0].strip().lower() for entry in text.split(",")]
+    shared = list(dict.fromkeys(part_id for part_id in ids[:-1] if part_id))
+    if len(shared) > MAX_PROMPT_PARTS:
+        half = MAX_PROMPT_PARTS // 2
+        shared = shared[:half] + shared[-half:]
+    return tuple(part_id[:MAX_PART_ID_LENGTH] for part_id in shared)
+
+
 class PlatformHeaderCodec(headercodec.HeaderCodec):
     """Converts between the platform's headers and request metadata."""
 
@@ -78,6 +98,7 @@
             max_output_tokens=parse_number(output) or 0,
             output_tokens_hint=parse_number(values.get(LENGTH_HINT.lower())),
             last_event_id=parse_number(values.get(LAST_EVENT.lower())),
+            prompt_parts=parse_prompt_parts(values.get(PROMPT_PARTS.lower(), "")),
         )
 
     def make_upstream_headers(
--- a/test/test_adapter.py
+++ b/test/test_adapter.py
@@ -135,3 +135,25 @@
     data = msgspec.json.encode(df.make_config())
     config = catalogformat.PlatformStoreDecoder().decode_catalog(data)
     assert isinstance(config, catalog.Catalog)
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (" AB:1 , cd:2,ab:3,ef:4", ("ab", "cd")),
+        ("ab:1", ()),
+        ("", ()),
+        (",,:7,x", ()),
+        ("ab,cd", ("ab",)),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_read(text: str, parts: tuple[str, ...]) -> None:
+    assert headers.parse_prompt_parts(text) == parts
+
+
+def test_long_list_of_parts_is_cut_in_the_middle() -> None:
+    text = ",".join(f"{number:x}:1" for number in range(1000))
+    parts = headers.parse_prompt_parts(text + ",own:1")
+    assert len(parts) == headers.MAX_PROMPT_PARTS
+    assert (parts[0], parts[-1]) == ("0", "3e7")
