--- a/test/crashingtargets.py
+++ b/test/crashingtargets.py
@@ -1,4 +1,7 @@
-"""Targets for tests that crash when a request whose path contains "poison" runs."""
+"""Targets for tests that crash when certain requests run.
+
+These have a path that contains "poison", or one of some parts in their prompts.
+"""
 
 import asyncio
 import enum
@@ -8,7 +11,11 @@
 from test import directfleet as df
 
 CONTACT_S: typing.Final = 3.0  # the users' bound for a fact to be known at all entries
-MAX_LATE_SENDS: typing.Final = 3  # the users' bound, after the third crash + CONTACT_S
+MAX_LATE_SENDS: typing.Final = (
+    3  # the users' bound, CONTACT_S after the last that counts
+)
+COUNTED_CRASHES: typing.Final = 3  # of a request
+COUNTED_PART_CRASHES: typing.Final = 5  # of requests with a part in common
 REQUEST_S: typing.Final = 0.5  # of requests that crash nothing
 REGISTRATION_S: typing.Final = 0.1  # from the start of a target to its registration
 LAPSE_S: typing.Final = 3.6  # three of the users' heartbeat intervals
@@ -26,9 +33,10 @@
 
 
 class CrashingTargets:
-    """Targets that crash when a request whose path contains "poison" begins to run.
+    """Targets that crash when a poisonous request begins to run.
 
-    A crashed target comes back after ``downtime_s`` at its address with a new id; after
+    That is one whose path contains "poison", or whose prompt has one of ``parts``. A
+    crashed target comes back after ``downtime_s`` at its address with a new id; after
     ``Ending.REPLACED`` it is back at once. Its registration lapses after ``LAPSE_S``.
     With ``keeps_id`` it comes back under its id, and states a later start. Times are
     the event loop's.
@@ -40,11 +48,13 @@
         ending: Ending = Ending.REFUSED,
         downtime_s: float = 2.0,
         keeps_id: bool = False,
+        parts: typing.Collection[str] = (),
     ) -> None:
         self._fleet = fleet
         self._ending = ending
         self._downtime_s = downtime_s
         self._keeps_id = keeps_id
+        self._parts = frozenset(parts)
         self._tasks: set[asyncio.Task[None]] = set()
         self.send_times: list[float] = []
         self.crash_times: list[float] = []
@@ -66,7 +76,7 @@
         if df.is_misdirected(target, request):
             df.write_refusal(writer, headers.STATUS_MISDIRECTED)
             return True
-        if "poison" not in request.path:
+        if not self._is_poisonous(request):
             await asyncio.sleep(REQUEST_S)
             writer.write(df.make_response(request.attempt_id))
             return True
@@ -89,6 +99,13 @@
             self._start_task(self._register(target))
         return False
 
+    def _is_poisonous(self, request: df.ReceivedRequest) -> bool:
+        """Return whether a request crashes the target that runs it."""
+        parts = headers.parse_prompt_parts(
+            request.headers.get(headers.PROMPT_PARTS.lower(), "")
+        )
+        return "poison" in request.path or not self._parts.isdisjoint(parts)
+
     def _start_task(self, coro: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
         """Run a coroutine in the background."""
         task = asyncio.get_running_loop().create_task(coro)
@@ -114,8 +131,9 @@
         started_ms = len(self.crash_times)
         self._fleet.register(target.name, service, started_ms=started_ms)
 
-    def count_late_sends(self) -> int:
-        """Count the sends later than ``CONTACT_S`` after the third crash."""
-        if len(self.crash_times) < 3:
+    def count_late_sends(self, crashes: int = COUNTED_CRASHES) -> int:
+        """Count the sends later than ``CONTACT_S`` after that many crashes."""
+        if len(self.crash_times) < crashes:
             return 0
-        return sum(at > self.crash_times[2] + CONTACT_S for at in self.send_times)
+        last_counted_at = self.crash_times[crashes - 1]
+        return sum(at > last_counted_at + CONTACT_S for at in self.send_times)
