--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -16,7 +16,8 @@
 That includes exchanges that were cancelled because their caller had left. A response of
 the target to a later request shows the opposite and resolves them, and so does the
 completion of their content at another target. The end of a target that is leaving
-counts against nobody.
+counts against nobody. Parts of prompts are suspected only in exchanges whose response
+had not begun.
 
 A request that was sent on an idle connection may never have reached its target, if that
 had fallen silent before. It counts only if the target closed the connection. Content
@@ -37,6 +38,7 @@
     departures,
     freshness,
     nodemetrics,
+    partprobes,
     targetpool,
     upstream,
 )
@@ -75,15 +77,16 @@
     """A request that was sent to an incarnation of a target.
 
     ``ended_at`` is when its exchange ended without a response. ``has_arrived`` is set
-    if the target was there when the request was sent. Times are of a clock that counts
-    suspension.
+    if the target was there when the request was sent, ``has_begun`` once the response
+    began. Times are of a clock that counts suspension.
     """
 
     incarnation: str
-    content_id: str
+    fingerprint: crashledger.Fingerprint
     conn: upstream.Connection
     sent_at: float
     has_arrived: bool
+    has_begun: bool = False
     ended_at: float = freshness.NEVER
     was_aborted: bool = False
 
@@ -113,7 +116,8 @@
 class CrashDetector:
     """Tells the ledger of an entry which targets crashed under which requests.
 
-    ``on_recorded`` is called after a crash was recorded.
+    ``on_recorded`` is called after a crash was recorded. ``compute_turn`` returns the
+    turn of this entry to probe a suspect, see ``partprobes``.
     """
 
     def __init__(
@@ -124,8 +128,11 @@
         entry_metrics: nodemetrics.EntryMetrics,
         on_recorded: collections.abc.Callable[[], None],
         left: departures.Departures,
+        compute_turn: collections.abc.Callable[[str], int],
     ) -> None:
         self._ledger = ledger
+        self._probes = partprobes.PartProbes()
+        self._compute_turn = compute_turn
         self._departures = left
         self._pool = pool
         self._clock = clock
@@ -135,42 +142,93 @@
         # When the last exchange of a content ended without a response.
         self._unanswered_at: dict[str, float] = {}
 
-    def compute_refusal_s(self, content_id: str) -> float:
-        """Return after how long callers may come back, 0.0 if the content may run."""
-        return self._ledger.compute_refusal_s(self._clock.read(), content_id)
-
-    def get_crash_count(self, content_id: str) -> int:
-        """Return how many targets crashed while this content ran there."""
-        return self._ledger.get_crash_count(content_id)
+    def find_refusal(
+        self, fingerprint: crashledger.Fingerprint
+    ) -> crashledger.Refusal | None:
+        """Return why a request is refused, or None if it may run now."""
+        now = self._clock.read()
+        refusal = self._ledger.find_refusal(now, fingerprint)
+        if refusal is None or refusal.retry_after_s > 0.0:
+            return refusal
+        if not refusal.suspect.startswith(crashledger.PART_PREFIX):
+            return None
+        turn = self._compute_turn(refusal.suspect)
+        if self._probes.may_begin(now, refusal.suspect, turn, refusal.overdue_s):
+            return None
+        return dataclasses.replace(refusal, retry_after_s=partprobes.TURN_S)
+
+    def begin_run(
+        self, fingerprint: crashledger.Fingerprint
+    ) -> crashledger.Refusal | None:
+        """Check once more before a send; a part whose refusal is over is probed."""
+        refusal = self.find_refusal(fingerprint)
+        if refusal is not None:
+            return refusal
+        now = self._clock.read()
+        suspect = self._ledger.find_refusal(now, fingerprint)
+        if suspect and suspect.suspect.startswith(crashledger.PART_PREFIX):
+            self._probes.begin(now, suspect.suspect)
+            loguru.logger.info(
+                "event=part_probe suspect={} content={} crashes={}",
+                suspect.suspect,
+                fingerprint.content_id,
+                suspect.crash_count,
+            )
+        return None
+
+    def get_crash_count(self, fingerprint: crashledger.Fingerprint) -> int:
+        """Return how many targets crashed while a request ran there."""
+        return self._ledger.get_crash_count(self._clock.read(), fingerprint)
 
     def needs_new_connection(self, content_id: str) -> bool:
         """Return whether a content got no response before, and no completion since."""
         return content_id in self._unanswered_at
 
-    def on_completed(self, content_id: str) -> None:
-        """Record that a target ran a content to its end."""
+    def on_first_send(self, fingerprint: crashledger.Fingerprint) -> None:
+        """Count a request that is not refused in the traffic of its parts."""
+        self._ledger.traffic.on_request(self._clock.read(), fingerprint.parts)
+
+    def on_begun(self, sent: SentRequest) -> None:
+        """Record that the response to a request began, which clears its parts."""
+        sent.has_begun = True
+        self._log_cleared(
+            self._ledger.record_begin(self._clock.read(), sent.fingerprint.parts)
+        )
+
+    def on_completed(self, fingerprint: crashledger.Fingerprint) -> None:
+        """Record that a target ran a request to its end."""
+        content_id = fingerprint.content_id
         self._unanswered_at.pop(content_id, None)
         for exchanges in self._exchanges.values():
             if exchanges.unresolved:
                 exchanges.unresolved = [
                     sent
                     for sent in exchanges.unresolved
-                    if sent.content_id != content_id
+                    if sent.fingerprint.content_id != content_id
                 ]
-        if self._ledger.record_completion(self._clock.read(), content_id):
-            loguru.logger.info("event=content_cleared content={}", content_id)
+        self._log_cleared(
+            self._ledger.record_completion(self._clock.read(), fingerprint)
+        )
+
+    def _log_cleared(self, cleared: list[str]) -> None:
+        """Log which contents and parts are no longer suspected."""
+        if cleared:
+            loguru.logger.info("event=suspects_cleared suspects={}", ",".join(cleared))
 
     def _get_exchanges(self, incarnation: str) -> TargetExchanges:
         """Return the exchanges with an incarnation of a target."""
         return self._exchanges.setdefault(incarnation, TargetExchanges())
 
     def on_sent(
-        self, target: targetpool.Target, content_id: str, conn: upstream.Connection
+        self,
+        target: targetpool.Target,
+        fingerprint: crashledger.Fingerprint,
+        conn: upstream.Connection,
     ) -> SentRequest:
         """Record that a request is sent to a target on a connection."""
         incarnation = target.registration.incarnation
         now = self._clock.read()
-        sent = SentRequest(incarnation, content_id, conn, now, not conn.was_idle)
+        sent = SentRequest(incarnation, fingerprint, conn, now, not conn.was_idle)
         self._get_exchanges(incarnation).running.add(sent)
         return sent
 
@@ -187,7 +245,7 @@
         elif how is not ExchangeEnd.MISDIRECTED:
             sent.ended_at = self._clock.read()
             sent.has_arrived |= how is ExchangeEnd.BROKEN and not sent.was_aborted
-            self._unanswered_at[sent.content_id] = sent.ended_at
+            self._unanswered_at[sent.fingerprint.content_id] = sent.ended_at
             exchanges.unresolved.append(sent)
             if exchanges.evidence is not None:
                 self._record_crash(sent.incarnation, exchanges, exchanges.evidence)
@@ -204,6 +262,7 @@
         for content_id, ended_at in list(self._unanswered_at.items()):
             if ended_at < oldest:
                 del self._unanswered_at[content_id]
+        self._probes.expire(self._clock.read())
 
     async def probe(self, target: targetpool.Target) -> None:
         """Find out whether a target crashed; call after a broken exchange."""
@@ -277,11 +336,11 @@
             return
         now = self._clock.read()
         changed = [
-            sent.content_id
+            sent.fingerprint.content_id
             for sent in unresolved
             if sent.has_arrived
             and now - sent.ended_at <= UNRESOLVED_S
-            and self._ledger.record_crash(now, sent.content_id, incarnation)
+            and self._ledger.record_crash(now, make_suspect(sent), incarnation)
         ]
         if not changed:
             return
@@ -290,6 +349,16 @@
             "event=target_crashed target={} evidence={} contents={}",
             incarnation,
             evidence.value,
-            self._ledger.format_counts(changed),
+            self._ledger.format_counts(now, changed),
         )
         self._on_recorded()
+
+
+def make_suspect(sent: SentRequest) -> crashledger.Fingerprint:
+    """Return what of a request may have crashed its target.
+
+    A part crashes its target before the response begins.
+    """
+    if sent.has_begun:
+        return crashledger.Fingerprint(sent.fingerprint.content_id)
+    return sent.fingerprint
--- a/sardinesaddle/direct/crashkeeper.py
+++ b/sardinesaddle/direct/crashkeeper.py
@@ -71,5 +71,5 @@
             loguru.logger.info(
                 "event=crashes_merged source={} contents={}",
                 peer.host,
-                self.ledger.format_counts(changed),
+                self.ledger.format_counts(self._clock.read(), changed),
             )
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -1,37 +1,36 @@
 """Remembers under which requests targets crashed, and which requests to refuse.
 
 Some requests crash every target that runs them, and their callers send them again, at
-any entry. The ledger records, for each request content, the incarnations of targets
-that crashed while it ran there. Content with two crashes is quarantined, that is,
-refused, unless another content has the same two and so explains them as well; then both
-may run once more, apart from each other. Content with three crashes is always
-quarantined.
+any entry. Or a part of prompts does, and it comes with other content each time.
+The ledger records, for each request content, the incarnations of targets that crashed
+while it ran there, and its parts. ``crashindex`` finds what explains the crashes: the
+content or the part that is then quarantined, that is, refused.
 
 Requests that only ran beside the cause of a crash differ from it in two ways. First,
-crashes that quarantined contents explain do not count against them. Second, they run to
-their end when they are sent again. Content that was completed is cleared: the crashes
-recorded so far no longer count. Content that many callers send at once may be running
-on several targets that crash for other reasons, so content that was completed in the
-last ``COMPLETION_MEMORY_S`` is not recorded at all.
+crashes that quarantined contents or parts explain do not count against them. Second,
+they run when they are sent again. Content that was completed is cleared, and so are the
+parts of a request whose response began: the crashes recorded so far no longer count.
+Content that many callers send at once, and parts that many requests share, may be
+running on several targets that crash for other reasons, so what was completed in the
+last ``COMPLETION_MEMORY_S`` is not suspected at all.
 
 A refusal ends ``FIRST_REFUSAL_S`` after the last crash, so that a wrong one does not
-last. If the content crashes another target then, the next refusal is longer. Within
-``SETTLING_S`` of a crash callers are told to come back after that time, since a record
-that explains it may still be on its way from another entry.
-
-All entries merge their ledgers. A record holds two sets of incarnations, those that
-crashed and those that are cleared, which only grow; merging takes the union, so records
-may arrive in any order and any number of times.
+last. If the content or part crashes another target then, the next refusal is longer.
+Within ``SETTLING_S`` of a crash callers are told to come back after that time, since a
+record that explains it may still be on its way from another entry.
+
+All entries merge their ledgers. A record holds sets that only grow: incarnations that
+crashed, and those that are cleared; merging takes the union, so records may arrive in
+any order and any number of times. A part has a record of its own for what is cleared.
+A ledger holds ``MAX_RECORDS`` at most; those with the fewest crashes are dropped first.
 """
 
 import collections
 import dataclasses
 import typing
 
-from sardinesaddle.direct import messages
+from sardinesaddle.direct import crashindex, messages, parttraffic
 
-MIN_CRASHES: typing.Final = 2  # quarantined if no other content explains them
-MAX_CRASHES: typing.Final = 3  # quarantined in any case
 SETTLING_S: typing.Final = 3.0  # the time in which all entries learn of a crash
 FIRST_REFUSAL_S: typing.Final = 600.0
 REFUSAL_GROWTH: typing.Final = 4.0
@@ -40,157 +39,231 @@
 COMPLETION_MEMORY_S: typing.Final = 2.0
 MAX_RECORDS: typing.Final = 1024  # beyond this, those with the fewest crashes go
 DROPPED_RECORDS: typing.Final = 64
+INDEX_MAX_AGE_S: typing.Final = 1.0  # after a crash; the traffic changes, too
+INDEX_UPDATED_S: typing.Final = 30.0  # for so long after the last crash
+PART_PREFIX: typing.Final = "part:"  # of the key of a part's record
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fingerprint:
+    """What the attempts of a request, or several requests, have in common.
+
+    ``content_id`` is the same for all attempts of a caller at one request. ``parts``
+    are those of its prompt that it shares with other requests, in order.
+    """
+
+    content_id: str
+    parts: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is refused: a quarantined content or part, and its crashes.
+
+    ``retry_after_s`` is when callers may come back, 0.0 if the time has been over for
+    ``overdue_s``; ``age_s`` is the time since the last crash.
+    """
+
+    suspect: str
+    crash_count: int
+    age_s: float
+    retry_after_s: float
+    overdue_s: float
 
 
 @dataclasses.dataclass(slots=True)
 class CrashRecord:
     """The incarnations of targets that crashed while a request content ran there.
 
-    ``last_crash_at`` is the time of the last crash, ``change_number`` that of the last
-    change to this record in this process's ledger.
+    ``cleared`` are those that no longer count; a record of a part has only these.
+    ``parts`` are those of the content that may be the cause. ``last_crash_at`` is the
+    time of the last crash, ``change_number`` that of the last change to this record in
+    this process's ledger.
     """
 
     last_crash_at: float
     change_number: int = 0
     crashed: set[str] = dataclasses.field(default_factory=set)
     cleared: set[str] = dataclasses.field(default_factory=set)
-
-
-class CrashIndex:
-    """The contents by crash, and which of them are quarantined.
-
-    ``counted`` are the crashes of each content that count against it.
-    """
-
-    __slots__ = ("_by_crash", "counted", "quarantined")
-
-    def __init__(self, records: dict[str, CrashRecord]) -> None:
-        self.counted = {
-            content_id: counted
-            for content_id, record in records.items()
-            if (counted := record.crashed - record.cleared)
-        }
-        self._by_crash: dict[str, set[str]] = {}
-        for content_id, counted in self.counted.items():
-            for incarnation in counted:
-                self._by_crash.setdefault(incarnation, set()).add(content_id)
-        suspects = {
-            content_id
-            for content_id, counted in self.counted.items()
-            if len(counted) >= MAX_CRASHES
-            or (len(counted) >= MIN_CRASHES and not self._has_alternative(content_id))
-        }
-        self.quarantined = {
-            content_id
-            for content_id in suspects
-            if len(self.counted[content_id]) >= MAX_CRASHES
-            or self.count_unexplained(content_id, suspects)
-        }
-
-    def _has_alternative(self, content_id: str) -> bool:
-        """Return whether another content explains all crashes of a content."""
-        same_crashes = [self._by_crash[crash] for crash in self.counted[content_id]]
-        return len(set.intersection(*same_crashes)) > 1
-
-    def count_unexplained(self, content_id: str, explaining: set[str]) -> int:
-        """Count the crashes of a content that none of the explaining contents explains.
-
-        A content whose crashes are all among the given one's explains none of them.
-        """
-        counted = self.counted[content_id]
-        return sum(
-            all(
-                self.counted[other] <= counted
-                for other in self._by_crash[crash] & explaining
-            )
-            for crash in counted
-        )
+    parts: tuple[str, ...] = ()
 
 
 class CrashLedger:
     """The crash records of an entry, merged with those of the others.
 
     Times are of a clock that counts suspension. ``change_number`` increases with each
-    change.
+    change. ``entry_count`` is the number of entries, which share the traffic.
     """
 
     __slots__ = (
         "_completed_at",
-        "_index",
+        "_content_index",
+        "_crashed_at",
+        "_index_at",
         "_index_change_number",
+        "_last_crash_at",
+        "_part_index",
         "_records",
         "change_number",
+        "entry_count",
+        "traffic",
     )
 
     def __init__(self) -> None:
         self._records: dict[str, CrashRecord] = {}
-        # The last completion of each content, the oldest first.
+        # The last completion of each content and part, the oldest first.
         self._completed_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # When each target crashed, as far as this ledger knows.
+        self._crashed_at: dict[str, float] = {}
+        self.traffic = parttraffic.PartTraffic()
         self.change_number = 0
-        self._index = CrashIndex({})
+        self.entry_count = 1
         self._index_change_number = 0
+        self._index_at = 0.0
+        self._last_crash_at = float("-inf")
+        evidence = self._make_evidence(0.0)
+        self._part_index = crashindex.PartIndex(evidence)
+        self._content_index = crashindex.ContentIndex(evidence.crashes, set())
+
+    def _update_index(self, now: float) -> None:
+        """Compute the indices anew after a change, or when they are old."""
+        has_changed = self._index_change_number != self.change_number
+        is_old = (
+            self._index_at < self._last_crash_at + INDEX_UPDATED_S
+            and now - self._index_at >= INDEX_MAX_AGE_S
+        )
+        if not has_changed and not is_old:
+            return
+        self._index_change_number = self.change_number
+        self._index_at = now
+        evidence = self._make_evidence(now)
+        self._part_index = crashindex.PartIndex(evidence)
+        explained = set().union(*self._part_index.quarantined.values())
+        self._content_index = crashindex.ContentIndex(evidence.crashes, explained)
+
+    def _make_evidence(self, now: float) -> crashindex.Evidence:
+        """Return what the indices are computed from."""
+        return crashindex.Evidence(
+            now,
+            {
+                content_id: counted
+                for content_id, record in self._records.items()
+                if (counted := record.crashed - record.cleared)
+            },
+            {key: record.crashed for key, record in self._records.items()},
+            {key: record.parts for key, record in self._records.items()},
+            {
+                key.removeprefix(PART_PREFIX): record.cleared
+                for key, record in self._records.items()
+                if key.startswith(PART_PREFIX)
+            },
+            self._crashed_at,
+            lambda part: self.traffic.count_part(now, part),
+            self.traffic.count_requests(now),
+            self.entry_count,
+        )
 
-    def _get_index(self) -> CrashIndex:
-        """Return the index of the records, computed anew after a change."""
-        if self._index_change_number != self.change_number:
-            self._index_change_number = self.change_number
-            self._index = CrashIndex(self._records)
-        return self._index
-
-    def get_crash_count(self, content_id: str) -> int:
-        """Return how many crashes the content may have caused."""
-        index = self._get_index()
+    def get_crash_count(self, now: float, fingerprint: Fingerprint) -> int:
+        """Return how many crashes the content, or its refused part, may have caused."""
+        self._update_index(now)
+        if part := self._find_quarantined_part(fingerprint):
+            return len(self._part_index.quarantined[part])
+        index = self._content_index
+        content_id = fingerprint.content_id
         if content_id not in index.counted:
             return 0
         if content_id in index.quarantined:
             return len(index.counted[content_id])
         return index.count_unexplained(content_id, index.quarantined)
 
-    def compute_refusal_s(self, now: float, content_id: str) -> float:
-        """Return after how long callers may come back, 0.0 if the content may run."""
-        index = self._get_index()
-        if content_id not in index.quarantined:
-            return 0.0
-        settling_s = self._records[content_id].last_crash_at + SETTLING_S - now
-        if settling_s > 0.0:
-            return settling_s
-        extra_crashes = len(index.counted[content_id]) - MIN_CRASHES
-        refusal_s = min(FIRST_REFUSAL_S * REFUSAL_GROWTH**extra_crashes, MAX_REFUSAL_S)
-        return max(self._records[content_id].last_crash_at + refusal_s - now, 0.0)
-
-    def format_counts(self, content_ids: list[str]) -> str:
-        """Return contents with their crash counts, for the log."""
-        return ",".join(f"{c}:{self.get_crash_count(c)}" for c in content_ids)
+    def _find_quarantined_part(self, fingerprint: Fingerprint) -> str | None:
+        """Return the part of a request that is quarantined, with most crashes."""
+        quarantined = self._part_index.quarantined
+        return max(
+            (part for part in fingerprint.parts if part in quarantined),
+            key=lambda part: len(quarantined[part]),
+            default=None,
+        )
 
-    def count_refused(self, now: float) -> int:
-        """Return the number of contents that are refused."""
-        return sum(
-            self.compute_refusal_s(now, c) > 0.0 for c in self._get_index().quarantined
+    def find_refusal(self, now: float, fingerprint: Fingerprint) -> Refusal | None:
+        """Return why a request is refused, or None if nothing of it is quarantined.
+
+        It may run in spite of a refusal whose time is over.
+        """
+        self._update_index(now)
+        if part := self._find_quarantined_part(fingerprint):
+            crashes = self._part_index.quarantined[part]
+            last_crash_at = max(self._crashed_at[crash] for crash in crashes)
+            return make_refusal(now, PART_PREFIX + part, len(crashes), last_crash_at)
+        content_id = fingerprint.content_id
+        if content_id not in self._content_index.quarantined:
+            return None
+        count = len(self._content_index.counted[content_id])
+        last_crash_at = self._records[content_id].last_crash_at
+        return make_refusal(now, content_id, count, last_crash_at)
+
+    def format_counts(self, now: float, keys: list[str]) -> str:
+        """Return contents with their crash counts, for the log."""
+        return ",".join(
+            f"{key}:{self.get_crash_count(now, Fingerprint(key))}"
+            for key in keys
+            if not key.startswith(PART_PREFIX)
         )
 
-    def record_crash(self, now: float, content_id: str, incarnation: str) -> bool:
-        """Count a target's crash against a content; return whether it is new."""
-        if self._was_completed_recently(now, content_id):
+    def count_refused(self, now: float) -> int:
+        """Return the number of contents and parts that are refused."""
+        self._update_index(now)
+        prints = [Fingerprint("", (part,)) for part in self._part_index.quarantined]
+        prints += [Fingerprint(c) for c in self._content_index.quarantined]
+        refusals = [self.find_refusal(now, fingerprint) for fingerprint in prints]
+        return sum(r is not None and r.retry_after_s > 0.0 for r in refusals)
+
+    def record_crash(
+        self, now: float, fingerprint: Fingerprint, incarnation: str
+    ) -> bool:
+        """Count a target's crash against a request; return whether it is new."""
+        if self._was_completed_recently(now, fingerprint.content_id):
             return False
-        return self._merge_record(now, content_id, {incarnation}, set())
+        is_new = self._merge_record(
+            now, fingerprint.content_id, {incarnation}, set(), fingerprint.parts
+        )
+        for part in fingerprint.parts:
+            if self._was_completed_recently(now, PART_PREFIX + part):
+                self._clear_part(now, part)
+        return is_new
+
+    def record_completion(self, now: float, fingerprint: Fingerprint) -> list[str]:
+        """Clear a request that a target completed; return what that changes."""
+        changed = self.record_begin(now, fingerprint.parts)
+        self._record_time(now, fingerprint.content_id)
+        if self._clear(fingerprint.content_id):
+            changed.append(fingerprint.content_id)
+        return changed
 
-    def record_completion(self, now: float, content_id: str) -> bool:
-        """Clear a content that a target completed; return whether that changes it."""
-        self._completed_at[content_id] = now
-        self._completed_at.move_to_end(content_id)
+    def record_begin(self, now: float, parts: typing.Collection[str]) -> list[str]:
+        """Clear the parts of a request whose response began; return those changed."""
+        for part in parts:
+            self._record_time(now, PART_PREFIX + part)
+        if not self._crashed_at:
+            return []
+        return [PART_PREFIX + part for part in parts if self._clear_part(now, part)]
+
+    def _record_time(self, now: float, key: str) -> None:
+        """Remember for ``COMPLETION_MEMORY_S`` that a content or part was completed."""
+        self._completed_at[key] = now
+        self._completed_at.move_to_end(key)
         while next(iter(self._completed_at.values())) < now - COMPLETION_MEMORY_S:
             self._completed_at.popitem(last=False)
-        return self._clear(content_id)
 
-    def _was_completed_recently(self, now: float, content_id: str) -> bool:
-        """Return whether a content was completed within ``COMPLETION_MEMORY_S``."""
-        completed_at = self._completed_at.get(content_id)
+    def _was_completed_recently(self, now: float, key: str) -> bool:
+        """Return whether something was completed within ``COMPLETION_MEMORY_S``."""
+        completed_at = self._completed_at.get(key)
         return completed_at is not None and now - completed_at <= COMPLETION_MEMORY_S
 
     def _clear(self, content_id: str) -> bool:
-        """Clear the crashes counted so far; return whether there were any."""
+        """Clear the crashes of a content counted so far; return if there were any."""
         record = self._records.get(content_id)
         if record is None or record.crashed <= record.cleared:
             return False
@@ -198,6 +271,14 @@
         self._number_change(record)
         return True
 
+    def _clear_part(self, now: float, part: str) -> bool:
+        """Clear the crashes of a part counted so far; return if there were any."""
+        self._update_index(now)
+        crashes = self._part_index.counted.get(part)
+        if not crashes:
+            return False
+        return self._merge_record(now, PART_PREFIX + part, set(), crashes, ())
+
     def _number_change(self, record: CrashRecord) -> None:
         """Give a record the next change number."""
         self.change_number += 1
@@ -206,20 +287,28 @@
     def _merge_record(
         self,
         crash_at: float,
-        content_id: str,
+        key: str,
         crashed: typing.AbstractSet[str],
         cleared: typing.AbstractSet[str],
+        parts: tuple[str, ...],
     ) -> bool:
         """Merge incarnations into a record; return whether the record changes."""
-        record = self._records.get(content_id)
+        record = self._records.get(key)
         if record is None:
             record = CrashRecord(crash_at)
-            self._records[content_id] = record
+            self._records[key] = record
         record.last_crash_at = max(record.last_crash_at, crash_at)
-        if crashed <= record.crashed and cleared <= record.cleared:
+        for incarnation in crashed:
+            known_at = self._crashed_at.get(incarnation, crash_at)
+            self._crashed_at[incarnation] = min(known_at, crash_at)
+            self._last_crash_at = max(self._last_crash_at, crash_at)
+        is_known = crashed <= record.crashed and cleared <= record.cleared
+        merged_parts = max(record.parts, parts, key=lambda p: (len(p), p))
+        if is_known and merged_parts == record.parts:
             return False
         record.crashed |= crashed
         record.cleared |= cleared
+        record.parts = merged_parts
         self._number_change(record)
         if len(self._records) > MAX_RECORDS:
             self._drop_least_important()
@@ -232,38 +321,65 @@
         Several are dropped at a time, since finding them takes a millisecond.
         """
 
-        def get_importance(content_id: str) -> tuple[int, float]:
-            record = self._records[content_id]
-            return len(record.crashed - record.cleared), record.last_crash_at
+        def get_importance(key: str) -> tuple[int, float]:
+            record = self._records[key]
+            is_part = key.startswith(PART_PREFIX)
+            counted = record.cleared if is_part else record.crashed - record.cleared
+            return len(counted), record.last_crash_at
 
-        for content_id in sorted(self._records, key=get_importance)[:DROPPED_RECORDS]:
-            del self._records[content_id]
+        for key in sorted(self._records, key=get_importance)[:DROPPED_RECORDS]:
+            del self._records[key]
+        kept = set().union(*(record.crashed for record in self._records.values()))
+        for incarnation in self._crashed_at.keys() - kept:
+            del self._crashed_at[incarnation]
 
     def list_changes(self, now: float, after: int) -> list[messages.CrashRecord]:
         """Return the records changed after a change number, for other entries."""
         return [
             messages.CrashRecord(
-                content_id,
+                key,
                 sorted(record.crashed),
                 sorted(record.cleared),
                 max(now - record.last_crash_at, 0.0),
+                list(record.parts),
             )
-            for content_id, record in self._records.items()
+            for key, record in self._records.items()
             if record.change_number > after
         ]
 
     def merge(self, now: float, records: list[messages.CrashRecord]) -> list[str]:
         """Merge the records of another entry; return the contents that changed."""
         changed = []
+        parts: set[str] = set()
         for wire in records:
             is_changed = self._merge_record(
                 now - wire.last_crash_age_s,
                 wire.content_id,
                 set(wire.crashed),
                 set(wire.cleared),
+                tuple(wire.parts),
             )
             if self._was_completed_recently(now, wire.content_id):
                 is_changed |= self._clear(wire.content_id)
             if is_changed:
                 changed.append(wire.content_id)
+                parts.update(wire.parts)
+        for part in parts:
+            if self._was_completed_recently(now, PART_PREFIX + part):
+                self._clear_part(now, part)
         return changed
+
+
+def make_refusal(
+    now: float, suspect: str, crash_count: int, last_crash_at: float
+) -> Refusal:
+    """Return the refusal of a suspect with a number of crashes."""
+    age_s = now - last_crash_at
+    extra_crashes = max(crash_count - crashindex.MIN_CRASHES, 0)
+    refusal_s = min(FIRST_REFUSAL_S * REFUSAL_GROWTH**extra_crashes, MAX_REFUSAL_S)
+    if age_s < SETTLING_S:
+        refusal_s = SETTLING_S
+    remaining_s = refusal_s - age_s
+    return Refusal(
+        suspect, crash_count, age_s, max(remaining_s, 0.0), max(-remaining_s, 0.0)
+    )
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -30,6 +30,7 @@
     messages,
     nodemetrics,
     nodesettings,
+    partprobes,
     replica,
     rpc,
     storedecoder,
@@ -109,6 +110,7 @@
             self.metrics,
             self._peers.announce,
             self.departures,
+            self._compute_probe_turn,
         )
         self._registry = targetregistry.TargetRegistry(
             store_decoder,
@@ -211,6 +213,12 @@
             )
         return is_valid
 
+    def _compute_probe_turn(self, suspect: str) -> int:
+        """Return the turn of this entry to probe a part whose refusal is over."""
+        return partprobes.compute_turn(
+            self._peers.list_entries(), self._cfg.host, suspect
+        )
+
     def _on_target_leaving(self, incarnation: str, source: str) -> None:
         """Send an incarnation that states that it leaves nothing more; tell others."""
         if not self.departures.on_leaving(read_loop_time(), incarnation):
@@ -390,7 +398,7 @@
             loguru.logger.info(
                 "event=crashes_merged source={} contents={}",
                 source,
-                self.crash_ledger.format_counts(changed),
+                self.crash_ledger.format_counts(self._clock.read(), changed),
             )
 
     def _sync_crash_records(self, msg: messages.CrashSync) -> messages.CrashSyncReply:
@@ -524,6 +532,7 @@
             registered = self.targets.list_incarnations()
             self.departures.forget(now, registered)
             self.targets.rests.forget(now, registered)
+            self.crash_ledger.entry_count = self.count_entries()
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
             self._refresh_limits(now)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -25,6 +25,7 @@
 from sardinesaddle.direct import (
     catalog,
     crashdetector,
+    crashledger,
     entrystate,
     headercodec,
     nodemetrics,
@@ -70,7 +71,7 @@
         self._entry_state = entry_state
         self._on_target_leaving = on_target_leaving
         self._limits = limits
-        self._crashes = crashes
+        self.crashes = crashes
         self._header_codec = header_codec
         self._targets = targets
         self._pool = pool
@@ -156,8 +157,9 @@
         content_id = requeststate.compute_content_id(
             req.path, "" if account is None else account.name, req.body
         )
+        fingerprint = crashledger.Fingerprint(content_id, req.metadata.prompt_parts)
         return requeststate.RequestState(
-            req, route, service, account, content_id, req.arrived_at + limit_s
+            req, route, service, account, fingerprint, req.arrived_at + limit_s
         )
 
     def _get_retry_budget(self, service: str) -> retrybudget.RetryBudget:
@@ -181,13 +183,17 @@
         """Try targets until one responds; return a refusal if none does."""
         last_error: requeststate.TargetError | None = None
         while True:
-            target = await self._find_target(state)
-            refusal_s = self._crashes.compute_refusal_s(state.content_id)
-            if refusal_s:
+            refusal = self.crashes.find_refusal(state.fingerprint)
+            target = None if refusal else await self._find_target(state)
+            if refusal is None and target is not None:
+                # Another entry may have reported crashes while the request waited.
+                refusal = self.crashes.begin_run(state.fingerprint)
+            if refusal is not None:
                 if target is not None:
                     self._end_attempt(state, target)
+                self._log_quarantine(state, refusal)
                 return await self._finish_without_response(
-                    state, responder, last_error, "quarantined", refusal_s
+                    state, responder, last_error, "quarantined", refusal.retry_after_s
                 )
             if target is None:
                 reason, retry_after_s = self._explain_no_target(state)
@@ -198,7 +204,7 @@
             if isinstance(outcome, requeststate.Completed):
                 self._targets.on_success(target)
                 if outcome.is_success:
-                    self._crashes.on_completed(state.content_id)
+                    self.crashes.on_completed(state.fingerprint)
                 self._log(state.req, state, "answered", outcome.status, target)
                 return None
             reason = self._record_outcome(target, outcome)
@@ -207,12 +213,26 @@
             if isinstance(outcome, requeststate.TargetError):
                 last_error = outcome
             if is_broken(outcome):
-                await self._crashes.probe(target)
+                await self.crashes.probe(target)
             if not self._may_retry(state, outcome):
                 return await self._finish_without_response(
                     state, responder, last_error, reason, self._choose_return_s(state)
                 )
 
+    def _log_quarantine(
+        self, state: requeststate.RequestState, refusal: crashledger.Refusal
+    ) -> None:
+        """Log which content or part a request is refused for."""
+        loguru.logger.info(
+            "event=quarantine id={} suspect={} crashes={} age_s={:.1f}"
+            " retry_after_s={:.1f}",
+            state.req.metadata.attempt_id,
+            refusal.suspect,
+            refusal.crash_count,
+            refusal.age_s,
+            refusal.retry_after_s,
+        )
+
     def _choose_return_s(self, state: requeststate.RequestState) -> float:
         """Return when the caller of a request that is not sent again may come back."""
         now = asyncio.get_running_loop().time()
@@ -240,9 +260,7 @@
         self, state: requeststate.RequestState
     ) -> targetpool.Target | None:
         """Return the target for the next attempt; wait in the queue if none is free."""
-        if self._crashes.compute_refusal_s(state.content_id):
-            return None
-        state.crash_count = self._crashes.get_crash_count(state.content_id)
+        state.crash_count = self.crashes.get_crash_count(state.fingerprint)
         waiting_since = state.req.arrived_at
         due_at, expires_at = (
             waiting_since + state.route.latency_objective_s,
@@ -275,7 +293,7 @@
         if isinstance(outcome, requeststate.Refusal):
             if outcome.reason == responserelay.MISPLACED:
                 self._targets.on_stale_address(target)
-                self._crashes.on_target_ended(target, crashdetector.Evidence.REPLACED)
+                self.crashes.on_target_ended(target, crashdetector.Evidence.REPLACED)
             elif outcome.status == requeststate.STATUS_NOT_RUN:
                 self._targets.on_capacity_refusal(now, target)
             return outcome.reason
@@ -339,15 +357,13 @@
         key = (registration.host, registration.port, registration.target_id)
         now = asyncio.get_running_loop().time
         try:
-            is_new = not state.may_run_twice or self._crashes.needs_new_connection(
-                state.content_id
+            is_new = not state.may_run_twice or self.crashes.needs_new_connection(
+                state.fingerprint.content_id
             )
             conn = await self._pool.acquire(key, now(), CONNECT_TIMEOUT_S, is_new)
             if isinstance(conn, upstream.Failure):
                 if conn.kind is upstream.FailureKind.CONNECTION_REFUSED:
-                    self._crashes.on_target_ended(
-                        target, crashdetector.Evidence.REFUSED
-                    )
+                    self.crashes.on_target_ended(target, crashdetector.Evidence.REFUSED)
                 return conn
             exchange = upstream.Exchange(
                 conn,
@@ -355,15 +371,17 @@
                 state.req.metadata.attempt_id,
             )
             outcome: responserelay.Outcome | None = None
-            sent = self._crashes.on_sent(target, state.content_id, conn)
+            if not state.send_count:
+                self.crashes.on_first_send(state.fingerprint)
+            sent = self.crashes.on_sent(target, state.fingerprint, conn)
             try:
-                outcome = await self._exchange(state, target, exchange, responder)
+                outcome = await self._exchange(state, target, exchange, responder, sent)
                 return outcome
             finally:
                 if exchange.finish(now()):
                     self._pool.release(key, conn)
                 how = classify_exchange_end(outcome)
-                self._crashes.on_exchange_end(sent, how)
+                self.crashes.on_exchange_end(sent, how)
         finally:
             self._end_attempt(state, target)
 
@@ -381,42 +399,17 @@
         target: targetpool.Target,
         exchange: upstream.Exchange,
         responder: requeststate.Responder,
+        sent: crashdetector.SentRequest,
     ) -> responserelay.Outcome:
         """Send the request on a connection and relay the response."""
         req = state.req
         headers = self._make_upstream_headers(state, target)
-        sent_at = asyncio.get_running_loop().time()
-        incarnation = target.registration.incarnation
+        observer = ExchangeObserver(self, state, target, sent)
         exchange.send(req.method, req.path, headers, req.body)
         state.send_count += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
-
-        def on_head(metadata: headercodec.ResponseMetadata) -> None:
-            if metadata.is_wrong_target:
-                # What another target states of itself is not about this one.
-                return
-            self._record_limit(incarnation, sent_at, metadata)
-            self._record_rest(state, incarnation, metadata)
-            if metadata.is_leaving:
-                self._on_target_leaving(incarnation, "response")
-
-        def on_first_event() -> None:
-            state.first_event_at = asyncio.get_running_loop().time()
-            self._metrics.observe_first_event(
-                state.service, state.first_event_at - req.arrived_at
-            )
-
-        async def has_target_ended() -> bool:
-            return await self._crashes.has_ended(target)
-
         relay = responserelay.ResponseRelay(
-            state,
-            exchange,
-            responder,
-            self._header_codec,
-            on_head,
-            on_first_event,
-            has_target_ended,
+            state, exchange, responder, self._header_codec, observer
         )
         outcome = await relay.run(target)
         if (
@@ -426,6 +419,29 @@
             state.may_have_run = may_have_run_before
         return outcome
 
+    def record_statements(
+        self,
+        state: requeststate.RequestState,
+        incarnation: str,
+        sent_at: float,
+        metadata: headercodec.ResponseMetadata,
+    ) -> None:
+        """Record what a target states of itself in the head of a response."""
+        if metadata.is_wrong_target:
+            # What another target states of itself is not about this one.
+            return
+        self._record_limit(incarnation, sent_at, metadata)
+        self._record_rest(state, incarnation, metadata)
+        if metadata.is_leaving:
+            self._on_target_leaving(incarnation, "response")
+
+    def record_first_event(self, state: requeststate.RequestState) -> None:
+        """Record when the caller gets the first event of a stream."""
+        state.first_event_at = asyncio.get_running_loop().time()
+        self._metrics.observe_first_event(
+            state.service, state.first_event_at - state.req.arrived_at
+        )
+
     def _record_limit(
         self,
         incarnation: str,
@@ -533,7 +549,7 @@
             " route={} service={} target={} sends={} tried={} first_ms={:.0f} ms={:.0f}"
             " left_ms={:.0f} config={} config_age_s={:.2f}",
             req.metadata.attempt_id,
-            state.content_id if state else "",
+            state.fingerprint.content_id if state else "",
             ",".join(req.metadata.prompt_parts[:MAX_LOGGED_PARTS]),
             state.crash_count if state else 0,
             outcome,
@@ -553,6 +569,41 @@
         )
 
 
+class ExchangeObserver(responserelay.RelayObserver):
+    """Passes what the response of one exchange shows to the forwarder and detector."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        state: requeststate.RequestState,
+        target: targetpool.Target,
+        sent: crashdetector.SentRequest,
+    ) -> None:
+        self._forwarder = forwarder
+        self._state = state
+        self._target = target
+        self._sent = sent
+        self._sent_at = asyncio.get_running_loop().time()
+
+    def on_head(self, metadata: headercodec.ResponseMetadata) -> None:
+        """Record what the target states of itself."""
+        self._forwarder.record_statements(
+            self._state, self._sent.incarnation, self._sent_at, metadata
+        )
+
+    def on_begun(self) -> None:
+        """Record that the target wrote on this prompt without a crash."""
+        self._forwarder.crashes.on_begun(self._sent)
+
+    def on_first_event(self) -> None:
+        """Record when the caller gets its first event."""
+        self._forwarder.record_first_event(self._state)
+
+    async def has_target_ended(self) -> bool:
+        """Find out whether the target's process has ended."""
+        return await self._forwarder.crashes.has_ended(self._target)
+
+
 def compute_priority(state: requeststate.RequestState) -> int:
     """Return the priority of the account or else the route; 0 is the highest."""
     priority = state.route.priority
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -35,13 +35,15 @@
     """The incarnations of targets that crashed while a request content ran there.
 
     Those in ``cleared`` do not count against the content. ``last_crash_age_s`` is the
-    time since the last crash.
+    time since the last crash. ``parts`` are those of its prompt, in order, that may be
+    the cause. A record of a part, named by ``content_id``, has only ``cleared``.
     """
 
     content_id: str
     crashed: list[str]
     cleared: list[str]
     last_crash_age_s: float
+    parts: list[str] = []
 
 
 Position = tuple[int, int, bool]
--- /dev/null
+++ b/sardinesaddle/direct/parttraffic.py
@@ -0,0 +1,65 @@
+"""Counts how often the parts of prompts occur in the requests that an entry sends.
+
+The counts decay, so they follow the traffic of the last half minute. They tell a part
+of few requests from one that all requests of a caller or a model share. Beyond
+``MAX_PARTS``, the parts that were seen least recently are forgotten; what is forgotten
+counts as rare.
+"""
+
+import collections
+import dataclasses
+import math
+import typing
+
+DECAY_S: typing.Final = 30.0
+MAX_PARTS: typing.Final = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class DecayingCount:
+    """A count that decays by e in ``DECAY_S``; ``at`` is when it was ``value``."""
+
+    value: float
+    at: float
+
+    def read(self, now: float) -> float:
+        """Return the count now."""
+        return self.value * math.exp((self.at - now) / DECAY_S)
+
+    def add_one(self, now: float) -> None:
+        """Count one more."""
+        self.value = self.read(now) + 1.0
+        self.at = now
+
+
+class PartTraffic:
+    """The decaying counts of all requests with parts, and of each part."""
+
+    __slots__ = ("_parts", "_requests")
+
+    def __init__(self) -> None:
+        self._requests = DecayingCount(0.0, 0.0)
+        self._parts: collections.OrderedDict[str, DecayingCount] = (
+            collections.OrderedDict()
+        )
+
+    def on_request(self, now: float, parts: typing.Collection[str]) -> None:
+        """Count a request with these parts."""
+        if not parts:
+            return
+        self._requests.add_one(now)
+        for part in parts:
+            known = self._parts.setdefault(part, DecayingCount(0.0, now))
+            known.add_one(now)
+            self._parts.move_to_end(part)
+        while len(self._parts) > MAX_PARTS:
+            self._parts.popitem(last=False)
+
+    def count_requests(self, now: float) -> float:
+        """Return the count of all requests with parts."""
+        return self._requests.read(now)
+
+    def count_part(self, now: float, part: str) -> float:
+        """Return the count of the requests with a part."""
+        known = self._parts.get(part)
+        return 0.0 if known is None else known.read(now)
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -5,7 +5,7 @@
 import hashlib
 import typing
 
-from sardinesaddle.direct import catalog, headercodec
+from sardinesaddle.direct import catalog, crashledger, headercodec
 
 STATUS_NOT_RUN: typing.Final = 503
 STATUS_OUTCOME_UNKNOWN: typing.Final = 502
@@ -100,18 +100,17 @@
     """A request with its route and account, and the state of its attempts.
 
     Times are the event loop's. ``may_have_run`` is set while a target may run or have
-    run the request. ``content_id`` is the same for all attempts of a caller at one
-    request; ``crash_count`` is how many targets had crashed under that content when
-    the present attempt began. ``last_event`` is the number of the last stream event
-    that was relayed to the caller. ``attempt_log`` lists target and reason of each
-    failed attempt.
+    run the request. ``crash_count`` is how many targets had crashed under the
+    ``fingerprint`` when the present attempt began. ``last_event`` is the number of the
+    last stream event that was relayed to the caller. ``attempt_log`` lists target and
+    reason of each failed attempt.
     """
 
     req: Request
     route: catalog.Route
     service: str
     account: catalog.Account | None
-    content_id: str
+    fingerprint: crashledger.Fingerprint
     deadline: float
     crash_count: int = 0
     send_count: int = 0
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -9,6 +9,7 @@
 off if it ends within an event or before the first one.
 """
 
+import abc
 import asyncio
 import collections.abc
 import typing
@@ -44,13 +45,28 @@
 )
 
 
-class ResponseRelay:
-    """Relays one response.
+class RelayObserver(abc.ABC):
+    """Is told what a response shows of its target, and what the caller gets."""
+
+    @abc.abstractmethod
+    def on_head(self, metadata: headercodec.ResponseMetadata) -> None:
+        """Handle the metadata in the head of the response."""
+
+    @abc.abstractmethod
+    def on_begun(self) -> None:
+        """Handle that the target wrote the first event of the stream."""
+
+    @abc.abstractmethod
+    def on_first_event(self) -> None:
+        """Handle that the caller gets the first event of its stream."""
+
+    @abc.abstractmethod
+    async def has_target_ended(self) -> bool:
+        """Find out whether the target's process has ended."""
 
-    ``on_head`` is called with the metadata of its head, and ``on_first_event`` at a
-    stream's first event. ``has_target_ended`` finds out whether the target's process
-    has ended.
-    """
+
+class ResponseRelay:
+    """Relays one response."""
 
     def __init__(
         self,
@@ -58,19 +74,13 @@
         exchange: upstream.Exchange,
         responder: requeststate.Responder,
         header_codec: headercodec.HeaderCodec,
-        on_head: collections.abc.Callable[[headercodec.ResponseMetadata], None],
-        on_first_event: collections.abc.Callable[[], None],
-        has_target_ended: collections.abc.Callable[
-            [], collections.abc.Coroutine[typing.Any, typing.Any, bool]
-        ],
+        observer: RelayObserver,
     ) -> None:
         self._state = state
         self._exchange = exchange
         self._responder = responder
         self._header_codec = header_codec
-        self._on_head = on_head
-        self._on_first_event = on_first_event
-        self._has_target_ended = has_target_ended
+        self._observer = observer
         # Silence does not end a request that may not be repeated.
         self._silence_timeout_s = SILENCE_TIMEOUT_S if state.may_run_twice else None
 
@@ -82,7 +92,7 @@
         if isinstance(head, upstream.Failure):
             return head
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
-        self._on_head(metadata)
+        self._observer.on_head(metadata)
         if metadata.was_not_run:
             await self._discard_body()
             reason = MISPLACED if metadata.is_wrong_target else f"refused_{head.status}"
@@ -176,7 +186,10 @@
 
     async def _find_broken_end(self) -> upstream.Failure | None:
         """Return a failure if a response ended because its target's process did."""
-        if not self._exchange.is_unframed or not await self._has_target_ended():
+        if (
+            not self._exchange.is_unframed
+            or not await self._observer.has_target_ended()
+        ):
             return None
         kind = upstream.FailureKind.CLOSED
         return upstream.Failure(kind, True, "target ended with its response")
@@ -204,7 +217,9 @@
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
             received = parser.feed(data)
-            has_events = has_events or bool(received)
+            if received and not has_events:
+                has_events = True
+                self._observer.on_begun()
             if parser.is_oversized:
                 kind = upstream.FailureKind.MALFORMED
                 return upstream.Failure(kind, True, "event exceeds the size limit")
@@ -215,7 +230,7 @@
     async def _start_stream(self, head: upstream.ResponseHead) -> None:
         """Send the head of the stream unless an earlier target's was sent."""
         if not self._responder.is_started:
-            self._on_first_event()
+            self._observer.on_first_event()
             await self._responder.start(head.status, list_response_headers(head), None)
 
     async def _send_events(
--- a/test/crashingtargets.py
+++ b/test/crashingtargets.py
@@ -7,6 +7,7 @@
 import enum
 import typing
 
+from sardinesaddle.direct import crashledger
 from sardinesaddle.platform import headers
 from test import directfleet as df
 
@@ -59,6 +60,10 @@
         self.send_times: list[float] = []
         self.crash_times: list[float] = []
 
+    def recover(self) -> None:
+        """Let no part crash a target any more."""
+        self._parts = frozenset()
+
     async def add(self, count: int, service: str = "plain") -> None:
         """Start and register a number of targets."""
         for number in range(count):
@@ -137,3 +142,16 @@
             return 0
         last_counted_at = self.crash_times[crashes - 1]
         return sum(at > last_counted_at + CONTACT_S for at in self.send_times)
+
+
+def count_crashes(ledger: crashledger.CrashLedger, content_id: str) -> int:
+    """Return how many crashes a content without parts may have caused."""
+    return ledger.get_crash_count(0.0, crashledger.Fingerprint(content_id))
+
+
+def compute_refusal_s(
+    ledger: crashledger.CrashLedger, now: float, content_id: str
+) -> float:
+    """Return after how long callers of a content may come back, 0.0 for now."""
+    refusal = ledger.find_refusal(now, crashledger.Fingerprint(content_id))
+    return 0.0 if refusal is None else refusal.retry_after_s
--- a/test/test_direct_crash_evidence.py
+++ b/test/test_direct_crash_evidence.py
@@ -140,7 +140,10 @@
         content_id = requeststate.compute_content_id(
             "/free/poison", "alice", b"question"
         )
-        assert fleet.entries[0].crash_ledger.get_crash_count(content_id) == 1
+        assert (
+            crashingtargets.count_crashes(fleet.entries[0].crash_ledger, content_id)
+            == 1
+        )
 
     df.run_scenario(scenario)
 
@@ -169,10 +172,10 @@
 def test_full_ledger_keeps_a_content_with_two_crashes() -> None:
     ledger = crashledger.CrashLedger()
     for target in ("a", "b"):
-        ledger.record_crash(0.0, "poison", target)
+        ledger.record_crash(0.0, crashledger.Fingerprint("poison"), target)
     for number in range(2 * crashledger.MAX_RECORDS):
-        ledger.record_crash(10.0, f"beside-{number}", "c")
-    assert ledger.compute_refusal_s(11.0, "poison") > 0.0
+        ledger.record_crash(10.0, crashledger.Fingerprint(f"beside-{number}"), "c")
+    assert crashingtargets.compute_refusal_s(ledger, 11.0, "poison") > 0.0
 
 
 def test_request_ends_when_its_silent_target_is_replaced() -> None:
@@ -201,7 +204,10 @@
         content_id = requeststate.compute_content_id(
             "/once/poison", "alice", b"question"
         )
-        assert fleet.entries[0].crash_ledger.get_crash_count(content_id) == 1
+        assert (
+            crashingtargets.count_crashes(fleet.entries[0].crash_ledger, content_id)
+            == 1
+        )
 
     df.run_scenario(scenario)
 
--- a/test/test_direct_quarantine.py
+++ b/test/test_direct_quarantine.py
@@ -250,7 +250,10 @@
         content_id = requeststate.compute_content_id(
             "/free/poison", "alice", b"question"
         )
-        assert fleet.entries[0].crash_ledger.get_crash_count(content_id) == 1
+        assert (
+            crashingtargets.count_crashes(fleet.entries[0].crash_ledger, content_id)
+            == 1
+        )
 
     df.run_scenario(scenario)
 
@@ -263,9 +266,11 @@
         ledger = rng.choice(ledgers)
         content_id = f"c{rng.randrange(4)}"
         if rng.random() < 0.2:
-            ledger.record_completion(now * 10.0, content_id)
+            ledger.record_completion(now * 10.0, crashledger.Fingerprint(content_id))
         else:
-            ledger.record_crash(now * 10.0, content_id, f"t{rng.randrange(6)}")
+            ledger.record_crash(
+                now * 10.0, crashledger.Fingerprint(content_id), f"t{rng.randrange(6)}"
+            )
     return ledgers
 
 
@@ -280,7 +285,10 @@
             merged.merge(now, ledgers[index].list_changes(now, 0))
         outcomes.append(
             [
-                (merged.get_crash_count(c), merged.compute_refusal_s(now, c))
+                (
+                    crashingtargets.count_crashes(merged, c),
+                    crashingtargets.compute_refusal_s(merged, now, c),
+                )
                 for c in ("c0", "c1", "c2", "c3")
             ]
         )
@@ -298,52 +306,54 @@
         "beside-one": "b",
     }.items():
         for target in targets:
-            ledger.record_crash(0.0, content_id, target)
-    refused = [c for c in ledger._records if ledger.compute_refusal_s(1.0, c)]
+            ledger.record_crash(0.0, crashledger.Fingerprint(content_id), target)
+    refused = [
+        c for c in ledger._records if crashingtargets.compute_refusal_s(ledger, 1.0, c)
+    ]
     assert refused == ["poison", "poison-too"]
-    assert ledger.get_crash_count("beside-both") == 0
-    assert ledger.get_crash_count("beside-one") == 0
+    assert crashingtargets.count_crashes(ledger, "beside-both") == 0
+    assert crashingtargets.count_crashes(ledger, "beside-one") == 0
 
 
 def test_contents_with_the_same_crashes_may_run_once_more() -> None:
     ledger = crashledger.CrashLedger()
     for target in "ab":
-        ledger.record_crash(0.0, "poison", target)
-        ledger.record_crash(0.0, "beside", target)
+        ledger.record_crash(0.0, crashledger.Fingerprint("poison"), target)
+        ledger.record_crash(0.0, crashledger.Fingerprint("beside"), target)
     assert not ledger.count_refused(1.0)
-    ledger.record_crash(5.0, "poison", "c")
-    assert ledger.compute_refusal_s(6.0, "poison") > 0.0
-    assert ledger.compute_refusal_s(6.0, "beside") == 0.0
-    assert ledger.get_crash_count("beside") == 0
+    ledger.record_crash(5.0, crashledger.Fingerprint("poison"), "c")
+    assert crashingtargets.compute_refusal_s(ledger, 6.0, "poison") > 0.0
+    assert crashingtargets.compute_refusal_s(ledger, 6.0, "beside") == 0.0
+    assert crashingtargets.count_crashes(ledger, "beside") == 0
 
 
 def test_neighbour_is_refused_briefly_until_the_cause_is_known() -> None:
     ledger = crashledger.CrashLedger()
     other = crashledger.CrashLedger()
     for target in "ab":
-        ledger.record_crash(0.0, "beside", target)
-        other.record_crash(0.1, "poison", target)
-    other.record_crash(0.1, "poison", "c")
-    assert 0.0 < ledger.compute_refusal_s(0.2, "beside") <= CONTACT_S
+        ledger.record_crash(0.0, crashledger.Fingerprint("beside"), target)
+        other.record_crash(0.1, crashledger.Fingerprint("poison"), target)
+    other.record_crash(0.1, crashledger.Fingerprint("poison"), "c")
+    assert 0.0 < crashingtargets.compute_refusal_s(ledger, 0.2, "beside") <= CONTACT_S
     ledger.merge(0.3, other.list_changes(0.3, 0))
-    assert ledger.compute_refusal_s(0.3, "beside") == 0.0
+    assert crashingtargets.compute_refusal_s(ledger, 0.3, "beside") == 0.0
 
 
 def test_completed_content_is_no_longer_refused() -> None:
     ledger = crashledger.CrashLedger()
     for number in range(3):
-        ledger.record_crash(0.0, "c", f"t{number}")
-    assert ledger.compute_refusal_s(10.0, "c") == 2390.0
-    assert ledger.record_completion(10.0, "c")
-    assert ledger.compute_refusal_s(10.0, "c") == 0.0
-    assert not ledger.record_crash(11.0, "c", "t4")
-    assert ledger.record_crash(20.0, "c", "t5")
-    assert ledger.get_crash_count("c") == 1
+        ledger.record_crash(0.0, crashledger.Fingerprint("c"), f"t{number}")
+    assert crashingtargets.compute_refusal_s(ledger, 10.0, "c") == 2390.0
+    assert ledger.record_completion(10.0, crashledger.Fingerprint("c"))
+    assert crashingtargets.compute_refusal_s(ledger, 10.0, "c") == 0.0
+    assert not ledger.record_crash(11.0, crashledger.Fingerprint("c"), "t4")
+    assert ledger.record_crash(20.0, crashledger.Fingerprint("c"), "t5")
+    assert crashingtargets.count_crashes(ledger, "c") == 1
 
 
 def test_ledger_keeps_the_latest_records_when_full() -> None:
     ledger = crashledger.CrashLedger()
     for number in range(crashledger.MAX_RECORDS + 1):
-        ledger.record_crash(float(number), f"c{number}", "t")
-    assert ledger.get_crash_count("c0") == 0
-    assert ledger.get_crash_count(f"c{crashledger.MAX_RECORDS}") == 1
+        ledger.record_crash(float(number), crashledger.Fingerprint(f"c{number}"), "t")
+    assert crashingtargets.count_crashes(ledger, "c0") == 0
+    assert crashingtargets.count_crashes(ledger, f"c{crashledger.MAX_RECORDS}") == 1
