Run suspects only in the lock-step group that crashed under them

What callers saw: a crash in one group was followed within some ten milliseconds by one in the other, and the service had no group for three seconds.

Cause: a request whose rank crashed was sent on at once, and what shared its content or part went anywhere, so the second proof cost what was left.

Change: a crash record names the lock-step group. For six seconds after a crash, contents and rare parts that it makes suspects run only in that group. Exempt are streams whose callers have received events (a part crashes before the first), parts with a response in the last ten seconds, and parts of a quarter of the traffic. Suspects keep to ranks without others, as before.

Weighed: suspects at a plain target set aside (there is none for models); one suspect at a time over all entries (needs agreement; the rank that crashes already tells them apart); waiting in the queue (1.5 s of three, then refused anyway). The price: two to four requests of each crash wait about three seconds, also when the rank failed for another reason.

A lone crash: neighbours run once the group is back, or anywhere after six seconds.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -96,12 +96,14 @@
     """The exchanges with one incarnation of a target.
 
     ``evidence`` shows since ``found_at`` that the target has ended; it is None while
-    the target may run. ``is_leaving`` is set if it had stated that it would leave.
+    the target may run, and ``group`` is its lock-step group then. ``is_leaving`` is set
+    if it had stated that it would leave.
     """
 
     running: set[SentRequest] = dataclasses.field(default_factory=set)
     unresolved: list[SentRequest] = dataclasses.field(default_factory=list)
     evidence: Evidence | None = None
+    group: str = ""
     found_at: float = freshness.NEVER
     is_leaving: bool = False
     probe: asyncio.Task[None] | None = None
@@ -176,9 +178,11 @@
             )
         return None
 
-    def get_crash_count(self, fingerprint: crashledger.Fingerprint) -> int:
-        """Return how many targets crashed while a request ran there."""
-        return self._ledger.get_crash_count(self._clock.read(), fingerprint)
+    def find_suspicion(
+        self, fingerprint: crashledger.Fingerprint
+    ) -> crashledger.Suspicion:
+        """Return how many crashes a request may have caused, and where it may run."""
+        return self._ledger.find_suspicion(self._clock.read(), fingerprint)
 
     def needs_new_connection(self, content_id: str) -> bool:
         """Return whether a content got no response before, and no completion since."""
@@ -320,6 +324,7 @@
             or self._departures.is_leaving(incarnation)
         )
         exchanges.evidence = exchanges.evidence or evidence
+        exchanges.group = target.group or exchanges.group
         exchanges.found_at = self._clock.read()
         self._record_crash(incarnation, exchanges, exchanges.evidence)
         if evidence is Evidence.REPLACED:
@@ -340,7 +345,9 @@
             for sent in unresolved
             if sent.has_arrived
             and now - sent.ended_at <= UNRESOLVED_S
-            and self._ledger.record_crash(now, make_suspect(sent), incarnation)
+            and self._ledger.record_crash(
+                now, make_suspect(sent), incarnation, exchanges.group
+            )
         ]
         if not changed:
             return
--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -244,6 +244,10 @@
         known = {c for c in crashes if self._evidence.crashed_at[c] <= latest}
         return self._episodes.count_episodes(known) >= MIN_BROAD_EPISODES
 
+    def list_contents(self, part: str) -> set[str]:
+        """Return the contents with a part that crashed targets."""
+        return self._contents.get(part, set())
+
     def count_unexplained(self, part: str) -> int:
         """Count the crashes of a part that no quarantined part explains."""
         crashes = set(self.counted.get(part, ()))
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -37,6 +37,10 @@
 MAX_REFUSAL_S: typing.Final = 24 * 3600.0
 # Callers complete content that many of them send several times a second.
 COMPLETION_MEMORY_S: typing.Final = 2.0
+SOUND_S: typing.Final = 10.0  # a part that was sound so lately is no suspect at first
+MAX_COMPLETIONS: typing.Final = 8192  # remembered; the oldest are forgotten first
+# A group is back three seconds after a crash. If it is not, suspects run anywhere.
+CONTAINMENT_S: typing.Final = 6.0
 MAX_RECORDS: typing.Final = 1024  # beyond this, those with the fewest crashes go
 DROPPED_RECORDS: typing.Final = 64
 INDEX_MAX_AGE_S: typing.Final = 1.0  # after a crash; the traffic changes, too
@@ -71,14 +75,27 @@
     overdue_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """How many crashes a request may have caused, and where it may run.
+
+    ``group`` is the lock-step group that crashed last under what it may be suspected
+    for, empty if the request may run anywhere; ``age_s`` is the time since then.
+    """
+
+    crash_count: int = 0
+    group: str = ""
+    age_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class CrashRecord:
     """The incarnations of targets that crashed while a request content ran there.
 
     ``cleared`` are those that no longer count; a record of a part has only these.
     ``parts`` are those of the content that may be the cause. ``last_crash_at`` is the
-    time of the last crash, ``change_number`` that of the last change to this record in
-    this process's ledger.
+    time of the last crash, ``group`` the lock-step group that it broke,
+    ``change_number`` that of the last change to this record in this process's ledger.
     """
 
     last_crash_at: float
@@ -86,6 +103,7 @@
     crashed: set[str] = dataclasses.field(default_factory=set)
     cleared: set[str] = dataclasses.field(default_factory=set)
     parts: tuple[str, ...] = ()
+    group: str = ""
 
 
 class CrashLedger:
@@ -170,14 +188,52 @@
         self._update_index(now)
         if part := self._find_quarantined_part(fingerprint):
             return len(self._part_index.quarantined[part])
+        return self._count_unexplained(fingerprint.content_id)
+
+    def _count_unexplained(self, content_id: str) -> int:
+        """Count the crashes that a content may have caused."""
         index = self._content_index
-        content_id = fingerprint.content_id
         if content_id not in index.counted:
             return 0
         if content_id in index.quarantined:
             return len(index.counted[content_id])
         return index.count_unexplained(content_id, index.quarantined)
 
+    def find_suspicion(self, now: float, fingerprint: Fingerprint) -> Suspicion:
+        """Return what a request that is not refused is suspected of.
+
+        Parts of much of the traffic, and those with a response in the last
+        ``SOUND_S``, are only suspected once they are quarantined.
+        """
+        self._update_index(now)
+        suspects = []
+        if count := self._count_unexplained(fingerprint.content_id):
+            suspects.append((count, fingerprint.content_id))
+        for part in fingerprint.parts:
+            if self._was_completed_recently(now, PART_PREFIX + part, SOUND_S):
+                continue
+            if part in self._part_index.counted and not self._part_index.is_broad(part):
+                part_count = self._part_index.count_unexplained(part)
+                content_id = self._find_last_content(part)
+                if part_count and content_id:
+                    suspects.append((part_count, content_id))
+        if not suspects:
+            return Suspicion()
+        records = [self._records[content_id] for _, content_id in suspects]
+        last = max(records, key=lambda record: record.last_crash_at)
+        age_s = now - last.last_crash_at
+        group = last.group if age_s < CONTAINMENT_S else ""
+        return Suspicion(max(count for count, _ in suspects), group, age_s)
+
+    def _find_last_content(self, part: str) -> str | None:
+        """Return the content with a part under which a target crashed last."""
+        contents = self._part_index.list_contents(part)
+        return max(
+            (content_id for content_id in contents if content_id in self._records),
+            key=lambda content_id: self._records[content_id].last_crash_at,
+            default=None,
+        )
+
     def _find_quarantined_part(self, fingerprint: Fingerprint) -> str | None:
         """Return the part of a request that is quarantined, with most crashes."""
         quarantined = self._part_index.quarantined
@@ -221,13 +277,16 @@
         return sum(r is not None and r.retry_after_s > 0.0 for r in refusals)
 
     def record_crash(
-        self, now: float, fingerprint: Fingerprint, incarnation: str
+        self, now: float, fingerprint: Fingerprint, incarnation: str, group: str = ""
     ) -> bool:
-        """Count a target's crash against a request; return whether it is new."""
+        """Count a target's crash against a request; return whether it is new.
+
+        ``group`` is the target's lock-step group.
+        """
         if self._was_completed_recently(now, fingerprint.content_id):
             return False
         is_new = self._merge_record(
-            now, fingerprint.content_id, {incarnation}, set(), fingerprint.parts
+            now, fingerprint.content_id, {incarnation}, set(), fingerprint.parts, group
         )
         for part in fingerprint.parts:
             if self._was_completed_recently(now, PART_PREFIX + part):
@@ -251,16 +310,21 @@
         return [PART_PREFIX + part for part in parts if self._clear_part(now, part)]
 
     def _record_time(self, now: float, key: str) -> None:
-        """Remember for ``COMPLETION_MEMORY_S`` that a content or part was completed."""
+        """Remember for ``SOUND_S`` that a content or part was completed."""
         self._completed_at[key] = now
         self._completed_at.move_to_end(key)
-        while next(iter(self._completed_at.values())) < now - COMPLETION_MEMORY_S:
+        while (
+            next(iter(self._completed_at.values())) < now - SOUND_S
+            or len(self._completed_at) > MAX_COMPLETIONS
+        ):
             self._completed_at.popitem(last=False)
 
-    def _was_completed_recently(self, now: float, key: str) -> bool:
-        """Return whether something was completed within ``COMPLETION_MEMORY_S``."""
+    def _was_completed_recently(
+        self, now: float, key: str, within_s: float = COMPLETION_MEMORY_S
+    ) -> bool:
+        """Return whether a content or part was completed within a time."""
         completed_at = self._completed_at.get(key)
-        return completed_at is not None and now - completed_at <= COMPLETION_MEMORY_S
+        return completed_at is not None and now - completed_at <= within_s
 
     def _clear(self, content_id: str) -> bool:
         """Clear the crashes of a content counted so far; return if there were any."""
@@ -277,7 +341,7 @@
         crashes = self._part_index.counted.get(part)
         if not crashes:
             return False
-        return self._merge_record(now, PART_PREFIX + part, set(), crashes, ())
+        return self._merge_record(now, PART_PREFIX + part, set(), crashes)
 
     def _number_change(self, record: CrashRecord) -> None:
         """Give a record the next change number."""
@@ -290,14 +354,17 @@
         key: str,
         crashed: typing.AbstractSet[str],
         cleared: typing.AbstractSet[str],
-        parts: tuple[str, ...],
+        parts: tuple[str, ...] = (),
+        group: str = "",
     ) -> bool:
         """Merge incarnations into a record; return whether the record changes."""
         record = self._records.get(key)
         if record is None:
             record = CrashRecord(crash_at)
             self._records[key] = record
-        record.last_crash_at = max(record.last_crash_at, crash_at)
+        if crash_at >= record.last_crash_at:
+            record.last_crash_at = crash_at
+            record.group = group or record.group
         for incarnation in crashed:
             known_at = self._crashed_at.get(incarnation, crash_at)
             self._crashed_at[incarnation] = min(known_at, crash_at)
@@ -342,6 +409,7 @@
                 sorted(record.cleared),
                 max(now - record.last_crash_at, 0.0),
                 list(record.parts),
+                record.group,
             )
             for key, record in self._records.items()
             if record.change_number > after
@@ -358,6 +426,7 @@
                 set(wire.crashed),
                 set(wire.cleared),
                 tuple(wire.parts),
+                wire.group,
             )
             if self._was_completed_recently(now, wire.content_id):
                 is_changed |= self._clear(wire.content_id)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -48,6 +48,9 @@
 # Callers give up after 2 s of silence, and 1.2 s pass until a target's times out.
 MAX_RESUME_WAIT_S: typing.Final = 0.8
 LOWEST_PRIORITY: typing.Final = 9  # the engines' scale is from 0 to 9
+GROUP_RETURN_S: typing.Final = 3.2  # from the crash of a rank until its group is back
+MIN_GROUP_WAIT_S: typing.Final = 0.5
+CONTAINED_SPREAD_S: typing.Final = 0.5  # over which callers return to the group
 MAX_LOGGED_PARTS: typing.Final = 8  # of a prompt
 MIN_REMAINING_S: typing.Final = 0.02  # with less time left no target can respond
 
@@ -243,6 +246,10 @@
     def _explain_no_target(self, state: requeststate.RequestState) -> tuple[str, float]:
         """Return why a request got no target, and when its caller may come back."""
         now = asyncio.get_running_loop().time()
+        suspicion = self.crashes.find_suspicion(state.fingerprint)
+        if suspicion.group and not state.first_event_at:
+            group_wait_s = max(GROUP_RETURN_S - suspicion.age_s, MIN_GROUP_WAIT_S)
+            return "contained", group_wait_s + CONTAINED_SPREAD_S * self._rng.random()
         wait_s = self._targets.compute_wait_s(now, state.service, (), 0)
         if wait_s is None:
             # Random times keep callers from retrying simultaneously.
@@ -260,7 +267,10 @@
         self, state: requeststate.RequestState
     ) -> targetpool.Target | None:
         """Return the target for the next attempt; wait in the queue if none is free."""
-        state.crash_count = self.crashes.get_crash_count(state.fingerprint)
+        suspicion = self.crashes.find_suspicion(state.fingerprint)
+        state.crash_count = suspicion.crash_count
+        # A stream whose caller has received events is not what crashed its target.
+        group = "" if state.first_event_at else suspicion.group
         waiting_since = state.req.arrived_at
         due_at, expires_at = (
             waiting_since + state.route.latency_objective_s,
@@ -277,6 +287,7 @@
             min(expires_at, state.deadline - MIN_REMAINING_S),
             state.tried_targets,
             state.crash_count,
+            group,
             "" if state.account is None else state.account.name,
             state.route.name,
         )
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -36,7 +36,8 @@
 
     Those in ``cleared`` do not count against the content. ``last_crash_age_s`` is the
     time since the last crash. ``parts`` are those of its prompt, in order, that may be
-    the cause. A record of a part, named by ``content_id``, has only ``cleared``.
+    the cause. ``group`` is the lock-step group of the last target that crashed. A
+    record of a part, named by ``content_id``, has only ``cleared``.
     """
 
     content_id: str
@@ -44,6 +45,7 @@
     cleared: list[str]
     last_crash_age_s: float
     parts: list[str] = []
+    group: str = ""
 
 
 Position = tuple[int, int, bool]
--- a/sardinesaddle/direct/requestqueue.py
+++ b/sardinesaddle/direct/requestqueue.py
@@ -41,7 +41,8 @@
     ``priority`` 0 is the highest. ``first_event_deadline`` is when the response
     should begin, ``wait_deadline`` when the request leaves the queue.
     ``excluded_targets`` are identifiers of targets that already failed for it.
-    ``crash_count`` is the number of targets that crashed while it ran there.
+    ``crash_count`` is the number of targets that crashed while it ran there, ``group``
+    the only lock-step group that it may run in, empty for any.
     ``account`` and ``kind`` name the client account and the route.
     """
 
@@ -51,6 +52,7 @@
     wait_deadline: float
     excluded_targets: typing.Collection[str] = ()
     crash_count: int = 0
+    group: str = ""
     account: str = ""
     kind: str = ""
     assigned_target: targetpool.Target | None = None
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -82,7 +82,7 @@
         """Return whether a target may get capacity before the wait deadline."""
         now = asyncio.get_running_loop().time()
         if now >= request.wait_deadline or not self._targets.may_have_capacity_soon(
-            now, service, request.crash_count
+            now, service, request.crash_count, request.group
         ):
             return False
         wait_s = self._targets.compute_wait_s(now, service, request.excluded_targets, 0)
@@ -101,6 +101,7 @@
             entry_count,
             self._rng.random,
             request.crash_count,
+            request.group,
         )
         if target is not None:
             self._targets.on_send(target, now, request.crash_count)
@@ -125,7 +126,7 @@
         for request in ordered:
             target = self._try_assign(service, request)
             if target is None and self._targets.may_have_capacity_soon(
-                now, service, request.crash_count
+                now, service, request.crash_count, request.group
             ):
                 if request.excluded_targets or request.crash_count:
                     continue
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -17,7 +17,9 @@
 Requests under which targets crashed before (suspects) are kept apart, so that the next
 crash tells which of them caused it. A suspect of one crash prefers a target without
 other suspects of this entry. A suspect of more crashes waits for one in this entry's
-subset, which no other entry uses for such suspects.
+subset, which no other entry uses for such suspects. In a lock-step service one crash
+stops the whole group, so for a while suspects run only in the group that crashed under
+them, once it is back; the other groups serve the rest.
 
 Targets are ejected for a while after consecutive failures (outlier ejection). If all
 targets of a service are ejected, the one whose ejection ends first is used, so that
@@ -117,6 +119,11 @@
         """The address on which the target listens, as in reports."""
         return make_address(self.registration)
 
+    @property
+    def group(self) -> str:
+        """The lock-step group that the target reported last, or an empty string."""
+        return "" if self.report is None else self.report.group
+
     def has_fresh_report(self, now: float) -> bool:
         """Return whether the sidecar reported within ``REPORT_TTL_S``."""
         return self.report is not None and now - self.reported_at < REPORT_TTL_S
@@ -383,22 +390,25 @@
         entry_count: int,
         random_fraction: typing.Callable[[], float],
         crash_count: int = 0,
+        group: str = "",
     ) -> Target | None:
         """Return the target for the next request, or None if none has capacity.
 
         ``random_fraction`` returns numbers in [0, 1); they also break ties.
-        ``crash_count`` is how many targets crashed while the request ran there.
+        ``crash_count`` is how many targets crashed while the request ran there, and
+        ``group`` the only group that it may run in, empty for any.
         """
         candidates = [
-            t for t in self.list_available(service) if t.target_id not in excluded
+            t
+            for t in self._list_in_group(service, group)
+            if t.target_id not in excluded
         ]
         if crash_count >= CRASHES_TO_ISOLATE:
             own_targets = self.list_subset(service)
-            candidates = [
-                t
-                for t in candidates
-                if t.target_id in own_targets and not t.own_suspects
-            ]
+            own = [t for t in candidates if t.target_id in own_targets]
+            if own or not group:
+                candidates = own
+            candidates = [t for t in candidates if not t.own_suspects]
         open_targets = [t for t in candidates if self.is_group_open(now, t)]
         with_capacity = [
             t for t in open_targets if self.has_capacity(now, t, entry_count)
@@ -425,16 +435,27 @@
         ]
         return min(loads, key=lambda scored: scored[:2])[2]
 
+    def _list_in_group(self, service: str, group: str) -> list[Target]:
+        """Return the available targets in a group; all if none reports that group."""
+        available = self.list_available(service)
+        members = [t for t in available if group and t.group == group]
+        return members or available
+
     def may_have_capacity_soon(
-        self, now: float, service: str, crash_count: int = 0
+        self, now: float, service: str, crash_count: int = 0, group: str = ""
     ) -> bool:
         """Return whether it is worth waiting for a target of the service.
 
         That is so if a target is in backoff, states a limit, rests, is a rank with
         limited slots, or belongs to a group that is not open; for a request that must
-        run apart from other suspects, also if a target runs one.
+        run apart from other suspects, also if a target runs one. A request that may
+        run in one group only does not wait for it to open: that takes seconds.
         """
         is_isolated = crash_count >= CRASHES_TO_ISOLATE
+        if group:
+            members = self._list_in_group(service, group)
+            if not any(self.is_group_open(now, member) for member in members):
+                return False
         return any(
             candidate.backoff_until > now
             or self._limits.is_limited(candidate.registration.incarnation)
