Leave common parts that are being served out of crash records

Cause: an entry that starts has counted no traffic, so the part looked rare to it, and many cleared crashes of a part that looks rare are the mark of one that crashes its targets sometimes.

--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -30,10 +30,11 @@
 import dataclasses
 import typing
 
+from sardinesaddle.direct import parttraffic
+
 MIN_CRASHES: typing.Final = 2  # quarantined if nothing else explains them
 MAX_CRASHES: typing.Final = 3  # quarantined in any case
 MIN_BROAD_EPISODES: typing.Final = 3  # of a part of much of the traffic
-BROAD_SHARE: typing.Final = 0.25  # of the requests with parts
 EPISODE_S: typing.Final = 1.0  # targets that fail together crash within this time
 MIN_EPISODE_SHARE: typing.Final = 0.5  # of the crashes of one time, to count each
 BROAD_DELAY_S: typing.Final = 1.0  # records of the same crash arrive within this time
@@ -54,8 +55,8 @@
     ``crashes`` has the crashes that count against each content, ``parts`` its parts in
     the order of the prompt, ``cleared`` the crashes of each part that completions
     cleared. ``all_crashes`` has those of cleared contents, too. ``crashed_at`` is when
-    each target crashed. ``traffic`` is how many requests of this entry have a part,
-    ``requests`` how many there are, and ``entry_count`` is the number of entries.
+    each target crashed. ``traffic`` counts the requests of this entry, and
+    ``entry_count`` is the number of entries.
     """
 
     now: float
@@ -64,8 +65,7 @@
     parts: dict[str, tuple[str, ...]]
     cleared: dict[str, set[str]]
     crashed_at: dict[str, float]
-    traffic: typing.Callable[[str], float]
-    requests: float
+    traffic: parttraffic.PartTraffic
     entry_count: int
 
 
@@ -132,7 +132,7 @@
                     last_position = self._positions.get(part, 0)
                     self._positions[part] = max(position, last_position)
         self._traffic = {
-            part: evidence.traffic(part)
+            part: evidence.traffic.count_part(evidence.now, part)
             for part in self.counted.keys() | self._frequent.keys()
         }
         self.quarantined: dict[str, set[str]] = {}
@@ -170,7 +170,8 @@
         crashes = self._frequent[part] - explained
         requests = self._traffic[part] * evidence.entry_count
         return (
-            self._episodes.count(crashes) >= MIN_FREQUENT_CRASHES
+            evidence.traffic.is_known(evidence.now)
+            and self._episodes.count(crashes) >= MIN_FREQUENT_CRASHES
             and len(crashes) >= FREQUENT_SHARE * requests
             and not self.is_broad(part)
             and not any(
@@ -194,8 +195,7 @@
 
     def is_broad(self, part: str) -> bool:
         """Return whether a part is in much of the traffic."""
-        traffic = self._traffic[part]
-        return traffic >= BROAD_SHARE * max(self._evidence.requests, 1.0)
+        return self._evidence.traffic.is_broad(self._evidence.now, part)
 
     def _is_cause(self, part: str, explained: set[str]) -> bool:
         """Return whether a part is quarantined, after those that sort before it."""
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -178,8 +178,7 @@
                 if key.startswith(PART_PREFIX)
             },
             self._crashed_at,
-            lambda part: self.traffic.count_part(now, part),
-            self.traffic.count_requests(now),
+            self.traffic,
             self.entry_count,
         )
 
@@ -285,14 +284,24 @@
         """
         if self._was_completed_recently(now, fingerprint.content_id):
             return False
+        parts = tuple(p for p in fingerprint.parts if not self._is_common(now, p))
         is_new = self._merge_record(
-            now, fingerprint.content_id, {incarnation}, set(), fingerprint.parts, group
+            now, fingerprint.content_id, {incarnation}, set(), parts, group
         )
-        for part in fingerprint.parts:
+        for part in parts:
             if self._was_completed_recently(now, PART_PREFIX + part):
                 self._clear_part(now, part)
         return is_new
 
+    def _is_common(self, now: float, part: str) -> bool:
+        """Return whether a part is in much of the traffic, which is being served.
+
+        It is left out of records: an entry that starts could not tell it from others.
+        """
+        key = PART_PREFIX + part
+        is_sound = self._was_completed_recently(now, key, SOUND_S)
+        return is_sound and self.traffic.is_broad(now, part)
+
     def record_completion(self, now: float, fingerprint: Fingerprint) -> list[str]:
         """Clear a request that a target completed; return what that changes."""
         changed = self.record_begin(now, fingerprint.parts)
--- a/sardinesaddle/direct/parttraffic.py
+++ b/sardinesaddle/direct/parttraffic.py
@@ -13,6 +13,8 @@
 
 DECAY_S: typing.Final = 30.0
 MAX_PARTS: typing.Final = 4096
+BROAD_SHARE: typing.Final = 0.25  # of the requests with parts
+MIN_KNOWN_REQUESTS: typing.Final = 20.0  # with fewer, the shares of parts are not known
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +61,15 @@
         """Return the count of all requests with parts."""
         return self._requests.read(now)
 
+    def is_known(self, now: float) -> bool:
+        """Return whether there were enough requests to tell the shares of parts."""
+        return self.count_requests(now) >= MIN_KNOWN_REQUESTS
+
+    def is_broad(self, now: float, part: str) -> bool:
+        """Return whether a part is in much of the traffic, as far as that is known."""
+        broad_count = BROAD_SHARE * self.count_requests(now)
+        return self.is_known(now) and self.count_part(now, part) >= broad_count
+
     def count_part(self, now: float, part: str) -> float:
         """Return the count of the requests with a part."""
         known = self._parts.get(part)
