Blame a part that is being served only for what no content explains

What callers saw: a caller that had sent several requests that crash targets was refused as a whole for ten minutes, for the part that its requests share. Cause: its part had two crashes under two contents, and parts were examined before contents. Now a part that this entry served within a minute needs three crashes at different times that no quarantined content and no other part explains; one that was sound until now is still found by them. test_caller_that_sends_several_guilty_requests_is_not_refused_as_a_whole failed.

--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -12,8 +12,9 @@
 - no single content has all of them, which would be the smaller explanation, and
 - no rarer part with the same contents has them.
 
-A part of much of the traffic needs more: ``MIN_BROAD_EPISODES`` crashes at different
-times, none of which a rarer part explains, counted after a moment in which records of
+A part of much of the traffic, or one that was served lately, needs more:
+``MIN_COMMON_EPISODES`` crashes at different times, which no other part and no content
+explains. One of much of the traffic is examined after a moment in which records of
 other entries arrive. Parts of different contents that explain the same crashes, and are
 about as rare, are rivals; both must be seen once more (``MAX_CRASHES``).
 
@@ -34,7 +35,7 @@
 
 MIN_CRASHES: typing.Final = 2  # quarantined if nothing else explains them
 MAX_CRASHES: typing.Final = 3  # quarantined in any case
-MIN_BROAD_EPISODES: typing.Final = 3  # of a part of much of the traffic
+MIN_COMMON_EPISODES: typing.Final = 3  # of a part that is known to be served
 EPISODE_S: typing.Final = 1.0  # targets that fail together crash within this time
 MIN_EPISODE_SHARE: typing.Final = 0.5  # of the crashes of one time, to count each
 BROAD_DELAY_S: typing.Final = 1.0  # records of the same crash arrive within this time
@@ -55,8 +56,9 @@
     ``crashes`` has the crashes that count against each content, ``parts`` its parts in
     the order of the prompt, ``cleared`` the crashes of each part that completions
     cleared. ``all_crashes`` has those of cleared contents, too. ``crashed_at`` is when
-    each target crashed. ``traffic`` counts the requests of this entry, and
-    ``entry_count`` is the number of entries.
+    each target crashed. ``traffic`` counts the requests of this entry, ``was_served``
+    tells whether it lately had a response for a part, and ``entry_count`` is the number
+    of entries.
     """
 
     now: float
@@ -66,6 +68,7 @@
     cleared: dict[str, set[str]]
     crashed_at: dict[str, float]
     traffic: parttraffic.PartTraffic
+    was_served: typing.Callable[[str], bool]
     entry_count: int
 
 
@@ -104,11 +107,13 @@
     """The crashes by part, and the parts that explain them."""
 
     __slots__ = (
+        "_by_contents",
         "_contents",
         "_episodes",
         "_evidence",
         "_frequent",
         "_positions",
+        "_served",
         "_traffic",
         "counted",
         "quarantined",
@@ -135,6 +140,9 @@
             part: evidence.traffic.count_part(evidence.now, part)
             for part in self.counted.keys() | self._frequent.keys()
         }
+        self._served = {part for part in self.counted if evidence.was_served(part)}
+        contents = ContentIndex(evidence.crashes, set())
+        self._by_contents = contents.list_explained()
         self.quarantined: dict[str, set[str]] = {}
         explained: set[str] = set()
         for part in sorted(self.counted, key=self._make_sort_key):
@@ -167,7 +175,7 @@
     def _is_frequent(self, part: str, explained: set[str]) -> bool:
         """Return whether a large share of a part's requests crash their targets."""
         evidence = self._evidence
-        crashes = self._frequent[part] - explained
+        crashes = self._frequent[part] - explained - self._by_contents
         requests = self._traffic[part] * evidence.entry_count
         return (
             evidence.traffic.is_known(evidence.now)
@@ -181,10 +189,13 @@
             )
         )
 
-    def _make_sort_key(self, part: str) -> tuple[bool, int, tuple[float, int], str]:
+    def _make_sort_key(
+        self, part: str
+    ) -> tuple[bool, bool, int, tuple[float, int], str]:
         """Return the key that sorts parts: rare ones, then those with most crashes."""
         crashes = len(self.counted[part])
-        return self.is_broad(part), -crashes, self._get_rarity(part), part
+        is_served = part in self._served
+        return self.is_broad(part), is_served, -crashes, self._get_rarity(part), part
 
     def _get_rarity(self, part: str) -> tuple[float, int]:
         """Return a number that is lower for rarer parts.
@@ -200,13 +211,20 @@
     def _is_cause(self, part: str, explained: set[str]) -> bool:
         """Return whether a part is quarantined, after those that sort before it."""
         crashes = self.counted[part] - explained
+        if part in self._served:
+            crashes -= self._by_contents
         count = self._episodes.count(crashes)
         if count < MIN_CRASHES or self._has_single_content(part, crashes):
             return False
         if self._has_rarer_twin(part):
             return False
         if self.is_broad(part):
-            return self._has_broad_evidence(crashes)
+            latest = self._evidence.now - BROAD_DELAY_S
+            crashes = {c for c in crashes if self._evidence.crashed_at[c] <= latest}
+        if self.is_broad(part) or part in self._served:
+            # Targets that fail together for another reason do so at one time, and what
+            # many requests share was running on each of them.
+            return self._episodes.count_episodes(crashes) >= MIN_COMMON_EPISODES
         return count >= MAX_CRASHES or not self._has_rival(part, crashes)
 
     def _has_single_content(self, part: str, crashes: set[str]) -> bool:
@@ -234,16 +252,6 @@
             if other != part
         )
 
-    def _has_broad_evidence(self, crashes: set[str]) -> bool:
-        """Return whether enough crashes, of different times, are known everywhere.
-
-        Targets that fail together for another reason crash at one time, and what most
-        requests share was running on each of them.
-        """
-        latest = self._evidence.now - BROAD_DELAY_S
-        known = {c for c in crashes if self._evidence.crashed_at[c] <= latest}
-        return self._episodes.count_episodes(known) >= MIN_BROAD_EPISODES
-
     def list_contents(self, part: str) -> set[str]:
         """Return the contents with a part that crashed targets."""
         return self._contents.get(part, set())
@@ -285,6 +293,10 @@
             or self.count_unexplained(content_id, suspects)
         }
 
+    def list_explained(self) -> set[str]:
+        """Return the crashes that quarantined contents explain."""
+        return set().union(*(self.counted[c] for c in self.quarantined))
+
     def _has_alternative(self, content_id: str) -> bool:
         """Return whether another content explains all crashes of a content."""
         same_crashes = [self._by_crash[crash] for crash in self.counted[content_id]]
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -38,6 +38,7 @@
 # Callers complete content that many of them send several times a second.
 COMPLETION_MEMORY_S: typing.Final = 2.0
 SOUND_S: typing.Final = 10.0  # a part that was sound so lately is no suspect at first
+SERVED_S: typing.Final = 60.0  # one that was served so lately needs more evidence
 MAX_COMPLETIONS: typing.Final = 8192  # remembered; the oldest are forgotten first
 # A group is back three seconds after a crash. If it is not, suspects run anywhere.
 CONTAINMENT_S: typing.Final = 6.0
@@ -179,6 +180,9 @@
             },
             self._crashed_at,
             self.traffic,
+            lambda part: self._was_completed_recently(
+                now, PART_PREFIX + part, SERVED_S
+            ),
             self.entry_count,
         )
 
@@ -319,11 +323,11 @@
         return [PART_PREFIX + part for part in parts if self._clear_part(now, part)]
 
     def _record_time(self, now: float, key: str) -> None:
-        """Remember for ``SOUND_S`` that a content or part was completed."""
+        """Remember for ``SERVED_S`` that a content or part was completed."""
         self._completed_at[key] = now
         self._completed_at.move_to_end(key)
         while (
-            next(iter(self._completed_at.values())) < now - SOUND_S
+            next(iter(self._completed_at.values())) < now - SERVED_S
             or len(self._completed_at) > MAX_COMPLETIONS
         ):
             self._completed_at.popitem(last=False)
--- a/test/test_direct_parts.py
+++ b/test/test_direct_parts.py
@@ -279,6 +279,30 @@
     assert world.is_refused("sys")
 
 
+def test_caller_that_sends_several_guilty_requests_is_not_refused_as_a_whole() -> None:
+    world = Ledger()
+    world.serve(30.0)
+    world.serve(1.0, ("sys", "caller"))
+    world.now += 3.0
+    for number in range(2):
+        for name in ("a", "b", "c"):
+            content = crashledger.Fingerprint(name, ("sys", "caller", f"doc{number}"))
+            world.now += 0.5
+            world.ledger.record_crash(world.now, content, f"{name}{number}")
+    assert world.ledger.find_refusal(world.now, content) is not None
+    assert not world.is_refused("sys", "caller")
+
+
+def test_part_that_was_sound_until_now_is_found() -> None:
+    world = Ledger()
+    world.serve(30.0, ("sys", GUILTY), *(("sys", f"doc{n}") for n in range(9)))
+    for number in range(4):
+        world.serve(2.5)
+        world.crash(f"t{number}", ("sys", GUILTY), ("sys", f"doc{number}"))
+    assert world.is_refused("sys", GUILTY)
+    assert not world.is_refused("sys", "doc1")
+
+
 def test_entry_that_starts_refuses_no_common_part() -> None:
     world = Ledger()
     world.serve(30.0)
