Play restored stores, targets that rest or leave, and parts that crash in the soak

Each entry is asked with the keys of versions, which show the one in force. New promises: REST, DRAIN, REVOKED, REVERT; BUDGET and QUARANTINE count parts, too.

--- a/test/soak.py
+++ b/test/soak.py
@@ -14,6 +14,10 @@
 them, and come again at any entry; the target then refuses connections, is replaced at
 once or falls silent. Callers of other requests come back with the same content, too.
 In most runs one target of each service states a request limit, which changes and ends.
+Targets ask for rest, or state that they leave and end a moment later. Some responses
+end with their connection, and some streams of this kind within an event. One part of
+prompts crashes targets in other requests each time. The store is restored from copies
+some seconds old; what was written since is written again within two seconds.
 A planned run has only stops, reloads, new versions and demand shifts; in such a run no
 request may be lost.
 
@@ -26,7 +30,10 @@
 the request's deadline allows; MIXED, the response to another request; ORDER, wrong
 events in a stream; GRACE, an entry that did not stop in time; ENDS, a process that
 exited unexpectedly; BUDGET, a request sent too often after it crashed three targets;
-LIMIT, a target that got more requests than the limit that it states allows;
+LIMIT, a target that got more requests than the limit that it states allows; REST, a
+target that got requests from an entry that it had asked for rest; DRAIN, a target that
+got requests long after it said that it leaves; REVOKED, a key that was admitted too
+long after it was taken away; REVERT, an entry that went back to an older configuration;
 QUARANTINE, a request refused for crashes that it did not cause; RECOVER, CONFIG, STUCK,
 an entry or group that did not recover; and MAP, a pass with mixed expert maps.
 """
@@ -35,6 +42,7 @@
 import asyncio
 import base64
 import collections
+import collections.abc
 import contextlib
 import json
 import os
@@ -50,9 +58,9 @@
 import loguru
 
 from sardinesaddle.direct import replica, responserelay, start
-from sardinesaddle.platform import headers
+from sardinesaddle.platform import headers, store
 from sardinesaddle.standins import rankgroup
-from test import crashingtargets, freeports, limitedtargets, soakengine
+from test import crashingtargets, freeports, limitedtargets, soakengine, soaktargets
 from test import directfleet as df
 
 ENTRY_COUNT: typing.Final = 3
@@ -73,6 +81,14 @@
     "/stream/poison-3",
     "/unique/poison-4",
 )
+POISON_PART: typing.Final = "bad0"  # of prompts; no two requests with it are alike
+PART_SHARE: typing.Final = 0.015  # of the requests of a run that is not planned
+SOUND_PARTS: typing.Final = 25  # rare parts of other requests
+REVOKE_S: typing.Final = 5.0  # the users' bound for a key that was taken away
+COPY_PERIOD_S: typing.Final = 0.7  # between copies of the store
+MAX_COPY_AGE_S: typing.Final = 4.0
+REWRITE_S: typing.Final = 1.8  # by then, all that a restore lost is written again
+PROBE_PERIOD_S: typing.Final = 0.3  # between requests with a version's own key
 POISON_SHARE: typing.Final = 0.03  # of the requests of a run that is not planned
 RETURN_SHARE: typing.Final = 0.7  # of the requests that were not served
 LIMITS: typing.Final = (0.5, 1.0, 2.0, 6.0, 20.0)  # requests a second
@@ -218,14 +234,18 @@
             )
             name = "events"
         if not isinstance(result, replica.Delta):
-            return aiohttp.web.Response(status=410 if result.is_history_gone else 503)
+            status = 410 if result.is_history_gone else 503
+            return aiohttp.web.Response(
+                status=status, headers={store.ERA_HEADER: str(result.era)}
+            )
+        era = {store.ERA_HEADER: str(result.era)}
         items = [encode_item(change) for change in result.changes]
         body = {
             name: items,
             "store_revision": result.complete_rev,
             "more_pages": False,
         }
-        return aiohttp.web.json_response(body)
+        return aiohttp.web.json_response(body, headers=era)
 
 
 def encode_item(change: replica.Change) -> dict[str, object]:
@@ -356,6 +376,9 @@
         self.ports = []
         self._version = 1
         self._executions: collections.Counter[str] = collections.Counter()
+        self._sent_at: dict[str, float] = {}
+        self._copies: list[df.StoreCopy] = []
+        self._is_restoring = False
         self._not_executed_ids: set[str] = set()
         self._senders: dict[str, NodeProcess] = {}
         self._crash_times: dict[str, list[float]] = {path: [] for path in POISON_PATHS}
@@ -363,6 +386,14 @@
         self._restart_tasks: set[asyncio.Task[None]] = set()
         self._limit_records: dict[str, limitedtargets.LimitRecord] = {}
         self.limited_count = 0
+        self._statements: dict[str, soaktargets.StatingTarget] = {}
+        # The crashes under requests with the part, and what came too late.
+        self._part_crash_times: list[float] = []
+        self._late_part_sends = 0
+        # When each version was written first, and the highest that each entry showed.
+        self._written_at: dict[int, float] = {}
+        self._shown_versions: dict[str, int] = {}
+        self.restore_count = self.rest_count = self.leaving_count = 0
         self._lag_s = 0.0  # the largest delay of the event loop
         self._total_lag_s = 0.0  # the sum of its delays
         self._lag_due_at = float("inf")
@@ -380,7 +411,8 @@
     @property
     def crash_count(self) -> int:
         """The number of targets that poisonous requests crashed."""
-        return sum(len(times) for times in self._crash_times.values())
+        by_content = sum(len(times) for times in self._crash_times.values())
+        return by_content + len(self._part_crash_times)
 
     def _record_violation(self, promise: str, text: str) -> None:
         """Record a broken promise with the event loop's time."""
@@ -454,8 +486,11 @@
 
     def _put_config(self, version: int, key: str) -> None:
         """Write a version of the configuration, with one API key, to the store."""
-        config = soakengine.make_config(version, (key,), REQUEST_DEADLINE_MS)
+        keys = (key, make_version_key(version))
+        config = soakengine.make_config(version, keys, REQUEST_DEADLINE_MS)
         self.store.put("op/config", config)
+        now = asyncio.get_running_loop().time()
+        self._written_at.setdefault(version, now)
 
     async def connect(self, entry_index: int = 0) -> df.ClientConnection:
         """Open a connection to an entry's front port, within 1 s."""
@@ -487,19 +522,87 @@
         if df.is_misdirected(target, request):
             df.write_refusal(writer, headers.STATUS_MISDIRECTED)
             return True
+        if refusal := self._refuse_for_rest(target, request):
+            writer.write(refusal)
+            return True
         self._executions[request.attempt_id] += 1
         self._check_limit(target, request)
-        if request.path in POISON_PATHS:
+        if is_poisonous(request):
             self._crash(target, request)
             return False
         await asyncio.sleep(self.rng.uniform(0.0, 0.08))
         body = f"ran {request.attempt_id}".encode()
         extra_fields = self._state_limit(target, request)
+        extra_fields += self._state_leaving(target, request)
+        if self.rng.random() < soaktargets.UNFRAMED_SHARE:
+            head = soaktargets.make_unframed_head(
+                request.attempt_id, "text/plain", extra_fields
+            )
+            writer.write(head + body)
+            return False
         writer.write(
             df.make_response(request.attempt_id, body, extra_fields=extra_fields)
         )
         return True
 
+    def _refuse_for_rest(
+        self, target: df.ScriptedTarget, request: df.ReceivedRequest
+    ) -> bytes | None:
+        """Check an arrival; return a refusal that asks for rest, or None."""
+        if request.attempt_id not in self._senders:
+            return None
+        now = asyncio.get_running_loop().time()
+        sender = self._senders[request.attempt_id]
+        statements = self._get_statements(target)
+        fault = statements.find_fault(
+            now,
+            self._name_sender(request),
+            self._sent_at[request.attempt_id],
+            self._lag_s,
+        )
+        # A restart or a suspension excuses the entry.
+        if fault is not None and now > sender.in_touch_from + self._lag_s:
+            self._record_violation(fault[0], f"{target.name} got {fault[1]}")
+        refusal = statements.make_refusal(now, self._name_sender(request))
+        self.rest_count += refusal is not None
+        return refusal
+
+    def _get_statements(self, target: df.ScriptedTarget) -> soaktargets.StatingTarget:
+        """Return the statements of a target's present incarnation."""
+        made = soaktargets.StatingTarget(self.rng)
+        return self._statements.setdefault(target.name, made)
+
+    def _state_leaving(
+        self, target: df.ScriptedTarget, request: df.ReceivedRequest
+    ) -> list[tuple[str, str]]:
+        """Return the fields of a target that leaves; let some begin to leave."""
+        if request.attempt_id not in self._senders:
+            return []
+        statements = self._get_statements(target)
+        others = [self._get_statements(other) for other in self._list_alike(target)]
+        may_leave = not any(other.is_leaving for other in others)
+        if may_leave and statements.begin_leaving():
+            self.leaving_count += 1
+            self._start_restart(self._leave(target))
+        now = asyncio.get_running_loop().time()
+        return statements.list_fields(now, self._name_sender(request))
+
+    def _list_alike(self, target: df.ScriptedTarget) -> list[df.ScriptedTarget]:
+        """Return the targets of a target's service."""
+        service, _ = split_target_name(target.name)
+        return [
+            other
+            for other in self.targets.values()
+            if split_target_name(other.name)[0] == service
+        ]
+
+    async def _leave(self, target: df.ScriptedTarget) -> None:
+        """End a target that leaves, unless it crashed before, and start the next."""
+        name = target.name
+        await asyncio.sleep(self.rng.uniform(*soaktargets.LEAVING_TIMES_S))
+        if target.name == name:
+            await self._restart_target(target, crashingtargets.Ending.REPLACED)
+
     def _name_sender(self, request: df.ReceivedRequest) -> str:
         """Return a name of the process that sent a request."""
         process = self._senders[request.attempt_id]
@@ -535,6 +638,10 @@
     def _crash(self, target: df.ScriptedTarget, request: df.ReceivedRequest) -> None:
         """Crash a target under a poisonous request, and count it if it is too late."""
         loop = asyncio.get_running_loop()
+        if request.path not in POISON_PATHS:
+            self._count_part_crash(request)
+            self._end_crashed(target)
+            return
         crash_times = self._crash_times[request.path]
         sender = self._senders[request.attempt_id]
         contact_s = CONTACT_S + self._lag_s
@@ -545,8 +652,33 @@
                 text = f"{request.path} crashed {len(crash_times)} before"
                 self._record_violation("BUDGET", f"{text}, by {sender.name}")
         crash_times.append(loop.time())
+        self._end_crashed(target)
+
+    def _count_part_crash(self, request: df.ReceivedRequest) -> None:
+        """Count a crash under a request with the part, and whether it is too late."""
+        now = asyncio.get_running_loop().time()
+        sender = self._senders[request.attempt_id]
+        counted = self._part_crash_times[: crashingtargets.COUNTED_PART_CRASHES]
+        if len(counted) == crashingtargets.COUNTED_PART_CRASHES:
+            is_late = now > counted[-1] + CONTACT_S + self._lag_s
+            self._late_part_sends += is_late and now > sender.in_touch_from
+            if is_late and self._late_part_sends == MAX_LATE_SENDS + 1:
+                text = (
+                    f"part {POISON_PART} crashed {len(self._part_crash_times)} before"
+                )
+                self._record_violation("BUDGET", f"{text}, by {sender.name}")
+        self._part_crash_times.append(now)
+
+    def _end_crashed(self, target: df.ScriptedTarget) -> None:
+        """End a target in one of the ways in which processes end."""
         ending = self.rng.choice(list(crashingtargets.Ending))
-        task = loop.create_task(self._restart_target(target, ending))
+        self._start_restart(self._restart_target(target, ending))
+
+    def _start_restart(
+        self, coro: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Run the end and the next start of a target in the background."""
+        task = asyncio.get_running_loop().create_task(coro)
         self._restart_tasks.add(task)
         task.add_done_callback(self._restart_tasks.discard)
 
@@ -559,6 +691,7 @@
         """
         old_name = target.name
         target.name += "+"
+        self._statements.pop(old_name, None)
         service, index = split_target_name(target.name)
         is_rank = service == "engines"
         proxy = self._proxies[index + (TARGET_COUNTS["plain"] if is_rank else 0)]
@@ -593,33 +726,55 @@
             is_other = df.is_misdirected(target, request)
             df.write_refusal(writer, headers.STATUS_MISDIRECTED if is_other else 503)
             return True
+        if refusal := self._refuse_for_rest(target, request):
+            writer.write(refusal)
+            return True
         self._check_limit(target, request)
-        if request.path in POISON_PATHS:
+        if is_poisonous(request):
             self._executions[request.attempt_id] += 1
             self._crash(target, request)
             return False
         self._running_streams[target.name] += 1
         try:
-            await self._write_events(target, request, writer)
+            return await self._write_events(target, request, writer)
         finally:
             self._running_streams[target.name] -= 1
-        return True
 
     async def _write_events(
         self,
         target: df.ScriptedTarget,
         request: df.ReceivedRequest,
         writer: asyncio.StreamWriter,
-    ) -> None:
-        """Count an execution and send the events after the Last-Event-Id."""
+    ) -> bool:
+        """Count an execution and send the events after the Last-Event-Id.
+
+        Returns whether the connection is kept open.
+        """
         self._executions[request.attempt_id] += 1
         extra_fields = self._state_limit(target, request)
-        writer.write(df.make_stream_head(request.attempt_id, extra_fields))
+        extra_fields += self._state_leaving(target, request)
+        is_unframed = self.rng.random() < soaktargets.UNFRAMED_SHARE
+        if is_unframed:
+            writer.write(
+                soaktargets.make_unframed_head(
+                    request.attempt_id, "text/event-stream", extra_fields
+                )
+            )
+        else:
+            writer.write(df.make_stream_head(request.attempt_id, extra_fields))
         first = int(request.headers.get("last-event-id", "0")) + 1
+        # A planned run breaks nothing off.
+        breaks_off = is_unframed and not self.is_planned and self.rng.random() < 0.3
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(self.rng.uniform(0.01, 0.06))
-            writer.write(df.encode_chunk(df.make_sse_event(number)))
-        writer.write(df.encode_chunk(b""))
+            event = df.make_sse_event(number)
+            if breaks_off and number > EVENTS_PER_STREAM // 2:
+                writer.write(event[: len(event) // 2])
+                return False
+            writer.write(event if is_unframed else df.encode_chunk(event))
+        if not is_unframed:
+            writer.write(df.encode_chunk(b""))
+        return not is_unframed
 
     # Callers.
 
@@ -640,28 +795,35 @@
                 continue
             attempt_id = f"{self.rng.getrandbits(64):016x}"
             path, body = returning or (self.rng.choice(paths), attempt_id.encode())
+            parts = ["aa", f"caller{caller_index}", self._choose_rare_part()]
             if not self.is_planned and self.rng.random() < POISON_SHARE:
                 path, body = self.rng.choice(POISON_PATHS), b"poison"
+            elif not self.is_planned and self.rng.random() < PART_SHARE:
+                path, body = self.rng.choice(paths), attempt_id.encode()
+                parts.append(POISON_PART)
             self._senders[attempt_id] = process
             loop = asyncio.get_running_loop()
-            sent_at = loop.time()
+            sent_at = self._sent_at[attempt_id] = loop.time()
             lag_before_s = self._total_lag_s
             limit_s = REQUEST_DEADLINE_MS / 1000 + RESPONSE_SLACK_S + 3.0
             response = await self.send_request(
                 path, entry_index, deadline_ms=REQUEST_DEADLINE_MS,
                 attempt_id=attempt_id, conn=conn, disconnect_after_s=limit_s,
-                body=body,
+                body=body, extra_headers=make_part_header(parts),
             )  # fmt: skip
             # Some callers come back with the same request until it is served.
             is_back = response.status != 200 and self.rng.random() < RETURN_SHARE
-            returning = (path, body) if is_back and path not in POISON_PATHS else None
+            is_guilty = path in POISON_PATHS or POISON_PART in parts
+            returning = (path, body) if is_back and not is_guilty else None
             if not self._is_key_revoked:
                 self.request_count += 1
                 self.served_count += response.status == 200 and response.is_complete
             is_excused = sent_at < process.excuse_ends_at
             self._update_lag()
             lag_s = self._total_lag_s - lag_before_s
-            self._check_response(path, attempt_id, response, sent_at, lag_s, is_excused)
+            self._check_response(
+                path, attempt_id, response, sent_at, lag_s, is_excused, is_guilty
+            )
             if (
                 not response.is_complete
                 or response.headers.get("connection") == "close"
@@ -677,6 +839,7 @@
         sent_at: float,
         lag_s: float,
         is_excused: bool,
+        is_guilty: bool,
     ) -> None:
         """Check the promises that a single response can show.
 
@@ -684,7 +847,7 @@
         between the request and the response.
         """
         retry_after_s = float(response.headers.get("retry-after", 0.0))
-        if retry_after_s > OTHER_RETRY_AFTER_S and path not in POISON_PATHS:
+        if retry_after_s > OTHER_RETRY_AFTER_S and not is_guilty:
             self._record_violation("QUARANTINE", f"{attempt_id} {path} is refused")
         if response.status in NOT_EXECUTED_STATUSES and path in (
             "/once/a",
@@ -731,6 +894,43 @@
                 "LOST", f"{attempt_id} {path} {response.status} after {elapsed_s:.2f} s"
             )
 
+    def _choose_rare_part(self) -> str:
+        """Return a part that few requests have."""
+        return f"doc{self.rng.randrange(SOUND_PARTS)}"
+
+    async def _probe_versions(self, index: int) -> None:
+        """Ask an entry with the keys of versions, which show the one in force.
+
+        A key counts from when the next version took it away. An entry must not admit a
+        key that it has refused as older.
+        """
+        loop = asyncio.get_running_loop()
+        while not self._is_key_revoked:
+            await asyncio.sleep(PROBE_PERIOD_S)
+            versions = sorted(self._written_at)
+            version = self.rng.choice(versions[-3:])
+            newer = [v for v in versions if v > version]
+            process = self._entry_processes[index]
+            incarnation = f"{process.name} {process.started_at}"
+            sent_at = loop.time()
+            try:
+                response = await self.send_request(
+                    "/free/version", index, key=make_version_key(version), method="GET"
+                )
+            except (OSError, TimeoutError):
+                continue
+            if response.status != 200:
+                continue
+            if newer and sent_at > self._written_at[newer[0]] + REVOKE_S + self._lag_s:
+                late_s = sent_at - self._written_at[newer[0]]
+                text = f"entry {index} admits version {version} after {late_s:.2f} s"
+                self._record_violation("REVOKED", text)
+            shown = self._shown_versions.get(incarnation, 0)
+            if version < shown:
+                text = f"entry {index} went from version {shown} to {version}"
+                self._record_violation("REVERT", text)
+            self._shown_versions[incarnation] = max(version, shown)
+
     async def _measure_lag(self) -> None:
         """Measure the delays of this process's own event loop.
 
@@ -768,6 +968,7 @@
             self._kill_and_restart_process,
             self._disturb_target,
             self._disturb_store,
+            self._restore_store,
             self._break_and_reform_group,
         ]
         faults = planned if self.is_planned else [*planned, *unplanned, *unplanned]
@@ -886,6 +1087,46 @@
         await asyncio.sleep(self.rng.uniform(0.3, 2.0))
         self.store.is_down = self.store.is_unresponsive = False
 
+    async def _copy_store(self) -> None:
+        """Copy the store now and then."""
+        while True:
+            self._copies.append(self.store.copy())
+            await asyncio.sleep(COPY_PERIOD_S)
+
+    async def _restore_store(self) -> None:
+        """Bring the store back from a copy, and write what it lost a moment later."""
+        if self._is_restoring or not self._copies:
+            return
+        self._is_restoring = True
+        self.store.is_down = True
+        await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+        oldest = round(MAX_COPY_AGE_S / COPY_PERIOD_S)
+        before = dict(self.store.items)
+        self.store.restore(self.rng.choice(self._copies[-oldest:]))
+        self.store.is_down = False
+        self.restore_count += 1
+        self._copies.clear()
+        await asyncio.sleep(self.rng.uniform(0.05, REWRITE_S))
+        self._is_restoring = False
+        config = self.store.items["op/config"].value
+        if config != before["op/config"].value:
+            self._put_config(
+                self._version, "key-b" if self._is_key_revoked else "key-a"
+            )
+        live = {target.name: proxy for target, proxy in self._pair_proxies()}
+        for key in set(before) | set(self.store.items):
+            name = key.removeprefix("servers/")
+            if key.startswith("servers/") and name not in live:
+                with contextlib.suppress(KeyError):
+                    self.store.delete(key)
+        for name, proxy in live.items():
+            if f"servers/{name}" not in self.store.items:
+                self._register_target(name, split_target_name(name)[0], proxy)
+
+    def _pair_proxies(self) -> list[tuple[df.ScriptedTarget, FaultProxy]]:
+        """Return the targets with their proxies."""
+        return list(zip(self.targets.values(), self._proxies, strict=True))
+
     async def _detect_unexpected_exits(self) -> None:
         """Record and restart processes that exit unexpectedly."""
         while True:
@@ -912,6 +1153,11 @@
                 loop.create_task(self._detect_unexpected_exits()),
                 loop.create_task(self._group.run()),
                 loop.create_task(self._change_limits()),
+                loop.create_task(self._copy_store()),
+                *(
+                    loop.create_task(self._probe_versions(index))
+                    for index in range(self._entry_count)
+                ),
             ]
             await self._inject_faults()
             await self._check_recovery()
@@ -998,6 +1244,23 @@
             )
 
 
+def make_version_key(version: int) -> str:
+    """Return the key that only one version of the configuration has."""
+    return f"key-v{version}"
+
+
+def make_part_header(parts: list[str]) -> tuple[tuple[str, str], ...]:
+    """Return the header with the parts of a prompt, and an own one."""
+    text = ",".join(f"{part}:40" for part in (*parts, "0e"))
+    return ((headers.PROMPT_PARTS, text),)
+
+
+def is_poisonous(request: df.ReceivedRequest) -> bool:
+    """Return whether a request crashes each target that runs it."""
+    parts = request.headers.get(headers.PROMPT_PARTS.lower(), "")
+    return request.path in POISON_PATHS or POISON_PART in parts
+
+
 def split_target_name(name: str) -> tuple[str, int]:
     """Return the service and the index of a target, whatever its incarnation."""
     service, _, index = name.rstrip("+").rpartition("-")
@@ -1048,7 +1311,9 @@
         )
         text += f" {soak.map_switch_count} switches of a rank's map,"
         text += f" {soak.crash_count} crashes under poisonous requests,"
-        text += f" {soak.limited_count} requests at targets that state limits"
+        text += f" {soak.limited_count} requests at targets that state limits,"
+        text += f" {soak.restore_count} restores, {soak.rest_count} refusals for rest,"
+        text += f" {soak.leaving_count} targets that left"
         print(text, *soak.violations[:5], sep="\n  ", flush=True)
         failed += bool(soak.violations)
     print(f"{failed} of {args.seeds} failed; logs in {log_dir}")
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -75,3 +75,22 @@
     run = soak.run_seed(seed, LIMIT_SECONDS, tmp_path)
     assert run.violations == []
     assert run.limited_count > 0
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # An entry that had restarted refused a part that all requests share, and one
+        # refused a caller that had sent several requests that crash targets.
+        3001,
+        # A planned run, in which targets rest and leave.
+        3003,
+    ],
+)
+def test_restored_stores_and_targets_that_rest_or_leave_in_a_soak(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    run = soak.run_seed(seed, LIMIT_SECONDS, tmp_path)
+    assert run.violations == []
+    assert run.rest_count > 0
+    assert run.is_planned or run.restore_count > 0
