Keep suspects in their group for a minute, as long as it works

Now a suspect is contained for a minute; if its group is not back within six seconds, or fails again for as long, it may run anywhere. test_suspect_that_comes_late_runs_in_the_group_that_crashed failed: 2 groups down at once.

--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -40,8 +40,7 @@
 SOUND_S: typing.Final = 10.0  # a part that was sound so lately is no suspect at first
 SERVED_S: typing.Final = 60.0  # one that was served so lately needs more evidence
 MAX_COMPLETIONS: typing.Final = 8192  # remembered; the oldest are forgotten first
-# A group is back three seconds after a crash. If it is not, suspects run anywhere.
-CONTAINMENT_S: typing.Final = 6.0
+CONTAINMENT_S: typing.Final = 60.0  # suspects that do not run in this time are free
 MAX_RECORDS: typing.Final = 1024  # beyond this, those with the fewest crashes go
 DROPPED_RECORDS: typing.Final = 64
 INDEX_MAX_AGE_S: typing.Final = 1.0  # after a crash; the traffic changes, too
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -49,6 +49,7 @@
 MAX_RESUME_WAIT_S: typing.Final = 0.8
 LOWEST_PRIORITY: typing.Final = 9  # the engines' scale is from 0 to 9
 GROUP_RETURN_S: typing.Final = 3.2  # from the crash of a rank until its group is back
+MAX_GROUP_WAIT_S: typing.Final = 6.0  # if it is not back then, suspects run anywhere
 MIN_GROUP_WAIT_S: typing.Final = 0.5
 CONTAINED_SPREAD_S: typing.Final = 0.5  # over which callers return to the group
 MAX_LOGGED_PARTS: typing.Final = 8  # of a prompt
@@ -247,7 +248,7 @@
         """Return why a request got no target, and when its caller may come back."""
         now = asyncio.get_running_loop().time()
         suspicion = self.crashes.find_suspicion(state.fingerprint)
-        if suspicion.group and not state.first_event_at:
+        if not state.first_event_at and self._choose_group(state, suspicion):
             group_wait_s = max(GROUP_RETURN_S - suspicion.age_s, MIN_GROUP_WAIT_S)
             return "contained", group_wait_s + CONTAINED_SPREAD_S * self._rng.random()
         wait_s = self._targets.compute_wait_s(now, state.service, (), 0)
@@ -263,6 +264,16 @@
         is_resting = self._targets.is_resting(now, state.service)
         return "target_rest" if is_resting else "target_limit", delay_s
 
+    def _choose_group(
+        self, state: requeststate.RequestState, suspicion: crashledger.Suspicion
+    ) -> str:
+        """Return the group that a suspect must run in, an empty string for any."""
+        if suspicion.age_s <= MAX_GROUP_WAIT_S:
+            return suspicion.group
+        now = asyncio.get_running_loop().time()
+        is_open = self._targets.has_open_group(now, state.service, suspicion.group)
+        return suspicion.group if is_open else ""
+
     async def _find_target(
         self, state: requeststate.RequestState
     ) -> targetpool.Target | None:
@@ -270,7 +281,7 @@
         suspicion = self.crashes.find_suspicion(state.fingerprint)
         state.crash_count = suspicion.crash_count
         # A stream whose caller has received events is not what crashed its target.
-        group = "" if state.first_event_at else suspicion.group
+        group = "" if state.first_event_at else self._choose_group(state, suspicion)
         waiting_since = state.req.arrived_at
         due_at, expires_at = (
             waiting_since + state.route.latency_objective_s,
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -441,6 +441,11 @@
         members = [t for t in available if group and t.group == group]
         return members or available
 
+    def has_open_group(self, now: float, service: str, group: str) -> bool:
+        """Return whether a group works, or any target if none reports that group."""
+        members = self._list_in_group(service, group)
+        return any(self.is_group_open(now, member) for member in members)
+
     def may_have_capacity_soon(
         self, now: float, service: str, crash_count: int = 0, group: str = ""
     ) -> bool:
@@ -452,10 +457,8 @@
         run in one group only does not wait for it to open: that takes seconds.
         """
         is_isolated = crash_count >= CRASHES_TO_ISOLATE
-        if group:
-            members = self._list_in_group(service, group)
-            if not any(self.is_group_open(now, member) for member in members):
-                return False
+        if group and not self.has_open_group(now, service, group):
+            return False
         return any(
             candidate.backoff_until > now
             or self._limits.is_limited(candidate.registration.incarnation)
--- a/test/test_direct_containment.py
+++ b/test/test_direct_containment.py
@@ -144,6 +144,24 @@
     df.run_scenario(scenario, entry_count=3)
 
 
+def test_suspect_that_comes_late_runs_in_the_group_that_crashed() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        groups = crashinggroups.CrashingGroups(fleet)
+        await groups.add(2, 4)
+        await fleet.settle(2.0)
+        await send(fleet, 0, "/stream/poison", "aa", body="same")
+        await fleet.settle(12.0)
+        tasks = [
+            send(fleet, number, "/stream/poison", "aa", body="same")
+            for number in range(3)
+        ]
+        await asyncio.gather(*tasks)
+        groups.stop()
+        assert groups.compute_most_broken() == 1
+
+    df.run_scenario(scenario, entry_count=3)
+
+
 def test_suspects_run_anywhere_if_their_group_does_not_come_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
