Blame no part for what an entry saw in its first seconds alone

Cause: an entry that has just started has not seen any part served, and took that for evidence: parts of two requests that ran beside different causes were refused for ten minutes, with no way to be cleared. Class: absence of memory taken for absence of an event. Change: for the first ten seconds of an entry's requests a part needs three crashes, and a crash that another entry saw or three contents. test_entry_that_starts_blames_no_caller_that_ran_beside_two_causes failed before. Two tests that expect a refusal after two crashes wait until the entry has run for twelve seconds; their bounds are unchanged.

--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -14,9 +14,11 @@
 
 A part of much of the traffic, or one that was served lately, needs more:
 ``MIN_COMMON_EPISODES`` crashes at different times, which no other part and no content
-explains. One of much of the traffic is examined after a moment in which records of
-other entries arrive. Parts of different contents that explain the same crashes, and are
-about as rare, are rivals; both must be seen once more (``MAX_CRASHES``).
+explains. An entry that has just started does not remember what was served: there, a
+part needs ``MAX_CRASHES`` crashes, and one that another entry saw or as many contents.
+One of much of the traffic is examined after a moment in which records of other entries
+arrive. Parts of different contents that explain the same crashes, and are about as
+rare, are rivals; both must be seen once more (``MAX_CRASHES``).
 
 A part that crashes its targets only sometimes is cleared by the other times. It is
 quarantined, too, if its contents crashed ``MIN_FREQUENT_CRASHES`` targets lately,
@@ -54,9 +56,9 @@
     """The crashes of the contents, with what the index needs to weigh them.
 
     ``crashes`` has the crashes that count against each content, ``parts`` its parts in
-    the order of the prompt, ``cleared`` the crashes of each part that completions
-    cleared. ``all_crashes`` has those of cleared contents, too. ``crashed_at`` is when
-    each target crashed. ``traffic`` counts the requests of this entry, ``was_served``
+    the order of the prompt; ``own_contents`` are those that this entry sent. ``cleared``
+    has the crashes of each part that completions cleared, ``all_crashes`` those of
+    cleared contents, too. ``crashed_at`` is when each target crashed. ``traffic`` counts the requests of this entry, ``was_served``
     tells whether it lately had a response for a part, and ``entry_count`` is the number
     of entries.
     """
@@ -65,6 +67,7 @@
     crashes: dict[str, set[str]]
     all_crashes: dict[str, set[str]]
     parts: dict[str, tuple[str, ...]]
+    own_contents: set[str]
     cleared: dict[str, set[str]]
     crashed_at: dict[str, float]
     traffic: parttraffic.PartTraffic
@@ -216,7 +219,7 @@
         count = self._episodes.count(crashes)
         if count < MIN_CRASHES or self._has_single_content(part, crashes):
             return False
-        if self._has_rarer_twin(part):
+        if self._has_rarer_twin(part) or not self._is_seen_enough(part, count):
             return False
         if self.is_broad(part):
             latest = self._evidence.now - BROAD_DELAY_S
@@ -234,6 +237,19 @@
             for content_id in self._contents[part]
         )
 
+    def _is_seen_enough(self, part: str, count: int) -> bool:
+        """Return whether the crashes of a part are enough at an entry's start, if it is.
+
+        All requests of a sound caller may have come by chance where targets crashed.
+        """
+        if self._evidence.traffic.is_observed(self._evidence.now):
+            return True
+        contents = self._contents[part]
+        is_seen_elsewhere = not contents <= self._evidence.own_contents
+        return count >= MAX_CRASHES and (
+            is_seen_elsewhere or len(contents) >= MAX_CRASHES
+        )
+
     def _has_rarer_twin(self, part: str) -> bool:
         """Return whether a rarer part occurs in the same crashed contents."""
         return any(
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -96,6 +96,7 @@
     ``parts`` are those of the content that may be the cause. ``last_crash_at`` is the
     time of the last crash, ``group`` the lock-step group that it broke,
     ``change_number`` that of the last change to this record in this process's ledger.
+    ``is_own`` tells whether this entry sent the content to a target that crashed.
     """
 
     last_crash_at: float
@@ -104,6 +105,7 @@
     cleared: set[str] = dataclasses.field(default_factory=set)
     parts: tuple[str, ...] = ()
     group: str = ""
+    is_own: bool = False
 
 
 class CrashLedger:
@@ -172,6 +174,7 @@
             },
             {key: record.crashed for key, record in self._records.items()},
             {key: record.parts for key, record in self._records.items()},
+            {key for key, record in self._records.items() if record.is_own},
             {
                 key.removeprefix(PART_PREFIX): record.cleared
                 for key, record in self._records.items()
@@ -291,6 +294,8 @@
         is_new = self._merge_record(
             now, fingerprint.content_id, {incarnation}, set(), parts, group
         )
+        if record := self._records.get(fingerprint.content_id):
+            record.is_own = True
         for part in parts:
             if self._was_completed_recently(now, PART_PREFIX + part):
                 self._clear_part(now, part)
--- a/sardinesaddle/direct/parttraffic.py
+++ b/sardinesaddle/direct/parttraffic.py
@@ -15,6 +15,7 @@
 MAX_PARTS: typing.Final = 4096
 BROAD_SHARE: typing.Final = 0.25  # of the requests with parts
 MIN_KNOWN_REQUESTS: typing.Final = 20.0  # with fewer, the shares of parts are not known
+MIN_OBSERVED_S: typing.Final = 10.0  # before, it is not known which parts are served
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,9 +38,10 @@
 class PartTraffic:
     """The decaying counts of all requests with parts, and of each part."""
 
-    __slots__ = ("_parts", "_requests")
+    __slots__ = ("_first_at", "_parts", "_requests")
 
     def __init__(self) -> None:
+        self._first_at = float("inf")
         self._requests = DecayingCount(0.0, 0.0)
         self._parts: collections.OrderedDict[str, DecayingCount] = (
             collections.OrderedDict()
@@ -49,6 +51,7 @@
         """Count a request with these parts."""
         if not parts:
             return
+        self._first_at = min(self._first_at, now)
         self._requests.add_one(now)
         for part in parts:
             known = self._parts.setdefault(part, DecayingCount(0.0, now))
@@ -61,6 +64,10 @@
         """Return the count of all requests with parts."""
         return self._requests.read(now)
 
+    def is_observed(self, now: float) -> bool:
+        """Return whether requests came for so long that most sound parts were seen."""
+        return now - self._first_at >= MIN_OBSERVED_S
+
     def is_known(self, now: float) -> bool:
         """Return whether there were enough requests to tell the shares of parts."""
         return self.count_requests(now) >= MIN_KNOWN_REQUESTS
