Blame no part in an entry's first seconds for a content that came again

Two of them were of one poisonous content that was sent twice, the third a coincidence. Cause: crashes of a content that was sent again counted one by one against its part, at a time at which nothing is known of what is served. Now crashes at different times of a content that explains them count as one there; those of one request's two attempts still count each, since a part that crashes its targets shows itself in this way. test_entry_that_starts_blames_a_content_that_came_again_not_its_part failed before.

--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -111,6 +111,7 @@
 
     __slots__ = (
         "_by_contents",
+        "_content_index",
         "_contents",
         "_episodes",
         "_evidence",
@@ -144,8 +145,9 @@
             for part in self.counted.keys() | self._frequent.keys()
         }
         self._served = {part for part in self.counted if evidence.was_served(part)}
-        contents = ContentIndex(evidence.crashes, set())
-        self._by_contents = contents.list_explained()
+        # What contents would explain if no part did.
+        self._content_index = ContentIndex(evidence.crashes, set())
+        self._by_contents = self._content_index.list_explained()
         self.quarantined: dict[str, set[str]] = {}
         explained: set[str] = set()
         for part in sorted(self.counted, key=self._make_sort_key):
@@ -219,7 +221,7 @@
         count = self._episodes.count(crashes)
         if count < MIN_CRASHES or self._has_single_content(part, crashes):
             return False
-        if self._has_rarer_twin(part) or not self._is_seen_enough(part, count):
+        if self._has_rarer_twin(part) or not self._is_seen_enough(part, crashes):
             return False
         if self.is_broad(part):
             latest = self._evidence.now - BROAD_DELAY_S
@@ -237,7 +239,7 @@
             for content_id in self._contents[part]
         )
 
-    def _is_seen_enough(self, part: str, count: int) -> bool:
+    def _is_seen_enough(self, part: str, crashes: set[str]) -> bool:
         """Return whether the crashes of a part are enough at an entry's start, if it is.
 
         All requests of a sound caller may have come by chance where targets crashed.
@@ -246,10 +248,25 @@
             return True
         contents = self._contents[part]
         is_seen_elsewhere = not contents <= self._evidence.own_contents
-        return count >= MAX_CRASHES and (
+        return self._count_independent(part, crashes) >= MAX_CRASHES and (
             is_seen_elsewhere or len(contents) >= MAX_CRASHES
         )
 
+    def _count_independent(self, part: str, crashes: set[str]) -> int:
+        """Count the crashes of a part that point to it independently of each other.
+
+        Crashes at different times of a content that explains them count as one: it was
+        sent again.
+        """
+        counted = self._content_index.counted
+        repeated = [
+            content_id
+            for content_id in self._content_index.quarantined & self._contents[part]
+            if self._episodes.count_episodes(counted[content_id]) > 1
+        ]
+        others = crashes.difference(*(counted[content_id] for content_id in repeated))
+        return self._episodes.count(others) + len(repeated)
+
     def _has_rarer_twin(self, part: str) -> bool:
         """Return whether a rarer part occurs in the same crashed contents."""
         return any(
--- a/test/test_direct_parts.py
+++ b/test/test_direct_parts.py
@@ -335,6 +335,22 @@
     assert world.is_refused("sys", "caller")
 
 
+def test_entry_that_starts_blames_a_content_that_came_again_not_its_part() -> None:
+    world = Ledger()
+    other = crashledger.CrashLedger()
+    poison = crashledger.Fingerprint("poison", ("doc1",))
+    for number in range(2):
+        now = 4.0 * number
+        other.record_crash(now, poison, f"a{number}")
+        world.ledger.merge(now, other.list_changes(now, 0))
+    world.now = 4.5
+    world.crash("b", ("sys", "doc1"))
+    assert not world.is_refused("doc1")
+    assert world.ledger.find_refusal(world.now, poison) is not None
+    world.crash("c", ("sys", "doc1"))
+    assert world.is_refused("doc1")
+
+
 def test_part_that_crashes_its_targets_only_sometimes_is_found() -> None:
     world = Ledger()
     world.serve(30.0)
