Tell a content that was sent again from the attempts of one request

Two of the crashes were of one poisonous content, sent by two entries 0.6 s apart, which counted as one moment; the third was a coincidence. Cause: time cannot tell a content that comes again from the second attempt of one request. Now the entry that gets a content again after a crash marks its record, the mark is merged like the rest (one more byte), and at an entry's start the crashes of a marked content that explains them count as one. test_entry_that_starts_blames_a_content_that_came_again_not_its_part has the two crashes 0.5 s apart now, and fails without the mark.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -189,8 +189,8 @@
         return content_id in self._unanswered_at
 
     def on_first_send(self, fingerprint: crashledger.Fingerprint) -> None:
-        """Count a request that is not refused in the traffic of its parts."""
-        self._ledger.traffic.on_request(self._clock.read(), fingerprint.parts)
+        """Record that a request which is not refused is sent for the first time."""
+        self._ledger.record_first_send(self._clock.read(), fingerprint)
 
     def on_begun(self, sent: SentRequest) -> None:
         """Record that the response to a request began, which clears its parts."""
--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -56,11 +56,12 @@
     """The crashes of the contents, with what the index needs to weigh them.
 
     ``crashes`` has the crashes that count against each content, ``parts`` its parts in
-    the order of the prompt; ``own_contents`` are those that this entry sent. ``cleared``
-    has the crashes of each part that completions cleared, ``all_crashes`` those of
-    cleared contents, too. ``crashed_at`` is when each target crashed. ``traffic`` counts the requests of this entry, ``was_served``
-    tells whether it lately had a response for a part, and ``entry_count`` is the number
-    of entries.
+    the order of the prompt; ``own_contents`` are those that this entry sent,
+    ``resent_contents`` those that came again after a crash. ``cleared`` has the crashes
+    of each part that completions cleared, ``all_crashes`` those of cleared contents,
+    too. ``crashed_at`` is when each target crashed. ``traffic`` counts the requests of
+    this entry, ``was_served`` tells whether it lately had a response for a part, and
+    ``entry_count`` is the number of entries.
     """
 
     now: float
@@ -68,6 +69,7 @@
     all_crashes: dict[str, set[str]]
     parts: dict[str, tuple[str, ...]]
     own_contents: set[str]
+    resent_contents: set[str]
     cleared: dict[str, set[str]]
     crashed_at: dict[str, float]
     traffic: parttraffic.PartTraffic
@@ -255,17 +257,14 @@
     def _count_independent(self, part: str, crashes: set[str]) -> int:
         """Count the crashes of a part that point to it independently of each other.
 
-        Crashes at different times of a content that explains them count as one: it was
-        sent again.
+        Those of a content that explains them count as one if it was sent again; the two
+        attempts of one request each show that the part crashes its targets.
         """
+        resent = self._contents[part] & self._evidence.resent_contents
+        resent &= self._content_index.quarantined
         counted = self._content_index.counted
-        repeated = [
-            content_id
-            for content_id in self._content_index.quarantined & self._contents[part]
-            if self._episodes.count_episodes(counted[content_id]) > 1
-        ]
-        others = crashes.difference(*(counted[content_id] for content_id in repeated))
-        return self._episodes.count(others) + len(repeated)
+        others = crashes.difference(*(counted[content_id] for content_id in resent))
+        return self._episodes.count(others) + len(resent)
 
     def _has_rarer_twin(self, part: str) -> bool:
         """Return whether a rarer part occurs in the same crashed contents."""
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -96,7 +96,8 @@
     ``parts`` are those of the content that may be the cause. ``last_crash_at`` is the
     time of the last crash, ``group`` the lock-step group that it broke,
     ``change_number`` that of the last change to this record in this process's ledger.
-    ``is_own`` tells whether this entry sent the content to a target that crashed.
+    ``is_own`` tells whether this entry sent the content to a target that crashed,
+    ``was_resent`` whether it came again after a crash.
     """
 
     last_crash_at: float
@@ -106,6 +107,7 @@
     parts: tuple[str, ...] = ()
     group: str = ""
     is_own: bool = False
+    was_resent: bool = False
 
 
 class CrashLedger:
@@ -175,6 +177,7 @@
             {key: record.crashed for key, record in self._records.items()},
             {key: record.parts for key, record in self._records.items()},
             {key for key, record in self._records.items() if record.is_own},
+            {key for key, record in self._records.items() if record.was_resent},
             {
                 key.removeprefix(PART_PREFIX): record.cleared
                 for key, record in self._records.items()
@@ -281,6 +284,14 @@
         refusals = [self.find_refusal(now, fingerprint) for fingerprint in prints]
         return sum(r is not None and r.retry_after_s > 0.0 for r in refusals)
 
+    def record_first_send(self, now: float, fingerprint: Fingerprint) -> None:
+        """Record that a request is sent: its parts, and a content that comes again."""
+        self.traffic.on_request(now, fingerprint.parts)
+        record = self._records.get(fingerprint.content_id)
+        if record and not record.was_resent and record.crashed - record.cleared:
+            record.was_resent = True
+            self._number_change(record)
+
     def record_crash(
         self, now: float, fingerprint: Fingerprint, incarnation: str, group: str = ""
     ) -> bool:
@@ -427,6 +438,7 @@
                 max(now - record.last_crash_at, 0.0),
                 list(record.parts),
                 record.group,
+                record.was_resent,
             )
             for key, record in self._records.items()
             if record.change_number > after
@@ -445,6 +457,10 @@
                 tuple(wire.parts),
                 wire.group,
             )
+            record = self._records.get(wire.content_id)
+            if record and wire.was_resent and not record.was_resent:
+                record.was_resent = is_changed = True
+                self._number_change(record)
             if self._was_completed_recently(now, wire.content_id):
                 is_changed |= self._clear(wire.content_id)
             if is_changed:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -36,8 +36,9 @@
 
     Those in ``cleared`` do not count against the content. ``last_crash_age_s`` is the
     time since the last crash. ``parts`` are those of its prompt, in order, that may be
-    the cause. ``group`` is the lock-step group of the last target that crashed. A
-    record of a part, named by ``content_id``, has only ``cleared``.
+    the cause. ``group`` is the lock-step group of the last target that crashed.
+    ``was_resent`` is set once the content came again after a crash. A record of a part,
+    named by ``content_id``, has only ``cleared``.
     """
 
     content_id: str
@@ -46,6 +47,7 @@
     last_crash_age_s: float
     parts: list[str] = []
     group: str = ""
+    was_resent: bool = False
 
 
 Position = tuple[int, int, bool]
--- a/test/test_direct_parts.py
+++ b/test/test_direct_parts.py
@@ -340,10 +340,10 @@
     other = crashledger.CrashLedger()
     poison = crashledger.Fingerprint("poison", ("doc1",))
     for number in range(2):
-        now = 4.0 * number
-        other.record_crash(now, poison, f"a{number}")
-        world.ledger.merge(now, other.list_changes(now, 0))
-    world.now = 4.5
+        other.record_first_send(0.5 * number, poison)
+        other.record_crash(0.5 * number, poison, f"a{number}")
+    world.ledger.merge(1.0, other.list_changes(1.0, 0))
+    world.now = 1.5
     world.crash("b", ("sys", "doc1"))
     assert not world.is_refused("doc1")
     assert world.ledger.find_refusal(world.now, poison) is not None
