--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -242,7 +242,7 @@
         )
 
     def _is_seen_enough(self, part: str, crashes: set[str]) -> bool:
-        """Return whether the crashes of a part are enough at an entry's start, if it is.
+        """Return whether the crashes of a part are enough when an entry starts.
 
         All requests of a sound caller may have come by chance where targets crashed.
         """
