Take a response that this entry itself broke off for broken off

Cause: the entry aborts what runs at a replaced target; the reader saw a connection that ended in order, which is how such a response ends, and targets that leave are not looked at again. Evidence: three exchanges at that target ended within 18 ms of the line target_gone. Now the end of a connection that this process aborted is a failure.

--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -82,7 +82,7 @@
     """One connection to a target.
 
     ``was_idle`` is set if it was idle before its present request: the target may have
-    fallen silent in the meantime.
+    fallen silent in the meantime. ``was_aborted`` is set if this process closed it.
     """
 
     def __init__(self) -> None:
@@ -92,6 +92,7 @@
         self._is_paused = False
         self.is_closed = False
         self.was_reset = False
+        self.was_aborted = False
         self.is_idle = False
         self.was_idle = False
         self.idle_since = 0.0
@@ -156,7 +157,7 @@
 
     def abort(self) -> None:
         """Close the connection at once; the target cancels the request on it."""
-        self.is_closed = True
+        self.is_closed = self.was_aborted = True
         if self._transport is not None:
             self._transport.abort()
         self._wake_reader()
@@ -304,6 +305,8 @@
                 if self._conn.was_reset:
                     return self._make_failure(FailureKind.RESET, "connection reset")
                 data = b""
+                if self._conn.was_aborted:
+                    return self._make_failure(FailureKind.CLOSED, "target is gone")
                 if self._h11.their_state is h11.SEND_RESPONSE:
                     return self._make_failure(
                         FailureKind.CLOSED, "closed before the response"
--- a/test/test_direct_unframed.py
+++ b/test/test_direct_unframed.py
@@ -7,6 +7,7 @@
 
 from sardinesaddle.platform import headers
 from test import directfleet as df
+from test import soaktargets
 
 LARGE = b"x" * 600_000  # more than is buffered
 Ending = collections.abc.Callable[[df.ScriptedTarget, asyncio.StreamWriter], None]
@@ -211,6 +212,33 @@
     df.run_scenario(scenario)
 
 
+def test_stream_of_a_leaving_target_that_is_replaced_does_not_look_complete() -> None:
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        fields = [(headers.LEAVING, headers.IS_LEAVING)]
+        head = soaktargets.make_unframed_head(request.attempt_id, STREAM, fields)
+        writer.write(head + b"".join(EVENTS[:2]))
+        await asyncio.sleep(3600.0)
+        return False
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "engines", respond)
+        await fleet.settle()
+        task = asyncio.create_task(fleet.send_request("/unique/a"))
+        while not target.requests:
+            await fleet.settle(0.001)
+        await fleet.settle(0.1)
+        fleet.targets["t2"] = target  # the next incarnation, at the same address
+        fleet.register("t2", "engines")
+        response = await task
+        assert not response.is_complete
+
+    df.run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     ("path", "parts", "end"),
     [
