--- a/sardinesaddle/direct/crashindex.py
+++ b/sardinesaddle/direct/crashindex.py
@@ -14,7 +14,8 @@
 
 A part of much of the traffic, or one that was served lately, needs more:
 ``MIN_COMMON_EPISODES`` crashes at different times, which no other part and no content
-explains. An entry that has just started does not remember what was served: there, a
+explains. An entry that has just started does not remember what was served. It refuses
+the parts that other entries refuse, which have seen more. If it has heard of none, a
 part needs ``MAX_CRASHES`` crashes, and one that another entry saw or as many contents.
 One of much of the traffic is examined after a moment in which records of other entries
 arrive. Parts of different contents that explain the same crashes, and are about as
@@ -60,8 +61,9 @@
     ``resent_contents`` those that came again after a crash. ``cleared`` has the crashes
     of each part that completions cleared, ``all_crashes`` those of cleared contents,
     too. ``crashed_at`` is when each target crashed. ``traffic`` counts the requests of
-    this entry, ``was_served`` tells whether it lately had a response for a part, and
-    ``entry_count`` is the number of entries.
+    this entry, ``was_served`` tells whether an entry lately had a response for a part,
+    and ``entry_count`` is the number of entries. ``refused_elsewhere`` are the parts
+    that other entries refuse, None if none is known that has seen enough to judge.
     """
 
     now: float
@@ -75,6 +77,7 @@
     traffic: parttraffic.PartTraffic
     was_served: typing.Callable[[str], bool]
     entry_count: int
+    refused_elsewhere: set[str] | None = None
 
 
 class Episodes:
@@ -248,6 +251,8 @@
         """
         if self._evidence.traffic.is_observed(self._evidence.now):
             return True
+        if self._evidence.refused_elsewhere is not None:
+            return part in self._evidence.refused_elsewhere
         contents = self._contents[part]
         is_seen_elsewhere = not contents <= self._evidence.own_contents
         return self._count_independent(part, crashes) >= MAX_CRASHES and (
@@ -257,14 +262,16 @@
     def _count_independent(self, part: str, crashes: set[str]) -> int:
         """Count the crashes of a part that point to it independently of each other.
 
-        Those of a content that explains them count as one if it was sent again; the two
-        attempts of one request each show that the part crashes its targets.
+        Those of a content that was sent again count as one, since the content may
+        explain them, and so do those of several with the same crashes. The two attempts
+        of one request each show that the part crashes its targets.
         """
         resent = self._contents[part] & self._evidence.resent_contents
-        resent &= self._content_index.quarantined
         counted = self._content_index.counted
         others = crashes.difference(*(counted[content_id] for content_id in resent))
-        return self._episodes.count(others) + len(resent)
+        return self._episodes.count(others) + len(
+            {frozenset(counted[content_id]) for content_id in resent}
+        )
 
     def _has_rarer_twin(self, part: str) -> bool:
         """Return whether a rarer part occurs in the same crashed contents."""
--- a/sardinesaddle/direct/crashledger.py
+++ b/sardinesaddle/direct/crashledger.py
@@ -22,6 +22,9 @@
 All entries merge their ledgers. A record holds sets that only grow: incarnations that
 crashed, and those that are cleared; merging takes the union, so records may arrive in
 any order and any number of times. A part has a record of its own for what is cleared.
+It also tells when an entry last had a response for the part, as far as that matters for
+a crash: an entry that starts, and one that has none of a caller's requests, cannot know
+which parts are served.
 A ledger holds ``MAX_RECORDS`` at most; those with the fewest crashes are dropped first.
 """
 
@@ -39,6 +42,9 @@
 COMPLETION_MEMORY_S: typing.Final = 2.0
 SOUND_S: typing.Final = 10.0  # a part that was sound so lately is no suspect at first
 SERVED_S: typing.Final = 60.0  # one that was served so lately needs more evidence
+# Entries tell each other of a later response only if it is later by this time.
+SERVED_STEP_S: typing.Final = 5.0
+PEER_JUDGEMENT_S: typing.Final = 3.0  # that of another entry counts for so long
 MAX_COMPLETIONS: typing.Final = 8192  # remembered; the oldest are forgotten first
 CONTAINMENT_S: typing.Final = 60.0  # suspects that do not run in this time are free
 MAX_RECORDS: typing.Final = 1024  # beyond this, those with the fewest crashes go
@@ -92,7 +98,8 @@
 class CrashRecord:
     """The incarnations of targets that crashed while a request content ran there.
 
-    ``cleared`` are those that no longer count; a record of a part has only these.
+    ``cleared`` are those that no longer count; a record of a part has only these and
+    ``served_at``, when an entry last had a response for it.
     ``parts`` are those of the content that may be the cause. ``last_crash_at`` is the
     time of the last crash, ``group`` the lock-step group that it broke,
     ``change_number`` that of the last change to this record in this process's ledger.
@@ -108,6 +115,15 @@
     group: str = ""
     is_own: bool = False
     was_resent: bool = False
+    served_at: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerJudgement:
+    """The parts of prompts that another entry refused at a time."""
+
+    at: float
+    refused_parts: frozenset[str]
 
 
 class CrashLedger:
@@ -123,8 +139,10 @@
         "_crashed_at",
         "_index_at",
         "_index_change_number",
+        "_is_index_outdated",
         "_last_crash_at",
         "_part_index",
+        "_peer_judgements",
         "_records",
         "change_number",
         "entry_count",
@@ -139,10 +157,12 @@
         )
         # When each target crashed, as far as this ledger knows.
         self._crashed_at: dict[str, float] = {}
+        self._peer_judgements: dict[str, PeerJudgement] = {}
         self.traffic = parttraffic.PartTraffic()
         self.change_number = 0
         self.entry_count = 1
         self._index_change_number = 0
+        self._is_index_outdated = False
         self._index_at = 0.0
         self._last_crash_at = float("-inf")
         evidence = self._make_evidence(0.0)
@@ -151,7 +171,9 @@
 
     def _update_index(self, now: float) -> None:
         """Compute the indices anew after a change, or when they are old."""
-        has_changed = self._index_change_number != self.change_number
+        has_changed = (
+            self._is_index_outdated or self._index_change_number != self.change_number
+        )
         is_old = (
             self._index_at < self._last_crash_at + INDEX_UPDATED_S
             and now - self._index_at >= INDEX_MAX_AGE_S
@@ -159,6 +181,7 @@
         if not has_changed and not is_old:
             return
         self._index_change_number = self.change_number
+        self._is_index_outdated = False
         self._index_at = now
         evidence = self._make_evidence(now)
         self._part_index = crashindex.PartIndex(evidence)
@@ -185,12 +208,46 @@
             },
             self._crashed_at,
             self.traffic,
-            lambda part: self._was_completed_recently(
-                now, PART_PREFIX + part, SERVED_S
-            ),
+            lambda part: self._find_served_at(part) >= now - SERVED_S,
             self.entry_count,
+            self._list_refused_elsewhere(now),
         )
 
+    def _find_served_at(self, part: str) -> float:
+        """Return when an entry last had a response for a part, as far as is known."""
+        key = PART_PREFIX + part
+        own = self._completed_at.get(key, float("-inf"))
+        record = self._records.get(key)
+        return own if record is None else max(own, record.served_at)
+
+    def _list_refused_elsewhere(self, now: float) -> set[str] | None:
+        """Return the parts that others refuse, None if no other entry can judge."""
+        judgements = [
+            judgement.refused_parts
+            for judgement in self._peer_judgements.values()
+            if now - judgement.at <= PEER_JUDGEMENT_S
+        ]
+        return set().union(*judgements) if judgements else None
+
+    def on_peer_judgement(
+        self, now: float, host: str, refused_parts: list[str] | None
+    ) -> None:
+        """Record which parts another entry refuses; None if it cannot judge yet."""
+        known = self._peer_judgements.pop(host, None)
+        judged = None
+        if refused_parts is not None:
+            judged = PeerJudgement(now, frozenset(refused_parts))
+            self._peer_judgements[host] = judged
+        if (known and known.refused_parts) != (judged and judged.refused_parts):
+            self._is_index_outdated = True
+
+    def list_refused_parts(self, now: float) -> list[str] | None:
+        """Return the parts refused here, None before enough traffic was seen."""
+        if not self.traffic.is_observed(now):
+            return None
+        self._update_index(now)
+        return sorted(self._part_index.quarantined)
+
     def get_crash_count(self, now: float, fingerprint: Fingerprint) -> int:
         """Return how many crashes the content, or its refused part, may have caused."""
         self._update_index(now)
@@ -307,10 +364,26 @@
         )
         if record := self._records.get(fingerprint.content_id):
             record.is_own = True
+        self._update_parts(now, parts)
+        return is_new
+
+    def _update_parts(self, now: float, parts: typing.Iterable[str]) -> None:
+        """Record which parts of a crash were served lately; clear those just served."""
         for part in parts:
+            if self._was_completed_recently(now, PART_PREFIX + part, SERVED_S):
+                served_at = self._completed_at[PART_PREFIX + part]
+                self._merge_served_at(now, PART_PREFIX + part, served_at)
             if self._was_completed_recently(now, PART_PREFIX + part):
                 self._clear_part(now, part)
-        return is_new
+
+    def _merge_served_at(self, now: float, key: str, served_at: float) -> bool:
+        """Merge a part's last response into its record; return whether it changes."""
+        record = self._records.setdefault(key, CrashRecord(now))
+        if served_at <= record.served_at + SERVED_STEP_S:
+            return False
+        record.served_at = served_at
+        self._number_change(record)
+        return True
 
     def _is_common(self, now: float, part: str) -> bool:
         """Return whether a part is in much of the traffic, which is being served.
@@ -369,7 +442,9 @@
         crashes = self._part_index.counted.get(part)
         if not crashes:
             return False
-        return self._merge_record(now, PART_PREFIX + part, set(), crashes)
+        key = PART_PREFIX + part
+        self._merge_served_at(now, key, self._completed_at.get(key, float("-inf")))
+        return self._merge_record(now, key, set(), crashes)
 
     def _number_change(self, record: CrashRecord) -> None:
         """Give a record the next change number."""
@@ -439,6 +514,7 @@
                 list(record.parts),
                 record.group,
                 record.was_resent,
+                now - record.served_at if record.served_at > float("-inf") else None,
             )
             for key, record in self._records.items()
             if record.change_number > after
@@ -457,6 +533,10 @@
                 tuple(wire.parts),
                 wire.group,
             )
+            if wire.served_age_s is not None:
+                is_changed |= self._merge_served_at(
+                    now, wire.content_id, now - wire.served_age_s
+                )
             record = self._records.get(wire.content_id)
             if record and wire.was_resent and not record.was_resent:
                 record.was_resent = is_changed = True
@@ -466,9 +546,7 @@
             if is_changed:
                 changed.append(wire.content_id)
                 parts.update(wire.parts)
-        for part in parts:
-            if self._was_completed_recently(now, PART_PREFIX + part):
-                self._clear_part(now, part)
+        self._update_parts(now, parts)
         return changed
 
 
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -248,6 +248,7 @@
                 self._incarnation,
                 self.limits.make_update(now, msg.sender, is_reply=True),
                 self._config.version,
+                self.crash_ledger.list_refused_parts(self._clock.read()),
             )
         if isinstance(msg, messages.FetchRequest):
             return self._make_fetch_reply(msg)
@@ -426,6 +427,9 @@
             heartbeat.limits,
             reply.limits,
         )
+        self.crash_ledger.on_peer_judgement(
+            self._clock.read(), peer.host, reply.refused_parts
+        )
         if (
             reply.incarnation
             and len(self._crash_sources) < MAX_CRASH_SOURCES
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -38,7 +38,8 @@
     time since the last crash. ``parts`` are those of its prompt, in order, that may be
     the cause. ``group`` is the lock-step group of the last target that crashed.
     ``was_resent`` is set once the content came again after a crash. A record of a part,
-    named by ``content_id``, has only ``cleared``.
+    named by ``content_id``, has only ``cleared`` and ``served_age_s``, the time since a
+    response for it last began, None if that is not known.
     """
 
     content_id: str
@@ -48,6 +49,7 @@
     parts: list[str] = []
     group: str = ""
     was_resent: bool = False
+    served_age_s: float | None = None
 
 
 Position = tuple[int, int, bool]
@@ -118,7 +120,8 @@
     ``incarnation`` is a random number of the receiver's process, 0 if it does not take
     crash records. ``limits`` is None if the receiver knows of none; it has applied
     those of the heartbeat. ``config_version`` is that of the configuration in force, 0
-    for none.
+    for none. ``refused_parts`` are the parts of prompts that the receiver refuses
+    because targets crashed, None if it has not seen enough traffic to judge parts.
     """
 
     entries: list[str]
@@ -126,6 +129,7 @@
     incarnation: int = 0
     limits: LimitUpdate | None = None
     config_version: int = 0
+    refused_parts: list[str] | None = None
 
 
 class FetchRequest(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
--- a/test/test_direct_parts.py
+++ b/test/test_direct_parts.py
@@ -351,6 +351,75 @@
     assert world.is_refused("doc1")
 
 
+def test_entry_that_starts_learns_from_others_that_a_caller_is_served() -> None:
+    # Soak seed 803: an entry that was killed refused a caller when it had started.
+    world = Ledger()
+    served = [("sys", f"doc{number}") for number in range(7)]
+    world.serve(30.0, ("sys", "caller", "doc9"), *served)
+    world.now += 3.0
+    for number in range(3):
+        world.crash(f"t{number}", ("sys", "caller", f"new{number}"))
+    assert not world.is_refused("sys", "caller")
+    started = crashledger.CrashLedger()
+    started.merge(world.now, world.ledger.list_changes(world.now, 0))
+    fingerprint = crashledger.Fingerprint("new", ("sys", "caller"))
+    assert started.find_refusal(world.now, fingerprint) is None
+
+
+def test_entry_that_starts_blames_no_caller_whose_content_came_again() -> None:
+    # Soak seed 803: two crashes of a sound content that ran beside another one.
+    world = Ledger()
+    other = crashledger.CrashLedger()
+    sound = crashledger.Fingerprint("sound", ("sys", "caller", "doc1"))
+    beside = crashledger.Fingerprint("beside", ("sys", "doc2"))
+    poison = crashledger.Fingerprint("poison", ("sys", "caller", "doc3"))
+    for number in range(2):
+        for fingerprint in (sound, beside):
+            other.record_first_send(float(number), fingerprint)
+            other.record_crash(float(number), fingerprint, f"a{number}")
+    other.record_crash(1.5, poison, "b")
+    world.ledger.merge(2.0, other.list_changes(2.0, 0))
+    world.now = 2.0
+    assert not world.is_refused("sys", "caller")
+
+
+@pytest.mark.parametrize("refused", [[], ["caller"]])
+def test_entry_that_starts_refuses_the_parts_that_others_refuse(
+    refused: list[str],
+) -> None:
+    world = Ledger()
+    for number in range(3):
+        world.crash(f"t{number}", ("sys", "caller", f"doc{number}"))
+    assert world.is_refused("sys", "caller")
+    world.ledger.on_peer_judgement(world.now, "entry-2", refused)
+    assert world.is_refused("sys", "caller") == bool(refused)
+    world.ledger.on_peer_judgement(world.now, "entry-2", None)
+    assert world.is_refused("sys", "caller")
+
+
+def test_entry_that_restarts_refuses_no_caller_that_others_serve() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        targets = crashingtargets.CrashingTargets(fleet, parts=[GUILTY, "bad1"])
+        await targets.add(8)
+        await fleet.settle()
+        sound = asyncio.create_task(send_sound(fleet, 18.0, "/free/s"))
+        await fleet.settle(parttraffic.MIN_OBSERVED_S + 2.0)
+        await fleet.stop_last_entry()
+        await fleet.add_entry()
+        await fleet.settle(1.0)
+        restarted = fleet.entries[-1].crash_ledger
+        now = fleet.entries[-1].read_clock()
+        for number in range(3):
+            parts = ("aa", "caller1", f"new{number}")
+            fingerprint = crashledger.Fingerprint(f"c{number}", parts)
+            restarted.record_crash(now, fingerprint, f"t{number}")
+        fingerprint = crashledger.Fingerprint("new", ("aa", "caller1"))
+        assert restarted.find_refusal(now, fingerprint) is None
+        await sound
+
+    df.run_scenario(scenario, entry_count=3)
+
+
 def test_part_that_crashes_its_targets_only_sometimes_is_found() -> None:
     world = Ledger()
     world.serve(30.0)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -51,7 +51,8 @@
     [
         # A standstill of the soak itself counted as a late response.
         1,
-        # A rank that crashed during the final check was counted as a held pass.
+        # A rank that crashed during the final check was counted as a held pass. Later,
+        # an entry that had restarted refused a caller that it had served before.
         803,
         # A request on idle connections to silent hosts was suspected of crashes.
         928,
