--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -29,6 +29,7 @@
     headercodec,
     messages,
     nodemetrics,
+    noderole,
     nodesettings,
     partprobes,
     replica,
@@ -58,7 +59,9 @@
 KILL_MARGIN_S: typing.Final = 0.7  # before the platform kills the process
 
 
-class EntryNode(entrystate.EntryState, entrypeers.PeerObserver, rpc.Handler):
+class EntryNode(
+    entrystate.EntryState, entrypeers.PeerObserver, rpc.Handler, noderole.Node
+):
     """An entry: connects the replicas, the request path and the peers."""
 
     def __init__(
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -21,6 +21,7 @@
     groupleader,
     messages,
     nodemetrics,
+    noderole,
     nodesettings,
     rankagent,
     rpc,
@@ -45,7 +46,7 @@
     ranks: dict[int, str]
 
 
-class SidecarNode(rpc.Handler, groupleader.GroupContext):
+class SidecarNode(rpc.Handler, groupleader.GroupContext, noderole.Node):
     """A sidecar: reads its engine, reports to entries and serves the group's leader."""
 
     def __init__(
--- a/sardinesaddle/main.py
+++ b/sardinesaddle/main.py
@@ -138,9 +138,9 @@
         if role in ("node-entry", "node-sidecar"):
             from sardinesaddle.direct import start
 
-            cfg = start.load_role(role.removeprefix("node-"), settings_file)
-            if isinstance(cfg, settings.SettingsFault):
-                raise CommandError(cfg.text)
+            fault = start.check_settings(role.removeprefix("node-"), settings_file)
+            if fault is not None:
+                raise CommandError(fault.text)
         elif role == "entry":
             load_settings_and_secret(settings_file, settings.EntrySettings)
         elif role == "sidecar":
--- a/sardinesaddle/platform/engines.py
+++ b/sardinesaddle/platform/engines.py
@@ -1,12 +1,10 @@
 """An HTTP client for model engines."""
 
-import asyncio
 import typing
 
-import aiohttp
 import msgspec
 
-from sardinesaddle.direct import engine
+from sardinesaddle.direct import engine, httpclient
 from sardinesaddle.platform import headers
 
 CALL_TIMEOUT_S: typing.Final = 0.4  # an engine on the same host responds in a few ms
@@ -16,14 +14,7 @@
 # The counts of a large engine are a fiftieth of that.
 MAX_PAGE_BYTES: typing.Final = 4 * 1024 * 1024
 
-_FAILURES: typing.Final = (
-    aiohttp.ClientError,
-    OSError,
-    asyncio.TimeoutError,
-    msgspec.DecodeError,
-    msgspec.ValidationError,
-    UnicodeDecodeError,
-)
+STATUS_OK: typing.Final = 200
 
 
 class WireGroup(msgspec.Struct, frozen=True):
@@ -90,23 +81,15 @@
     return wire.version if isinstance(wire, WireVersion) else wire
 
 
-async def read_body(resp: aiohttp.ClientResponse) -> bytes | None:
-    """Return the body of a response, or None if it is over ``MAX_PAGE_BYTES``."""
-    body = bytearray()
-    async for data in resp.content.iter_any():
-        body += data
-        if len(body) > MAX_PAGE_BYTES:
-            resp.close()
-            return None
-    return bytes(body)
-
-
 class PlatformEngine(engine.Engine):
     """A client of the engine at an address; failed calls return ``EngineFault``."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
-        self._session = session
-        self._base_url = f"http://{address}"
+    def __init__(self, address: str) -> None:
+        self._client = httpclient.HttpClient(address, MAX_PAGE_BYTES)
+
+    async def close(self) -> None:
+        """Close the connections to the engine."""
+        self._client.close()
 
     async def read_state(self) -> engine.EngineState | engine.EngineFault:
         """Read the engine's state."""
@@ -161,18 +144,11 @@
             body["step"] = order.step
         if order.experts is not None:
             body["map"] = order.experts
-        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
-        try:
-            async with self._session.post(
-                self._base_url + "/order",
-                data=msgspec.json.encode(body),
-                headers={"Content-Type": "application/json"},
-                timeout=timeout,
-            ) as resp:
-                await read_body(resp)
-                return resp.status
-        except _FAILURES as exc:
-            return engine.EngineFault(f"{type(exc).__name__}: {exc}")
+        data = msgspec.json.encode(body)
+        resp = await self._client.request("POST", "/order", ORDER_TIMEOUT_S, data)
+        if isinstance(resp, httpclient.HttpFault):
+            return engine.EngineFault(resp.reason)
+        return resp.status
 
     Kind = typing.TypeVar("Kind")
 
@@ -185,18 +161,14 @@
         self, path: str, kind: type[Kind]
     ) -> tuple[Kind, bool] | engine.EngineFault:
         """GET a resource; return its decoded body, and whether the engine leaves."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        resp = await self._client.request("GET", path, CALL_TIMEOUT_S)
+        if isinstance(resp, httpclient.HttpFault):
+            return engine.EngineFault(resp.reason)
+        if resp.status != STATUS_OK:
+            return engine.EngineFault(f"status {resp.status}")
+        leaving = resp.headers.get(headers.LEAVING.lower(), "").strip()
         try:
-            async with self._session.get(
-                self._base_url + path, timeout=timeout
-            ) as resp:
-                data = await read_body(resp)
-                if data is None:
-                    return engine.EngineFault(f"over {MAX_PAGE_BYTES} bytes")
-                if resp.status != 200:
-                    return engine.EngineFault(f"status {resp.status}")
-                leaving = resp.headers.get(headers.LEAVING, "").strip()
-            body = msgspec.json.decode(data, type=kind)
-            return body, leaving == headers.IS_LEAVING
-        except _FAILURES as exc:
+            body = msgspec.json.decode(resp.body, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             return engine.EngineFault(f"{type(exc).__name__}: {exc}")
+        return body, leaving == headers.IS_LEAVING
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing
 
-import aiohttp
 import pytest
 
 from sardinesaddle.direct import engine, upstream
@@ -127,9 +126,8 @@
             make_head(200, ("Content-Type", "application/json")), CHUNK
         )
         target = await fleet.add_target("endless", "engines", endless.respond)
-        async with aiohttp.ClientSession() as session:
-            client = engines.PlatformEngine(session, f"127.0.0.1:{target.port}")
-            assert isinstance(await client.read_state(), engine.EngineFault)
+        client = engines.PlatformEngine(f"127.0.0.1:{target.port}")
+        assert isinstance(await client.read_state(), engine.EngineFault)
         await fleet.settle()
         assert endless.sent_bytes < SENT_WITHOUT_BOUND
 
--- a/test/test_direct_leaving.py
+++ b/test/test_direct_leaving.py
@@ -192,9 +192,9 @@
     async def read() -> engine.EngineState | engine.EngineFault:
         server = aiohttp.test_utils.RawTestServer(respond)
         await server.start_server()
-        async with aiohttp.ClientSession() as session:
-            address = f"{server.host}:{server.port}"
-            state = await engines.PlatformEngine(session, address).read_state()
+        client = engines.PlatformEngine(f"{server.host}:{server.port}")
+        state = await client.read_state()
+        await client.close()
         await server.close()
         return state
 
--- a/test/test_direct_process.py
+++ b/test/test_direct_process.py
@@ -133,7 +133,7 @@
 
 
 def test_unknown_role_is_rejected() -> None:
-    fault = start.load_role("leader", "x")
+    fault = start.check_settings("leader", "x")
     assert isinstance(fault, settings.SettingsFault)
     assert "use entry or sidecar" in fault.text
 
