--- a/sardinesaddle/direct/requestqueue.py
+++ b/sardinesaddle/direct/requestqueue.py
@@ -144,7 +144,10 @@
             recent.popleft()
 
     def list_unservable(self, now: float) -> list[QueuedRequest]:
-        """Return the late requests that will not be reached before their deadline."""
+        """Return the late requests that will not be reached before their deadline.
+
+        After a suspension of the process, the deadline of some has passed.
+        """
         self._discard_old_dequeues(now)
         if len(self._dequeue_times) < MIN_DEQUEUES:
             return []
@@ -159,7 +162,8 @@
         return [
             queued
             for index, queued in enumerate(late_requests)
-            if index >= compute_dequeue_bound(late_rate * (queued.wait_deadline - now))
+            if queued.wait_deadline <= now
+            or index >= compute_dequeue_bound(late_rate * (queued.wait_deadline - now))
         ]
 
 
--- a/test/test_direct_scheduling.py
+++ b/test/test_direct_scheduling.py
@@ -260,6 +260,17 @@
     assert queue.list_unservable(3.0) == []
 
 
+def test_requests_that_waited_through_a_suspension_are_refused() -> None:
+    # Soak seed 5038: the dispatch failed with each request that came after it.
+    queue = requestqueue.RequestQueue()
+    old = [requestqueue.QueuedRequest(5, 0.0, 0.4, 1.0 + n) for n in range(2)]
+    for request in old:
+        queue.enqueue(request)
+    for n in range(10):
+        queue.record_dequeue(5.0 + 0.01 * n, old[0])
+    assert queue.list_unservable(5.1) == old
+
+
 def test_load_shared_by_many_entries_is_served_in_time() -> None:
     # 64 ranks of 5 slots behind 16 entries, a little over half full. If each entry
     # chose the least loaded rank, a tenth of the requests would find full slots.
