--- a/test/soak.py
+++ b/test/soak.py
@@ -35,7 +35,8 @@
 got requests long after it said that it leaves; REVOKED, a key that was admitted too
 long after it was taken away; REVERT, an entry that went back to an older configuration;
 QUARANTINE, a request refused for crashes that it did not cause; RECOVER, CONFIG, STUCK,
-an entry or group that did not recover; and MAP, a pass with mixed expert maps.
+an entry or group that did not recover; ERROR, an exception in the log of a process that
+nothing handled; and MAP, a pass with mixed expert maps.
 """
 
 import argparse
@@ -292,6 +293,12 @@
         # From then on the process knows what the others know, unless it is disturbed.
         self.in_touch_from = 0.0
 
+    def find_unhandled_error(self) -> str:
+        """Return the last line of the log's first traceback, or an empty string."""
+        _, _, trace = self._log_path.read_text(errors="replace").partition("Traceback ")
+        lines = trace.splitlines()[1:]
+        return next((line for line in lines if not line.startswith(" ")), "")
+
     def start(self) -> None:
         """Start the process; its log lines are appended to the log file."""
         self.started_at = asyncio.get_running_loop().time()
@@ -299,7 +306,9 @@
         command = [sys.executable, "-m", "sardinesaddle.direct", self._role]
         env = os.environ | {start.SETTINGS_VARIABLE: str(self._settings_path)}
         with self._log_path.open("ab") as log:
-            self._process = subprocess.Popen(command, stdout=log, env=env)
+            self._process = subprocess.Popen(
+                command, stdout=log, stderr=subprocess.STDOUT, env=env
+            )
         self.is_exit_expected = False
 
     @property
@@ -1192,6 +1201,7 @@
         finally:
             for process in (*self._entry_processes, *self._sidecar_processes):
                 await process.kill_and_wait()
+            self._check_logs()
             await self._store_server.stop()
             for proxy in self._proxies:
                 await proxy.stop()
@@ -1200,6 +1210,12 @@
             for target in self.targets.values():
                 await target.stop()
 
+    def _check_logs(self) -> None:
+        """Check that no process logged an exception that nothing handled."""
+        for process in (*self._entry_processes, *self._sidecar_processes):
+            if error := process.find_unhandled_error():
+                self._record_violation("ERROR", f"{process.name} logged {error}")
+
     async def _check_recovery(self) -> None:
         """Clear all faults; check that entries and the group recover in time."""
         for proxy in self._proxies:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -95,3 +95,15 @@
     assert run.violations == []
     assert run.rest_count > 0
     assert run.is_planned or run.restore_count > 0
+
+
+def test_exception_that_nothing_handled_is_found_in_a_log(
+    tmp_path: pathlib.Path,
+) -> None:
+    process = soak.NodeProcess("entry", 0, tmp_path, {})
+    log = tmp_path / "entry-0.log"
+    log.write_text("event=start\nevent=end\n")
+    assert process.find_unhandled_error() == ""
+    trace = 'Traceback (most recent call last):\n  File "x"\nValueError: math domain'
+    log.write_text(f"event=start\n{trace} error\nevent=end\n")
+    assert process.find_unhandled_error() == "ValueError: math domain error"
