--- a/sardinesaddle/bench/rankchoice.py
+++ b/sardinesaddle/bench/rankchoice.py
@@ -20,6 +20,7 @@
     replica,
     requestqueue,
     targetpool,
+    targetstate,
 )
 
 SERVICE: typing.Final = "model"
@@ -306,7 +307,7 @@
         self._schedule(now + service_s, end)
 
     def _make_end_delivery(
-        self, entry: int, target: targetpool.Target
+        self, entry: int, target: targetstate.Target
     ) -> typing.Callable[[float], None]:
         """Return a callback that notifies an entry of the end of an answer."""
 
--- /dev/null
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -0,0 +1,145 @@
+"""The parts of an entry that decide on sends.
+
+``build_parts`` builds the parts that the settings ask for. ``EntryAdmission`` passes
+what happens to all of them, in the order of the list.
+"""
+
+import collections.abc
+
+from sardinesaddle.direct import (
+    catalog,
+    messages,
+    nodemetrics,
+    nodesettings,
+    replica,
+    targetstate,
+)
+from sardinesaddle.direct.admission import admissionpart, sendconstraint
+
+
+def build_parts(cfg: nodesettings.EntrySettings) -> list[admissionpart.AdmissionPart]:
+    """Return the parts that the settings ask for, in the order in which to ask them."""
+    return []
+
+
+class EntryAdmission:
+    """The parts of an entry, in the order of ``build_parts``."""
+
+    def __init__(
+        self, parts: collections.abc.Sequence[admissionpart.AdmissionPart]
+    ) -> None:
+        self._parts = parts
+        self.constraints = [
+            constraint for part in parts for constraint in part.list_constraints()
+        ]
+
+    def on_catalog(self, now: float, current: catalog.Catalog) -> None:
+        """Handle that a configuration came into force."""
+        for part in self._parts:
+            part.on_catalog(now, current)
+
+    def on_store_change(
+        self, now: float, change: replica.Change, position: replica.Position
+    ) -> bool:
+        """Handle a change of the store; return whether available targets change."""
+        results = [part.on_store_change(now, change, position) for part in self._parts]
+        return any(results)
+
+    def is_available(self, target: targetstate.Target) -> bool:
+        """Return whether a target may get new requests at all."""
+        return all(part.is_available(target) for part in self._parts)
+
+    def on_registered(self, now: float, target: targetstate.Target) -> None:
+        """Handle that a target was registered or its registration changed."""
+        for part in self._parts:
+            part.on_registered(now, target)
+
+    def on_report(
+        self, now: float, target: targetstate.Target, report: messages.Report
+    ) -> None:
+        """Handle a sidecar's report."""
+        for part in self._parts:
+            part.on_report(now, target, report)
+
+    def on_request(
+        self, now: float, service: str, request: sendconstraint.RequestTraits
+    ) -> None:
+        """Handle that a caller's request arrived."""
+        for part in self._parts:
+            part.on_request(now, service, request)
+
+    def on_send(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+    ) -> None:
+        """Count a request that is about to be sent."""
+        for part in self._parts:
+            part.on_send(now, target, request)
+
+    def on_outcome(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+        outcome: admissionpart.SendOutcome,
+    ) -> None:
+        """Count the end of a send."""
+        for part in self._parts:
+            part.on_outcome(now, target, request, outcome)
+
+    def refresh(
+        self,
+        now: float,
+        entries: admissionpart.EntryView,
+        targets: collections.abc.Collection[targetstate.Target],
+    ) -> None:
+        """Do the periodic work of all parts."""
+        for part in self._parts:
+            part.refresh(now, entries, targets)
+
+    def make_update(
+        self, now: float, host: str, is_reply: bool = False
+    ) -> messages.AdmissionUpdate | None:
+        """Return what another entry is told, None if no part needs to."""
+        if not self._parts:
+            return None
+        update = messages.AdmissionUpdate()
+        for part in self._parts:
+            part.make_update(now, host, is_reply, update)
+        return None if update == messages.AdmissionUpdate() else update
+
+    def on_message(
+        self,
+        now: float,
+        peer: admissionpart.PeerMessage,
+        update: messages.AdmissionUpdate | None,
+    ) -> None:
+        """Apply the update in a heartbeat of another entry, or in its reply."""
+        for part in self._parts:
+            part.on_message(now, peer, update or messages.AdmissionUpdate())
+
+    def on_reply(
+        self,
+        now: float,
+        peer: admissionpart.PeerMessage,
+        sent: messages.AdmissionUpdate | None,
+        received: messages.AdmissionUpdate | None,
+    ) -> None:
+        """Apply the reply to a heartbeat that had the update ``sent``."""
+        for part in self._parts:
+            part.on_reply(now, peer, sent or messages.AdmissionUpdate())
+        self.on_message(now, peer, received)
+
+    def write_metrics(
+        self, now: float, entry_metrics: nodemetrics.EntryMetrics
+    ) -> None:
+        """Set the gauges of all parts."""
+        for part in self._parts:
+            part.write_metrics(now, entry_metrics)
+
+    def withdraw(self) -> None:
+        """Give up what this entry has claimed, since it stops."""
+        for part in self._parts:
+            part.withdraw()
--- /dev/null
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -0,0 +1,82 @@
+"""Interface for reasons why a target may not take a request now.
+
+The target pool asks a list of constraints in a stated order, so that refusals, log
+lines, metrics and the command that explains a choice all read the same verdicts. A
+check changes nothing; what a constraint must count, it counts in ``on_send``.
+"""
+
+import abc
+import dataclasses
+import enum
+import typing
+
+from sardinesaddle.direct import targetstate
+
+
+class Decision(enum.Enum):
+    """Whether a request may be sent to a target."""
+
+    ALLOWED = "allowed"
+    LATER = "later"
+    # Not while the statements hold that forbid it; waiting does not help.
+    NEVER = "never"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a constraint decides; ``reason`` is for logs and metrics.
+
+    ``wait_s`` is the time until a later send may be allowed, infinite if it is not
+    known.
+    """
+
+    decision: Decision
+    reason: str = ""
+    wait_s: float = 0.0
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether the request may be sent now."""
+        return self.decision is Decision.ALLOWED
+
+
+ALLOWED: typing.Final = Verdict(Decision.ALLOWED)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """What constraints may ask of a request.
+
+    ``account`` and ``kind`` name the client account and the route. ``priority`` 0 is
+    the highest. ``homes`` are the regions in which the request may run, None for any.
+    ``output_tokens`` is the expected number, 0 if it is not known. Times are in
+    seconds: ``latency_objective_s`` to the first event or the response, and
+    ``max_event_gap_s`` between two events of a stream.
+    """
+
+    account: str = ""
+    kind: str = ""
+    priority: int = 5
+    homes: frozenset[str] | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    latency_objective_s: float = 0.0
+    max_event_gap_s: float = 0.0
+
+
+ANY_REQUEST: typing.Final = RequestTraits()
+
+
+class SendConstraint(abc.ABC):
+    """One reason why a target may not take a request now.
+
+    ``name`` identifies the constraint in logs and metrics.
+    """
+
+    name: typing.ClassVar[str]
+
+    @abc.abstractmethod
+    def check(
+        self, now: float, target: targetstate.Target, request: RequestTraits
+    ) -> Verdict:
+        """Return whether the target may take the request; changes nothing."""
--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -39,7 +39,7 @@
     freshness,
     nodemetrics,
     partprobes,
-    targetpool,
+    targetstate,
     upstream,
 )
 
@@ -225,7 +225,7 @@
 
     def on_sent(
         self,
-        target: targetpool.Target,
+        target: targetstate.Target,
         fingerprint: crashledger.Fingerprint,
         conn: upstream.Connection,
     ) -> SentRequest:
@@ -268,7 +268,7 @@
                 del self._unanswered_at[content_id]
         self._probes.expire(self._clock.read())
 
-    async def probe(self, target: targetpool.Target) -> None:
+    async def probe(self, target: targetstate.Target) -> None:
         """Find out whether a target crashed; call after a broken exchange."""
         exchanges = self._get_exchanges(target.registration.incarnation)
         if exchanges.evidence is not None:
@@ -278,7 +278,7 @@
             exchanges.probe = loop.create_task(self._run_probe(target, exchanges))
         await asyncio.shield(exchanges.probe)
 
-    async def has_ended(self, target: targetpool.Target) -> bool:
+    async def has_ended(self, target: targetstate.Target) -> bool:
         """Return whether a target's process has ended, and not because it leaves."""
         incarnation = target.registration.incarnation
         if self._departures.is_leaving(incarnation):
@@ -287,7 +287,7 @@
         return self._get_exchanges(incarnation).evidence is not None
 
     async def _run_probe(
-        self, target: targetpool.Target, exchanges: TargetExchanges
+        self, target: targetstate.Target, exchanges: TargetExchanges
     ) -> None:
         """Connect to a target; it crashed if the connection is refused."""
         registration = target.registration
@@ -311,7 +311,7 @@
         ):
             self.on_target_ended(target, Evidence.REFUSED)
 
-    def on_target_ended(self, target: targetpool.Target, evidence: Evidence) -> None:
+    def on_target_ended(self, target: targetstate.Target, evidence: Evidence) -> None:
         """Record that a target's process has ended.
 
         The exchanges that run there are broken off if the target was replaced. One that
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -41,6 +41,7 @@
     targetregistry,
     upstream,
 )
+from sardinesaddle.direct.admission import admissionpart, entryadmission
 
 # Two watches and some slack take less than the maximum age of API keys.
 CONFIG_WATCH_S: typing.Final = 1.5
@@ -82,7 +83,10 @@
         self.is_first_start = cfg.is_first_start
         self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
         self.departures = departures.Departures()
-        self.targets = targetpool.TargetPool(cfg.place, self.limits, self.departures)
+        self.admission = entryadmission.EntryAdmission(entryadmission.build_parts(cfg))
+        self.targets = targetpool.TargetPool(
+            cfg.place, self.limits, self.departures, self.admission
+        )
         self.targets.set_entries(cfg.host, ())
         self.metrics = nodemetrics.EntryMetrics(cfg.name)
         self.pool = upstream.ConnectionPool()
@@ -187,13 +191,26 @@
     # Changes in the store.
 
     def _on_store_changes(self, new_changes: list[replica.Change], source: str) -> None:
-        """Apply changes of the configuration and the targets."""
+        """Apply changes of the configuration, the targets, and for the admission."""
         for change in new_changes:
+            self._pass_to_admission(change)
             if change.key == self._store_decoder.config_key:
                 self._on_config(change, source)
             elif change.key.startswith(self._store_decoder.targets_prefix):
                 self._registry.apply(change, source)
 
+    def _pass_to_admission(self, change: replica.Change) -> None:
+        """Let the parts of the admission handle a change of the store."""
+        watcher = next(
+            watcher
+            for prefix, watcher in self._watchers.items()
+            if change.key.startswith(prefix)
+        )
+        position = watcher.replica.make_position(change.rev)
+        if self.admission.on_store_change(read_loop_time(), change, position):
+            self.targets.invalidate_lists()
+            self._peers.announce()
+
     def _on_config(self, change: replica.Change, source: str) -> None:
         """Put a version in force; one that was written in this era ends the settling.
 
@@ -214,6 +231,7 @@
                 for service in self._config.catalog.services.values()
                 if service.engine is not None and service.engine.layer_sets
             )
+            self.admission.on_catalog(read_loop_time(), self._config.catalog)
         return is_valid
 
     def _compute_probe_turn(self, suspect: str) -> int:
@@ -245,6 +263,11 @@
             self.limits.on_message(
                 now, msg.sender, msg.incarnation, msg.entries, msg.limits
             )
+            self.admission.on_message(
+                now,
+                admissionpart.PeerMessage(msg.sender, msg.incarnation, msg.entries),
+                msg.admission,
+            )
             return messages.HeartbeatReply(
                 self._peers.list_entries(),
                 self._list_prefix_states(),
@@ -252,6 +275,7 @@
                 self.limits.make_update(now, msg.sender, is_reply=True),
                 self._config.version,
                 self.crash_ledger.list_refused_parts(self._clock.read()),
+                self.admission.make_update(now, msg.sender, is_reply=True),
             )
         if isinstance(msg, messages.FetchRequest):
             return self._make_fetch_reply(msg)
@@ -362,6 +386,10 @@
         """Return what another entry may lack about limited targets."""
         return self.limits.make_update(asyncio.get_running_loop().time(), host)
 
+    def make_admission_update(self, host: str) -> messages.AdmissionUpdate | None:
+        """Return what the parts of the admission tell another entry."""
+        return self.admission.make_update(asyncio.get_running_loop().time(), host)
+
     def on_entries_changed(self) -> None:
         """Compute this entry's subset of the targets anew."""
         self.targets.set_entries(self._cfg.host, self._peers.hosts)
@@ -430,6 +458,12 @@
             heartbeat.limits,
             reply.limits,
         )
+        self.admission.on_reply(
+            now,
+            admissionpart.PeerMessage(peer.host, reply.incarnation, reply.entries),
+            heartbeat.admission,
+            reply.admission,
+        )
         self.crash_ledger.on_peer_judgement(
             self._clock.read(), peer.host, reply.refused_parts
         )
@@ -543,6 +577,7 @@
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
             self._refresh_limits(now)
+            self._refresh_admission(now)
             self.metrics.set_rests(self.targets.rests.list_resting(now))
             self.metrics.set_state(
                 self.config_version,
@@ -564,6 +599,17 @@
             self.limits.statements.list_limits(), self.limits.list_parts()
         )
 
+    def _refresh_admission(self, now: float) -> None:
+        """Do the periodic work of the parts of the admission."""
+        entries = admissionpart.EntryView(
+            self._cfg.host,
+            self._peers.hosts,
+            self._peers.list_contacted(),
+            self.compute_config_age(),
+        )
+        self.admission.refresh(now, entries, self.targets.list_targets())
+        self.admission.write_metrics(now, self.metrics)
+
     async def drain(self) -> None:
         """Fail the readiness check, finish requests in flight, and stop."""
         loop = asyncio.get_running_loop()
@@ -575,6 +621,7 @@
         await asyncio.sleep(NOT_READY_LEAD_S)
         self.frontend.is_draining = True
         self.limits.withdraw()
+        self.admission.withdraw()
         await asyncio.sleep(DRAIN_ACCEPT_S - NOT_READY_LEAD_S)
         self.frontend.refuses_requests = True
         deadline = began_at + self._cfg.bounds.drain_s - KILL_MARGIN_S
--- a/sardinesaddle/direct/entrypeers.py
+++ b/sardinesaddle/direct/entrypeers.py
@@ -60,6 +60,10 @@
     def make_limit_update(self, host: str) -> messages.LimitUpdate | None:
         """Return what another entry may lack about limited targets."""
 
+    @abc.abstractmethod
+    def make_admission_update(self, host: str) -> messages.AdmissionUpdate | None:
+        """Return what the parts of the admission tell another entry."""
+
     @abc.abstractmethod
     def on_entries_changed(self) -> None:
         """Handle that an entry was found or lost."""
@@ -185,6 +189,7 @@
             self._observer.incarnation,
             self._observer.make_limit_update(peer.host),
             left,
+            self._observer.make_admission_update(peer.host),
         )
         reply = await peer.call(heartbeat, HEARTBEAT_TIMEOUT_S)
         if not isinstance(reply, messages.HeartbeatReply):
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -17,6 +17,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import typing
 
@@ -37,8 +38,10 @@
     returntimes,
     targetlimits,
     targetpool,
+    targetstate,
     upstream,
 )
+from sardinesaddle.direct.admission import admissionpart, sendconstraint
 
 BODY_METHODS: typing.Final = frozenset({"POST", "PUT", "PATCH"})
 # Two round trips and the retransmission of a lost packet.
@@ -104,6 +107,7 @@
             await self._refuse(req, responder, state, None)
             return
         self._limits.on_request(loop.time(), state.service)
+        self._targets.admission.on_request(loop.time(), state.service, state.traits)
         budget = self._get_retry_budget(state.service)
         budget.on_request(loop.time())
         budget.on_entry_count(loop.time(), self._entry_state.count_entries())
@@ -163,7 +167,13 @@
         )
         fingerprint = crashledger.Fingerprint(content_id, req.metadata.prompt_parts)
         return requeststate.RequestState(
-            req, route, service, account, fingerprint, req.arrived_at + limit_s
+            req,
+            route,
+            service,
+            account,
+            fingerprint,
+            req.arrived_at + limit_s,
+            make_traits(req, route, account),
         )
 
     def _get_retry_budget(self, service: str) -> retrybudget.RetryBudget:
@@ -240,7 +250,8 @@
     def _choose_return_s(self, state: requeststate.RequestState) -> float:
         """Return when the caller of a request that is not sent again may come back."""
         now = asyncio.get_running_loop().time()
-        if self._targets.compute_wait_s(now, state.service, (), 0) is None:
+        wait_s = self._targets.compute_wait_s(now, state.service, (), 0, state.traits)
+        if wait_s is None:
             return requeststate.RETRY_AFTER_SHORT_S
         return self._explain_no_target(state)[1]
 
@@ -251,7 +262,12 @@
         if not state.first_event_at and self._choose_group(state, suspicion):
             group_wait_s = max(GROUP_RETURN_S - suspicion.age_s, MIN_GROUP_WAIT_S)
             return "contained", group_wait_s + CONTAINED_SPREAD_S * self._rng.random()
-        wait_s = self._targets.compute_wait_s(now, state.service, (), 0)
+        forbidden = self._targets.may_run(now, state.service, state.traits)
+        if not forbidden.is_allowed:
+            return forbidden.reason, requeststate.RETRY_AFTER_NO_CAPACITY_S * (
+                1.0 + self._rng.random()
+            )
+        wait_s = self._targets.compute_wait_s(now, state.service, (), 0, state.traits)
         if wait_s is None:
             # Random times keep callers from retrying simultaneously.
             return "no_target", requeststate.RETRY_AFTER_NO_CAPACITY_S * (
@@ -276,7 +292,7 @@
 
     async def _find_target(
         self, state: requeststate.RequestState
-    ) -> targetpool.Target | None:
+    ) -> targetstate.Target | None:
         """Return the target for the next attempt; wait in the queue if none is free."""
         suspicion = self.crashes.find_suspicion(state.fingerprint)
         state.crash_count = suspicion.crash_count
@@ -292,7 +308,7 @@
             waiting_since = asyncio.get_running_loop().time()
             due_at = expires_at = waiting_since + MAX_RESUME_WAIT_S
         queued_request = requestqueue.QueuedRequest(
-            compute_priority(state),
+            compute_priority(state.route, state.account),
             waiting_since,
             due_at,
             min(expires_at, state.deadline - MIN_REMAINING_S),
@@ -301,11 +317,12 @@
             group,
             "" if state.account is None else state.account.name,
             state.route.name,
+            traits=state.traits,
         )
         return await self.scheduler.acquire_target(state.service, queued_request)
 
     def _record_outcome(
-        self, target: targetpool.Target, outcome: responserelay.Outcome
+        self, target: targetstate.Target, outcome: responserelay.Outcome
     ) -> str:
         """Record a failed attempt in the target pool; return the reason for the log."""
         now = asyncio.get_running_loop().time()
@@ -371,13 +388,15 @@
     async def _attempt(
         self,
         state: requeststate.RequestState,
-        target: targetpool.Target,
+        target: targetstate.Target,
         responder: requeststate.Responder,
     ) -> responserelay.Outcome:
         """Send the request to a target and its response to the caller."""
         registration = target.registration
         key = (registration.host, registration.port, registration.target_id)
         now = asyncio.get_running_loop().time
+        timing = AttemptTiming(now())
+        result: responserelay.Outcome | None = None
         try:
             is_new = not state.may_run_twice or self.crashes.needs_new_connection(
                 state.fingerprint.content_id
@@ -386,47 +405,52 @@
             if isinstance(conn, upstream.Failure):
                 if conn.kind is upstream.FailureKind.CONNECTION_REFUSED:
                     self.crashes.on_target_ended(target, crashdetector.Evidence.REFUSED)
+                result = conn
                 return conn
             exchange = upstream.Exchange(
                 conn,
                 self._header_codec.attempt_id_header,
                 state.req.metadata.attempt_id,
             )
-            outcome: responserelay.Outcome | None = None
             if not state.send_count:
                 self.crashes.on_first_send(state.fingerprint)
             sent = self.crashes.on_sent(target, state.fingerprint, conn)
             try:
-                outcome = await self._exchange(state, target, exchange, responder, sent)
-                return outcome
+                observer = ExchangeObserver(self, state, target, sent, timing)
+                result = await self._exchange(
+                    state, target, exchange, responder, observer
+                )
+                return result
             finally:
                 if exchange.finish(now()):
                     self._pool.release(key, conn)
-                how = classify_exchange_end(outcome)
+                how = classify_exchange_end(result)
                 self.crashes.on_exchange_end(sent, how)
         finally:
-            self._end_attempt(state, target)
+            self._end_attempt(state, target, timing.make_outcome(now(), result))
 
     def _end_attempt(
-        self, state: requeststate.RequestState, target: targetpool.Target
+        self,
+        state: requeststate.RequestState,
+        target: targetstate.Target,
+        outcome: admissionpart.SendOutcome = targetpool.NOT_SENT,
     ) -> None:
         """Give up the target's slot and dispatch the next request to it."""
         now = asyncio.get_running_loop().time()
-        self._targets.on_end(target, now, state.crash_count)
+        self._targets.on_end(target, now, state.crash_count, state.traits, outcome)
         self.scheduler.dispatch(target.registration.service)
 
     async def _exchange(
         self,
         state: requeststate.RequestState,
-        target: targetpool.Target,
+        target: targetstate.Target,
         exchange: upstream.Exchange,
         responder: requeststate.Responder,
-        sent: crashdetector.SentRequest,
+        observer: "ExchangeObserver",
     ) -> responserelay.Outcome:
         """Send the request on a connection and relay the response."""
         req = state.req
         headers = self._make_upstream_headers(state, target)
-        observer = ExchangeObserver(self, state, target, sent)
         exchange.send(req.method, req.path, headers, req.body)
         state.send_count += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
@@ -509,7 +533,7 @@
         )
 
     def _make_upstream_headers(
-        self, state: requeststate.RequestState, target: targetpool.Target
+        self, state: requeststate.RequestState, target: targetstate.Target
     ) -> headercodec.Headers:
         """Return the headers of the request to the target."""
         req = state.req
@@ -523,7 +547,7 @@
             remaining_s=state.deadline - now,
             account=None if state.account is None else state.account.name,
             last_event_id=state.last_event,
-            priority=compute_priority(state),
+            priority=compute_priority(state.route, state.account),
         )
         upstream_headers = self._header_codec.make_upstream_headers(kept, metadata)
         if req.body or req.method in BODY_METHODS:
@@ -560,7 +584,7 @@
         state: requeststate.RequestState | None,
         outcome: str,
         status: int,
-        target: targetpool.Target | None = None,
+        target: targetstate.Target | None = None,
     ) -> None:
         """Log and count the end of a request; status 0 is an aborted response."""
         now = asyncio.get_running_loop().time()
@@ -591,6 +615,25 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptTiming:
+    """When an attempt began, and when the target responded; the event loop's times."""
+
+    began_at: float
+    first_event_at: float | None = None
+
+    def make_outcome(
+        self, now: float, outcome: responserelay.Outcome | None
+    ) -> admissionpart.SendOutcome:
+        """Return how the attempt ended now."""
+        first_event_s = None
+        if self.first_event_at is not None:
+            first_event_s = self.first_event_at - self.began_at
+        return admissionpart.SendOutcome(
+            classify_send_result(outcome), now - self.began_at, first_event_s
+        )
+
+
 class ExchangeObserver(responserelay.RelayObserver):
     """Passes what the response of one exchange shows to the forwarder and detector."""
 
@@ -598,9 +641,11 @@
         self,
         forwarder: Forwarder,
         state: requeststate.RequestState,
-        target: targetpool.Target,
+        target: targetstate.Target,
         sent: crashdetector.SentRequest,
+        timing: AttemptTiming,
     ) -> None:
+        self._timing = timing
         self._forwarder = forwarder
         self._state = state
         self._target = target
@@ -609,6 +654,8 @@
 
     def on_head(self, metadata: headercodec.ResponseMetadata) -> None:
         """Record what the target states of itself."""
+        if not self._state.route.is_stream:
+            self._timing.first_event_at = asyncio.get_running_loop().time()
         self._forwarder.record_statements(
             self._state, self._sent.incarnation, self._sent_at, metadata
         )
@@ -619,6 +666,7 @@
 
     def on_first_event(self) -> None:
         """Record when the caller gets its first event."""
+        self._timing.first_event_at = asyncio.get_running_loop().time()
         self._forwarder.record_first_event(self._state)
 
     async def has_target_ended(self) -> bool:
@@ -626,14 +674,31 @@
         return await self._forwarder.crashes.has_ended(self._target)
 
 
-def compute_priority(state: requeststate.RequestState) -> int:
+def compute_priority(route: catalog.Route, account: catalog.Account | None) -> int:
     """Return the priority of the account or else the route; 0 is the highest."""
-    priority = state.route.priority
-    if state.account is not None and state.account.priority is not None:
-        priority = state.account.priority
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
     return min(max(priority, 0), LOWEST_PRIORITY)
 
 
+def make_traits(
+    req: requeststate.Request, route: catalog.Route, account: catalog.Account | None
+) -> sendconstraint.RequestTraits:
+    """Return what the constraints of targets ask of a request."""
+    metadata = req.metadata
+    hint = metadata.output_tokens_hint
+    return sendconstraint.RequestTraits(
+        account="" if account is None else account.name,
+        kind=route.name,
+        priority=compute_priority(route, account),
+        prompt_tokens=metadata.prompt_tokens,
+        output_tokens=metadata.max_output_tokens if hint is None else hint,
+        latency_objective_s=route.latency_objective_s,
+        max_event_gap_s=route.max_event_gap_s,
+    )
+
+
 def is_broken(outcome: responserelay.Outcome) -> bool:
     """Return whether the target closed the connection before its response ended."""
     return (
@@ -643,6 +708,22 @@
     )
 
 
+def classify_send_result(
+    outcome: responserelay.Outcome | None,
+) -> admissionpart.SendResult:
+    """Return how a send ended; without an outcome it was cancelled."""
+    results = admissionpart.SendResult
+    if outcome is None:
+        return results.CANCELLED
+    if isinstance(outcome, upstream.Failure):
+        return results.BROKEN if outcome.was_sent else results.UNREACHABLE
+    if isinstance(outcome, requeststate.TargetError):
+        return results.ERROR_RESPONSE
+    if isinstance(outcome, requeststate.Refusal):
+        return results.REFUSED
+    return results.COMPLETED
+
+
 def classify_exchange_end(
     outcome: responserelay.Outcome | None,
 ) -> crashdetector.ExchangeEnd:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -98,12 +98,21 @@
     statements: list[LimitStatement] = []
 
 
+class AdmissionUpdate(msgspec.Struct, array_like=True):
+    """What an entry tells another one for its decisions on sends.
+
+    Each field is that of one part of ``admission``, None if the part has nothing to
+    tell or is off.
+    """
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Sent by an entry to another entry, with the entries that the sender has found.
 
     ``crash_records`` are those that changed since the last heartbeat that the receiver
     replied to, and so are ``departures``. ``incarnation`` is a random number of the
-    sender's process. ``limits`` is None if the sender knows of none.
+    sender's process. ``limits`` is None if the sender knows of none, and ``admission``
+    if no part has anything to tell.
     """
 
     sender: str
@@ -112,6 +121,7 @@
     incarnation: int = 0
     limits: LimitUpdate | None = None
     departures: list[Departure] = []
+    admission: AdmissionUpdate | None = None
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat_reply"):
@@ -122,6 +132,7 @@
     those of the heartbeat. ``config_version`` is that of the configuration in force, 0
     for none. ``refused_parts`` are the parts of prompts that the receiver refuses
     because targets crashed, None if it has not seen enough traffic to judge parts.
+    ``admission`` is as in the heartbeat.
     """
 
     entries: list[str]
@@ -130,6 +141,7 @@
     limits: LimitUpdate | None = None
     config_version: int = 0
     refused_parts: list[str] | None = None
+    admission: AdmissionUpdate | None = None
 
 
 class FetchRequest(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
--- a/sardinesaddle/direct/requestqueue.py
+++ b/sardinesaddle/direct/requestqueue.py
@@ -22,7 +22,8 @@
 import math
 import typing
 
-from sardinesaddle.direct import targetpool
+from sardinesaddle.direct import targetstate
+from sardinesaddle.direct.admission import sendconstraint
 
 FIRST_EVENT_LATENCY_S: typing.Final = 0.2  # from send to first event: 3 passes
 RATE_WINDOW_S: typing.Final = 1.0  # over which the dequeue rate is measured
@@ -43,7 +44,8 @@
     ``excluded_targets`` are identifiers of targets that already failed for it.
     ``crash_count`` is the number of targets that crashed while it ran there, ``group``
     the only lock-step group that it may run in, empty for any.
-    ``account`` and ``kind`` name the client account and the route.
+    ``account`` and ``kind`` name the client account and the route. ``traits`` is what
+    the constraints of targets ask of the request.
     """
 
     priority: int
@@ -55,7 +57,8 @@
     group: str = ""
     account: str = ""
     kind: str = ""
-    assigned_target: targetpool.Target | None = None
+    assigned_target: targetstate.Target | None = None
+    traits: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST
 
     def can_meet_deadline(self, now: float) -> bool:
         """Return whether the response can still begin before its deadline."""
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -14,7 +14,12 @@
 import random
 import typing
 
-from sardinesaddle.direct import entrystate, requestqueue, targetpool
+from sardinesaddle.direct import (
+    entrystate,
+    requestqueue,
+    targetpool,
+    targetstate,
+)
 
 DISPATCH_PERIOD_S: typing.Final = 0.05  # a third of the backoff after a refusal
 
@@ -33,13 +38,13 @@
         self._rng = rng
         self._queues: dict[str, requestqueue.RequestQueue] = {}
         self._assignments: dict[
-            requestqueue.QueuedRequest, asyncio.Future[targetpool.Target | None]
+            requestqueue.QueuedRequest, asyncio.Future[targetstate.Target | None]
         ] = {}
         self._dispatch_task: asyncio.Task[None] | None = None
 
     async def acquire_target(
         self, service: str, request: requestqueue.QueuedRequest
-    ) -> targetpool.Target | None:
+    ) -> targetstate.Target | None:
         """Return a target for a request, or None if the request must be refused.
 
         The returned target already counts the request as sent. Waits until the
@@ -52,7 +57,7 @@
             if target is not None or not self._may_wait(service, request):
                 return target
         queue.enqueue(request)
-        assignment: asyncio.Future[targetpool.Target | None] = loop.create_future()
+        assignment: asyncio.Future[targetstate.Target | None] = loop.create_future()
         self._assignments[request] = assignment
         self.dispatch(service)
         self._start_periodic_dispatch()
@@ -64,13 +69,15 @@
         except asyncio.CancelledError:
             target = self._withdraw(service, request)
             if target is not None:
-                self._targets.on_end(target, loop.time(), request.crash_count)
+                self._targets.on_end(
+                    target, loop.time(), request.crash_count, request.traits
+                )
                 self.dispatch(service)
             raise
 
     def _withdraw(
         self, service: str, request: requestqueue.QueuedRequest
-    ) -> targetpool.Target | None:
+    ) -> targetstate.Target | None:
         """Leave the queue; return a target that was assigned at the same moment."""
         assignment = self._assignments.pop(request, None)
         if assignment is not None:
@@ -82,15 +89,17 @@
         """Return whether a target may get capacity before the wait deadline."""
         now = asyncio.get_running_loop().time()
         if now >= request.wait_deadline or not self._targets.may_have_capacity_soon(
-            now, service, request.crash_count, request.group
+            now, service, request.crash_count, request.group, request.traits
         ):
             return False
-        wait_s = self._targets.compute_wait_s(now, service, request.excluded_targets, 0)
+        wait_s = self._targets.compute_wait_s(
+            now, service, request.excluded_targets, 0, request.traits
+        )
         return wait_s is None or now + wait_s < request.wait_deadline
 
     def _try_assign(
         self, service: str, request: requestqueue.QueuedRequest
-    ) -> targetpool.Target | None:
+    ) -> targetstate.Target | None:
         """Assign a target with capacity and count the request; else return None."""
         now = asyncio.get_running_loop().time()
         entry_count = self._entry_state.count_entries()
@@ -102,9 +111,10 @@
             self._rng.random,
             request.crash_count,
             request.group,
+            request.traits,
         )
         if target is not None:
-            self._targets.on_send(target, now, request.crash_count)
+            self._targets.on_send(target, now, request.crash_count, request.traits)
             self._queues[service].record_dequeue(now, request)
         return target
 
@@ -126,7 +136,7 @@
         for request in ordered:
             target = self._try_assign(service, request)
             if target is None and self._targets.may_have_capacity_soon(
-                now, service, request.crash_count, request.group
+                now, service, request.crash_count, request.group, request.traits
             ):
                 if request.excluded_targets or request.crash_count:
                     continue
@@ -144,7 +154,7 @@
         position = 0
         for request in queue.list_in_fair_order(now):
             wait_s = self._targets.compute_wait_s(
-                now, service, request.excluded_targets, position
+                now, service, request.excluded_targets, position, request.traits
             )
             if wait_s is not None and now + wait_s >= request.wait_deadline:
                 self._resolve(queue, request, None)
@@ -155,7 +165,7 @@
         self,
         queue: requestqueue.RequestQueue,
         request: requestqueue.QueuedRequest,
-        target: targetpool.Target | None,
+        target: targetstate.Target | None,
     ) -> None:
         """Dequeue a request with its target, or refuse it if there is none."""
         queue.remove(request)
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -6,6 +6,7 @@
 import typing
 
 from sardinesaddle.direct import catalog, crashledger, headercodec
+from sardinesaddle.direct.admission import sendconstraint
 
 STATUS_NOT_RUN: typing.Final = 503
 STATUS_OUTCOME_UNKNOWN: typing.Final = 502
@@ -99,7 +100,8 @@
 class RequestState:
     """A request with its route and account, and the state of its attempts.
 
-    Times are the event loop's. ``may_have_run`` is set while a target may run or have
+    Times are the event loop's. ``traits`` is what the constraints of targets ask of
+    the request. ``may_have_run`` is set while a target may run or have
     run the request. ``crash_count`` is how many targets had crashed under the
     ``fingerprint`` when the present attempt began. ``last_event`` is the number of the
     last stream event that was relayed to the caller. ``attempt_log`` lists target and
@@ -112,6 +114,7 @@
     account: catalog.Account | None
     fingerprint: crashledger.Fingerprint
     deadline: float
+    traits: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST
     crash_count: int = 0
     send_count: int = 0
     may_have_run: bool = False
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -14,7 +14,7 @@
 import collections.abc
 import typing
 
-from sardinesaddle.direct import headercodec, requeststate, sse, targetpool, upstream
+from sardinesaddle.direct import headercodec, requeststate, sse, targetstate, upstream
 
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
@@ -84,7 +84,7 @@
         # Silence does not end a request that may not be repeated.
         self._silence_timeout_s = SILENCE_TIMEOUT_S if state.may_run_twice else None
 
-    async def run(self, target: targetpool.Target) -> Outcome:
+    async def run(self, target: targetstate.Target) -> Outcome:
         """Relay the response; return the outcome, also if it could not be relayed."""
         head = await read_with_timeout(
             self._exchange.read_head(), self._silence_timeout_s
@@ -127,7 +127,7 @@
             read_bytes += len(data)
 
     async def _relay_buffered(
-        self, target: targetpool.Target, head: upstream.ResponseHead
+        self, target: targetstate.Target, head: upstream.ResponseHead
     ) -> Outcome:
         """Relay a response that is not a stream, buffered if it is small."""
         body = bytearray()
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -40,8 +40,7 @@
 store's return, so the target stays in use until then.
 """
 
-import collections
-import dataclasses
+import math
 import typing
 
 from sardinesaddle.direct import (
@@ -51,12 +50,17 @@
     replica,
     targetlimits,
     targetrests,
+    targetstate,
+)
+from sardinesaddle.direct.admission import (
+    admissionpart,
+    entryadmission,
+    sendconstraint,
+    targetconstraints,
 )
 
-REPORT_TTL_S: typing.Final = 0.8  # several report periods of at most 0.3 s
 # A registration may return two seconds after the store does; the rest is watch delay.
 REREGISTRATION_GRACE_S: typing.Final = 2.2
-BASE_EJECTION_S: typing.Final = 0.5  # doubles with each ejection until a success
 MAX_EJECTION_S: typing.Final = 5.0
 CONSECUTIVE_FAILURES_TO_EJECT: typing.Final = 2
 FAILURE_EWMA_WEIGHT: typing.Final = 0.2  # of the newest result in the moving average
@@ -78,69 +82,12 @@
 # From so many crashes on, a suspect waits for a target without other suspects.
 CRASHES_TO_ISOLATE: typing.Final = 2
 REPORT_DELAY_S: typing.Final = 0.01  # network and handling, sidecar to entry
-
-
-@dataclasses.dataclass(slots=True)
-class Target:
-    """A target, its last report, and this entry's own requests and results.
-
-    ``created`` and ``listed`` are where in the store's history its registration was
-    created and last changed. Times are the event loop's.
-    """
-
-    registration: catalog.TargetRegistration
-    created: replica.Position = replica.BEGINNING
-    listed: replica.Position = replica.BEGINNING
-    own_in_flight: int = 0
-    own_suspects: int = 0
-    report: messages.Report | None = None
-    reported_at: float = 0.0
-    recent_sends: collections.deque[float] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    recent_ends: collections.deque[float] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    consecutive_failures: int = 0
-    failure_rate: float = 0.0
-    ejected_until: float = 0.0
-    ejection_s: float = BASE_EJECTION_S
-    backoff_until: float = 0.0
-    has_stale_address: bool = False
-    removal_deadline: float | None = None
-
-    @property
-    def target_id(self) -> str:
-        """The identifier of the target's incarnation."""
-        return self.registration.target_id
-
-    @property
-    def address(self) -> str:
-        """The address on which the target listens, as in reports."""
-        return make_address(self.registration)
-
-    @property
-    def group(self) -> str:
-        """The lock-step group that the target reported last, or an empty string."""
-        return "" if self.report is None else self.report.group
-
-    def has_fresh_report(self, now: float) -> bool:
-        """Return whether the sidecar reported within ``REPORT_TTL_S``."""
-        return self.report is not None and now - self.reported_at < REPORT_TTL_S
-
-    def discard_before(self, when: float) -> None:
-        """Drop the sends and ends that an engine reading at ``when`` includes."""
-        for times in (self.recent_sends, self.recent_ends):
-            while times and times[0] <= when:
-                times.popleft()
-
-    def estimate_in_flight(self, now: float, entry_count: int) -> float:
-        """Estimate the requests of all entries that the target has now."""
-        if self.report is None or not self.has_fresh_report(now):
-            return float(self.own_in_flight * max(entry_count, 1))
-        estimate = self.report.running + self.report.waiting
-        estimate += len(self.recent_sends) - len(self.recent_ends)
-        return float(max(estimate, self.own_in_flight))
+SLOTS_FULL: typing.Final = sendconstraint.Verdict(
+    sendconstraint.Decision.LATER, "slots_full", math.inf
+)
+NOT_SENT: typing.Final = admissionpart.SendOutcome(
+    admissionpart.SendResult.CANCELLED, 0.0
+)
 
 
 class TargetPool:
@@ -151,22 +98,31 @@
         place: str,
         limits: targetlimits.TargetLimits | None = None,
         left: departures.Departures | None = None,
+        admission: entryadmission.EntryAdmission | None = None,
     ) -> None:
         self._place = place
         self._limits = limits or targetlimits.TargetLimits("", 0.0)
         self._departures = left or departures.Departures()
         self.rests = targetrests.TargetRests()
+        self.admission = admission or entryadmission.EntryAdmission(())
+        # In the order in which they are asked; slots are asked last.
+        self._constraints: list[sendconstraint.SendConstraint] = [
+            targetconstraints.BackoffConstraint(),
+            targetconstraints.RestConstraint(self.rests),
+            targetconstraints.LimitConstraint(self._limits),
+            *self.admission.constraints,
+        ]
         self._own_host = ""
         self._entry_hosts: list[str] = []
         # Caches by service: the targets that may get new requests, and the subset.
-        self._available: dict[str, list[Target]] = {}
+        self._available: dict[str, list[targetstate.Target]] = {}
         self._subsets: dict[str, frozenset[str]] = {}
         self._started_at: float | None = None
         self.lockstep_services: frozenset[str] = frozenset()
         # By group: the newest epoch, and whether the group is open in it.
         self._groups: dict[str, tuple[int, bool]] = {}
-        self._targets: dict[str, Target] = {}
-        self._by_address: dict[str, Target] = {}
+        self._targets: dict[str, targetstate.Target] = {}
+        self._by_address: dict[str, targetstate.Target] = {}
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -179,7 +135,7 @@
             self._entry_hosts = sorted_hosts
             self._subsets.clear()
 
-    def list_available(self, service: str) -> list[Target]:
+    def list_available(self, service: str) -> list[targetstate.Target]:
         """Return the targets of a service that may get new requests.
 
         These are ready, have not left, and are the newest at their address, which no
@@ -197,6 +153,7 @@
                     candidate.registration.incarnation, candidate.listed
                 )
                 and self._by_address[candidate.address] is candidate
+                and self.admission.is_available(candidate)
             ]
             self._available[service] = available
         return available
@@ -233,6 +190,10 @@
         self._available.clear()
         self._subsets.clear()
 
+    def list_targets(self) -> list[targetstate.Target]:
+        """Return all registered targets."""
+        return list(self._targets.values())
+
     def list_keys(self) -> set[tuple[str, int, str]]:
         """Return host, port and identifier of all targets, as in connection pools."""
         return {
@@ -251,15 +212,15 @@
             for candidate in self._targets.values()
         }
 
-    def get(self, target_id: str) -> Target | None:
+    def get(self, target_id: str) -> targetstate.Target | None:
         """Return a target by its identifier, or None if it is not registered."""
         return self._targets.get(target_id)
 
-    def get_at_address(self, address: str) -> Target | None:
+    def get_at_address(self, address: str) -> targetstate.Target | None:
         """Return the target in use at an address, or None."""
         return self._by_address.get(address)
 
-    def is_leaving(self, target: Target) -> bool:
+    def is_leaving(self, target: targetstate.Target) -> bool:
         """Return whether a target stated that it leaves."""
         return (
             target.registration.state is catalog.TargetState.DRAINING
@@ -271,6 +232,7 @@
         registration: catalog.TargetRegistration,
         created: replica.Position = replica.BEGINNING,
         listed: replica.Position = replica.BEGINNING,
+        now: float = 0.0,
     ) -> bool:
         """Add or update a target; return whether it is new or its state changed.
 
@@ -280,12 +242,13 @@
         known = self._targets.get(registration.target_id)
         self.invalidate_lists()
         if known is None:
-            added = Target(registration, created, listed)
+            added = targetstate.Target(registration, created, listed)
             self._targets[registration.target_id] = added
             self._claim_address(added)
+            self.admission.on_registered(now, added)
             return True
         is_state_changed = known.registration.state is not registration.state
-        is_address_changed = known.address != make_address(registration)
+        is_address_changed = known.address != targetstate.make_address(registration)
         if is_address_changed:
             self._release_address(known)
         if known.registration.incarnation != registration.incarnation:
@@ -295,15 +258,16 @@
         known.removal_deadline = None
         if is_address_changed:
             self._claim_address(known)
+        self.admission.on_registered(now, known)
         return is_state_changed or is_address_changed
 
-    def _claim_address(self, target: Target) -> None:
+    def _claim_address(self, target: targetstate.Target) -> None:
         """Use a target at its address unless a later one is registered there."""
         known = self._by_address.get(target.address)
         if known is None or target.created.is_after(known.created):
             self._by_address[target.address] = target
 
-    def _release_address(self, target: Target) -> None:
+    def _release_address(self, target: targetstate.Target) -> None:
         """Use another target at a target's address, the last one if there are more."""
         if self._by_address.get(target.address) is not target:
             return
@@ -314,7 +278,7 @@
 
     def find_replaced(
         self, registration: catalog.TargetRegistration, created: replica.Position
-    ) -> list[Target]:
+    ) -> list[targetstate.Target]:
         """Return the targets that must have ended, since another one is registered.
 
         That is one with the same identifier that started earlier, or one that was
@@ -324,7 +288,7 @@
         same_id = self._targets.get(registration.target_id)
         if same_id and same_id.registration.incarnation != registration.incarnation:
             replaced.append(same_id)
-        known = self._by_address.get(make_address(registration))
+        known = self._by_address.get(targetstate.make_address(registration))
         if (
             known is not None
             and known.target_id != registration.target_id
@@ -350,7 +314,7 @@
         if known is not None and known.removal_deadline is None:
             known.removal_deadline = deadline
 
-    def remove_expired(self, now: float) -> list[Target]:
+    def remove_expired(self, now: float) -> list[targetstate.Target]:
         """Remove the targets past their removal deadline and return them."""
         expired = [
             candidate
@@ -371,6 +335,7 @@
         known.report = report
         known.reported_at = now
         known.discard_before(now - REPORT_DELAY_S - report.age_s)
+        self.admission.on_report(now, known, report)
 
     def _update_group(self, report: messages.Report) -> None:
         """Update a group's state; a group that closes opens only in a new epoch."""
@@ -391,12 +356,14 @@
         random_fraction: typing.Callable[[], float],
         crash_count: int = 0,
         group: str = "",
-    ) -> Target | None:
+        request: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST,
+    ) -> targetstate.Target | None:
         """Return the target for the next request, or None if none has capacity.
 
         ``random_fraction`` returns numbers in [0, 1); they also break ties.
         ``crash_count`` is how many targets crashed while the request ran there, and
-        ``group`` the only group that it may run in, empty for any.
+        ``group`` the only group that it may run in, empty for any. ``request`` is what
+        the constraints ask of it.
         """
         candidates = [
             t
@@ -411,7 +378,9 @@
             candidates = [t for t in candidates if not t.own_suspects]
         open_targets = [t for t in candidates if self.is_group_open(now, t)]
         with_capacity = [
-            t for t in open_targets if self.has_capacity(now, t, entry_count)
+            t
+            for t in open_targets
+            if self.check_target(now, t, entry_count, request).is_allowed
         ]
         not_ejected = [t for t in with_capacity if t.ejected_until <= now]
         if not not_ejected:
@@ -435,7 +404,7 @@
         ]
         return min(loads, key=lambda scored: scored[:2])[2]
 
-    def _list_in_group(self, service: str, group: str) -> list[Target]:
+    def _list_in_group(self, service: str, group: str) -> list[targetstate.Target]:
         """Return the available targets in a group; all if none reports that group."""
         available = self.list_available(service)
         members = [t for t in available if group and t.group == group]
@@ -447,7 +416,12 @@
         return any(self.is_group_open(now, member) for member in members)
 
     def may_have_capacity_soon(
-        self, now: float, service: str, crash_count: int = 0, group: str = ""
+        self,
+        now: float,
+        service: str,
+        crash_count: int = 0,
+        group: str = "",
+        request: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST,
     ) -> bool:
         """Return whether it is worth waiting for a target of the service.
 
@@ -466,15 +440,55 @@
             or (is_isolated and candidate.own_suspects)
             or service in self.lockstep_services
             or not self.is_group_open(now, candidate)
+            or not self._check_parts(now, candidate, request).is_allowed
             for candidate in self.list_available(service)
+            if not self._is_forbidden(now, candidate, request)
         )
 
+    def may_run(
+        self, now: float, service: str, request: sendconstraint.RequestTraits
+    ) -> sendconstraint.Verdict:
+        """Return NEVER with the reason if constraints forbid all available targets."""
+        verdict = sendconstraint.ALLOWED
+        for candidate in self.list_available(service):
+            verdict = self._check_parts(now, candidate, request)
+            if verdict.decision is not sendconstraint.Decision.NEVER:
+                return sendconstraint.ALLOWED
+        return verdict
+
+    def _check_parts(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+    ) -> sendconstraint.Verdict:
+        """Return the verdict of the parts' constraints, NEVER before LATER."""
+        found = sendconstraint.ALLOWED
+        for constraint in self.admission.constraints:
+            verdict = constraint.check(now, target, request)
+            if verdict.decision is sendconstraint.Decision.NEVER:
+                return verdict
+            if found.is_allowed or verdict.wait_s > found.wait_s:
+                found = found if verdict.is_allowed else verdict
+        return found
+
+    def _is_forbidden(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+    ) -> bool:
+        """Return whether a constraint forbids the request at a target for now."""
+        verdict = self._check_parts(now, target, request)
+        return verdict.decision is sendconstraint.Decision.NEVER
+
     def compute_wait_s(
         self,
         now: float,
         service: str,
         excluded: typing.Collection[str],
         position: int,
+        request: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST,
     ) -> float | None:
         """Return how long the request at a position waits for what holds targets back.
 
@@ -482,7 +496,7 @@
         or one neither rests nor states a limit, even if it is closed now; then
         capacity decides.
         """
-        held_back = self._list_if_all_held_back(now, service, excluded)
+        held_back = self._list_if_all_held_back(now, service, excluded, request)
         if held_back is None:
             return None
         limited, rests = held_back
@@ -496,7 +510,9 @@
 
         Infinite if a target of the service neither rests nor states a limit.
         """
-        held_back = self._list_if_all_held_back(now, service, ())
+        held_back = self._list_if_all_held_back(
+            now, service, (), sendconstraint.ANY_REQUEST
+        )
         if held_back is None:
             return float("inf")
         limited, rests = held_back
@@ -511,48 +527,71 @@
         )
 
     def _list_if_all_held_back(
-        self, now: float, service: str, excluded: typing.Collection[str]
+        self,
+        now: float,
+        service: str,
+        excluded: typing.Collection[str],
+        request: sendconstraint.RequestTraits,
     ) -> tuple[list[str], list[float]] | None:
         """Return the targets that limits or rests hold back, None if others may serve.
 
-        These are the limited incarnations that work, and for those that rest the
-        seconds until they may get a request.
+        These are the limited incarnations that work, and for those that rest, or that
+        the constraints of a part hold back, the seconds until they may get a request.
         """
         limited, rests = [], []
         for candidate in self.list_available(service):
             if candidate.target_id in excluded:
                 continue
             incarnation = candidate.registration.incarnation
+            verdict = self._check_parts(now, candidate, request)
+            if verdict.decision is sendconstraint.Decision.NEVER:
+                continue
             if rest_s := self.rests.compute_wait_s(now, incarnation):
-                rests.append(rest_s)
+                rests.append(max(rest_s, verdict.wait_s))
+            elif not verdict.is_allowed and math.isfinite(verdict.wait_s):
+                rests.append(verdict.wait_s)
             elif not self._limits.is_limited(incarnation):
                 return None
             elif self.is_group_open(now, candidate):
                 limited.append(incarnation)
         return (limited, rests) if limited or rests else None
 
-    def has_capacity(self, now: float, target: Target, entry_count: int) -> bool:
-        """Return whether a target may get another request.
+    def check_target(
+        self,
+        now: float,
+        target: targetstate.Target,
+        entry_count: int,
+        request: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST,
+    ) -> sendconstraint.Verdict:
+        """Return the first verdict that does not allow another request, else ALLOWED.
+
+        Whether the target is available and its group open is not checked here.
+        """
+        for constraint in self._constraints:
+            verdict = constraint.check(now, target, request)
+            if not verdict.is_allowed:
+                return verdict
+        return self.check_slots(now, target, entry_count)
+
+    def check_slots(
+        self, now: float, target: targetstate.Target, entry_count: int
+    ) -> sendconstraint.Verdict:
+        """Return whether a rank has a free slot.
 
         Only ranks are limited to their slots. Ranks outside the subset keep slots free
         for the entries that prefer them.
         """
-        if target.backoff_until > now:
-            return False
-        incarnation = target.registration.incarnation
-        if self.rests.compute_wait_s(now, incarnation):
-            return False
-        if not self._limits.may_send(now, incarnation):
-            return False
         if target.registration.service not in self.lockstep_services:
-            return True
+            return sendconstraint.ALLOWED
         max_in_flight = MAX_LOAD * target.registration.slots
         subset = self.list_subset(target.registration.service)
         if subset and target.target_id not in subset:
             max_in_flight = max(max_in_flight - OUTSIDE_SUBSET_RESERVED_SLOTS, 1.0)
-        return target.estimate_in_flight(now, entry_count) < max_in_flight
+        if target.estimate_in_flight(now, entry_count) < max_in_flight:
+            return sendconstraint.ALLOWED
+        return SLOTS_FULL
 
-    def is_group_open(self, now: float, target: Target) -> bool:
+    def is_group_open(self, now: float, target: targetstate.Target) -> bool:
         """Return whether a target and its group work according to the last report.
 
         Without a fresh report, a rank is trusted if it has ever reported or the startup
@@ -569,7 +608,9 @@
             self._started_at = now
         return report is not None or now - self._started_at >= STARTUP_GRACE_S
 
-    def compute_load(self, now: float, target: Target, entry_count: int) -> float:
+    def compute_load(
+        self, now: float, target: targetstate.Target, entry_count: int
+    ) -> float:
         """Return the load with one more request, per slot, with all penalties."""
         load = (
             target.estimate_in_flight(now, entry_count) + 1.0
@@ -583,7 +624,13 @@
             load += SUSPECT_LOAD_PENALTY
         return load
 
-    def on_send(self, target: Target, now: float, crash_count: int = 0) -> None:
+    def on_send(
+        self,
+        target: targetstate.Target,
+        now: float,
+        crash_count: int = 0,
+        request: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST,
+    ) -> None:
         """Count a request that is about to be sent.
 
         ``crash_count`` is the number of targets that crashed while it ran there.
@@ -593,25 +640,36 @@
         target.own_in_flight += 1
         target.own_suspects += crash_count > 0
         target.recent_sends.append(now)
-        target.discard_before(now - REPORT_TTL_S)
+        target.discard_before(now - targetstate.REPORT_TTL_S)
+        self.admission.on_send(now, target, request)
 
-    def on_end(self, target: Target, now: float, crash_count: int = 0) -> None:
+    def on_end(
+        self,
+        target: targetstate.Target,
+        now: float,
+        crash_count: int = 0,
+        request: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST,
+        outcome: admissionpart.SendOutcome = NOT_SENT,
+    ) -> None:
         """Count the end of a request, however it ended; arguments as in on_send."""
         target.own_in_flight -= 1
         target.own_suspects -= crash_count > 0
         target.recent_ends.append(now)
+        self.admission.on_outcome(now, target, request, outcome)
 
-    def on_success(self, target: Target) -> None:
+    def on_success(self, target: targetstate.Target) -> None:
         """Record a successful response, which resets the ejection backoff."""
         target.consecutive_failures = 0
-        target.ejection_s = BASE_EJECTION_S
+        target.ejection_s = targetstate.BASE_EJECTION_S
         target.failure_rate *= 1.0 - FAILURE_EWMA_WEIGHT
 
-    def on_error_response(self, target: Target) -> None:
+    def on_error_response(self, target: targetstate.Target) -> None:
         """Record an error response; it does not eject, as some requests always fail."""
         target.failure_rate += FAILURE_EWMA_WEIGHT * (1.0 - target.failure_rate)
 
-    def on_failure(self, now: float, target: Target, is_conclusive: bool) -> bool:
+    def on_failure(
+        self, now: float, target: targetstate.Target, is_conclusive: bool
+    ) -> bool:
         """Record a broken exchange; return whether the target is ejected now.
 
         ``is_conclusive`` ejects at the first failure.
@@ -628,21 +686,16 @@
             target.ejection_s = min(target.ejection_s * 2.0, MAX_EJECTION_S)
         return True
 
-    def on_capacity_refusal(self, now: float, target: Target) -> None:
+    def on_capacity_refusal(self, now: float, target: targetstate.Target) -> None:
         """Stop sending to a target for a short time after it refused for capacity."""
         target.backoff_until = now + FULL_BACKOFF_S
 
-    def on_stale_address(self, target: Target) -> None:
+    def on_stale_address(self, target: targetstate.Target) -> None:
         """Exclude a target at whose address another target responds."""
         target.has_stale_address = True
         self.invalidate_lists()
 
 
-def make_address(registration: catalog.TargetRegistration) -> str:
-    """Return the address at which a target is registered."""
-    return f"{registration.host}:{registration.port}"
-
-
 def make_address_sort_key(host: str) -> tuple[tuple[int, str], ...]:
     """Return a key that sorts IP addresses by the values of their parts."""
     return tuple(
--- a/sardinesaddle/direct/targetregistry.py
+++ b/sardinesaddle/direct/targetregistry.py
@@ -21,6 +21,7 @@
     storedecoder,
     storewatcher,
     targetpool,
+    targetstate,
 )
 
 # Targets whose registration expires this soon after an outage may register again.
@@ -95,7 +96,7 @@
                 self._departures.on_removed(
                     now, replaced.registration.incarnation, created
                 )
-        if self._targets.register(registration, created, listed):
+        if self._targets.register(registration, created, listed, now):
             may_serve = self._departures.may_serve(incarnation, listed)
             loguru.logger.info(
                 "event=target_{} target={} service={} address={}:{} rev={} era={}"
@@ -113,7 +114,7 @@
             )
 
     def _is_copy_of_lapsed(
-        self, known: targetpool.Target, incarnation: str, listed: replica.Position
+        self, known: targetstate.Target, incarnation: str, listed: replica.Position
     ) -> bool:
         """Return whether a restored store lists a registration that lapsed before.
 
