Count only time in which requests are sent as time of observed traffic

Ruled out: the records of served parts, which were told correctly. Change: gaps between requests count for at most a second.

--- a/sardinesaddle/direct/parttraffic.py
+++ b/sardinesaddle/direct/parttraffic.py
@@ -16,6 +16,8 @@
 BROAD_SHARE: typing.Final = 0.25  # of the requests with parts
 MIN_KNOWN_REQUESTS: typing.Final = 20.0  # with fewer, the shares of parts are not known
 MIN_OBSERVED_S: typing.Final = 10.0  # before, it is not known which parts are served
+# A longer time without requests shows nothing: the entry may have refused all of them.
+MAX_OBSERVED_GAP_S: typing.Final = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,10 +40,11 @@
 class PartTraffic:
     """The decaying counts of all requests with parts, and of each part."""
 
-    __slots__ = ("_first_at", "_parts", "_requests")
+    __slots__ = ("_last_at", "_observed_s", "_parts", "_requests")
 
     def __init__(self) -> None:
-        self._first_at = float("inf")
+        self._last_at: float | None = None
+        self._observed_s = 0.0
         self._requests = DecayingCount(0.0, 0.0)
         self._parts: collections.OrderedDict[str, DecayingCount] = (
             collections.OrderedDict()
@@ -51,7 +54,9 @@
         """Count a request with these parts."""
         if not parts:
             return
-        self._first_at = min(self._first_at, now)
+        if self._last_at is not None:
+            self._observed_s += min(now - self._last_at, MAX_OBSERVED_GAP_S)
+        self._last_at = now
         self._requests.add_one(now)
         for part in parts:
             known = self._parts.setdefault(part, DecayingCount(0.0, now))
@@ -65,8 +70,14 @@
         return self._requests.read(now)
 
     def is_observed(self, now: float) -> bool:
-        """Return whether requests came for so long that most sound parts were seen."""
-        return now - self._first_at >= MIN_OBSERVED_S
+        """Return whether requests were sent for so long that most sound parts were seen.
+
+        The time since the last request counts like that between two of them.
+        """
+        if self._last_at is None:
+            return False
+        current_gap_s = min(now - self._last_at, MAX_OBSERVED_GAP_S)
+        return self._observed_s + current_gap_s >= MIN_OBSERVED_S
 
     def is_known(self, now: float) -> bool:
         """Return whether there were enough requests to tell the shares of parts."""
--- a/test/test_direct_parts.py
+++ b/test/test_direct_parts.py
@@ -523,3 +523,18 @@
         assert (await send(fleet, 50, "/once/g", "aa", GUILTY)).status == 200
 
     df.run_scenario(scenario, entry_count=2)
+
+
+def test_time_in_which_all_requests_were_refused_is_not_observed_traffic() -> None:
+    """Guards against refusals of sound parts by an entry that saw little served."""
+    traffic = parttraffic.PartTraffic()
+    for tenth in range(40):
+        traffic.on_request(tenth / 10, ["doc"])
+    # The entry refuses everything for six seconds, since its keys are stale.
+    for tenth in range(100, 140):
+        traffic.on_request(tenth / 10, ["doc"])
+    assert not traffic.is_observed(14.0)
+    for tenth in range(140, 160):
+        traffic.on_request(tenth / 10, ["doc"])
+    assert traffic.is_observed(16.0)
+    assert not parttraffic.PartTraffic().is_observed(60.0)
