Explain where a request would go now, and why, without sending it

Cause: operators could only read reasons from log lines after the fact. Change: an entry answers /explain at its metrics address, by the code that chooses for requests, with a copy of its random numbers; sardinesaddle explain prints it as a table or JSON. Requests for resolve_request, explain_no_target and may_wait take what they use as arguments, so that nothing is changed.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -14,6 +14,7 @@
 import zlib
 
 import loguru
+import msgspec
 
 from sardinesaddle.direct import (
     catalog,
@@ -23,6 +24,7 @@
     departures,
     entrypeers,
     entrystate,
+    explanation,
     forward,
     freshness,
     frontend,
@@ -138,6 +140,14 @@
             self.limits,
             self._on_target_leaving,
         )
+        self._explainer = explanation.Explainer(
+            self,
+            self.targets,
+            self.forwarder,
+            self.forwarder.scheduler,
+            self._crashes,
+            rng,
+        )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
             self.forwarder, header_codec, self._get_max_body, limits.idle_timeout_s
@@ -371,6 +381,17 @@
             if other.group == report.group and other.epoch == report.epoch
         )
 
+    def explain(self, query: dict[str, str]) -> tuple[int, bytes]:
+        """Return status and JSON that explain where a request would go now."""
+        try:
+            parsed = msgspec.convert(query, explanation.Query, strict=False)
+        except msgspec.ValidationError as exc:
+            fault = explanation.QueryFault(f"{exc}; see sardinesaddle explain --help")
+            return 400, msgspec.json.encode(fault)
+        result = self._explainer.explain(asyncio.get_running_loop().time(), parsed)
+        is_fault = isinstance(result, explanation.QueryFault)
+        return 400 if is_fault else 200, msgspec.json.encode(result)
+
     # Other entries.
 
     def read_clock(self) -> float:
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -17,6 +17,7 @@
 
 import asyncio
 import collections.abc
+import copy
 import dataclasses
 import random
 import typing
@@ -102,7 +103,7 @@
     ) -> None:
         """Forward a request; send the caller the response or a refusal."""
         loop = asyncio.get_running_loop()
-        state = self._resolve_request(req)
+        state = self.resolve_request(req, self._rng)
         if isinstance(state, requeststate.Refusal):
             await self._refuse(req, responder, state, None)
             return
@@ -130,8 +131,8 @@
         if refusal is not None:
             await self._refuse(req, responder, refusal, state)
 
-    def _resolve_request(
-        self, req: requeststate.Request
+    def resolve_request(
+        self, req: requeststate.Request, rng: random.Random
     ) -> requeststate.RequestState | requeststate.Refusal:
         """Find the route, service, account and deadline, or return a refusal."""
         current_catalog = self._entry_state.catalog
@@ -161,7 +162,7 @@
                 return requeststate.Refusal(401, "unknown_key")
         caller_timeout_s = req.metadata.timeout_s
         limit_s = min(route.timeout_s, caller_timeout_s or route.timeout_s)
-        service = catalog.pick_service(route, self._rng.random())
+        service = catalog.pick_service(route, rng.random())
         content_id = requeststate.compute_content_id(
             req.path, "" if account is None else account.name, req.body
         )
@@ -210,7 +211,9 @@
                     state, responder, last_error, "quarantined", refusal.retry_after_s
                 )
             if target is None:
-                reason, retry_after_s = self._explain_no_target(state)
+                reason, retry_after_s = self.explain_no_target(
+                    state, self._rng, self._return_times
+                )
                 return await self._finish_without_response(
                     state, responder, last_error, reason, retry_after_s
                 )
@@ -253,29 +256,41 @@
         wait_s = self._targets.compute_wait_s(now, state.service, (), 0, state.traits)
         if wait_s is None:
             return requeststate.RETRY_AFTER_SHORT_S
-        return self._explain_no_target(state)[1]
+        return self.explain_no_target(state, self._rng, self._return_times)[1]
+
+    def copy_return_times(self) -> returntimes.ReturnTimes:
+        """Return a copy of the return times, to explain one without giving it."""
+        return copy.deepcopy(self._return_times)
+
+    def explain_no_target(
+        self,
+        state: requeststate.RequestState,
+        rng: random.Random,
+        return_times: returntimes.ReturnTimes,
+    ) -> tuple[str, float]:
+        """Return why a request got no target, and when its caller may come back.
 
-    def _explain_no_target(self, state: requeststate.RequestState) -> tuple[str, float]:
-        """Return why a request got no target, and when its caller may come back."""
+        The time is given to the caller by an entry of ``return_times``.
+        """
         now = asyncio.get_running_loop().time()
         suspicion = self.crashes.find_suspicion(state.fingerprint)
         if not state.first_event_at and self._choose_group(state, suspicion):
             group_wait_s = max(GROUP_RETURN_S - suspicion.age_s, MIN_GROUP_WAIT_S)
-            return "contained", group_wait_s + CONTAINED_SPREAD_S * self._rng.random()
+            return "contained", group_wait_s + CONTAINED_SPREAD_S * rng.random()
         forbidden = self._targets.may_run(now, state.service, state.traits)
         if not forbidden.is_allowed:
             return forbidden.reason, requeststate.RETRY_AFTER_NO_CAPACITY_S * (
-                1.0 + self._rng.random()
+                1.0 + rng.random()
             )
         wait_s = self._targets.compute_wait_s(now, state.service, (), 0, state.traits)
         if wait_s is None:
             # Random times keep callers from retrying simultaneously.
             return "no_target", requeststate.RETRY_AFTER_NO_CAPACITY_S * (
-                1.0 + self._rng.random()
+                1.0 + rng.random()
             )
         rate = self._targets.compute_return_rate(now, state.service)
-        delay_s = self._return_times.choose_delay_s(
-            now, state.service, wait_s, rate, self._rng.random()
+        delay_s = return_times.choose_delay_s(
+            now, state.service, wait_s, rate, rng.random()
         )
         is_resting = self._targets.is_resting(now, state.service)
         return "target_rest" if is_resting else "target_limit", delay_s
@@ -294,8 +309,16 @@
         self, state: requeststate.RequestState
     ) -> targetstate.Target | None:
         """Return the target for the next attempt; wait in the queue if none is free."""
+        now = asyncio.get_running_loop().time()
+        queued_request = self.make_queued_request(state, now)
+        state.crash_count = queued_request.crash_count
+        return await self.scheduler.acquire_target(state.service, queued_request)
+
+    def make_queued_request(
+        self, state: requeststate.RequestState, now: float
+    ) -> requestqueue.QueuedRequest:
+        """Return the request as the scheduler sees it, for the attempt at ``now``."""
         suspicion = self.crashes.find_suspicion(state.fingerprint)
-        state.crash_count = suspicion.crash_count
         # A stream whose caller has received events is not what crashed its target.
         group = "" if state.first_event_at else self._choose_group(state, suspicion)
         waiting_since = state.req.arrived_at
@@ -305,21 +328,20 @@
         )
         if state.first_event_at:
             # The caller has received part of a stream and does not wait long for more.
-            waiting_since = asyncio.get_running_loop().time()
+            waiting_since = now
             due_at = expires_at = waiting_since + MAX_RESUME_WAIT_S
-        queued_request = requestqueue.QueuedRequest(
+        return requestqueue.QueuedRequest(
             compute_priority(state.route, state.account),
             waiting_since,
             due_at,
             min(expires_at, state.deadline - MIN_REMAINING_S),
             state.tried_targets,
-            state.crash_count,
+            suspicion.crash_count,
             group,
             "" if state.account is None else state.account.name,
             state.route.name,
             traits=state.traits,
         )
-        return await self.scheduler.acquire_target(state.service, queued_request)
 
     def _record_outcome(
         self, target: targetstate.Target, outcome: responserelay.Outcome
--- a/sardinesaddle/direct/parttraffic.py
+++ b/sardinesaddle/direct/parttraffic.py
@@ -70,7 +70,7 @@
         return self._requests.read(now)
 
     def is_observed(self, now: float) -> bool:
-        """Return whether requests were sent for so long that most sound parts were seen.
+        """Return whether most sound parts were seen in the requests that were sent.
 
         The time since the last request counts like that between two of them.
         """
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -54,7 +54,8 @@
         queue = self._queues.setdefault(service, requestqueue.RequestQueue())
         if not len(queue):
             target = self._try_assign(service, request)
-            if target is not None or not self._may_wait(service, request):
+            now = loop.time()
+            if target is not None or not self.may_wait(now, service, request):
                 return target
         queue.enqueue(request)
         assignment: asyncio.Future[targetstate.Target | None] = loop.create_future()
@@ -85,9 +86,15 @@
             return None
         return request.assigned_target
 
-    def _may_wait(self, service: str, request: requestqueue.QueuedRequest) -> bool:
+    def count_waiting(self, service: str) -> int:
+        """Return the number of requests that wait for a target of a service."""
+        queue = self._queues.get(service)
+        return 0 if queue is None else len(queue)
+
+    def may_wait(
+        self, now: float, service: str, request: requestqueue.QueuedRequest
+    ) -> bool:
         """Return whether a target may get capacity before the wait deadline."""
-        now = asyncio.get_running_loop().time()
         if now >= request.wait_deadline or not self._targets.may_have_capacity_soon(
             now, service, request.crash_count, request.group, request.traits
         ):
--- a/sardinesaddle/direct/statusserver.py
+++ b/sardinesaddle/direct/statusserver.py
@@ -7,6 +7,7 @@
 import abc
 import asyncio
 import typing
+import urllib.parse
 
 import httptools
 import loguru
@@ -15,7 +16,13 @@
 
 IDLE_TIMEOUT_S: typing.Final = 75.0  # of a connection between two requests
 MAX_REQUEST_BYTES: typing.Final = 16 * 1024
-REASONS: typing.Final = {200: "OK", 503: "Service Unavailable"}
+REASONS: typing.Final = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    503: "Service Unavailable",
+}
+EXPLAIN_PATH: typing.Final = "/explain"
 
 
 class Checked(abc.ABC):
@@ -26,6 +33,10 @@
     def is_ready(self) -> bool:
         """Whether the process may be sent work."""
 
+    def explain(self, query: dict[str, str]) -> tuple[int, bytes]:
+        """Return status and JSON that explain where a request would go now."""
+        return 404, b'{"text": "only an entry explains requests; ask one"}'
+
 
 class Connection(asyncio.Protocol):
     """One connection; it is closed when it is idle or a request is malformed."""
@@ -76,8 +87,8 @@
         assert self._transport is not None
         self._request_bytes = 0
         is_kept = self._parser.should_keep_alive()
-        path = self._path.partition(b"?")[0].decode("latin-1")
-        status, head, body = self._server.respond(path)
+        path, _, query = self._path.decode("latin-1").partition("?")
+        status, head, body = self._server.respond(path, query)
         lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
         lines += [f"{name}: {value}" for name, value in head.items()]
         lines.append(f"Content-Length: {len(body)}")
@@ -130,8 +141,15 @@
             sock.getsockname()[1] for server in self._servers for sock in server.sockets
         ]
 
-    def respond(self, path: str) -> tuple[int, dict[str, str], bytes]:
-        """Return the metrics at ``/metrics``, the readiness as status elsewhere."""
+    def respond(self, path: str, query: str = "") -> tuple[int, dict[str, str], bytes]:
+        """Return the metrics at ``/metrics``, the readiness as status elsewhere.
+
+        ``EXPLAIN_PATH`` explains the request that the query describes.
+        """
+        if path == EXPLAIN_PATH:
+            values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+            status, body = self._node.explain(values)
+            return status, {"Content-Type": "application/json"}, body
         if path == "/metrics":
             self._metrics.set_dropped_log_lines(self._sink.dropped)
             body, head = self._metrics.render()
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -573,6 +573,33 @@
                 return verdict
         return self.check_slots(now, target, entry_count)
 
+    def list_verdicts(
+        self,
+        now: float,
+        target: targetstate.Target,
+        entry_count: int,
+        request: sendconstraint.RequestTraits,
+    ) -> list[tuple[str, sendconstraint.Verdict]]:
+        """Return the names and verdicts of all constraints, in their order."""
+        verdicts = [
+            (constraint.name, constraint.check(now, target, request))
+            for constraint in self._constraints
+        ]
+        return [*verdicts, ("slots", self.check_slots(now, target, entry_count))]
+
+    def find_exclusion(self, target: targetstate.Target) -> str:
+        """Return why a target gets no new requests at all, empty if it may."""
+        incarnation = target.registration.incarnation
+        if self.is_leaving(target):
+            return "leaving"
+        if not self._departures.may_serve(incarnation, target.listed):
+            return "gone"
+        if target.has_stale_address:
+            return "address_taken"
+        if self._by_address[target.address] is not target:
+            return "replaced"
+        return "" if self.admission.is_available(target) else "out_of_service"
+
     def check_slots(
         self, now: float, target: targetstate.Target, entry_count: int
     ) -> sendconstraint.Verdict:
--- a/sardinesaddle/main.py
+++ b/sardinesaddle/main.py
@@ -25,11 +25,20 @@
     """Raised if a command fails; the text names the remedy."""
 
 
+class UsageError(CommandError):
+    """Raised if a command cannot be carried out as given; the exit status is 2."""
+
+
 def print_line(text: str) -> None:
     """Write a line to standard output."""
     sys.stdout.write(text + "\n")
 
 
+def dump_json(page: object) -> str:
+    """Return a value as an indented JSON document."""
+    return json.dumps(page, indent=2)
+
+
 def load_settings_and_secret(
     path: str, settings_type: type[settings.Settings]
 ) -> tuple[settings.Settings, bytes]:
@@ -162,7 +171,48 @@
         page = statuspage.fetch_status(url)
         if isinstance(page, statuspage.StatusFault):
             raise CommandError(page.text)
-        print_line(json.dumps(page, indent=2))
+        print_line(dump_json(page))
+
+    def explain(
+        self,
+        source: str,
+        host: str = "",
+        path: str = "",
+        account: str = "",
+        prompt_tokens: int = 0,
+        output_tokens: int = 0,
+        parts: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show where a request would go now, and why, without sending it.
+
+        SOURCE is the metrics address of an entry (http://HOST:PORT), or a file with an
+        explanation that was saved with --json. HOST and PATH select the route, ACCOUNT
+        names the client account; PARTS are ids of prompt parts, separated by commas.
+        """
+        from sardinesaddle import explaintool
+
+        if source.startswith(("http://", "https://")):
+            if not host or not path:
+                raise UsageError("explain needs --host and --path of the request")
+            page = explaintool.fetch_explanation(
+                source,
+                {
+                    "host": host,
+                    "path": path,
+                    "account": account,
+                    "prompt_tokens": prompt_tokens,
+                    "output_tokens": output_tokens,
+                    "parts": parts,
+                },
+            )
+        else:
+            page = explaintool.read_explanation(source)
+        if isinstance(page, explaintool.ExplainFault):
+            raise UsageError(page.text)
+        print_line(dump_json(page) if json else explaintool.format_explanation(page))
+        if page["outcome"] == "refuse" and page["reason"] == "no_route":
+            raise UsageError(f"no route matches host {host!r} and path {path!r}")
 
     def standins(self, port: int = 9000) -> None:
         """Run the stand-ins of a small deployment in a separate process.
@@ -252,7 +302,7 @@
         fire.Fire(commands, command=args, name="sardinesaddle")
     except CommandError as exc:
         sys.stderr.write(f"sardinesaddle: {exc}\n")
-        sys.exit(EXIT_FAILED)
+        sys.exit(EXIT_USAGE if isinstance(exc, UsageError) else EXIT_FAILED)
     except fire.core.FireExit as exc:
         sys.exit(exc.code)
 
