Take targets of evacuated zones out of service and keep requests in their regions

Cause: the key op/evacuate/ZONE and the field allowed_regions were not decoded.

Change: EvacuationPart (on if bounds.evacuation_s is set) and HomePart; entries also exchange evacuations in heartbeats.

Conclusion: working state; tests of the parts are not written yet.

--- a/sardinesaddle/direct/admission/admissionpart.py
+++ b/sardinesaddle/direct/admission/admissionpart.py
@@ -95,7 +95,8 @@
         """Return whether a target may get new requests at all.
 
         Targets that may not are left out of the entries' subsets. A change must be
-        reported by ``on_store_change``.
+        reported by ``on_store_change`` or through a callback, and a constraint of the
+        part must forbid requests at such a target, so that refusals state the reason.
         """
         return True
 
--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -12,14 +12,37 @@
     nodemetrics,
     nodesettings,
     replica,
+    storedecoder,
     targetstate,
 )
-from sardinesaddle.direct.admission import admissionpart, sendconstraint
+from sardinesaddle.direct.admission import (
+    admissionpart,
+    evacuations,
+    homes,
+    sendconstraint,
+)
 
 
-def build_parts(cfg: nodesettings.EntrySettings) -> list[admissionpart.AdmissionPart]:
-    """Return the parts that the settings ask for, in the order in which to ask them."""
-    return []
+def build_parts(
+    cfg: nodesettings.EntrySettings,
+    store_decoder: storedecoder.StoreDecoder,
+    on_availability_change: collections.abc.Callable[[], None],
+) -> list[admissionpart.AdmissionPart]:
+    """Return the parts that the settings ask for, in the order in which to ask them.
+
+    ``on_availability_change`` is called when a message of another entry changes which
+    targets are available.
+    """
+    parts: list[admissionpart.AdmissionPart] = []
+    if cfg.bounds.evacuation_s is not None:
+        parts.append(
+            evacuations.EvacuationPart(
+                store_decoder, cfg.bounds.evacuation_s, on_availability_change
+            )
+        )
+    # Allows all requests unless the configuration names regions.
+    parts.append(homes.HomePart(cfg.places))
+    return parts
 
 
 class EntryAdmission:
--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -10,6 +10,10 @@
 import enum
 import typing
 
+# The regions of a route or an account whose list of regions is malformed. Serving its
+# requests anywhere could break the rule that the list was meant to state.
+NO_REGION: typing.Final[frozenset[str]] = frozenset()
+
 
 class Execution(enum.Enum):
     """Whether a request may be executed more than once."""
@@ -33,6 +37,7 @@
     Times are in seconds. ``priority`` 0 is the highest. ``latency_objective_s`` is
     the desired time to the end of the response, or to a stream's first event.
     ``max_event_gap_s`` is the longest desired time between two events of a stream.
+    ``homes`` are the regions in which requests may run, None for any.
     """
 
     name: str
@@ -48,6 +53,7 @@
     allows_anonymous: bool
     is_resumable: bool
     weighted_services: tuple[WeightedService, ...]
+    homes: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,10 +96,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Account:
-    """A client account; ``priority``, if set, overrides the route's priority."""
+    """A client account; ``priority``, if set, overrides the route's priority.
+
+    ``homes`` are the regions in which its requests may run, None for any.
+    """
 
     name: str
     priority: int | None
+    homes: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +178,14 @@
     ].service
 
 
+def intersect_homes(route: Route, account: Account | None) -> frozenset[str] | None:
+    """Return the regions that a route and an account both permit, None for any."""
+    account_homes = None if account is None else account.homes
+    if route.homes is None or account_homes is None:
+        return account_homes if route.homes is None else route.homes
+    return route.homes & account_homes
+
+
 class TargetState(enum.Enum):
     """Whether a target accepts new requests."""
 
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -83,7 +83,9 @@
         self.is_first_start = cfg.is_first_start
         self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
         self.departures = departures.Departures()
-        self.admission = entryadmission.EntryAdmission(entryadmission.build_parts(cfg))
+        self.admission = entryadmission.EntryAdmission(
+            entryadmission.build_parts(cfg, store_decoder, self._on_availability_change)
+        )
         self.targets = targetpool.TargetPool(
             cfg.place, self.limits, self.departures, self.admission
         )
@@ -211,6 +213,11 @@
             self.targets.invalidate_lists()
             self._peers.announce()
 
+    def _on_availability_change(self) -> None:
+        """Apply that a message of another entry changed which targets are available."""
+        self.targets.invalidate_lists()
+        self.forwarder.scheduler.dispatch_all()
+
     def _on_config(self, change: replica.Change, source: str) -> None:
         """Put a version in force; one that was written in this era ends the settling.
 
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -407,6 +407,11 @@
                     self.crashes.on_target_ended(target, crashdetector.Evidence.REFUSED)
                 result = conn
                 return conn
+            if not self._targets.admission.is_available(target):
+                # Its place was evacuated while the connection was set up.
+                conn.abort()
+                result = refuse_not_run("unavailable")
+                return result
             exchange = upstream.Exchange(
                 conn,
                 self._header_codec.attempt_id_header,
@@ -692,6 +697,7 @@
         account="" if account is None else account.name,
         kind=route.name,
         priority=compute_priority(route, account),
+        homes=catalog.intersect_homes(route, account),
         prompt_tokens=metadata.prompt_tokens,
         output_tokens=metadata.max_output_tokens if hint is None else hint,
         latency_objective_s=route.latency_objective_s,
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -98,6 +98,17 @@
     statements: list[LimitStatement] = []
 
 
+class Evacuation(msgspec.Struct, frozen=True, array_like=True):
+    """Whether a place is evacuated, and the position of the store that states it.
+
+    ``position`` is era, revision, and whether it may be from an earlier era.
+    """
+
+    place: str
+    is_in_force: bool
+    position: tuple[int, int, bool]
+
+
 class AdmissionUpdate(msgspec.Struct, array_like=True):
     """What an entry tells another one for its decisions on sends.
 
@@ -105,6 +116,8 @@
     tell or is off.
     """
 
+    evacuations: list[Evacuation] | None = None
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Sent by an entry to another entry, with the entries that the sender has found.
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -73,6 +73,9 @@
             "target_rest_seconds", "Seconds for which a target still wants nothing."
         )
         self._resting_targets: set[str] = set()
+        self._evacuated_places = self.make_gauge(
+            "place_evacuated", "1 while a place is evacuated, else 0."
+        )
 
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
@@ -114,6 +117,10 @@
             self._rest_seconds.set({"target": incarnation}, seconds)
         self._resting_targets = set(rests)
 
+    def set_evacuation(self, place: str, is_in_force: bool) -> None:
+        """Set whether a place is evacuated."""
+        self._evacuated_places.set({"place": place}, float(is_in_force))
+
     def set_target_limits(
         self, limits: dict[str, float], parts: dict[str, float]
     ) -> None:
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -16,6 +16,8 @@
     ``revoke_s`` limits how long a revoked API key is still accepted, ``drain_s`` the
     time from SIGTERM to the end of the process. Within ``repeat_window_s``, all entries
     together may retry ``repeat_ratio`` of the requests plus ``repeat_allowance``.
+    ``evacuation_s`` limits how long requests still go to an evacuated place; without
+    it, entries ignore evacuations.
     """
 
     revoke_s: Seconds = 5.0
@@ -23,6 +25,7 @@
     repeat_ratio: float = 0.2
     repeat_allowance: float = 90.0
     repeat_window_s: Seconds = 10.0
+    evacuation_s: Seconds | None = None
 
 
 class SidecarBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -63,12 +66,14 @@
 ):
     """Settings of an entry; it serves callers at ``front``, readiness at ``ready``.
 
-    ``is_first_start`` is set if no process of the system ran before.
+    ``is_first_start`` is set if no process of the system ran before. ``places`` maps
+    each place to its region.
     """
 
     front: Address
     ready: Address
     is_first_start: bool = False
+    places: dict[str, str] = {}
     bounds: EntryBounds = EntryBounds()
 
 
--- a/sardinesaddle/direct/replica.py
+++ b/sardinesaddle/direct/replica.py
@@ -28,13 +28,16 @@
 class Change:
     """A key's value at a revision; ``value`` is None if it was deleted.
 
-    ``created_rev`` is the revision that created the key.
+    ``created_rev`` is the revision that created the key. ``is_unlisted`` is set if the
+    first listing of an era lacks the key: it may have been deleted, or the copy that
+    the store was restored from may be older than the key.
     """
 
     key: str
     rev: int
     value: bytes | None
     created_rev: int = 0
+    is_unlisted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +154,7 @@
             if item.key not in previous or previous[item.key].value != item.value
         ]
         return changed + [
-            Change(key, listing.complete_rev, None)
+            Change(key, listing.complete_rev, None, is_unlisted=True)
             for key, known in previous.items()
             if key not in self._items and known.value is not None
         ]
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -51,6 +51,8 @@
         request's wait deadline at most.
         """
         loop = asyncio.get_running_loop()
+        if not self._targets.may_run(loop.time(), service, request.traits).is_allowed:
+            return None
         queue = self._queues.setdefault(service, requestqueue.RequestQueue())
         if not len(queue):
             target = self._try_assign(service, request)
@@ -138,7 +140,8 @@
             if target is None and self._targets.may_have_capacity_soon(
                 now, service, request.crash_count, request.group, request.traits
             ):
-                if request.excluded_targets or request.crash_count:
+                is_choosy = request.excluded_targets or request.crash_count
+                if is_choosy or request.traits.homes is not None:
                     continue
                 break
             self._resolve(queue, request, target)
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -145,19 +145,26 @@
         if available is None:
             available = [
                 candidate
-                for candidate in self._targets.values()
-                if candidate.registration.service == service
-                and candidate.registration.state is catalog.TargetState.READY
-                and not candidate.has_stale_address
-                and self._departures.may_serve(
-                    candidate.registration.incarnation, candidate.listed
-                )
-                and self._by_address[candidate.address] is candidate
-                and self.admission.is_available(candidate)
+                for candidate in self._list_ready(service)
+                if self.admission.is_available(candidate)
             ]
             self._available[service] = available
         return available
 
+    def _list_ready(self, service: str) -> list[targetstate.Target]:
+        """Return the targets that could get new requests if all parts allow it."""
+        return [
+            candidate
+            for candidate in self._targets.values()
+            if candidate.registration.service == service
+            and candidate.registration.state is catalog.TargetState.READY
+            and not candidate.has_stale_address
+            and self._departures.may_serve(
+                candidate.registration.incarnation, candidate.listed
+            )
+            and self._by_address[candidate.address] is candidate
+        ]
+
     def list_subset(self, service: str) -> frozenset[str]:
         """Return the identifiers of the targets in this entry's subset."""
         subset = self._subsets.get(service)
@@ -448,9 +455,12 @@
     def may_run(
         self, now: float, service: str, request: sendconstraint.RequestTraits
     ) -> sendconstraint.Verdict:
-        """Return NEVER with the reason if constraints forbid all available targets."""
+        """Return NEVER with the reason if constraints forbid all available targets.
+
+        If parts make all targets unavailable, their constraints tell the reason.
+        """
         verdict = sendconstraint.ALLOWED
-        for candidate in self.list_available(service):
+        for candidate in self.list_available(service) or self._list_ready(service):
             verdict = self._check_parts(now, candidate, request)
             if verdict.decision is not sendconstraint.Decision.NEVER:
                 return sendconstraint.ALLOWED
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -10,6 +10,7 @@
 CONFIG_PREFIX: typing.Final = "op/"
 CONFIG_KEY: typing.Final = "op/config"
 TARGETS_PREFIX: typing.Final = "servers/"
+EVACUATION_PREFIX: typing.Final = "op/evacuate/"
 
 SECONDS_PER_MS: typing.Final = 1e-3
 
@@ -47,6 +48,8 @@
     traffic_split: list[WireSplit] = []
     anonymous: bool = False
     resumable: bool = False
+    # Decoded apart, so that a malformed list does not lose the whole configuration.
+    allowed_regions: typing.Any = None
 
 
 class WireUsual(msgspec.Struct, frozen=True):
@@ -90,6 +93,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: typing.Any = None
 
 
 class WireLimits(msgspec.Struct, frozen=True):
@@ -135,7 +139,11 @@
     if contradiction := find_contradiction(wire):
         return Fault(f"invalid configuration: {contradiction}")
     accounts = {
-        key: catalog.Account(wire_tenant.name, wire_tenant.priority)
+        key: catalog.Account(
+            wire_tenant.name,
+            wire_tenant.priority,
+            decode_regions(wire_tenant.allowed_regions),
+        )
         for wire_tenant in wire.tenants
         for key in wire_tenant.api_keys
     }
@@ -197,7 +205,20 @@
         allows_anonymous=wire.anonymous,
         is_resumable=wire.resumable,
         weighted_services=splits or (catalog.WeightedService("", 1.0),),
+        homes=decode_regions(wire.allowed_regions),
+    )
+
+
+def decode_regions(value: object) -> frozenset[str] | None:
+    """Return the permitted regions, None for any, ``NO_REGION`` if malformed."""
+    if value is None or value == []:
+        return None
+    if not isinstance(value, list):
+        return catalog.NO_REGION
+    regions = frozenset(
+        region for region in value if isinstance(region, str) and region.strip()
     )
+    return regions if len(regions) == len(value) else catalog.NO_REGION
 
 
 def decode_service(wire: WireService) -> catalog.Service:
@@ -259,6 +280,7 @@
     config_prefix = CONFIG_PREFIX
     config_key = CONFIG_KEY
     targets_prefix = TARGETS_PREFIX
+    evacuation_prefix = EVACUATION_PREFIX
 
     def decode_catalog(self, data: bytes) -> catalog.Catalog | str:
         """Return the configuration, or the reason why it is invalid."""
@@ -270,6 +292,15 @@
         decoded = decode_target(key, data)
         return decoded.reason if isinstance(decoded, Fault) else decoded
 
+    def get_evacuated_place(self, key: str) -> str | None:
+        """Return the place, which is the key without its prefix, None if malformed.
+
+        The value of the key is not read.
+        """
+        place = key.removeprefix(EVACUATION_PREFIX)
+        is_malformed = not place or "/" in place or place != place.strip()
+        return None if is_malformed else place
+
     def get_target_id(self, key: str) -> str:
         """Return the target's identifier, which is the key without its prefix."""
         return key.removeprefix(TARGETS_PREFIX)
