--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -478,8 +478,13 @@
 class Fleet:
     """A store, entries and targets; entry N listens on 127.0.1.N, counted from 1."""
 
-    def __init__(self, driver: loopdriver.LoopDriver) -> None:
+    def __init__(
+        self,
+        driver: loopdriver.LoopDriver,
+        entry_fields: dict[str, typing.Any] | None = None,
+    ) -> None:
         self.driver = driver
+        self.entry_fields = entry_fields or {}
         self.store = MemoryStore()
         self.entries: list[entrynode.EntryNode] = []
         self.ports: list[int] = []
@@ -489,23 +494,32 @@
         self._started_count = 0
 
     async def add_target(
-        self, name: str, service: str, respond: Responder = respond_with_name
+        self,
+        name: str,
+        service: str,
+        respond: Responder = respond_with_name,
+        place: str = "p",
     ) -> ScriptedTarget:
         """Start a target and register it in the store as ready."""
         target = ScriptedTarget(name, respond)
         await target.start()
         self.targets[name] = target
-        self.register(name, service)
+        self.register(name, service, place=place)
         return target
 
     def register(
-        self, name: str, service: str, state: str = "ready", started_ms: int = 0
+        self,
+        name: str,
+        service: str,
+        state: str = "ready",
+        started_ms: int = 0,
+        place: str = "p",
     ) -> None:
         """Write a target's registration to the store."""
         registration = {
             "service": service,
             "addr": f"127.0.0.1:{self.targets[name].port}",
-            "zone": "p",
+            "zone": place,
             "slots": 4,
             "state": state,
             "born": started_ms,
@@ -533,6 +547,7 @@
             ready=f"{host}:1",
             is_first_start=True,
         )
+        cfg = msgspec.structs.replace(cfg, **self.entry_fields)
         clock = LoopClock()
         self._started_count += 1
         node = entrynode.EntryNode(
@@ -668,12 +683,17 @@
             await target.stop()
 
 
-def run_scenario(scenario: Scenario, entry_count: int = 1) -> None:
-    """Run a scenario on a new fleet, after the entries loaded configuration 1."""
+def run_scenario(
+    scenario: Scenario, entry_count: int = 1, **entry_fields: object
+) -> None:
+    """Run a scenario on a new fleet, after the entries loaded configuration 1.
+
+    ``entry_fields`` are other fields of the entries' settings.
+    """
     driver = loopdriver.LoopDriver(is_clock_virtual=True)
 
     async def run() -> None:
-        fleet = Fleet(driver)
+        fleet = Fleet(driver, entry_fields)
         fleet.store.put("op/config", make_config())
         for _ in range(entry_count):
             await fleet.add_entry()
