--- a/test/test_direct_evacuation.py
+++ b/test/test_direct_evacuation.py
@@ -8,6 +8,9 @@
 import asyncio
 import collections.abc
 import contextlib
+import json
+import pathlib
+import re
 import typing
 import unittest.mock
 
@@ -19,6 +22,7 @@
     messages,
     nodesettings,
     replica,
+    storewatcher,
     targetstate,
     upstream,
 )
@@ -30,6 +34,21 @@
 ROUND_S: typing.Final = 0.1  # the delay of a fetch between entries is not in it
 KEY: typing.Final = "op/evacuate/b"
 BOUNDS: typing.Final = nodesettings.EntryBounds(evacuation_s=5.0)
+ENTRY_TEMPLATE: typing.Final = (
+    pathlib.Path(__file__).parent.parent / "deploy" / "entry.jsonc"
+)
+# What the platform states of every entry; other values are numbers.
+STATED: typing.Final[dict[str, object]] = {
+    "node_name": "e1",
+    "ip": "127.0.0.1",
+    "zone": "z1",
+    "platform.addr": "127.0.0.1:1",
+    "listen.front": "127.0.0.1:2",
+    "listen.ready": "127.0.0.1:3",
+    "port_range": [4, 5],
+    "seeds": [],
+    "bootstrap": False,
+}
 PLACES: typing.Final = {"a": "eu", "b": "us", "c": "us"}
 
 
@@ -185,6 +204,30 @@
     run(scenario, 2)
 
 
+def test_evacuation_is_read_by_other_entries_if_those_that_watch_the_store_cannot() -> (
+    None
+):
+    # With ten entries, the last three rely on the others until their state is old.
+    async def scenario(fleet: df.Fleet) -> None:
+        apart = test_direct_store.PartitionedStore(fleet.store)
+        for _ in range(7):
+            await fleet.add_entry(apart)
+        for _ in range(3):
+            await fleet.add_entry()
+        (target, _) = await add_targets(fleet, "b", "c")
+        await fleet.settle(3.0)
+        traffic = asyncio.create_task(send_steadily(fleet, 2.0))
+        await fleet.settle(0.1)
+        apart.is_refusing = True
+        written_at = asyncio.get_running_loop().time()
+        fleet.store.put(KEY, {})
+        assert set(await traffic) == {200}
+        takes_over_s = storewatcher.MAX_RELAYED_AGE_S + storewatcher.PASSIVE_POLL_S
+        assert read_last(target) < written_at + takes_over_s + ROUND_S
+
+    run(scenario, 0)
+
+
 def test_deletion_returns_a_place_at_all_entries_after_one_round() -> None:
     async def scenario(fleet: df.Fleet) -> None:
         apart = test_direct_store.PartitionedStore(fleet.store)
@@ -372,6 +415,38 @@
     run(scenario)
 
 
+# Settings.
+
+
+@pytest.mark.parametrize(
+    ("values", "evacuation_s", "places"),
+    [
+        ({}, None, {}),
+        ({"bounds.evacuate_ms": 5000, "zones": {"z1": "eu"}}, 5.0, {"z1": "eu"}),
+    ],
+)
+def test_rendered_settings_have_the_bound_and_places_only_if_they_are_stated(
+    values: dict[str, object],
+    evacuation_s: float | None,
+    places: dict[str, str],
+    tmp_path: pathlib.Path,
+) -> None:
+    def render_section(match: re.Match[str]) -> str:
+        return match[2] if match[1] in values else ""
+
+    def render_value(match: re.Match[str]) -> str:
+        return json.dumps(values.get(match[1], STATED.get(match[1], 1)))
+
+    text = ENTRY_TEMPLATE.read_text()
+    text = re.sub(r"{{#([^}]+)}}(.*?){{/\1}}", render_section, text)
+    text = re.sub(r"{{([^}|]+)\|json}}", render_value, text)
+    path = tmp_path / "entry.jsonc"
+    path.write_text(text)
+    cfg = nodesettings.load_entry(str(path))
+    assert isinstance(cfg, nodesettings.EntrySettings), cfg
+    assert (cfg.bounds.evacuation_s, cfg.places) == (evacuation_s, places)
+
+
 # The order of statements.
 
 
