Model a backup leader that completes a group's held switch

Change: mapswitch has a BackupCoordinator without state, which completes a switch whose hold is in place, and a leader may be told from when no hold of an earlier switch can be in flight. The model has the backup leader beside the first one; its orders are in flight from the moment of its read. Conclusion: taking over is safe if the leader waits out its holds before it begins a switch after a restart; nothing uses it yet.

--- a/sardinesaddle/direct/mapswitch.py
+++ b/sardinesaddle/direct/mapswitch.py
@@ -29,10 +29,20 @@
 than the rank has had. Each order also carries the engine's order count as just read.
 Versions have a random part, so that a leader that restarts never reuses a version for
 another map.
+
+If the leader is lost, a backup leader in another sidecar completes a switch whose hold
+is in place. It never begins or gives up a switch and keeps no state between decisions:
+it gives only orders for the held pass that follow from what all ranks report, which are
+those that the leader would give. Two leaders agree on the version since each hold
+belongs to one switch: the leader begins a switch only after a read that began when no
+hold of an earlier one could be in flight (``quiet_from``). When the leader continues,
+the pass has begun, so its orders for it have no effect, and it ends a switch that it
+finds completed without a second hold.
 """
 
 import dataclasses
 import enum
+import math
 import typing
 
 HOLD_LEAD_PASSES: typing.Final = 3  # arming takes one or two passes
@@ -111,7 +121,9 @@
     """Decides on the orders of map switches in the process that leads a group.
 
     It performs no I/O. The leader reads the ranks, passes their views, and sends the
-    orders. ``outcome`` is set when a switch ends; the leader clears it.
+    orders. ``outcome`` is set when a switch ends; the leader clears it. If there are
+    backup leaders, ``quiet_from`` is the event loop's time from which no hold of an
+    earlier switch can be in flight.
     """
 
     __slots__ = (
@@ -121,6 +133,7 @@
         "_prepare_sent_at",
         "attempt",
         "outcome",
+        "quiet_from",
         "size",
     )
 
@@ -131,6 +144,7 @@
         self._arm_rounds = 0
         self.attempt: SwitchAttempt | None = None
         self.outcome = ""
+        self.quiet_from = -math.inf
         self._prepare_sent_at: dict[int, float] = {}
 
     def choose_version(
@@ -150,9 +164,14 @@
         self.attempt = SwitchAttempt(epoch, version, 0, Phase.PREPARING, now)
         self._prepare_sent_at.clear()
 
-    def may_begin(self, views: typing.Sequence[RankView]) -> bool:
-        """Return whether no switch is in progress and all ranks have one map."""
-        return self.attempt is None and is_settled(views)
+    def may_begin(
+        self, views: typing.Sequence[RankView], read_at: float = math.inf
+    ) -> bool:
+        """Return whether no switch is in progress and all ranks have one map.
+
+        ``read_at`` is the event loop's time at which the read of the views began.
+        """
+        return self.attempt is None and is_settled(views) and read_at >= self.quiet_from
 
     def must_begin(self, views: typing.Sequence[RankView]) -> bool:
         """Return whether the group is held and only a switch, to any map, ends that."""
@@ -190,16 +209,23 @@
         """Return the orders of the current phase, or enter the next phase."""
         if attempt.phase is Phase.PREPARING:
             return self._prepare(now, attempt, views)
+        if self._is_completed(attempt, views):
+            self._finish("switched")
+            return []
         if attempt.phase is Phase.HOLDING:
             return self._hold(now, attempt, views)
         if attempt.phase is Phase.ARMING:
             return self._arm(attempt, views)
         if attempt.phase is Phase.RELEASING:
             return self._release(attempt, views)
-        if all(view.map_version == attempt.version for view in views):
-            self._finish("switched")
         return []
 
+    def _is_completed(
+        self, attempt: SwitchAttempt, views: typing.Sequence[RankView]
+    ) -> bool:
+        """Return whether all ranks have the new map, perhaps by a backup leader."""
+        return all(view.map_version == attempt.version for view in views)
+
     def _prepare(
         self, now: float, attempt: SwitchAttempt, views: typing.Sequence[RankView]
     ) -> list[Order]:
@@ -239,6 +265,9 @@
             if now - attempt.started_at > MAX_ORDER_DELAY_S + PREPARE_TIMEOUT_S:
                 self._finish("not_held")
             return []
+        if gate.map_version == attempt.version:
+            # A backup leader completed the switch; other ranks' views may be older.
+            return []
         step = max(view.step for view in views) + self._lead_passes
         self._enter_phase(attempt, Phase.HOLDING, step)
         return [Order(OrderKind.HOLD, 0, attempt.epoch, 0, step)]
@@ -286,18 +315,8 @@
     def _recover(self, now: float, views: typing.Sequence[RankView]) -> None:
         """Resume a switch that this process began before it restarted."""
         held_pass = views[0].held_step
-        if not held_pass:
-            return
-        armed_versions = {
-            view.armed for view in views if view.armed_step == held_pass and view.armed
-        }
-        prepared_versions = {view.prepared for view in views}
-        if armed_versions:
-            version = max(armed_versions)
-        elif len(prepared_versions) == 1 and views[0].prepared > views[0].map_version:
-            # Every rank is prepared, so arm orders may have been sent.
-            version = views[0].prepared
-        else:
+        version = find_held_version(views)
+        if not version:
             return
         self.attempt = SwitchAttempt(
             views[0].epoch, version, held_pass, Phase.ARMING, now
@@ -313,6 +332,70 @@
         self.outcome = outcome
 
 
+class BackupCoordinator:
+    """Decides on the orders with which a backup leader completes a switch.
+
+    It keeps no state, so a decision on old views gives only orders for a pass that has
+    begun, which have no effect.
+    """
+
+    __slots__ = ()
+
+    def decide(self, views: typing.Sequence[RankView]) -> list[Order]:
+        """Return the orders that end the hold, if a switch can be completed.
+
+        ``views`` is indexed by rank and has every rank of the group.
+        """
+        gate = views[0]
+        if not all(view.is_open and view.epoch == gate.epoch for view in views):
+            return []
+        version = self._find_version(views)
+        if not version:
+            return []
+        missing = self._list_unarmed(version, views)
+        if not missing:
+            return [Order(OrderKind.RELEASE, 0, gate.epoch, 0, gate.held_step)]
+        return [
+            Order(OrderKind.ARM, rank, gate.epoch, version, gate.held_step)
+            for rank in missing
+        ]
+
+    def _find_version(self, views: typing.Sequence[RankView]) -> int:
+        """Return the version of the switch that the hold belongs to; 0 if unknown."""
+        return find_held_version(views)
+
+    def _list_unarmed(
+        self, version: int, views: typing.Sequence[RankView]
+    ) -> list[int]:
+        """Return the ranks that do not report to be armed for the held pass."""
+        held_pass = views[0].held_step
+        return [
+            rank
+            for rank, view in enumerate(views)
+            if (view.armed, view.armed_step) != (version, held_pass)
+        ]
+
+
+def find_held_version(views: typing.Sequence[RankView]) -> int:
+    """Return the version for which the gate holds a pass; 0 if none is known.
+
+    It is the one that ranks are armed with, or, since arm orders may have been sent,
+    the one that every rank has prepared.
+    """
+    gate = views[0]
+    if not gate.held_step:
+        return 0
+    armed_versions = {
+        view.armed for view in views if view.armed_step == gate.held_step and view.armed
+    }
+    if armed_versions:
+        return max(armed_versions)
+    prepared_versions = {view.prepared for view in views}
+    if len(prepared_versions) == 1 and gate.prepared > gate.map_version:
+        return gate.prepared
+    return 0
+
+
 def is_settled(views: typing.Sequence[RankView]) -> bool:
     """Return whether all ranks are open in one epoch, with one map and none armed."""
     first = views[0]
--- a/sardinesaddle/spec/mapswitches.py
+++ b/sardinesaddle/spec/mapswitches.py
@@ -10,9 +10,16 @@
 Engines reject a hold while another one is in place, as a trial on them showed. If an
 engine let the new hold replace the first one, the protocol would fail; the mutant
 ``HoldReplaced`` shows it.
+
+A backup leader may act at any time beside the first one. It keeps no state between its
+decisions and acts on what it read at any later moment, so each of its orders is in
+flight from the moment of the read. The first leader begins a switch or gives one up
+only after a read that began when no hold of its own was in flight; it waits as long as
+orders may be late (``waits_for_holds``).
 """
 
 import itertools
+import math
 import typing
 
 from sardinesaddle.direct import mapswitch
@@ -32,8 +39,10 @@
     """A group of ranks, its leader, and the orders in flight.
 
     The field ``held`` is the pass that rank 0 holds, or 0; ``late`` has the orders in
-    flight; ``begun`` counts the switches; ``mixed`` tells that a pass ran with two
-    maps.
+    flight; ``begun`` counts the switches; ``quiet`` tells for each of the leader's
+    views that no hold was in flight when it was read; ``backup_views`` has what the
+    backup leader read, if it reads ranks apart; ``mixed`` tells that a pass ran with
+    two maps.
     """
 
     name = "one expert map in each pass"
@@ -47,6 +56,8 @@
         "late",
         "begun",
         "restarts",
+        "quiet",
+        "backup_views",
         "mixed",
     )
 
@@ -63,7 +74,13 @@
         max_switches: int = 2,
         max_restarts: int = 1,
         max_epoch: int = 0,
+        backup_class: type[mapswitch.BackupCoordinator] | None = None,
+        waits_for_holds: bool = True,
+        last_pass: int = LAST_PASS,
     ) -> None:
+        self._last_pass = last_pass
+        self._backup_class = backup_class
+        self._waits_for_holds = waits_for_holds
         self._leader_class = leader_class
         self._lead_passes = lead_passes
         self._rank_count = rank_count
@@ -88,17 +105,20 @@
             frozenset(),
             0,
             0,
+            (True,) * self._rank_count,
+            unread,
             False,
         )
 
     def list_transitions(self, state: model.State) -> list[model.Transition]:
         """Return the transitions of the engines, the leader and the late orders."""
-        epoch, step, held, ranks, attempt, views, late, begun, restarts, mixed = state
+        epoch, step, _, ranks, _, views, late, begun, restarts, *rest = state
+        held, mixed = state[2], state[-1]
         if mixed:
             return []
         transitions: list[model.Transition] = []
-        if step < LAST_PASS and held != step + 1:
-            transitions.append(("pass", begin_pass(state)))
+        if step < self._last_pass and held != step + 1:
+            transitions.append(("pass", self._drop_dead_orders(begin_pass(state))))
         for index, rank in enumerate(ranks):
             if rank[1] is not None:
                 copied = (rank[0], None, rank[1], *rank[3:])
@@ -112,9 +132,11 @@
             after = self._execute_order(state, order)
             if after != state:
                 transitions.append((f"late {order[0]}", after))
+        if self._backup_class is not None:
+            transitions += self._list_takeovers(state)
         if restarts < self._max_restarts:
             unread = (None,) * self._rank_count
-            restarted = (*state[:4], None, unread, late, begun, restarts + 1, mixed)
+            restarted = (*state[:4], None, unread, late, begun, restarts + 1, *rest)
             transitions.append(("leader restarts", restarted))
         if epoch < self._max_epoch:
             transitions.append(
@@ -131,21 +153,91 @@
         current_views = tuple(
             make_view(epoch, step, held, i, r) for i, r in enumerate(ranks)
         )
+        is_quiet = self._is_quiet(state)
+        flags = state[9]
         if not self._reads_separately:
-            return (
-                [("read", (*state[:5], current_views, *state[6:]))]
-                if views != current_views
-                else []
-            )
+            new_flags = (is_quiet,) * self._rank_count
+            if (views, flags) == (current_views, new_flags):
+                return []
+            return [
+                (
+                    "read",
+                    (*state[:5], current_views, *state[6:9], new_flags, *state[10:]),
+                )
+            ]
         transitions: list[model.Transition] = []
         for index, view in enumerate(current_views):
-            if views[index] != view:
+            if (views[index], flags[index]) != (view, is_quiet):
                 new_views = (*views[:index], view, *views[index + 1 :])
+                new_flags = (*flags[:index], is_quiet, *flags[index + 1 :])
                 transitions.append(
-                    (f"read {index}", (*state[:5], new_views, *state[6:]))
+                    (
+                        f"read {index}",
+                        (*state[:5], new_views, *state[6:9], new_flags, *state[10:]),
+                    )
                 )
         return transitions
 
+    def _is_quiet(self, state: model.State) -> bool:
+        """Return whether no hold is in flight, or the leader does not wait for that."""
+        if self._backup_class is None or not self._waits_for_holds:
+            return True
+        if state[7] == self._max_switches:
+            return True  # No further switch begins, so the flag decides on nothing.
+        return all(order[0] != "hold" for order in state[6])
+
+    def _drop_dead_orders(self, state: model.State) -> model.State:
+        """Remove the orders in flight that no engine accepts any more.
+
+        It keeps the models with a backup small. In the others such orders stay.
+        """
+        if self._backup_class is None:
+            return state
+        epoch, step = state[:2]
+        late = frozenset(
+            order
+            for order in state[6]
+            if order[2] == epoch
+            and (
+                order[3] > state[3][order[1]][0]
+                if order[0] == "prepare"
+                else order[4] > step
+            )
+        )
+        return (*state[:6], late, *state[7:])
+
+    def _list_takeovers(self, state: model.State) -> list[model.Transition]:
+        """Return the backup leader's reads and orders.
+
+        Each order is executed at once or any time later; others may be lost.
+        """
+        epoch, step, held, ranks = state[:4]
+        transitions: list[model.Transition] = []
+        views = tuple(make_view(epoch, step, held, i, r) for i, r in enumerate(ranks))
+        if self._reads_separately:
+            known = state[10]
+            for index, view in enumerate(views):
+                if known[index] != view:
+                    new_views = (*known[:index], view, *known[index + 1 :])
+                    transitions.append(
+                        (
+                            f"backup reads {index}",
+                            (*state[:10], new_views, *state[11:]),
+                        )
+                    )
+            views = known
+        if None in views:
+            return transitions
+        assert self._backup_class is not None
+        for o in self._backup_class().decide(views):
+            order = (o.kind.value, o.rank, o.epoch, o.version, o.step, 0)
+            label = f"backup {o.kind.value} {o.rank}"
+            afters = [self._execute_order(state, order)]
+            if len(state[6]) < MAX_LATE_ORDERS:
+                afters.append((*state[:6], state[6] | {order}, *state[7:]))
+            transitions += [(label, after) for after in afters if after != state]
+        return transitions
+
     def _list_decisions(self, state: model.State) -> list[model.Transition]:
         """Return the leader's decisions on its latest views.
 
@@ -155,10 +247,12 @@
         epoch, step, held, ranks, attempt, views, late, begun, *rest = state
         leader = self._leader_class(self._rank_count, self._lead_passes)
         leader.attempt = attempt
+        if not all(state[9]):
+            leader.quiet_from = math.inf
         orders = leader.decide(0.0, views)
         transitions: list[model.Transition] = []
         decided = (*state[:4], leader.attempt, views, late, begun, *rest)
-        if begun < self._max_switches and leader.may_begin(views):
+        if begun < self._max_switches and leader.may_begin(views, 0.0):
             version = 1 if self._reuses_versions else begun + 1
             leader.begin_switch(0.0, views[0].epoch, version)
             started = (*state[:4], leader.attempt, views, late, begun + 1, *rest)
@@ -337,6 +431,34 @@
         return prepared_only
 
 
+class BackupMostArmed(mapswitch.BackupCoordinator):
+    """Mutant: the backup leader releases the pass when all ranks but one are armed."""
+
+    def _list_unarmed(
+        self, version: int, views: typing.Sequence[mapswitch.RankView]
+    ) -> list[int]:
+        """Leave out the last rank."""
+        unarmed = super()._list_unarmed(version, views)
+        return [] if len(unarmed) == 1 else unarmed
+
+
+class BackupReleasesUnarmed(mapswitch.BackupCoordinator):
+    """Mutant: the backup leader releases a hold for which it sees no rank armed."""
+
+    def decide(
+        self, views: typing.Sequence[mapswitch.RankView]
+    ) -> list[mapswitch.Order]:
+        """Release the hold if no rank is armed."""
+        gate = views[0]
+        if gate.held_step and not any(view.armed for view in views):
+            return [
+                mapswitch.Order(
+                    mapswitch.OrderKind.RELEASE, 0, gate.epoch, 0, gate.held_step
+                )
+            ]
+        return super().decide(views)
+
+
 class ThreeRanks(MapSwitches):
     """One switch of three ranks, with one restart of the leader."""
 
@@ -364,7 +486,57 @@
         super().__init__(lead_passes=1, max_switches=1, reads_separately=True)
 
 
-VARIANTS: typing.Final = (ThreeRanks, TwoEpochs, SeparateReads)
+class Backup(MapSwitches):
+    """Two switches with a backup leader beside the first one, which restarts."""
+
+    name = "one expert map in each pass, backup leader"
+
+    def __init__(self) -> None:
+        super().__init__(
+            lead_passes=1, last_pass=3, backup_class=mapswitch.BackupCoordinator
+        )
+
+
+class BackupSeparateReads(MapSwitches):
+    """A switch with a backup leader; both leaders read each rank at its own moment."""
+
+    name = "one expert map in each pass, backup leader, ranks read apart"
+
+    def __init__(self) -> None:
+        super().__init__(
+            lead_passes=1,
+            last_pass=2,
+            max_switches=1,
+            max_restarts=0,
+            reads_separately=True,
+            backup_class=mapswitch.BackupCoordinator,
+        )
+
+
+class BackupTwoEpochs(MapSwitches):
+    """A switch with a backup leader in a group that forms again in a new epoch."""
+
+    name = "one expert map in each pass, backup leader, two epochs"
+
+    def __init__(self) -> None:
+        super().__init__(
+            lead_passes=1,
+            last_pass=2,
+            max_switches=1,
+            max_restarts=0,
+            max_epoch=1,
+            backup_class=mapswitch.BackupCoordinator,
+        )
+
+
+VARIANTS: typing.Final = (
+    ThreeRanks,
+    TwoEpochs,
+    SeparateReads,
+    Backup,
+    BackupSeparateReads,
+    BackupTwoEpochs,
+)
 
 
 def list_mutants() -> dict[str, model.Model]:
@@ -384,9 +556,26 @@
         ),
         "VersionsReused": MapSwitches(lead_passes=1, reuses_versions=True),
         "HoldReplaced": MapSwitches(allows_second_hold=True),
+        "BackupMostArmed": make_backup_model(BackupMostArmed),
+        "BackupReleasesUnarmed": make_backup_model(BackupReleasesUnarmed),
+        "SwitchBegunWithHoldInFlight": make_backup_model(
+            mapswitch.BackupCoordinator, waits_for_holds=False
+        ),
     }
 
 
+def make_backup_model(
+    backup_class: type[mapswitch.BackupCoordinator], waits_for_holds: bool = True
+) -> model.Model:
+    """Return a model of two switches with a backup leader."""
+    return MapSwitches(
+        lead_passes=1,
+        last_pass=3,
+        backup_class=backup_class,
+        waits_for_holds=waits_for_holds,
+    )
+
+
 def make_one_switch_model(
     leader_class: type[mapswitch.SwitchCoordinator], max_restarts: int = 1
 ) -> model.Model:
