Complete a lost leader's map switch from another sidecar

Cause: a leader suspended between hold and go stops its group until it returns. Change: from hosts_lost_at_once 2 on (fault_tolerance.machines), the sidecars of ranks 1 and 2 watch the passes at their own engines. When the next pass is 0.1 s (rank 2: 0.2 s) overdue they read rank 0's engine; if it holds that pass they arm the missing ranks and release it. Entries list the ranks' hosts and engines to them on request. The leader begins a switch only when no earlier hold can be in flight, and ends a switch that it finds completed.

--- a/sardinesaddle/direct/engine.py
+++ b/sardinesaddle/direct/engine.py
@@ -85,3 +85,6 @@
     @abc.abstractmethod
     async def send_order(self, order: EngineOrder) -> int | EngineFault:
         """Send an order; return the HTTP status of the response."""
+
+    async def close(self) -> None:  # noqa: B027
+        """Close the connections to the engine, if there are any."""
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -344,11 +344,16 @@
             )
         entries = sorted(self._peers.list_entries())
         ranks = self._list_ranks(report)
-        digest = zlib.crc32(repr((report.epoch, entries, ranks)).encode())
+        targets = [self._reports[host].target for _, host in ranks]
+        if not report.wants_ranks:
+            targets = []
+        digest = zlib.crc32(repr((report.epoch, entries, ranks, targets)).encode())
         wants_every_change = self.targets.is_in_subset(report.target)
         if digest == report.known_digest:
-            entries, ranks = [], []
-        return messages.ReportReply(digest, wants_every_change, entries, ranks, True)
+            entries, ranks, targets = [], [], []
+        return messages.ReportReply(
+            digest, wants_every_change, entries, ranks, True, targets
+        )
 
     def _on_leaving_report(self, report: messages.Report) -> None:
         """Apply that an engine told its sidecar that it leaves.
@@ -362,8 +367,8 @@
             self._on_target_leaving(target.registration.incarnation, report.sender)
 
     def _list_ranks(self, report: messages.Report) -> list[tuple[int, str]]:
-        """Return the hosts of a group's sidecars by rank, if the reporter is rank 0."""
-        if not report.group or report.rank != 0:
+        """Return the hosts of a group's sidecars by rank, if the reporter needs it."""
+        if not report.group or (report.rank != 0 and not report.wants_ranks):
             return []
         return sorted(
             (other.rank, other.sender)
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import math
 import random
 import typing
 
@@ -50,6 +51,42 @@
         """Return the service's engine model; None if no entry has sent it."""
 
 
+class HoldTracker:
+    """Tells from when no hold of this or an earlier process can be in flight.
+
+    ``quiet_from`` is the event loop's time. A hold is not in flight once its pass has
+    begun, or ``MAX_ORDER_DELAY_S`` after it was sent, or in a later epoch.
+    """
+
+    __slots__ = ("_epoch", "_last_pass", "quiet_from")
+
+    def __init__(self) -> None:
+        self._epoch: int | None = None
+        self._last_pass = 0
+        self.quiet_from = -math.inf
+
+    def record_gate(self, read_at: float, gate: mapswitch.RankView) -> None:
+        """Record a view of rank 0 whose read began at ``read_at``."""
+        if self._epoch is None:
+            # An earlier process may have ordered a hold just before it ended.
+            self._last_pass = gate.step + mapswitch.MAX_HOLD_LEAD_PASSES
+            self.quiet_from = read_at + mapswitch.MAX_ORDER_DELAY_S
+        elif self._epoch != gate.epoch:
+            self._last_pass = 0
+        self._epoch = gate.epoch
+        if gate.step >= self._last_pass:
+            self.quiet_from = -math.inf
+
+    def record_orders(
+        self, now: float, orders: typing.Sequence[mapswitch.Order]
+    ) -> None:
+        """Record orders after the last attempt to send them."""
+        for order in orders:
+            if order.kind is mapswitch.OrderKind.HOLD:
+                self._last_pass = order.step
+                self.quiet_from = now + mapswitch.MAX_ORDER_DELAY_S
+
+
 class GroupLeader:
     """Leads the group while the local engine is its rank 0."""
 
@@ -60,7 +97,9 @@
         metrics: nodemetrics.SidecarMetrics,
         port: int,
         rng: random.Random,
+        has_backup: bool = False,
     ) -> None:
+        self._holds = HoldTracker() if has_backup else None
         self._context = context
         self._agent = agent
         self._metrics = metrics
@@ -93,17 +132,24 @@
         if self._coordinator.size != state.size:
             self._coordinator = mapswitch.SwitchCoordinator(state.size)
         is_idle = self._coordinator.attempt is None
+        read_at = loop.time()
         replies = await self._read_ranks(state, is_idle)
         if replies is None:
             return False
         views = [make_rank_view(rank_reply) for rank_reply in replies]
+        if self._holds is not None:
+            self._holds.record_gate(read_at, views[0])
+            self._coordinator.quiet_from = self._holds.quiet_from
         orders = self._coordinator.decide(loop.time(), views)
         if orders:
             await asyncio.gather(
                 *(self._send_order(pending_order) for pending_order in orders)
             )
+        if self._holds is not None:
+            self._holds.record_orders(loop.time(), orders)
+            self._coordinator.quiet_from = self._holds.quiet_from
         self._record_outcome()
-        if self._coordinator.may_begin(views):
+        if self._coordinator.may_begin(views, read_at):
             await self._maybe_begin_switch(replies, views)
         return self._coordinator.attempt is not None
 
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -197,6 +197,7 @@
     read. ``known_digest`` identifies the lists that the sidecar last received from
     this entry, or is 0. ``is_leaving`` is set if the engine states that it leaves, and
     ``started_ms`` is the Unix time of its start, 0 if it does not state that.
+    ``wants_ranks`` asks for the list of ranks, which rank 0 gets in any case.
     """
 
     sender: str
@@ -215,6 +216,7 @@
     known_digest: int = 0
     is_leaving: bool = False
     started_ms: int = 0
+    wants_ranks: bool = False
 
 
 class ReportReply(msgspec.Struct, frozen=True, array_like=True, tag="report_reply"):
@@ -222,7 +224,8 @@
 
     Both lists are empty if ``digest`` equals the ``known_digest`` of the report.
     ``wants_every_change`` asks the sidecar to report each change of load at once.
-    ``takes_crash_records`` is set if the entry replies to ``CrashSync``.
+    ``takes_crash_records`` is set if the entry replies to ``CrashSync``. ``targets``
+    are the addresses of the engines of ``ranks``, for a report with ``wants_ranks``.
     """
 
     digest: int
@@ -230,6 +233,7 @@
     entries: list[str] = []
     ranks: list[tuple[int, str]] = []
     takes_crash_records: bool = False
+    targets: list[str] = []
 
 
 class CrashSync(msgspec.Struct, frozen=True, array_like=True, tag="crash_sync"):
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -157,6 +157,21 @@
         self._hold_seconds = self.make_histogram(
             "group_held_seconds", "Seconds from a hold of a pass to its release."
         )
+        self._takeovers = self.make_counter(
+            "backup_takeovers_total", "Holds that a backup leader acted on, by outcome."
+        )
+        self._backup_checks = self.make_counter(
+            "backup_checks_total",
+            "Reads of rank 0's engine by a backup leader, by result.",
+        )
+
+    def count_takeover(self, outcome: str) -> None:
+        """Count a hold that this sidecar acted on as a backup leader."""
+        self._takeovers.inc({"outcome": outcome})
+
+    def count_backup_check(self, result: str) -> None:
+        """Count a check of rank 0's engine after passes stopped."""
+        self._backup_checks.inc({"result": result})
 
     def count_order(self, kind: str, status: int) -> None:
         """Count an order to the engine; status 0 means no response."""
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -7,6 +7,9 @@
 from sardinesaddle import settings
 
 Address = typing.Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+# With one host lost at a time, a held group waits for its leader to return.
+MIN_HOSTS_LOST_FOR_BACKUP: typing.Final = 2
+
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -75,12 +78,22 @@
 class SidecarSettings(
     NodeSettings, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
-    """Settings of a sidecar; ``target`` is the address of the engine beside it."""
+    """Settings of a sidecar; ``target`` is the address of the engine beside it.
+
+    ``hosts_lost_at_once`` is the number of hosts whose simultaneous loss the operators
+    expect the system to survive.
+    """
 
     target: Address
     service: str = ""
+    hosts_lost_at_once: typing.Annotated[int, msgspec.Meta(ge=0)] = 1
     bounds: SidecarBounds = SidecarBounds()
 
+    @property
+    def backup_leaders(self) -> bool:
+        """Whether other sidecars complete the map switches of a lost group leader."""
+        return self.hosts_lost_at_once >= MIN_HOSTS_LOST_FOR_BACKUP
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of an address."""
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -2,10 +2,12 @@
 
 The sidecar reads the state on the engine's own host, where reading is fast and cheap.
 It reports the state to every entry when it changes, and periodically otherwise. The
-sidecar of rank 0 also keeps the entries' crash records.
+sidecar of rank 0 also keeps the entries' crash records. If the settings say so, those
+of the next ranks complete its map switches while it is lost.
 """
 
 import asyncio
+import collections.abc
 import contextlib
 import dataclasses
 import random
@@ -14,6 +16,7 @@
 import loguru
 
 from sardinesaddle.direct import (
+    backupleader,
     catalog,
     crashkeeper,
     engine,
@@ -34,19 +37,29 @@
 ENTRY_TTL_S: typing.Final = 10.0  # without a listing of the entry or a reply from it
 MODEL_TTL_S: typing.Final = 10.0  # the engine model rarely changes
 FETCH_TIMEOUT_S: typing.Final = 1.0
+RANK_LIST_SOURCES: typing.Final = 3  # entries that send a backup leader the ranks
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembershipLists:
-    """Entries and sidecar hosts by rank, as an entry last listed them for an epoch."""
+    """Entries, and sidecar hosts and engines by rank, as an entry last listed them.
+
+    The ranks are those of one epoch.
+    """
 
     digest: int
     epoch: int
     entries: list[str]
     ranks: dict[int, str]
+    targets: dict[int, str]
 
 
-class SidecarNode(rpc.Handler, groupleader.GroupContext, noderole.Node):
+class SidecarNode(
+    rpc.Handler,
+    groupleader.GroupContext,
+    backupleader.BackupContext,
+    noderole.Node,
+):
     """A sidecar: reads its engine, reports to entries and serves the group's leader."""
 
     def __init__(
@@ -56,8 +69,10 @@
         store_decoder: storedecoder.StoreDecoder,
         clock: freshness.SuspendAwareClock,
         rng: random.Random,
+        connect: collections.abc.Callable[[str], engine.Engine] | None = None,
     ) -> None:
         self._cfg = cfg
+        self._connect = connect
         self._keeper = crashkeeper.CrashKeeper(cfg.host, clock)
         self._store_decoder = store_decoder
         self._engine = local_engine
@@ -77,8 +92,18 @@
         self.is_draining = False
         self._rank_agent = rankagent.RankAgent(local_engine, self.metrics, rng)
         self._leader = groupleader.GroupLeader(
-            self, self._rank_agent, self.metrics, cfg.node_port, rng
+            self,
+            self._rank_agent,
+            self.metrics,
+            cfg.node_port,
+            rng,
+            has_backup=cfg.backup_leaders,
         )
+        self._backup: backupleader.BackupLeader | None = None
+        if cfg.backup_leaders and connect is not None:
+            self._backup = backupleader.BackupLeader(
+                self, self._rank_agent, self.metrics, cfg.node_port, rng
+            )
         self._model: catalog.EngineModel | None = None
         self._model_at = 0.0
         self._model_version = 0  # of the configuration that the model is from
@@ -107,6 +132,20 @@
                     hosts |= lists.ranks
         return hosts
 
+    def get_rank_targets(self) -> dict[int, str]:
+        """Return the addresses of the group's engines by rank, as entries list them."""
+        targets: dict[int, str] = {}
+        if self.state is not None:
+            for lists in self._membership.values():
+                if lists.epoch == self.state.epoch:
+                    targets |= lists.targets
+        return targets
+
+    def connect_engine(self, address: str) -> engine.Engine:
+        """Return a client of an engine of another host."""
+        assert self._connect is not None
+        return self._connect(address)
+
     async def get_model(self) -> catalog.EngineModel | None:
         """Return the engine model, cached or fetched from an entry, or None."""
         loop = asyncio.get_running_loop()
@@ -148,6 +187,8 @@
         self._tasks.append(loop.create_task(self._read_engine()))
         self._tasks.append(loop.create_task(self._read_demand()))
         self._tasks.append(loop.create_task(self._leader.run()))
+        if self._backup is not None:
+            self._tasks.append(loop.create_task(self._backup.run()))
 
     def reload(self, cfg: nodesettings.SidecarSettings) -> None:
         """Apply new seeds; changed addresses need a restart."""
@@ -283,7 +324,16 @@
         lists = self._membership.get(host)
         if lists is None or lists.digest != reply.digest:
             lists = MembershipLists(
-                reply.digest, epoch, reply.entries, dict(reply.ranks)
+                reply.digest,
+                epoch,
+                reply.entries,
+                dict(reply.ranks),
+                {
+                    rank: target
+                    for (rank, _), target in zip(
+                        reply.ranks, reply.targets, strict=False
+                    )
+                },
             )
             self._membership[host] = lists
         for other in lists.entries:
@@ -311,8 +361,17 @@
             known_digest=0 if lists is None else lists.digest,
             is_leaving=state is not None and state.is_leaving,
             started_ms=0 if state is None else state.started_ms,
+            wants_ranks=self._wants_ranks(host),
         )
 
+    def _wants_ranks(self, host: str) -> bool:
+        """Return whether this sidecar may be a backup leader and asks this entry."""
+        state = self.state
+        if self._backup is None or state is None:
+            return False
+        sources = sorted(self._report_tasks)[:RANK_LIST_SOURCES]
+        return 1 <= state.rank <= backupleader.BACKUP_COUNT and host in sources
+
     async def drain(self) -> None:
         """Stop at once; no process depends on a single sidecar for long."""
         self.is_draining = True
@@ -326,6 +385,8 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         self._leader.close()
+        if self._backup is not None:
+            await self._backup.close()
         await self._server.stop()
 
 
--- a/sardinesaddle/direct/sidecarrole.py
+++ b/sardinesaddle/direct/sidecarrole.py
@@ -33,6 +33,7 @@
             catalogformat.PlatformStoreDecoder(),
             freshness.BootTimeClock(),
             random.Random(),
+            engines.PlatformEngine,
         )
         return noderole.WiredNode(self._node, self._node.metrics, local_engine.close)
 
