Bound the requests to targets that may be cold, over all entries

Cause: a target of a service with cold_per_s crashes when it is cold and gets requests well above that rate; it may turn cold at any moment, so what entries know of it is too old to rest on. Change: admission/coldlimits counts the sends to each such target in a window, of which each entry has a part; limitshares divides it. limitshares takes a SharePolicy (standing claims that need no message, sparse updates) and a Bound; targetlimits uses the same code with the former values. The part is on if the settings have cold_overage and cold_slack and a service states cold_per_s.

--- a/sardinesaddle/direct/admission/admissionpart.py
+++ b/sardinesaddle/direct/admission/admissionpart.py
@@ -13,6 +13,7 @@
 
 from sardinesaddle.direct import (
     catalog,
+    headercodec,
     messages,
     nodemetrics,
     replica,
@@ -64,13 +65,15 @@
 
     ``alive`` are the hosts of the other live entries, ``contacted`` those that get
     heartbeats, whether they reply or not. ``config_age_s`` is the time since the store,
-    or an entry that reached it, confirmed this entry's configuration.
+    or an entry that reached it, confirmed this entry's configuration. ``own_targets``
+    are the identifiers of the targets in this entry's subsets of all services.
     """
 
     host: str
     alive: collections.abc.Collection[str]
     contacted: collections.abc.Collection[str]
     config_age_s: float
+    own_targets: collections.abc.Collection[str] = frozenset()
 
 
 class AdmissionPart(abc.ABC):
@@ -120,6 +123,11 @@
     ) -> None:
         """Count a request that is about to be sent."""
 
+    def on_response(
+        self, now: float, incarnation: str, metadata: headercodec.ResponseMetadata
+    ) -> None:
+        """Apply what a target states of itself in the head of a response."""
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -8,18 +8,28 @@
 
 from sardinesaddle.direct import (
     catalog,
+    headercodec,
     messages,
     nodemetrics,
     nodesettings,
     replica,
     targetstate,
 )
-from sardinesaddle.direct.admission import admissionpart, sendconstraint
+from sardinesaddle.direct.admission import admissionpart, coldlimits, sendconstraint
 
 
-def build_parts(cfg: nodesettings.EntrySettings) -> list[admissionpart.AdmissionPart]:
-    """Return the parts that the settings ask for, in the order in which to ask them."""
-    return []
+def build_parts(
+    cfg: nodesettings.EntrySettings, now: float = 0.0
+) -> list[admissionpart.AdmissionPart]:
+    """Return the parts that the settings ask for, in the order in which to ask them.
+
+    ``now`` is the start of the process.
+    """
+    parts: list[admissionpart.AdmissionPart] = []
+    overage, slack = cfg.bounds.cold_overage, cfg.bounds.cold_slack
+    if overage is not None and slack is not None:
+        parts.append(coldlimits.ColdLimits(cfg.host, now, overage, slack))
+    return parts
 
 
 class EntryAdmission:
@@ -78,6 +88,13 @@
         for part in self._parts:
             part.on_send(now, target, request)
 
+    def on_response(
+        self, now: float, incarnation: str, metadata: headercodec.ResponseMetadata
+    ) -> None:
+        """Apply what a target states of itself in the head of a response."""
+        for part in self._parts:
+            part.on_response(now, incarnation, metadata)
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -81,11 +81,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service; ``engine`` is None if its targets are not model engines."""
+    """A service; ``engine`` is None if its targets are not model engines.
+
+    Its targets are cold for ``cold_s`` seconds after their start, and may turn cold
+    again. A cold target sustains ``cold_rate`` requests a second, 0 for any rate.
+    """
 
     name: str
     max_connections: int
     engine: EngineModel | None
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -83,7 +83,9 @@
         self.is_first_start = cfg.is_first_start
         self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
         self.departures = departures.Departures()
-        self.admission = entryadmission.EntryAdmission(entryadmission.build_parts(cfg))
+        self.admission = entryadmission.EntryAdmission(
+            entryadmission.build_parts(cfg, read_loop_time())
+        )
         self.targets = targetpool.TargetPool(
             cfg.place, self.limits, self.departures, self.admission
         )
@@ -606,6 +608,7 @@
             self._peers.hosts,
             self._peers.list_contacted(),
             self.compute_config_age(),
+            self.targets.list_own_targets(),
         )
         self.admission.refresh(now, entries, self.targets.list_targets())
         self.admission.write_metrics(now, self.metrics)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -478,6 +478,8 @@
             return
         self._record_limit(incarnation, sent_at, metadata)
         self._record_rest(state, incarnation, metadata)
+        now = asyncio.get_running_loop().time()
+        self._targets.admission.on_response(now, incarnation, metadata)
         if metadata.is_leaving:
             self._on_target_leaving(incarnation, "response")
 
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -51,7 +51,8 @@
     takes from all entries together, None if it states no limit. ``invalid_rate_limit``
     is what it states instead of a number, None if it does not. ``rest_s`` is for how
     long the target wants nothing from this entry, None if it did not ask for that, and
-    ``invalid_rest`` what it states instead of a number.
+    ``invalid_rest`` what it states instead of a number. ``cold_left_s`` is for how long
+    the target is still cold, and ``invalid_cold`` what it states instead of a number.
     """
 
     was_not_run: bool
@@ -62,6 +63,8 @@
     invalid_rate_limit: str | None = None
     rest_s: float | None = None
     invalid_rest: str | None = None
+    cold_left_s: float | None = None
+    invalid_cold: str | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -23,8 +23,13 @@
 Entries that are lost still count for ``retrybudget.ENTRY_COUNT_MEMORY_S``, since they
 may be serving callers. If they hold no more than ``MAX_LOST_SHARE`` together, the
 others adjust without them; the bound on the rate leaves room for that.
+
+``Bound`` and ``SharePolicy`` are what differs between uses of this logic. With a sparse
+policy, entries tell only the claims that differ from those that all assume without any
+message (standing claims), so hundreds of entries can divide thousands of limits.
 """
 
+import bisect
 import dataclasses
 import hashlib
 import math
@@ -39,6 +44,50 @@
 ISOLATED_START_S: typing.Final = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bound:
+    """A users' bound: ``factor`` times a rate plus ``slack`` in any ``window_s``."""
+
+    window_s: float
+    factor: float
+    slack: float
+
+    def compute_allowed(self, rate: float) -> float:
+        """Return how many requests a window may have."""
+        return self.factor * rate * self.window_s + self.slack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharePolicy:
+    """How entries claim parts of a limit.
+
+    ``standing_claim`` is what each first sender claims before any message,
+    ``max_claim`` the highest claim. A first sender has ``permits_per_sender`` of the
+    permits, and permits for ``spare_senders`` more are kept back, for an entry that
+    counts itself among them since it does not know a new one yet. ``max_lost_share``
+    and ``isolated_start_s`` are described in the module.
+
+    With ``is_sparse``, standing claims are not sent, each process of another entry is
+    told the other claims once, and the first senders follow each other on a ring of
+    hashes, which takes less time to find than an order for each limit.
+    """
+
+    standing_claim: int = MAX_CLAIM
+    max_claim: int = MAX_CLAIM
+    permits_per_sender: int = 1
+    spare_senders: int = 0
+    max_lost_share: float = MAX_LOST_SHARE
+    isolated_start_s: float = ISOLATED_START_S
+    is_sparse: bool = False
+
+    def count_first_senders(self, permits: int) -> int:
+        """Return how many entries claim a part before any message."""
+        return max(permits // self.permits_per_sender - self.spare_senders, 1)
+
+
+DEFAULT_POLICY: typing.Final = SharePolicy()
+
+
 def compute_limit_id(incarnation: str) -> int:
     """Return the number that stands for an incarnation in messages."""
     return zlib.crc32(incarnation.encode())
@@ -102,8 +151,11 @@
 class LimitShares:
     """The claims of an entry and of the others that it knows."""
 
-    def __init__(self, host: str, started_at: float) -> None:
+    def __init__(
+        self, host: str, started_at: float, policy: SharePolicy = DEFAULT_POLICY
+    ) -> None:
         self._host = host
+        self._policy = policy
         self._started_at = started_at
         self._peers: dict[str, Peer] = {}
         self._limits: dict[int, DividedLimit] = {}
@@ -112,6 +164,11 @@
         self._is_withdrawn = False
         self._has_started_long_ago = False
         self._knows_entries = False
+        # Whether sums of claims may have changed since the last recount.
+        self._needs_recount = True
+        # Hashes of the known entries, in order, and the entries.
+        self._ring: list[tuple[bytes, str]] = []
+        self._set_orders()
 
     # The entries.
 
@@ -129,11 +186,16 @@
 
         Others are forgotten some time after they were known last.
         """
-        self._has_started_long_ago = now - self._started_at > ISOLATED_START_S
+        alive = frozenset(alive)
+        uptime_s = now - self._started_at
+        has_started_long_ago = uptime_s > self._policy.isolated_start_s
+        self._needs_recount |= has_started_long_ago != self._has_started_long_ago
+        self._has_started_long_ago = has_started_long_ago
         self._knows_entries = True
         self.add_entries(now, (*alive, *listed))
         has_changed = False
         for host, peer in list(self._peers.items()):
+            self._needs_recount |= peer.is_alive != (host in alive)
             peer.is_alive = host in alive
             if peer.is_alive:
                 peer.last_known_at = now
@@ -142,7 +204,8 @@
                 has_changed = True
         if has_changed:
             self._set_orders()
-        self.recount()
+        if self._needs_recount or not self._policy.is_sparse:
+            self.recount()
 
     def add_entries(self, now: float, hosts: typing.Iterable[str]) -> None:
         """Count entries that were not known, as ones that claim most."""
@@ -155,6 +218,7 @@
 
     def recount(self) -> None:
         """Compute the sums of all claims from what is known of each entry."""
+        self._needs_recount = False
         for limit_id, limit in self._limits.items():
             self._recount_limit(limit_id, limit)
 
@@ -180,11 +244,12 @@
         """Apply the claims of another entry, unless newer ones were applied."""
         peer = self._peers[host]
         if number >= peer.number:
-            peer.number = number
+            self._needs_recount = True
             known = {
                 limit_id: self._get_claim(host, peer, limit_id, limit)
                 for limit_id, limit in self._limits.items()
             }
+            peer.number = number
             peer.claims = dict(claims)
             for limit_id, limit in self._limits.items():
                 claim = self._get_claim(host, peer, limit_id, limit)
@@ -201,6 +266,34 @@
             peer = self._peers[host]
             peer.acknowledged = number
             peer.held = dict(claims)
+            self._needs_recount = True
+
+    def on_reply(
+        self,
+        now: float,
+        host: str,
+        process: int,
+        number: int,
+        claims: typing.Iterable[tuple[int, int]] | None,
+    ) -> None:
+        """Note that an entry replied to a message, which had claims unless None."""
+        peer = self.on_process(now, host, process)
+        if peer.contacted_at is None:
+            peer.contacted_at = now
+        if claims is not None:
+            self.on_acknowledged(host, number, claims)
+
+    def take_claims(self, host: str, is_reply: bool) -> list[tuple[int, int]] | None:
+        """Return the claims to send to another entry now, None if it needs none.
+
+        A reply is not acknowledged, so it repeats no claims that were sent before.
+        """
+        peer = self._peers[host]
+        if not self.needs_claims(host) or (is_reply and peer.was_told):
+            return None
+        peer.was_told = True
+        self.on_sent(host)
+        return list(self.list_claims().items())
 
     def needs_claims(self, host: str) -> bool:
         """Return whether another entry may lack this entry's claims.
@@ -210,7 +303,7 @@
         peer = self._peers[host]
         if peer.acknowledged == self.number:
             return False
-        return any(
+        return self._policy.is_sparse or any(
             limit_id in peer.held
             or not is_known_before(peer, limit)
             or limit.own_claim != self._get_held(peer, limit_id, limit)
@@ -235,10 +328,11 @@
                 incarnation, first_at, permits
             )
             self._set_order(limit)
-            is_first = self._host in limit.first_senders and not self._is_withdrawn
-            limit.own_claim = MAX_CLAIM if is_first else 0
+            is_silent = self._is_withdrawn and not self._policy.is_sparse
+            limit.own_claim = 0 if is_silent else self._get_standing(self._host, limit)
             self._recount_limit(limit_id, limit)
-            self.number += 1
+            if not self._policy.is_sparse:
+                self.number += 1
             return
         limit.first_at = min(limit.first_at, first_at)
         if limit.permits != permits:
@@ -248,12 +342,34 @@
 
     def remove_limit(self, incarnation: str) -> None:
         """Forget a limit that is no longer in force."""
-        if self._limits.pop(compute_limit_id(incarnation), None) is not None:
+        removed = self._limits.pop(compute_limit_id(incarnation), None)
+        if removed is not None and not self._policy.is_sparse:
             self.number += 1
 
     def list_claims(self) -> dict[int, int]:
-        """Return this entry's claims."""
-        return {limit_id: limit.own_claim for limit_id, limit in self._limits.items()}
+        """Return this entry's claims, with a sparse policy those that it tells."""
+        return {
+            limit_id: limit.own_claim
+            for limit_id, limit in self._limits.items()
+            if not self._policy.is_sparse
+            or limit.own_claim != self._get_standing(self._host, limit)
+        }
+
+    def is_first_sender(self, incarnation: str, permits: int) -> bool:
+        """Return whether this entry may send to a target before any message."""
+        return self._host in self._find_on_ring(incarnation, permits)
+
+    def set_used(self, incarnation: str, is_used: bool) -> None:
+        """Claim most of a limit that this entry uses, else its standing part."""
+        limit = self._limits[compute_limit_id(incarnation)]
+        claim = self._get_standing(self._host, limit)
+        if is_used and not self._is_withdrawn:
+            claim = self._policy.max_claim
+        if claim != limit.own_claim:
+            limit.own_claim = claim
+            limit.usable = min(limit.usable, claim)
+            self.number += 1
+            self._needs_recount = True
 
     def set_demand(self, incarnation: str, demand: float) -> None:
         """Compute the claim from the demand, as a part of the limit from 0 to 1."""
@@ -268,10 +384,18 @@
             self.number += 1
 
     def withdraw(self) -> None:
-        """Give up all claims for good, since this entry stops."""
+        """Give up all claims for good, since this entry stops.
+
+        With a sparse policy the standing claims remain: the next process at this host
+        assumes them before any message.
+        """
         self._is_withdrawn = True
         for limit in self._limits.values():
-            limit.own_claim = limit.usable = 0
+            rest = 0
+            if self._policy.is_sparse:
+                rest = self._get_standing(self._host, limit)
+            limit.own_claim = rest
+            limit.usable = min(limit.usable, rest)
         self.number += 1
 
     def compute_share(self, now: float, incarnation: str) -> Share:
@@ -297,7 +421,8 @@
             else:
                 lost += claim
                 held_by_lost = min(held_by_lost, self._get_held(peer, limit_id, limit))
-        may_skip_lost = lost <= MAX_LOST_SHARE * (others + limit.own_claim)
+        total = others + limit.own_claim
+        may_skip_lost = lost <= self._policy.max_lost_share * total
         limit.others = others
         limit.usable = held if may_skip_lost else min(held, held_by_lost)
 
@@ -327,9 +452,20 @@
         claim = peer.claims.get(limit_id)
         if claim is not None:
             return claim
-        if is_known_before(peer, limit) and host not in limit.first_senders:
-            return 0
-        return MAX_CLAIM
+        if self._is_assumed(peer, limit):
+            return self._get_standing(host, limit)
+        return self._policy.max_claim
+
+    def _is_assumed(self, peer: Peer, limit: DividedLimit) -> bool:
+        """Return whether an entry claims what all assume, as it told nothing else."""
+        if not self._policy.is_sparse:
+            return is_known_before(peer, limit)
+        was_never_reached = peer.process == 0 and not peer.is_alive
+        return peer.number >= 0 or (was_never_reached and self._has_started_long_ago)
+
+    def _get_standing(self, host: str, limit: DividedLimit) -> int:
+        """Return what an entry claims before any message."""
+        return self._policy.standing_claim if host in limit.first_senders else 0
 
     def _get_held(self, peer: Peer, limit_id: int, limit: DividedLimit) -> int:
         """Return the lowest value of this entry's claim that another may hold."""
@@ -338,25 +474,48 @@
             return held
         if peer.process == 0 and not self._has_started_long_ago:
             return 0
-        return MAX_CLAIM if self._host in limit.first_senders else 0
+        return self._get_standing(self._host, limit)
 
     def _set_orders(self) -> None:
         """Compute the orders of all limits after a change of the known entries."""
+        self._needs_recount = True
+        if self._policy.is_sparse:
+            hosts = (self._host, *self._peers)
+            self._ring = sorted((compute_hash(host), host) for host in hosts)
         for limit in self._limits.values():
             self._set_order(limit)
 
     def _set_order(self, limit: DividedLimit) -> None:
         """Compute the order of the known entries, and which of them send first."""
-
-        def compute_position(host: str) -> bytes:
-            text = f"{host}/{limit.incarnation}".encode()
-            return hashlib.blake2b(text, digest_size=8).digest()
-
-        hosts = sorted((self._host, *self._peers), key=compute_position)
+        if self._policy.is_sparse:
+            senders = self._find_on_ring(limit.incarnation, limit.permits)
+            limit.first_senders = frozenset(senders)
+            if limit.own_claim <= self._policy.standing_claim:
+                limit.own_claim = self._get_standing(self._host, limit)
+            return
+        hosts = sorted(
+            (self._host, *self._peers),
+            key=lambda host: compute_hash(f"{host}/{limit.incarnation}"),
+        )
         limit.order = {host: position for position, host in enumerate(hosts)}
-        limit.first_senders = frozenset(hosts[: limit.permits])
+        limit.first_senders = frozenset(
+            hosts[: self._policy.count_first_senders(limit.permits)]
+        )
+
+    def _find_on_ring(self, incarnation: str, permits: int) -> list[str]:
+        """Return the first senders of a limit, which follow its hash on the ring."""
+        count = min(self._policy.count_first_senders(permits), len(self._ring))
+        start = bisect.bisect_left(self._ring, (compute_hash(incarnation), ""))
+        return [
+            self._ring[(start + step) % len(self._ring)][1] for step in range(count)
+        ]
 
 
 def is_known_before(peer: Peer, limit: DividedLimit) -> bool:
     """Return whether an entry was contacted before a limit was stated first."""
     return peer.contacted_at is not None and peer.contacted_at <= limit.first_at
+
+
+def compute_hash(text: str) -> bytes:
+    """Return a hash that orders entries."""
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -98,6 +98,17 @@
     statements: list[LimitStatement] = []
 
 
+class ClaimUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """An entry's claims to parts of limits, by a hash of the target's incarnation.
+
+    ``number`` increases with the sender's claims. Those that all entries assume without
+    a message are left out.
+    """
+
+    number: int
+    claims: list[tuple[int, int]]
+
+
 class AdmissionUpdate(msgspec.Struct, array_like=True):
     """What an entry tells another one for its decisions on sends.
 
@@ -105,6 +116,8 @@
     tell or is off.
     """
 
+    cold: ClaimUpdate | None = None
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Sent by an entry to another entry, with the entries that the sender has found.
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -74,6 +74,19 @@
         )
         self._resting_targets: set[str] = set()
 
+        self._cold_targets = self.make_gauge(
+            "cold_targets", "Targets that are known to be cold."
+        )
+        self._cold_permits = self.make_gauge(
+            "cold_permits",
+            "Requests that this entry may send within 1.25 s to all targets that may"
+            " turn cold.",
+        )
+        self._filled_cold_windows = self.make_counter(
+            "cold_permits_used_up_total",
+            "Requests that used up this entry's permits for a target.",
+        )
+
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
         self._responses.inc({"service": service, "status": str(status)})
@@ -124,6 +137,12 @@
             self._limit_parts.set(labels, parts.get(incarnation, 0.0))
         self._limited_targets = set(limits)
 
+    def set_cold_targets(self, cold: int, permits: int, used_up: int) -> None:
+        """Set the gauges of cold targets; ``used_up`` adds to its counter."""
+        self._cold_targets.set({}, cold)
+        self._cold_permits.set({}, permits)
+        self._filled_cold_windows.add({}, used_up)
+
     def set_state(
         self,
         config_version: int,
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -8,6 +8,7 @@
 
 Address = typing.Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
 
 class EntryBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -15,7 +16,10 @@
 
     ``revoke_s`` limits how long a revoked API key is still accepted, ``drain_s`` the
     time from SIGTERM to the end of the process. Within ``repeat_window_s``, all entries
-    together may retry ``repeat_ratio`` of the requests plus ``repeat_allowance``.
+    together may retry ``repeat_ratio`` of the requests plus ``repeat_allowance``. In
+    any second, all entries together send a target that may be cold at most
+    ``cold_overage`` times the rate that its service states, plus ``cold_slack``; None
+    for no bound.
     """
 
     revoke_s: Seconds = 5.0
@@ -23,6 +27,8 @@
     repeat_ratio: float = 0.2
     repeat_allowance: float = 90.0
     repeat_window_s: Seconds = 10.0
+    cold_overage: NotNegative | None = None
+    cold_slack: NotNegative | None = None
 
 
 class SidecarBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sardinesaddle/direct/targetlimits.py
+++ b/sardinesaddle/direct/targetlimits.py
@@ -23,6 +23,7 @@
 WINDOW_S: typing.Final = 4.0  # this and the next two are the users' bound
 EXCESS_FACTOR: typing.Final = 1.5
 EXCESS_REQUESTS: typing.Final = 5.0
+BOUND: typing.Final = limitshares.Bound(WINDOW_S, EXCESS_FACTOR, EXCESS_REQUESTS)
 RATE_FACTOR: typing.Final = 0.95  # of a limit, used by all entries together
 ARRIVAL_JITTER_S: typing.Final = 0.25  # between sends and their arrivals
 RESERVED_REQUESTS: typing.Final = 0.5  # rounding
@@ -38,7 +39,7 @@
     """Return how many tokens all buckets for a limit together may hold."""
     if limit < MIN_RATE:
         return 1
-    allowed = EXCESS_FACTOR * limit * WINDOW_S + EXCESS_REQUESTS
+    allowed = BOUND.compute_allowed(limit)
     highest_rate = RATE_FACTOR * (1.0 + limitshares.MAX_LOST_SHARE) * limit
     spent = highest_rate * (WINDOW_S + ARRIVAL_JITTER_S)
     return max(int(allowed - spent - RESERVED_REQUESTS), 1)
@@ -179,18 +180,11 @@
     def make_update(
         self, now: float, host: str, is_reply: bool = False
     ) -> messages.LimitUpdate | None:
-        """Return what another entry may lack; None if no target ever had a limit.
-
-        A reply is not acknowledged, so it repeats no claims that were sent before.
-        """
+        """Return what another entry may lack; None if no target ever had a limit."""
         peer = self._shares.get_peer(host)
         if peer is None or not self.statements.digest:
             return None
-        claims = None
-        if self._shares.needs_claims(host) and not (is_reply and peer.was_told):
-            peer.was_told = True
-            self._shares.on_sent(host)
-            claims = list(self._shares.list_claims().items())
+        claims = self._shares.take_claims(host, is_reply)
         # What another entry has is not known before its first message; it is told
         # while the news spreads. Later, each finds out from the other's digest.
         is_new = now - self.statements.changed_at < SPREADING_S
@@ -234,11 +228,8 @@
         received: messages.LimitUpdate | None,
     ) -> None:
         """Apply the reply to a heartbeat that had the update ``sent``."""
-        peer = self._shares.on_process(now, host, process)
-        if peer.contacted_at is None:
-            peer.contacted_at = now
-        if sent is not None and sent.claims is not None:
-            self._shares.on_acknowledged(host, sent.number, sent.claims)
+        number, claims = (0, None) if sent is None else (sent.number, sent.claims)
+        self._shares.on_reply(now, host, process, number, claims)
         self.on_message(now, host, process, listed, received)
 
     def withdraw(self) -> None:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -178,6 +178,11 @@
             self._subsets[service] = subset
         return subset
 
+    def list_own_targets(self) -> frozenset[str]:
+        """Return the identifiers of the targets in all subsets of this entry."""
+        services = {target.registration.service for target in self._targets.values()}
+        return frozenset().union(*map(self.list_subset, services))
+
     def is_in_subset(self, address: str) -> bool:
         """Return whether the target at an address is in this entry's subset."""
         known = self._by_address.get(address)
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -1,8 +1,10 @@
 """Decodes values of the platform's store into the types of ``direct.catalog``."""
 
 import collections
+import math
 import typing
 
+import loguru
 import msgspec
 
 from sardinesaddle.direct import catalog, storedecoder
@@ -82,6 +84,9 @@
     name: str
     max_conns: int = 100
     engine: WireEngine | None = None
+    # Decoded by ``decode_number``, so that a wrong value does not refuse all the rest.
+    cold_s: typing.Any = 0.0
+    cold_per_s: typing.Any = 0.0
 
 
 class WireAccount(msgspec.Struct, frozen=True):
@@ -224,7 +229,30 @@
             * 8.0
             / max(wire_engine.link_mbps, 1e-9),
         )
-    return catalog.Service(wire.name, wire.max_conns, engine)
+    return catalog.Service(
+        wire.name,
+        wire.max_conns,
+        engine,
+        decode_number(wire.name, "cold_s", wire.cold_s),
+        decode_number(wire.name, "cold_per_s", wire.cold_per_s),
+    )
+
+
+def decode_number(service: str, field: str, value: object) -> float:
+    """Return a non-negative number of a service, 0 with a log line for all else."""
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if isinstance(value, (int, float)) and is_number:
+        number = float(value)
+        if math.isfinite(number) and number >= 0.0:
+            return number
+    loguru.logger.warning(
+        "event=service_value_invalid service={} field={} value={!r:.60}"
+        " remedy=state_a_number_of_at_least_0",
+        service,
+        field,
+        value,
+    )
+    return 0.0
 
 
 def decode_target(key: str, data: bytes) -> catalog.TargetRegistration | Fault:
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -34,6 +34,8 @@
 IS_LEAVING: typing.Final = "1"
 # Seconds for which a target that refuses with 503 wants nothing from this entry.
 REST: typing.Final = "Retry-After"
+# Milliseconds for which the target is still cold.
+COLD: typing.Final = "Cold-Ms"
 
 STATUS_MISDIRECTED: typing.Final = 421
 STATUS_UNAVAILABLE: typing.Final = 503
@@ -131,6 +133,8 @@
         rests: list[str] = []
         if status == STATUS_UNAVAILABLE:
             rests = [value for name, value in headers if name == REST.lower()]
+        colds = [value for name, value in headers if name == COLD.lower()]
+        valid_colds = [n for n in map(parse_decimal, colds) if n is not None]
         valid_rests = [n for n in map(parse_decimal, rests) if n is not None]
         return headercodec.ResponseMetadata(
             was_not_run=NOT_RUN.lower() in present or status == STATUS_MISDIRECTED,
@@ -144,4 +148,6 @@
             invalid_rate_limit=",".join(limits) if is_invalid else None,
             rest_s=max(valid_rests, default=None),
             invalid_rest=",".join(rests) if len(valid_rests) < len(rests) else None,
+            cold_left_s=max(valid_colds) / 1000.0 if valid_colds else None,
+            invalid_cold=",".join(colds) if len(valid_colds) < len(colds) else None,
         )
--- /dev/null
+++ b/test/test_direct_coldlimits.py
@@ -0,0 +1,412 @@
+"""Tests that targets that may be cold get no more requests than the users allow.
+
+Entries decide with the real ``ColdLimits`` in model time and exchange heartbeats as
+often as real ones do. Messages and sends are delayed, also by most of the jitter.
+"""
+
+import collections
+import heapq
+import random
+import typing
+
+import loguru
+import pytest
+
+from sardinesaddle.direct import (
+    catalog,
+    entrypeers,
+    messages,
+    nodemetrics,
+    nodesettings,
+    targetpool,
+    targetstate,
+)
+from sardinesaddle.direct.admission import (
+    admissionpart,
+    coldlimits,
+    entryadmission,
+    sendconstraint,
+)
+from sardinesaddle.platform import catalogformat, headers
+
+OVERAGE: typing.Final = 1.5  # this and the next two are the users' figures
+SLACK: typing.Final = 5.0
+COLD_RATE: typing.Final = 32.0
+ALLOWED: typing.Final = 53
+USABLE_SHARE: typing.Final = 0.7  # of the bound, while demand is ample
+SEED_COUNT: typing.Final = 3
+STEP_S: typing.Final = 0.02
+REPORT_AGE_S: typing.Final = 0.3
+MAX_BYTES_PER_S: typing.Final = 512.0
+
+
+def make_target(number: int, warmup_s: float = 0.0) -> targetstate.Target:
+    """Return a rank."""
+    return targetstate.Target(
+        catalog.TargetRegistration(
+            f"r{number}",
+            "model",
+            f"10.1.0.{number}",
+            80,
+            "p",
+            5,
+            catalog.TargetState.READY,
+            warmup_s,
+        )
+    )
+
+
+def make_catalog(cold_rate: float = COLD_RATE) -> catalog.Catalog:
+    """Return a configuration with a service whose targets may be cold."""
+    service = catalog.Service("model", 100, None, 3.0, cold_rate)
+    return catalog.Catalog(1, [], [service], {}, catalog.Limits())
+
+
+class Entry:
+    """An entry; ``process`` numbers its processes."""
+
+    def __init__(self, host: str, now: float, process: int, known: set[str]) -> None:
+        self.host = host
+        self.process = process
+        self.part = coldlimits.ColdLimits(host, now, OVERAGE, SLACK)
+        self.part.on_catalog(now, make_catalog())
+        self.known = known - {host}
+        self.alive: dict[str, float] = {}
+        self.due: collections.deque[str] = collections.deque(sorted(self.known))
+        self.suspended_until = 0.0
+
+
+class Simulation:
+    """Entries with ample demand for a few targets; see the module."""
+
+    def __init__(
+        self, count: int, target_count: int, seed: int = 1, demand: float = 1.0
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.demand = demand
+        self.now = 0.0
+        self.targets = [make_target(number) for number in range(target_count)]
+        self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
+        self.hosts = [f"10.0.{n // 250}.{n % 250}" for n in range(count)]
+        self.entries: dict[str, Entry] = {}
+        self.parted: set[str] = set()
+        self.sent_bytes = 0
+        self._messages: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._number = 0
+        for host in self.hosts:
+            self.start(host)
+
+    def start(self, host: str, process: int = 1) -> None:
+        """Start an entry that knows the seeds alone."""
+        seeds = set(self.hosts[:SEED_COUNT])
+        self.entries[host] = Entry(host, self.now, process, seeds)
+
+    def introduce_all(self) -> None:
+        """Let all entries know each other, as long after a start."""
+        for entry in self.entries.values():
+            entry.known = set(self.hosts) - {entry.host}
+            entry.due = collections.deque(sorted(entry.known))
+            entry.alive = dict.fromkeys(entry.known, 0.0)
+            for host in entry.known:
+                peer = admissionpart.PeerMessage(host, 1, self.hosts)
+                told = messages.AdmissionUpdate(messages.ClaimUpdate(0, []))
+                entry.part.on_reply(0.0, peer, told)
+                entry.part.on_message(0.0, peer, told)
+
+    def run(self, until: float) -> None:
+        """Run the simulation to a time."""
+        while self.now < until:
+            self.now += STEP_S
+            while self._messages and self._messages[0][0] <= self.now:
+                heapq.heappop(self._messages)[2]()
+            for entry in list(self.entries.values()):
+                if self.now >= entry.suspended_until:
+                    self._run_entry(entry)
+
+    def _run_entry(self, entry: Entry) -> None:
+        """Let an entry do what it does in one step."""
+        if self.rng.random() < STEP_S / 0.25:
+            self._refresh(entry)
+        beats = entrypeers.HEARTBEATS_PER_PERIOD / entrypeers.HEARTBEAT_PERIOD_S
+        beats = min(beats, len(entry.due) / entrypeers.HEARTBEAT_PERIOD_S)
+        # An entry that was just found gets a heartbeat at once.
+        new = entry.known - {*entry.due}
+        entry.due.extendleft(sorted(new))
+        for _ in range(max(len(new), self.rng.random() < beats * STEP_S)):
+            self._send_heartbeat(entry, entry.due[0])
+            entry.due.rotate(-1)
+        for target in self.targets:
+            while (
+                self.rng.random() < self.demand
+                and entry.part.check(self.now, target).is_allowed
+            ):
+                entry.part.on_send(self.now, target, sendconstraint.ANY_REQUEST)
+                self.arrivals[target.target_id].append(self.now + self._draw_delay())
+
+    def _refresh(self, entry: Entry) -> None:
+        """Do an entry's periodic work; its subset follows from the entries it knows."""
+        hosts = sorted([entry.host, *entry.alive], key=targetpool.make_address_sort_key)
+        own = {
+            target.target_id
+            for index, target in enumerate(self.targets)
+            if hosts[index * len(hosts) // len(self.targets)] == entry.host
+        }
+        view = admissionpart.EntryView(
+            entry.host, list(entry.alive), list(entry.known), 0.0, own
+        )
+        entry.part.refresh(self.now, view, self.targets)
+
+    def _draw_delay(self) -> float:
+        """Return the delay of a message or a send."""
+        return self.rng.random() * 0.24 if self.rng.random() < 0.1 else 0.003
+
+    def _call_later(self, handler: typing.Callable[[], None]) -> None:
+        """Call a handler when a message arrives."""
+        self._number += 1
+        at = self.now + self._draw_delay()
+        heapq.heappush(self._messages, (at, self._number, handler))
+
+    def _make_update(self, entry: Entry, host: str, is_reply: bool) -> typing.Any:
+        """Return an entry's update for another one, and count its bytes."""
+        update = messages.AdmissionUpdate()
+        entry.part.make_update(self.now, host, is_reply, update)
+        if update != messages.AdmissionUpdate():
+            self.sent_bytes += len(messages.ENCODER.encode(update))
+        return update
+
+    def _send_heartbeat(self, sender: Entry, host: str) -> None:
+        """Send a heartbeat; its reply comes unless the receiver is not reached."""
+        update = self._make_update(sender, host, False)
+        listed = [sender.host, *sender.alive]
+
+        def arrive() -> None:
+            receiver = self.entries.get(host)
+            is_parted = (host in self.parted) != (sender.host in self.parted)
+            if receiver is None or is_parted or self.now < receiver.suspended_until:
+                if self.now - sender.alive.get(host, self.now) > entrypeers.ENTRY_TTL_S:
+                    del sender.alive[host]
+                return
+            receiver.alive[sender.host] = self.now
+            receiver.known.add(sender.host)
+            peer = admissionpart.PeerMessage(sender.host, sender.process, listed)
+            receiver.part.on_message(self.now, peer, update)
+            reply = self._make_update(receiver, sender.host, True)
+            replied = [receiver.host, *receiver.alive]
+            process = receiver.process
+            self._call_later(lambda: finish(reply, replied, process))
+
+        def finish(reply: typing.Any, replied: list[str], process: int) -> None:
+            if sender is not self.entries.get(sender.host):
+                return
+            if self.now < sender.suspended_until:
+                return
+            sender.alive[host] = self.now
+            sender.known.update({*replied} - {sender.host})
+            peer = admissionpart.PeerMessage(host, process, replied)
+            sender.part.on_reply(self.now, peer, update)
+            sender.part.on_message(self.now, peer, reply)
+
+        self._call_later(arrive)
+
+    def compute_worst(self) -> int:
+        """Return the most requests that a target got in any second."""
+        worst = 0
+        for times in self.arrivals.values():
+            times.sort()
+            begin = 0
+            for index, at in enumerate(times):
+                while times[begin] <= at - coldlimits.WINDOW_S:
+                    begin += 1
+                worst = max(worst, index + 1 - begin)
+        return worst
+
+    def compute_used(self, since: float, until: float) -> float:
+        """Return the requests a second to each target, as a share of the bound."""
+        count = sum(
+            since <= at < until for times in self.arrivals.values() for at in times
+        )
+        return count / (until - since) / len(self.targets) / ALLOWED
+
+
+@pytest.mark.parametrize("count", [4, 13, 54, 370])
+def test_ample_demand_uses_most_of_the_bound_and_never_crosses_it(count: int) -> None:
+    simulation = Simulation(count, 4)
+    simulation.introduce_all()
+    simulation.run(28.0 if count < 100 else 12.0)
+    assert simulation.compute_worst() <= ALLOWED
+    if count < 100:
+        assert simulation.compute_used(8.0, 28.0) >= USABLE_SHARE
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("count", [4, 13, 54])
+def test_faults_of_entries_do_not_cross_the_bound(count: int, seed: int) -> None:
+    # All start at once and know the seeds alone.
+    simulation = Simulation(count, 4, seed)
+    simulation.run(6.0)
+    hosts = simulation.rng.sample(simulation.hosts, 3)
+    simulation.parted = {hosts[0]}
+    simulation.run(7.0)
+    del simulation.entries[hosts[1]]
+    simulation.entries[hosts[2]].suspended_until = 11.0
+    simulation.run(7.8)
+    simulation.start(hosts[1], 2)
+    simulation.run(14.0)
+    simulation.parted = set()
+    simulation.hosts.append("10.2.0.1")
+    simulation.start("10.2.0.1")
+    simulation.run(40.0)
+    assert simulation.compute_worst() <= ALLOWED
+    assert simulation.compute_used(28.0, 40.0) >= USABLE_SHARE
+
+
+def test_claims_of_13_entries_to_72_ranks_cost_few_bytes() -> None:
+    simulation = Simulation(13, 72, demand=0.0)
+    simulation.run(20.0)
+    assert simulation.sent_bytes / 20.0 / 13 < MAX_BYTES_PER_S
+
+
+def make_part(now: float = 0.0) -> coldlimits.ColdLimits:
+    """Return the part of an entry that knows no others."""
+    part = coldlimits.ColdLimits("10.0.0.1", now - 10.0, OVERAGE, SLACK)
+    part.on_catalog(now, make_catalog())
+    return part
+
+
+def refresh(
+    part: coldlimits.ColdLimits, now: float, *targets: targetstate.Target
+) -> None:
+    """Do the periodic work of a part whose entry has no others."""
+    view = admissionpart.EntryView("10.0.0.1", (), (), 0.0)
+    part.refresh(now, view, targets)
+
+
+def send_all(
+    part: coldlimits.ColdLimits, now: float, target: targetstate.Target
+) -> int:
+    """Send as many requests as a part allows at once; return their number."""
+    count = 0
+    while part.check(now, target).is_allowed:
+        part.on_send(now, target, sendconstraint.ANY_REQUEST)
+        count += 1
+    return count
+
+
+def test_suspended_entry_sends_no_burst_when_it_wakes_up() -> None:
+    # What was counted just before the suspension may be written after it.
+    part, target = make_part(), make_target(0)
+    refresh(part, 0.0, target)
+    assert send_all(part, 0.9, target) == ALLOWED
+    assert send_all(part, 6.0, target) == 0
+    assert part.check(6.0, target).wait_s == pytest.approx(coldlimits.SEND_WINDOW_S)
+    for step in range(1, 7):
+        refresh(part, 6.0 + step * 0.25, target)
+    # Nothing accrued: a window is all there is.
+    assert send_all(part, 7.5, target) == ALLOWED
+    assert send_all(part, 7.6, target) == 0
+
+
+def test_part_that_grows_is_used_after_the_window_of_its_previous_owner() -> None:
+    window = coldlimits.SendWindow(1.0)
+    window.set_capacity(0.0, 3, is_at_once=True)
+    window.set_capacity(1.0, 1)
+    window.set_capacity(1.1, 9)
+    assert window.get_capacity(2.0) == 1
+    assert window.get_capacity(2.2) == 9
+    window.set_capacity(3.0, 0)
+    assert window.compute_wait_s(3.0) == float("inf")
+    window.set_capacity(3.5, 2)
+    assert window.compute_wait_s(3.5) == pytest.approx(1.0)
+
+
+def test_registration_that_lapses_does_not_empty_the_window() -> None:
+    part, target = make_part(), make_target(0)
+    refresh(part, 0.0, target)
+    assert send_all(part, 0.2, target) == ALLOWED
+    refresh(part, 0.3)
+    refresh(part, 0.6, target)
+    assert send_all(part, 0.7, target) == 0
+
+
+def test_target_turns_cold_and_warm_as_it_states() -> None:
+    lines: list[str] = []
+    handler = loguru.logger.add(lambda line: lines.append(str(line)))
+    part, target = make_part(), make_target(0)
+    incarnation = target.registration.incarnation
+    codec = headers.PlatformHeaderCodec()
+    part.on_registered(0.0, target)
+    assert not part.is_cold(0.1, incarnation)
+    for value in ("2500", "-1", "soon", "inf"):
+        response = codec.parse_response_headers(200, [("cold-ms", value)])
+        part.on_response(1.0 - REPORT_AGE_S, incarnation, response)
+    assert part.is_cold(3.1, incarnation)
+    refresh(part, 3.0, target)
+    refresh(part, 3.3, target)
+    assert not part.is_cold(3.3, incarnation)
+    part.on_registered(4.0, make_target(0, warmup_s=1.0))
+    assert part.is_cold(4.5, incarnation)
+    loguru.logger.remove(handler)
+    assert sum("event=target_cold " in line for line in lines) == 2
+    assert sum("event=target_warm " in line for line in lines) == 1
+    invalid = [line for line in lines if "event=target_cold_invalid" in line]
+    assert len(invalid) == 3
+    assert all("remedy=" in line for line in invalid)
+
+
+def test_other_services_and_targets_without_a_part() -> None:
+    part, target = make_part(), make_target(0)
+    verdict = part.check(0.0, target)
+    assert verdict.decision is sendconstraint.Decision.LATER
+    part.on_catalog(0.0, make_catalog(cold_rate=0.0))
+    assert part.check(0.0, target).is_allowed
+
+
+@pytest.mark.parametrize("value", ["-1", '"many"', "true", "null", "[]"])
+def test_wrong_rate_of_a_service_is_ignored_and_loses_no_configuration(
+    value: str,
+) -> None:
+    services = f'[{{"name":"model","cold_s":3.0,"cold_per_s":{value}}}]'
+    data = f'{{"version":1,"routes":[],"services":{services}}}'.encode()
+    decoded = catalogformat.decode_catalog(data)
+    assert isinstance(decoded, catalog.Catalog)
+    assert decoded.services["model"].cold_rate == 0.0
+    assert decoded.services["model"].cold_s == 3.0
+
+
+@pytest.mark.parametrize("overage", [None, OVERAGE])
+@pytest.mark.parametrize("slack", [None, SLACK])
+def test_part_is_on_only_with_both_settings(
+    overage: float | None, slack: float | None
+) -> None:
+    cfg = nodesettings.EntrySettings(
+        name="e",
+        host="10.0.0.1",
+        place="p",
+        store="10.0.0.2:1",
+        node_ports=(1, 2),
+        front="10.0.0.1:3",
+        ready="10.0.0.1:4",
+        bounds=nodesettings.EntryBounds(cold_overage=overage, cold_slack=slack),
+    )
+    parts = entryadmission.build_parts(cfg)
+    is_on = any(isinstance(part, coldlimits.ColdLimits) for part in parts)
+    assert is_on == (overage is not None and slack is not None)
+
+
+def test_metrics_show_cold_targets_and_permits() -> None:
+    part, target = make_part(), make_target(0, warmup_s=3.0)
+    part.on_registered(0.0, target)
+    refresh(part, 0.0, target)
+    send_all(part, 0.1, target)
+    entry_metrics = nodemetrics.EntryMetrics("e")
+    part.write_metrics(0.2, entry_metrics)
+    text = entry_metrics.render()[0].decode()
+    for name, value in (
+        ("cold_targets", 1),
+        ("cold_permits", ALLOWED),
+        ("cold_permits_used_up_total", 1),
+    ):
+        assert any(
+            f"{name}{{" in line and float(line.split()[-1]) == value
+            for line in text.splitlines()
+        ), name
