--- a/sardinesaddle/direct/admission/coldlimits.py
+++ b/sardinesaddle/direct/admission/coldlimits.py
@@ -38,14 +38,16 @@
 WINDOW_S: typing.Final = 1.0  # the users' bound is on any second
 # Sends within this time may arrive within one window.
 SEND_WINDOW_S: typing.Final = WINDOW_S + targetlimits.ARRIVAL_JITTER_S
-# With more first senders or higher claims, rounding would leave under 0.7 of a bound
-# of 53 requests to use.
+# With a bound of 53 requests, 12 entries for each target have 4 permits each, or 3
+# beside one that uses it and has 16. Other numbers leave more unused by rounding.
 POLICY: typing.Final = limitshares.SharePolicy(
     standing_claim=1,
     max_claim=5,
     permits_per_sender=4,
     spare_senders=1,
-    max_lost_share=0.0,
+    # One lost entry with a standing part among twelve: it may have one permit more
+    # than the others count, which rounding leaves.
+    max_lost_share=1.0 / 16.0,
     isolated_start_s=2.0,  # several heartbeats; longer refuses too much after a start
     is_sparse=True,
 )
--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -360,11 +360,17 @@
         return self._host in self._find_on_ring(incarnation, permits)
 
     def set_used(self, incarnation: str, is_used: bool) -> None:
-        """Claim most of a limit that this entry uses, else its standing part."""
+        """Claim most of a limit that this entry uses, else its standing part.
+
+        A claim that could not be used, since an entry that is lost holds a lower one,
+        is not made: the others would only leave a part unused for it.
+        """
         limit = self._limits[compute_limit_id(incarnation)]
         claim = self._get_standing(self._host, limit)
         if is_used and not self._is_withdrawn:
-            claim = self._policy.max_claim
+            highest = self._policy.max_claim
+            if limit.own_claim == highest or self._may_skip_lost(limit, highest):
+                claim = highest
         if claim != limit.own_claim:
             limit.own_claim = claim
             limit.usable = min(limit.usable, claim)
@@ -426,6 +432,16 @@
         limit.others = others
         limit.usable = held if may_skip_lost else min(held, held_by_lost)
 
+    def _may_skip_lost(self, limit: DividedLimit, own_claim: int) -> bool:
+        """Return whether a claim may be used that entries that are lost do not hold."""
+        limit_id = compute_limit_id(limit.incarnation)
+        lost = sum(
+            self._get_claim(host, peer, limit_id, limit)
+            for host, peer in self._peers.items()
+            if not peer.is_alive
+        )
+        return lost <= self._policy.max_lost_share * (limit.others + own_claim)
+
     def _compute_claim(self, limit: DividedLimit, demand: float) -> int:
         """Return the claim for a demand; 0 if enough entries are before this one."""
         if demand <= 0.0 or self._is_withdrawn:
