--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -8,6 +8,7 @@
 
 from sardinesaddle.direct import (
     catalog,
+    headercodec,
     messages,
     nodemetrics,
     nodesettings,
@@ -17,6 +18,7 @@
 )
 from sardinesaddle.direct.admission import (
     admissionpart,
+    coldlimits,
     evacuations,
     homes,
     sendconstraint,
@@ -25,23 +27,29 @@
 
 def build_parts(
     cfg: nodesettings.EntrySettings,
+    now: float,
     store_decoder: storedecoder.StoreDecoder,
     on_availability_change: collections.abc.Callable[[], None],
 ) -> list[admissionpart.AdmissionPart]:
     """Return the parts that the settings ask for, in the order in which to ask them.
 
-    ``on_availability_change`` is called when a message of another entry changes which
-    targets are available.
+    ``now`` is the start of the process. ``on_availability_change`` is called when a
+    message of another entry changes which targets are available.
     """
     parts: list[admissionpart.AdmissionPart] = []
-    if cfg.bounds.evacuation_s is not None:
+    bounds = cfg.bounds
+    if bounds.evacuation_s is not None:
         parts.append(
             evacuations.EvacuationPart(
-                store_decoder, cfg.bounds.evacuation_s, on_availability_change
+                store_decoder, bounds.evacuation_s, on_availability_change
             )
         )
     # Allows all requests unless the configuration names regions.
     parts.append(homes.HomePart(cfg.places))
+    if bounds.cold_overage is not None and bounds.cold_slack is not None:
+        parts.append(
+            coldlimits.ColdLimits(cfg.host, now, bounds.cold_overage, bounds.cold_slack)
+        )
     return parts
 
 
@@ -101,6 +109,13 @@
         for part in self._parts:
             part.on_send(now, target, request)
 
+    def on_response(
+        self, now: float, incarnation: str, metadata: headercodec.ResponseMetadata
+    ) -> None:
+        """Apply what a target states of itself in the head of a response."""
+        for part in self._parts:
+            part.on_response(now, incarnation, metadata)
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -86,7 +86,9 @@
         self.limits = targetlimits.TargetLimits(cfg.host, read_loop_time())
         self.departures = departures.Departures()
         self.admission = entryadmission.EntryAdmission(
-            entryadmission.build_parts(cfg, store_decoder, self._on_availability_change)
+            entryadmission.build_parts(
+                cfg, read_loop_time(), store_decoder, self._on_availability_change
+            )
         )
         self.targets = targetpool.TargetPool(
             cfg.place, self.limits, self.departures, self.admission
@@ -639,6 +641,7 @@
             self._peers.hosts,
             self._peers.list_contacted(),
             self.compute_config_age(),
+            self.targets.list_own_targets(),
         )
         self.admission.refresh(now, entries, self.targets.list_targets())
         self.admission.write_metrics(now, self.metrics)
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -109,6 +109,17 @@
     position: tuple[int, int, bool]
 
 
+class ClaimUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """An entry's claims to parts of limits, by a hash of the target's incarnation.
+
+    ``number`` increases with the sender's claims. Those that all entries assume without
+    a message are left out.
+    """
+
+    number: int
+    claims: list[tuple[int, int]]
+
+
 class AdmissionUpdate(msgspec.Struct, array_like=True):
     """What an entry tells another one for its decisions on sends.
 
@@ -117,6 +128,7 @@
     """
 
     evacuations: list[Evacuation] | None = None
+    cold: ClaimUpdate | None = None
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -11,6 +11,7 @@
 MIN_HOSTS_LOST_FOR_BACKUP: typing.Final = 2
 
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
 
 class EntryBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -20,7 +21,9 @@
     time from SIGTERM to the end of the process. Within ``repeat_window_s``, all entries
     together may retry ``repeat_ratio`` of the requests plus ``repeat_allowance``.
     ``evacuation_s`` limits how long requests still go to an evacuated place; without
-    it, entries ignore evacuations.
+    it, entries ignore evacuations. In any second, all entries together send a target
+    that may be cold at most ``cold_overage`` times the rate that its service states,
+    plus ``cold_slack``; None for no bound.
     """
 
     revoke_s: Seconds = 5.0
@@ -29,6 +32,8 @@
     repeat_allowance: float = 90.0
     repeat_window_s: Seconds = 10.0
     evacuation_s: Seconds | None = None
+    cold_overage: NotNegative | None = None
+    cold_slack: NotNegative | None = None
 
 
 class SidecarBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
