Add ramp-up of targets that have just started or recovered, off by default

Cause: a target that has just started or recovered is either overloaded or idle; operators ask that the rate follow from how it responds. Change: admission/targetpace decides on a window of concurrent requests over all entries, admission/targetpaces keeps one per target or lock-step group, divides it by the entries' positions and exchanges it in heartbeats; on with the setting ramp_up.

--- a/sardinesaddle/direct/admission/admissionpart.py
+++ b/sardinesaddle/direct/admission/admissionpart.py
@@ -120,6 +120,21 @@
     ) -> None:
         """Count a request that is about to be sent."""
 
+    def on_first_event(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+        first_event_s: float,
+    ) -> None:
+        """Handle the first event of a stream, or a response that is not one.
+
+        Unlike ``on_outcome`` it comes before a stream ends, and not for refusals.
+        """
+
+    def on_rest(self, now: float, incarnation: str, rest_s: float) -> None:
+        """Handle that a target asked this entry to send nothing for a time."""
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -14,12 +14,15 @@
     replica,
     targetstate,
 )
-from sardinesaddle.direct.admission import admissionpart, sendconstraint
+from sardinesaddle.direct.admission import admissionpart, sendconstraint, targetpaces
 
 
 def build_parts(cfg: nodesettings.EntrySettings) -> list[admissionpart.AdmissionPart]:
     """Return the parts that the settings ask for, in the order in which to ask them."""
-    return []
+    parts: list[admissionpart.AdmissionPart] = []
+    if cfg.ramp_up:
+        parts.append(targetpaces.TargetPaces(cfg.host))
+    return parts
 
 
 class EntryAdmission:
@@ -78,6 +81,22 @@
         for part in self._parts:
             part.on_send(now, target, request)
 
+    def on_first_event(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+        first_event_s: float,
+    ) -> None:
+        """Handle the first event of a stream, or a response that is not one."""
+        for part in self._parts:
+            part.on_first_event(now, target, request, first_event_s)
+
+    def on_rest(self, now: float, incarnation: str, rest_s: float) -> None:
+        """Handle that a target asked this entry to send nothing for a time."""
+        for part in self._parts:
+            part.on_rest(now, incarnation, rest_s)
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -437,6 +437,14 @@
     ) -> None:
         """Give up the target's slot and dispatch the next request to it."""
         now = asyncio.get_running_loop().time()
+        if (
+            not state.route.is_stream
+            and outcome.first_event_s is not None
+            and outcome.result is admissionpart.SendResult.COMPLETED
+        ):
+            self._targets.admission.on_first_event(
+                now, target, state.traits, outcome.first_event_s
+            )
         self._targets.on_end(target, now, state.crash_count, state.traits, outcome)
         self.scheduler.dispatch(target.registration.service)
 
@@ -481,9 +489,17 @@
         if metadata.is_leaving:
             self._on_target_leaving(incarnation, "response")
 
-    def record_first_event(self, state: requeststate.RequestState) -> None:
+    def record_first_event(
+        self,
+        state: requeststate.RequestState,
+        target: targetstate.Target,
+        first_event_s: float,
+    ) -> None:
         """Record when the caller gets the first event of a stream."""
         state.first_event_at = asyncio.get_running_loop().time()
+        self._targets.admission.on_first_event(
+            state.first_event_at, target, state.traits, first_event_s
+        )
         self._metrics.observe_first_event(
             state.service, state.first_event_at - state.req.arrived_at
         )
@@ -523,6 +539,7 @@
             return
         now = asyncio.get_running_loop().time()
         self._targets.rests.on_refusal(now, incarnation, metadata.rest_s)
+        self._targets.admission.on_rest(now, incarnation, metadata.rest_s)
         self._metrics.count_rest(state.service)
         loguru.logger.info(
             "event=target_rests target={} rest_s={:.2f} id={} not_run={}",
@@ -666,8 +683,11 @@
 
     def on_first_event(self) -> None:
         """Record when the caller gets its first event."""
-        self._timing.first_event_at = asyncio.get_running_loop().time()
-        self._forwarder.record_first_event(self._state)
+        now = asyncio.get_running_loop().time()
+        self._timing.first_event_at = now
+        self._forwarder.record_first_event(
+            self._state, self._target, now - self._timing.began_at
+        )
 
     async def has_target_ended(self) -> bool:
         """Find out whether the target's process has ended."""
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -98,6 +98,21 @@
     statements: list[LimitStatement] = []
 
 
+class PaceRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The ramp-up of a target or group, by a hash of its incarnation or epoch.
+
+    ``begun`` and ``shrink_count`` count its beginnings and the decreases in the last
+    one; the record with the higher ones counts, else the larger ``window``, with 0 for
+    a ramp-up that is over. ``age_ms`` is the time since the last of them.
+    """
+
+    key: int
+    begun: int
+    shrink_count: int
+    window: int
+    age_ms: int
+
+
 class AdmissionUpdate(msgspec.Struct, array_like=True):
     """What an entry tells another one for its decisions on sends.
 
@@ -105,6 +120,8 @@
     tell or is off.
     """
 
+    paces: list[PaceRecord] | None = None
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Sent by an entry to another entry, with the entries that the sender has found.
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -73,6 +73,13 @@
             "target_rest_seconds", "Seconds for which a target still wants nothing."
         )
         self._resting_targets: set[str] = set()
+        self._pace_windows = self.make_gauge(
+            "target_ramp_window", "Requests at once of a target that ramps up, or 0."
+        )
+        self._pace_parts = self.make_gauge(
+            "target_ramp_part", "Requests at once of it that this entry may send."
+        )
+        self._paced_targets: set[str] = set()
 
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
@@ -114,6 +121,14 @@
             self._rest_seconds.set({"target": incarnation}, seconds)
         self._resting_targets = set(rests)
 
+    def set_paces(self, windows: dict[str, float], parts: dict[str, int]) -> None:
+        """Set the windows of targets that ramp up, and this entry's parts."""
+        for incarnation in self._paced_targets | windows.keys():
+            labels = {"target": incarnation}
+            self._pace_windows.set(labels, windows.get(incarnation, 0.0))
+            self._pace_parts.set(labels, parts.get(incarnation, 0))
+        self._paced_targets = set(windows)
+
     def set_target_limits(
         self, limits: dict[str, float], parts: dict[str, float]
     ) -> None:
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -63,12 +63,14 @@
 ):
     """Settings of an entry; it serves callers at ``front``, readiness at ``ready``.
 
-    ``is_first_start`` is set if no process of the system ran before.
+    ``is_first_start`` is set if no process of the system ran before. ``ramp_up`` lets
+    targets that have just started or recovered get requests gradually.
     """
 
     front: Address
     ready: Address
     is_first_start: bool = False
+    ramp_up: bool = False
     bounds: EntryBounds = EntryBounds()
 
 
