--- a/test/rampingtargets.py
+++ b/test/rampingtargets.py
@@ -118,6 +118,7 @@
     others: list[targetstate.Target]
     subset: list[Server]
     is_owner: bool = False
+    is_informed: bool = False  # of the new target's registration
     is_suspended: bool = False
     is_cut_off: bool = False
     peers: list[str] = dataclasses.field(default_factory=list)
@@ -174,6 +175,7 @@
         self._rate = utilization * per_entry * WORKERS / SERVICE_S
         if target_count < entry_count:
             self._rate *= target_count / entry_count
+        self._sending: list[Entry] = []
         self.max_sum = 0
         self.excess = 0.0
         self._others = [
@@ -242,6 +244,7 @@
         first = self.entries.index(self.owner)
         for offset in range(min(sending, len(self.entries))):
             entry = self.entries[(first + offset) % len(self.entries)]
+            self._sending.append(entry)
             self.call_in(0.0, functools.partial(self._arrive, entry))
         self.call_in(0.0, self._report)
         while self._events and self._events[0][0] < BEGIN_S + seconds:
@@ -249,6 +252,7 @@
             action()
 
     def _register(self, entry: Entry) -> None:
+        entry.is_informed = True
         entry.paces.on_registered(self.now, entry.new)
 
     def _beat(self, entry: Entry) -> None:
@@ -304,9 +308,19 @@
         if entry.is_suspended:
             return
         loads = [(s.load / WORKERS, self.rng.random(), s) for s in entry.subset]
+        outside = [
+            server
+            for other in self.rng.sample(self._sending, min(3, len(self._sending)))
+            for server in other.subset[:1]
+            if other is not entry
+        ]
+        loads += [
+            (s.load / WORKERS + OUTSIDE_PENALTY, self.rng.random(), s) for s in outside
+        ]
         new = self.server
         if (
             self.has_new
+            and entry.is_informed
             and new.down_until <= self.now
             and self.policy.may_send(self.now, entry)
         ):
