--- a/test/test_direct_targetpaces.py
+++ b/test/test_direct_targetpaces.py
@@ -191,6 +191,20 @@
     assert len(update.paces or ()) == 1
 
 
+def test_every_entry_may_send_if_all_targets_have_just_started() -> None:
+    # Guards against entries without a part that must refuse what a service sustains.
+    hosts = [f"10.0.0.{number}" for number in range(13)]
+    targets = [rampingtargets.make_target(i, f"t{i}") for i in range(6)]
+    for host in hosts:
+        paces = targetpaces.TargetPaces(host, read_wall_s=lambda: 1e9)
+        view = admissionpart.EntryView(host, hosts, hosts, 0.0)
+        paces.refresh(0.0, view, [])
+        for target in targets:
+            paces.on_registered(20.0, target)
+        paces.refresh(20.1, view, targets)
+        assert any(paces.may_send(20.2, target) for target in targets)
+
+
 def test_refusal_and_failure_shrink_once_for_what_was_sent_before() -> None:
     pace = targetpace.TargetPace(1, 16.0, 0.0, 64)
     assert pace.shrink(1.0, 0.5, is_failure=False)
