--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -22,6 +22,7 @@
     evacuations,
     homes,
     sendconstraint,
+    targetpaces,
 )
 
 
@@ -50,6 +51,17 @@
         parts.append(
             coldlimits.ColdLimits(cfg.host, now, bounds.cold_overage, bounds.cold_slack)
         )
+    if cfg.ramp_up:
+        parts.append(
+            targetpaces.TargetPaces(
+                cfg.host,
+                lambda target: all(
+                    part.is_available(target)
+                    for part in parts
+                    if isinstance(part, evacuations.EvacuationPart)
+                ),
+            )
+        )
     return parts
 
 
@@ -116,6 +128,22 @@
         for part in self._parts:
             part.on_response(now, incarnation, metadata)
 
+    def on_first_event(
+        self,
+        now: float,
+        target: targetstate.Target,
+        request: sendconstraint.RequestTraits,
+        first_event_s: float,
+    ) -> None:
+        """Handle the first event of a stream, or a response that is not one."""
+        for part in self._parts:
+            part.on_first_event(now, target, request, first_event_s)
+
+    def on_rest(self, now: float, incarnation: str, rest_s: float) -> None:
+        """Handle that a target asked this entry to send nothing for a time."""
+        for part in self._parts:
+            part.on_rest(now, incarnation, rest_s)
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -120,6 +120,21 @@
     claims: list[tuple[int, int]]
 
 
+class PaceRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The ramp-up of a target or group, by a hash of its incarnation or epoch.
+
+    ``begun`` and ``shrink_count`` count its beginnings and the decreases in the last
+    one; the record with the higher ones counts, else the larger ``window``, with 0 for
+    a ramp-up that is over. ``age_ms`` is the time since the last of them.
+    """
+
+    key: int
+    begun: int
+    shrink_count: int
+    window: int
+    age_ms: int
+
+
 class AdmissionUpdate(msgspec.Struct, array_like=True):
     """What an entry tells another one for its decisions on sends.
 
@@ -129,6 +144,7 @@
 
     evacuations: list[Evacuation] | None = None
     cold: ClaimUpdate | None = None
+    paces: list[PaceRecord] | None = None
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -75,13 +75,15 @@
     """Settings of an entry; it serves callers at ``front``, readiness at ``ready``.
 
     ``is_first_start`` is set if no process of the system ran before. ``places`` maps
-    each place to its region.
+    each place to its region. ``ramp_up`` lets targets that have just started or
+    recovered get requests gradually.
     """
 
     front: Address
     ready: Address
     is_first_start: bool = False
     places: dict[str, str] = {}
+    ramp_up: bool = False
     bounds: EntryBounds = EntryBounds()
 
 
