Share scarce capacity of lock-step groups by urgency and account

The order of a queue is a policy; services without routes of different priorities keep the order by deadline. Demand is not exchanged among entries yet.

No checks yet.

--- a/sardinesaddle/direct/admission/admissionpart.py
+++ b/sardinesaddle/direct/admission/admissionpart.py
@@ -16,6 +16,7 @@
     messages,
     nodemetrics,
     replica,
+    requestqueue,
     targetstate,
 )
 from sardinesaddle.direct.admission import sendconstraint
@@ -49,6 +50,22 @@
     first_event_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestIds:
+    """The identifiers of a request's content and of the caller's attempt."""
+
+    content_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareRefusal:
+    """Why a part refuses a request, and when its caller may return."""
+
+    reason: str
+    return_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Where an update comes from: the entry, its process, and the entries it lists."""
@@ -112,6 +129,27 @@
     ) -> None:
         """Handle that a caller's request arrived."""
 
+    def find_policy(self, service: str) -> requestqueue.QueuePolicy | None:
+        """Return the part's policy for the queue of a service, None for none."""
+        return None
+
+    def is_return(self, now: float, service: str, content_id: str) -> bool:
+        """Return whether this part refused a content that comes back as told."""
+        return False
+
+    def refuse(
+        self,
+        now: float,
+        service: str,
+        request: sendconstraint.RequestTraits,
+        ids: RequestIds,
+    ) -> ShareRefusal | None:
+        """Decide on the refusal of a request that got no target, None if not this part.
+
+        The part counts and logs the refusal.
+        """
+        return None
+
     def on_send(
         self,
         now: float,
--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import random
 
 from sardinesaddle.direct import (
     catalog,
@@ -12,14 +13,19 @@
     nodemetrics,
     nodesettings,
     replica,
+    requestqueue,
     targetstate,
 )
-from sardinesaddle.direct.admission import admissionpart, sendconstraint
+from sardinesaddle.direct.admission import (
+    admissionpart,
+    scarcecapacity,
+    sendconstraint,
+)
 
 
 def build_parts(cfg: nodesettings.EntrySettings) -> list[admissionpart.AdmissionPart]:
     """Return the parts that the settings ask for, in the order in which to ask them."""
-    return []
+    return [scarcecapacity.ScarceCapacity(random.Random())]
 
 
 class EntryAdmission:
@@ -68,6 +74,28 @@
         for part in self._parts:
             part.on_request(now, service, request)
 
+    def find_policy(self, service: str) -> requestqueue.QueuePolicy | None:
+        """Return the policy of the first part that has one for a service's queue."""
+        policies = (part.find_policy(service) for part in self._parts)
+        return next((policy for policy in policies if policy is not None), None)
+
+    def is_return(self, now: float, service: str, content_id: str) -> bool:
+        """Return whether a part refused a content that comes back as told."""
+        return any(part.is_return(now, service, content_id) for part in self._parts)
+
+    def refuse(
+        self,
+        now: float,
+        service: str,
+        request: sendconstraint.RequestTraits,
+        ids: admissionpart.RequestIds,
+    ) -> admissionpart.ShareRefusal | None:
+        """Return the refusal of the first part that decides on it."""
+        for part in self._parts:
+            if refusal := part.refuse(now, service, request, ids):
+                return refusal
+        return None
+
     def on_send(
         self,
         now: float,
--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -51,7 +51,9 @@
     the highest. ``homes`` are the regions in which the request may run, None for any.
     ``output_tokens`` is the expected number, 0 if it is not known. Times are in
     seconds: ``latency_objective_s`` to the first event or the response, and
-    ``max_event_gap_s`` between two events of a stream.
+    ``max_event_gap_s`` between two events of a stream. ``is_resumed`` is set for a
+    stream whose caller has received events, ``is_return`` for a request that was
+    refused before and whose caller was told when to return.
     """
 
     account: str = ""
@@ -62,6 +64,8 @@
     output_tokens: int = 0
     latency_objective_s: float = 0.0
     max_event_gap_s: float = 0.0
+    is_resumed: bool = False
+    is_return: bool = False
 
 
 ANY_REQUEST: typing.Final = RequestTraits()
--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -56,7 +56,8 @@
 
     A decoding step takes ``step_s`` plus ``per_request_s`` for each request that is
     generating tokens; a pass runs ``steps_per_pass`` steps. Prompts are processed at
-    ``prefill_tokens_per_s``, at most ``prefill_chunk_tokens`` in a step. An expert map
+    ``prefill_tokens_per_s``, at most ``prefill_chunk_tokens`` in a step, plus
+    ``prefill_s_per_pair`` for each pair of a token and an earlier one. An expert map
     covers ``layer_sets`` sets of ``experts_per_set`` experts. A rank holds at most
     ``max_experts_per_rank`` experts of a set and copies at most ``max_added_per_rank``
     new ones for a switch.
@@ -77,6 +78,7 @@
     max_added_per_rank: int
     expert_share: float
     copy_s_per_expert: float
+    prefill_s_per_pair: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -166,6 +166,10 @@
             req.path, "" if account is None else account.name, req.body
         )
         fingerprint = crashledger.Fingerprint(content_id, req.metadata.prompt_parts)
+        traits = make_traits(req, route, account)
+        now = asyncio.get_running_loop().time()
+        if self._targets.admission.is_return(now, service, content_id):
+            traits = dataclasses.replace(traits, is_return=True)
         return requeststate.RequestState(
             req,
             route,
@@ -173,7 +177,7 @@
             account,
             fingerprint,
             req.arrived_at + limit_s,
-            make_traits(req, route, account),
+            traits,
         )
 
     def _get_retry_budget(self, service: str) -> retrybudget.RetryBudget:
@@ -267,6 +271,12 @@
             return forbidden.reason, requeststate.RETRY_AFTER_NO_CAPACITY_S * (
                 1.0 + self._rng.random()
             )
+        ids = admissionpart.RequestIds(
+            state.fingerprint.content_id, state.req.metadata.attempt_id
+        )
+        refused = self._targets.admission.refuse(now, state.service, state.traits, ids)
+        if refused is not None:
+            return refused.reason, refused.return_s
         wait_s = self._targets.compute_wait_s(now, state.service, (), 0, state.traits)
         if wait_s is None:
             # Random times keep callers from retrying simultaneously.
@@ -307,6 +317,7 @@
             # The caller has received part of a stream and does not wait long for more.
             waiting_since = asyncio.get_running_loop().time()
             due_at = expires_at = waiting_since + MAX_RESUME_WAIT_S
+            state.traits = dataclasses.replace(state.traits, is_resumed=True)
         queued_request = requestqueue.QueuedRequest(
             compute_priority(state.route, state.account),
             waiting_since,
--- a/sardinesaddle/direct/requestqueue.py
+++ b/sardinesaddle/direct/requestqueue.py
@@ -17,6 +17,7 @@
 ``sardinesaddle bench rankchoice`` simulates this load.
 """
 
+import abc
 import collections
 import dataclasses
 import math
@@ -72,6 +73,36 @@
         return True, priority_offset_s - self.arrived_at
 
 
+class QueuePolicy(abc.ABC):
+    """Chooses who goes first in the queue of a service, and who waits."""
+
+    # Whether a request that gets no target lets those behind it try.
+    lets_others_pass: typing.ClassVar[bool] = False
+
+    @abc.abstractmethod
+    def sort(self, now: float, requests: list[QueuedRequest]) -> list[QueuedRequest]:
+        """Return the waiting requests, the next one to dispatch first."""
+
+    @abc.abstractmethod
+    def compute_wait_deadline(self, now: float, request: QueuedRequest) -> float:
+        """Return until when a request waits; it is refused if that has passed."""
+
+
+class DeadlinePolicy(QueuePolicy):
+    """The order by deadline, with an offset for priority, as described above."""
+
+    def sort(self, now: float, requests: list[QueuedRequest]) -> list[QueuedRequest]:
+        """Return the waiting requests; those that can meet their deadline first."""
+        return sorted(requests, key=lambda queued: queued.make_sort_key(now))
+
+    def compute_wait_deadline(self, now: float, request: QueuedRequest) -> float:
+        """Return the wait deadline that the caller's patience sets."""
+        return request.wait_deadline
+
+
+DEADLINE_POLICY: typing.Final = DeadlinePolicy()
+
+
 class RequestQueue:
     """The waiting requests of one service, with the recent dequeue rate."""
 
@@ -80,9 +111,11 @@
         "_late_dequeue_times",
         "_recent_dequeues",
         "_requests",
+        "policy",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, policy: QueuePolicy = DEADLINE_POLICY) -> None:
+        self.policy = policy
         self._requests: list[QueuedRequest] = []
         # When requests were dequeued: all of them, and the late ones.
         self._dequeue_times: collections.deque[float] = collections.deque()
@@ -105,7 +138,7 @@
 
     def list_in_dispatch_order(self, now: float) -> list[QueuedRequest]:
         """Return all waiting requests, the next one to dispatch first."""
-        return sorted(self._requests, key=lambda queued: queued.make_sort_key(now))
+        return self.policy.sort(now, self._requests)
 
     def list_in_fair_order(self, now: float) -> list[QueuedRequest]:
         """Return all waiting requests; what got fewest targets lately goes first."""
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -52,10 +52,13 @@
         """
         loop = asyncio.get_running_loop()
         queue = self._queues.setdefault(service, requestqueue.RequestQueue())
+        policy = self._targets.admission.find_policy(service)
+        queue.policy = policy or requestqueue.DEADLINE_POLICY
         if not len(queue):
             target = self._try_assign(service, request)
             if target is not None or not self._may_wait(service, request):
                 return target
+        request.wait_deadline = queue.policy.compute_wait_deadline(loop.time(), request)
         queue.enqueue(request)
         assignment: asyncio.Future[targetstate.Target | None] = loop.create_future()
         self._assignments[request] = assignment
@@ -138,7 +141,11 @@
             if target is None and self._targets.may_have_capacity_soon(
                 now, service, request.crash_count, request.group, request.traits
             ):
-                if request.excluded_targets or request.crash_count:
+                if (
+                    request.excluded_targets
+                    or request.crash_count
+                    or queue.policy.lets_others_pass
+                ):
                     continue
                 break
             self._resolve(queue, request, target)
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -64,6 +64,7 @@
     per_seq_ms: float = 0.5
     context_per_k: float = 0.0
     read_per_s: float = 1e5
+    pairs_per_m: float = 0.0
     chunk: int = 512
     stride: int = 1
     link_mbps: float = 1e5
@@ -223,6 +224,7 @@
             copy_s_per_expert=wire_engine.expert_mb
             * 8.0
             / max(wire_engine.link_mbps, 1e-9),
+            prefill_s_per_pair=wire_engine.pairs_per_m * SECONDS_PER_MS * 1e-6,
         )
     return catalog.Service(wire.name, wire.max_conns, engine)
 
