Take the prompts of a busy pass and surges of other entries into account

Cause: passes with many prompts at once exceeded the permitted pause, and while half of the slots were free all entries sent at once.

Change: the prediction is for two standard deviations above the mean number of prompts; below half of the slots nothing is reserved, but the headroom still counts.

--- a/sardinesaddle/direct/admission/groupload.py
+++ b/sardinesaddle/direct/admission/groupload.py
@@ -13,15 +13,15 @@
 
 # Part of the permitted pause that the network takes, not the pass.
 TRANSIT_S: typing.Final = 0.005
-# From an end or a send at another entry to the report that shows it: half a report
-# period of 0.3 s, and the sidecar's reading of the engine.
-REPORT_LAG_S: typing.Final = 0.2
+# From a send at another entry to the report that shows it: most of a report period of
+# 0.3 s, as the sends of a burst are the newest.
+REPORT_LAG_S: typing.Final = 0.25
 # Requests that may arrive at the other entries in that time, in excess of those that
 # end: offered work is up to 2.5 times what the groups sustain.
 SURGE_FACTOR: typing.Final = 1.5
 # Of the capacity that comes free, divided equally among entries, whatever they carry.
 EQUAL_SHARE: typing.Final = 0.25
-DURATION_WEIGHT: typing.Final = 0.05  # of a request in the moving average
+DURATION_WEIGHT: typing.Final = 0.02  # of a request in the moving average
 SHARE_WEIGHT: typing.Final = 0.2  # of a new value in the moving average, 4 a second
 
 
@@ -199,6 +199,18 @@
             )
         return group.net_sent
 
+    def compute_surge(self, group: Group) -> float:
+        """Return what other entries may have sent to a group since the reports."""
+        capacity = max(group.count_reported() + self.predict(group).requests, 0.0)
+        rate = capacity / self.duration_s
+        return SURGE_FACTOR * REPORT_LAG_S * rate * (1.0 - self.share)
+
+    def sustains_half(self, group: Group) -> bool:
+        """Return whether a group sustains half of its slots, with room for a surge."""
+        capacity = group.count_reported() + self.predict(group).requests
+        slots = sum(t.registration.slots for t in group.ranks.values())
+        return capacity - self.compute_surge(group) > slots / 2.0
+
     def count_missing(self, group: Group, reserved: float) -> float:
         """Return how many requests must end before this entry may send one more.
 
@@ -213,7 +225,6 @@
         if reserved > 0.0 and headroom - net_sent < 1.0:
             # Shares do not divide what is reserved: it is kept from every entry.
             return 1.0 + net_sent - headroom
-        full_rate = max(group.count_reported() + reported, 0.0) / self.duration_s
-        surge = SURGE_FACTOR * REPORT_LAG_S * full_rate * (1.0 - self.share)
+        surge = self.compute_surge(group)
         shared = self.share * headroom + group.rounding
         return net_sent + 1.0 - max(shared, headroom - surge)
--- a/sardinesaddle/direct/admission/passmodel.py
+++ b/sardinesaddle/direct/admission/passmodel.py
@@ -18,6 +18,10 @@
 # Headroom of a model that predicts that requests cost no time.
 UNLIMITED_REQUESTS: typing.Final = 1e9
 
+# Standard deviations of the number of prompts in a pass. One long pass makes all
+# streams of a group late, so the prediction is for the busier passes.
+PROMPT_SIGMAS: typing.Final = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankLoad:
@@ -70,7 +74,8 @@
     def _compute_prompts_s(self, loads: typing.Sequence[RankLoad]) -> float:
         """Return the time for prompts in a step, on all ranks together.
 
-        That is for those that wait, or for as many as come while requests come and go.
+        That is for those that wait, or for as many as may come in a pass by chance
+        while requests come as others end.
         """
         engine = self._engine
         steps = max(engine.steps_per_pass, 1)
@@ -82,10 +87,10 @@
             for load in loads
         )
         prompts = tokens / max(self._prompt_tokens, 1.0)
-        steady = sum(load.running + load.waiting for load in loads) / max(
-            engine.mean_output_tokens, 1.0
-        )
-        return max(prompts, steady) * self.compute_prefill_s(self._prompt_tokens)
+        requests = sum(load.running + load.waiting for load in loads)
+        per_pass = max(requests, 0.0) * steps / max(engine.mean_output_tokens, 1.0)
+        usual = (per_pass + PROMPT_SIGMAS * math.sqrt(per_pass)) / steps
+        return max(prompts, usual) * self.compute_prefill_s(self._prompt_tokens)
 
     def compute_pass_s(
         self, loads: typing.Sequence[RankLoad], skew: float, more: float = 0.0
--- a/sardinesaddle/direct/admission/scarcecapacity.py
+++ b/sardinesaddle/direct/admission/scarcecapacity.py
@@ -202,11 +202,17 @@
         if (
             group is None
             or request.is_resumed
-            or self.loads.is_half_free
             or not self.loads.is_open(now, group)
         ):
             return sendconstraint.ALLOWED
-        if self.loads.count_missing(group, self.compute_reserved(request)) > 0.0:
+        reserved = self.compute_reserved(request)
+        if self.loads.is_half_free:
+            # No request is refused while half of the slots are free, so nothing is
+            # reserved, and groups that sustain less than half of them get more.
+            reserved = 0.0
+            if not self.loads.sustains_half(group):
+                return sendconstraint.ALLOWED
+        if self.loads.count_missing(group, reserved) > 0.0:
             return GROUP_FULL
         report = target.report
         if report is not None and report.waiting and request.latency_objective_s > 0.0:
