Exchange demand by priority and admit by chance at the cutoff

Cause: with many entries, fixed shares of a small headroom are mostly not used, and an urgent request found no share while less urgent ones replaced streams that ended.

Change: entries tell each other their demand by priority (AdmissionUpdate.demand). Each computes the chance with which requests of a priority are sent.

Conclusion: urgent requests are seldom refused; the start of a burst overshoots.

--- a/sardinesaddle/direct/admission/groupload.py
+++ b/sardinesaddle/direct/admission/groupload.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from sardinesaddle.direct import messages, targetstate
@@ -19,6 +20,8 @@
 # Requests that may arrive at the other entries in that time, in excess of those that
 # end: offered work is up to 2.5 times what the groups sustain.
 SURGE_FACTOR: typing.Final = 1.5
+CHANCE_SIGMAS: typing.Final = 1.0  # standard deviations of arrivals, kept free
+SPARE_GAIN: typing.Final = 0.5  # of the spare capacity, used within that time
 # Of the capacity that comes free, divided equally among entries, whatever they carry.
 EQUAL_SHARE: typing.Final = 0.25
 DURATION_WEIGHT: typing.Final = 0.02  # of a request in the moving average
@@ -39,8 +42,6 @@
     skew: float = 1.0
     headroom: passmodel.Headroom | None = None
     net_sent: float | None = None
-    # Draws the fraction of a request that a share leaves; new with each refresh.
-    rounding: float = 0.5
 
     def invalidate(self) -> None:
         """Compute the prediction anew when it is next needed."""
@@ -144,9 +145,12 @@
         self,
         now: float,
         targets: typing.Collection[targetstate.Target],
-        random_fraction: typing.Callable[[], float],
+        demand_share: float,
     ) -> None:
-        """Drop ranks that are gone, and compute loads and this entry's share."""
+        """Drop ranks that are gone, and compute loads and this entry's share.
+
+        ``demand_share`` is this entry's share of the demand at all entries.
+        """
         registered = {target.target_id for target in targets}
         own = in_flight = slots = 0.0
         for group in list(self.groups.values()):
@@ -156,7 +160,6 @@
                 if target_id in registered and target.group == group.name
             }
             group.invalidate()
-            group.rounding = random_fraction()
             if not group.ranks:
                 del self.groups[group.name]
                 continue
@@ -169,7 +172,8 @@
         self.in_flight = in_flight
         self.half_slots = slots / 2.0
         carried = own / in_flight if in_flight else 1.0 / self.entry_count
-        share = EQUAL_SHARE / self.entry_count + (1.0 - EQUAL_SHARE) * carried
+        by_load = (min(carried, 1.0) + demand_share) / 2.0
+        share = EQUAL_SHARE / self.entry_count + (1.0 - EQUAL_SHARE) * by_load
         self.share += SHARE_WEIGHT * (min(share, 1.0) - self.share)
 
     def is_open(self, now: float, group: Group) -> bool:
@@ -199,32 +203,48 @@
             )
         return group.net_sent
 
-    def compute_surge(self, group: Group) -> float:
-        """Return what other entries may have sent to a group since the reports."""
-        capacity = max(group.count_reported() + self.predict(group).requests, 0.0)
-        rate = capacity / self.duration_s
-        return SURGE_FACTOR * REPORT_LAG_S * rate * (1.0 - self.share)
-
     def sustains_half(self, group: Group) -> bool:
         """Return whether a group sustains half of its slots, with room for a surge."""
         capacity = group.count_reported() + self.predict(group).requests
+        surge = SURGE_FACTOR * REPORT_LAG_S * self.compute_full_rate(group)
         slots = sum(t.registration.slots for t in group.ranks.values())
-        return capacity - self.compute_surge(group) > slots / 2.0
+        return capacity - surge > slots / 2.0
 
-    def count_missing(self, group: Group, reserved: float) -> float:
-        """Return how many requests must end before this entry may send one more.
+    def compute_full_rate(self, group: Group) -> float:
+        """Return the requests a second that end at a group with full passes."""
+        capacity = max(group.count_reported() + self.predict(group).requests, 0.0)
+        return capacity / self.duration_s
+
+    def count_spare(self, group: Group, reserved: float) -> float:
+        """Return how many requests more a group takes, as far as this entry knows.
 
-        0 or less if it may send one now. ``reserved`` is how many requests the service
-        keeps free for others. While what other entries may have sent since the reports
-        fits, this entry is not limited to its share.
+        ``reserved`` is how many requests the service keeps free for others.
+        """
+        headroom = self.predict(group).requests - reserved / max(len(self.groups), 1)
+        return headroom - self.count_net_sent(group)
+
+    def compute_admission(
+        self, group: Group, reserved: float, urgent_rate: float, rate: float
+    ) -> float:
+        """Return the probability with which to send a request to a group.
+
+        ``urgent_rate`` is that of more urgent requests at all entries, and ``rate``
+        that of requests of the same priority. Until the next report the other entries
+        send the former and that share of the latter, and some of their requests end.
+        The probability is such that, with these, half of the spare capacity is used;
+        more would overshoot, since reports lag by as long. The entries' sum is right
+        whichever entry the requests arrive at.
         """
-        count = max(len(self.groups), 1)
-        reported = self.predict(group).requests
-        headroom = reported - reserved / count
-        net_sent = self.count_net_sent(group)
-        if reserved > 0.0 and headroom - net_sent < 1.0:
-            # Shares do not divide what is reserved: it is kept from every entry.
-            return 1.0 + net_sent - headroom
-        surge = self.compute_surge(group)
-        shared = self.share * headroom + group.rounding
-        return net_sent + 1.0 - max(shared, headroom - surge)
+        full_rate = self.compute_full_rate(group)
+        spare = self.count_spare(group, reserved)
+        if spare < 1.0:
+            return 0.0
+        # What arrives by chance until the next report, beyond the mean.
+        spare -= CHANCE_SIGMAS * math.sqrt(full_rate * REPORT_LAG_S)
+        others = REPORT_LAG_S * (1.0 - min(self.share, 1.0))
+        ends = full_rate - urgent_rate / max(len(self.groups), 1)
+        arrivals = rate / max(len(self.groups), 1)
+        if spare >= 1.0 and others * (arrivals - ends) <= spare - 1.0:
+            return 1.0
+        free = SPARE_GAIN * spare + others * ends
+        return min(max(free / max(others * arrivals, 1e-6), 0.0), 1.0)
--- a/sardinesaddle/direct/admission/scarcecapacity.py
+++ b/sardinesaddle/direct/admission/scarcecapacity.py
@@ -50,6 +50,12 @@
 # Around the time that a caller was told; it returns a round trip and some jitter later.
 EARLY_RETURN_S: typing.Final = 0.25
 LATE_RETURN_S: typing.Final = 1.0
+# A heartbeat or its reply tells an entry the demand of another one every second with
+# 13 entries, and every 15 s with 370.
+DEMAND_TTL_S: typing.Final = 3.0
+DEMAND_TTL_PER_ENTRY_S: typing.Final = 0.1
+MIN_TOLD_RATE: typing.Final = 0.05  # requests a second
+MAX_TOLD_TENTHS: typing.Final = 10**7
 MAX_PROMISES: typing.Final = 4096
 MIN_RETURN_RATE: typing.Final = 0.2  # requests a second
 MIN_RETURN_S: typing.Final = 0.3
@@ -86,7 +92,7 @@
     def __init__(self) -> None:
         self._arrived = 0
         self._weights = 0.0  # of the periods in the average, at most 1
-        # Requests a second, without those of callers that return.
+        # Requests a second.
         self.rate = 0.0
         # Sends that the kind may still make of what others reserve.
         self.floor_credit = 0.0
@@ -94,9 +100,9 @@
         # The discounted sends of an account that has its max-min share.
         self.fair_level = math.inf
 
-    def on_request(self, account: str, is_return: bool) -> None:
+    def on_request(self, account: str) -> None:
         """Count a request."""
-        self._arrived += not is_return
+        self._arrived += 1
         self.accounts.setdefault(account, Usage()).offered += 1.0
 
     def on_send(self, account: str) -> None:
@@ -142,6 +148,39 @@
     return math.inf
 
 
+class PeerDemand:
+    """The demand that other entries told, by priority.
+
+    An entry that has not told its demand is taken to have the mean of those that did.
+    """
+
+    __slots__ = ("_told", "missing")
+
+    def __init__(self) -> None:
+        self._told: dict[str, tuple[float, dict[int, float]]] = {}
+        self.missing = 0
+
+    def on_message(self, now: float, host: str, rates: dict[int, float]) -> None:
+        """Store the demand of another entry."""
+        self._told[host] = (now, rates)
+
+    def refresh(self, now: float, alive: typing.Collection[str]) -> None:
+        """Forget entries that are gone, and those that told nothing for long."""
+        ttl_s = DEMAND_TTL_S + DEMAND_TTL_PER_ENTRY_S * len(alive)
+        for host, (told_at, _) in list(self._told.items()):
+            if host not in alive or told_at + ttl_s < now:
+                del self._told[host]
+        self.missing = len(alive) - len(self._told)
+
+    def add_up(self, own: dict[int, float]) -> dict[int, float]:
+        """Return the demand at all entries."""
+        total = collections.Counter(own)
+        for _, rates in self._told.values():
+            total.update(rates)
+        factor = 1.0 + self.missing / (1.0 + len(self._told))
+        return {priority: rate * factor for priority, rate in total.items()}
+
+
 class ScarceService(requestqueue.QueuePolicy):
     """One service whose capacity is shared: its groups, demand and queue order."""
 
@@ -159,6 +198,10 @@
         # When callers were told to return, and the priority, by content.
         self.promises: dict[str, tuple[float, int]] = {}
         self._due: collections.Counter[int] = collections.Counter()
+        self.peers = PeerDemand()
+        self.total_rates: dict[int, float] = {}
+        # Decides whether a request is among those that are sent; drawn for each.
+        self.draw = 0.5
 
     def get_class(self, priority: int) -> PriorityClass:
         """Return the demand of a priority, created on first use."""
@@ -167,6 +210,19 @@
             found = self.classes[priority] = PriorityClass()
         return found
 
+    # Demand at all entries.
+
+    def list_rates(self) -> dict[int, float]:
+        """Return the requests a second at this entry by priority."""
+        return {p: c.rate for p, c in self.classes.items() if c.rate >= MIN_TOLD_RATE}
+
+    def compute_rates(
+        self, request: sendconstraint.RequestTraits
+    ) -> tuple[float, float]:
+        """Return the rates at all entries: more urgent ones, and of this priority."""
+        urgent = sum(r for p, r in self.total_rates.items() if p < request.priority)
+        return urgent, self.total_rates.get(request.priority, 0.0)
+
     # Capacity.
 
     def compute_reserved(
@@ -176,20 +232,14 @@
         own_class = self.get_class(request.priority)
         if with_floor and own_class.floor_credit >= 1.0:
             return 0.0
-        rate = sum(
-            urgent.rate
-            for priority, urgent in self.classes.items()
-            if priority < request.priority
-        )
+        rate = self.compute_rates(request)[0]
         due = 0
         if not request.is_return:
             due = sum(n for p, n in self._due.items() if p <= request.priority)
         excess = own_class.compute_excess(request.account)
         share = max(self.loads.share, 1e-3)
         most = RESERVE_S * self.loads.end_rate
-        return (
-            min(rate * RESERVE_S / share, most) + min(due / share, most) + excess * most
-        )
+        return min(rate * RESERVE_S, most) + min(due / share, most) + excess * most
 
     def check(
         self,
@@ -199,11 +249,7 @@
     ) -> sendconstraint.Verdict:
         """Return whether a target's group sustains one request more."""
         group = self.loads.groups.get(target.group)
-        if (
-            group is None
-            or request.is_resumed
-            or not self.loads.is_open(now, group)
-        ):
+        if group is None or request.is_resumed or not self.loads.is_open(now, group):
             return sendconstraint.ALLOWED
         reserved = self.compute_reserved(request)
         if self.loads.is_half_free:
@@ -212,7 +258,12 @@
             reserved = 0.0
             if not self.loads.sustains_half(group):
                 return sendconstraint.ALLOWED
-        if self.loads.count_missing(group, reserved) > 0.0:
+        urgent_rate, rate = self.compute_rates(request)
+        if self.get_class(request.priority).floor_credit >= 1.0:
+            urgent_rate = 0.0
+        chance = self.loads.compute_admission(group, reserved, urgent_rate, rate)
+        draw = self.draw / 2.0 if request.is_return else self.draw
+        if draw >= chance:
             return GROUP_FULL
         report = target.report
         if report is not None and report.waiting and request.latency_objective_s > 0.0:
@@ -237,11 +288,13 @@
         if self.loads.is_half_free:
             return 0.0
         reserved = self.compute_reserved(request)
-        missing = min(self.loads.count_missing(group, reserved) for group in groups)
-        if missing <= 0.0:
+        spare = max(self.loads.count_spare(group, reserved) for group in groups)
+        urgent_rate, rate = self.compute_rates(request)
+        if spare >= 1.0 and self.loads.end_rate >= urgent_rate + rate:
             return 0.0
-        rate = self.loads.end_rate * self.loads.share / len(groups)
-        return missing / rate if rate > 0.0 else math.inf
+        free_rate = (self.loads.end_rate - urgent_rate) * self.loads.share
+        missing = max(1.0 - spare, 1.0)
+        return missing / free_rate if free_rate > 0.0 else math.inf
 
     # The queue.
 
@@ -290,6 +343,7 @@
         """Compute rates, fair levels, due returns and the cutoff priority."""
         for own_class in self.classes.values():
             own_class.refresh()
+        self.total_rates = self.peers.add_up(self.list_rates())
         self._due.clear()
         for content_id, (due_at, priority) in list(self.promises.items()):
             if due_at + LATE_RETURN_S < now:
@@ -429,7 +483,8 @@
         scarce = self.services.get(service)
         if scarce is not None:
             own_class = scarce.get_class(request.priority)
-            own_class.on_request(request.account, request.is_return)
+            own_class.on_request(request.account)
+            scarce.draw = self._rng.random()
 
     def on_send(
         self,
@@ -505,9 +560,45 @@
         for scarce in self.services.values():
             scarce.loads.entry_count = len(entries.alive) + 1
             own = [t for t in targets if t.registration.service == scarce.name]
-            scarce.loads.refresh(now, own, self._rng.random)
+            scarce.peers.refresh(now, entries.alive)
+            total = sum(scarce.total_rates.values())
+            demand = sum(scarce.list_rates().values())
+            equal = 1.0 / scarce.loads.entry_count
+            demand_share = min(demand / total, 1.0) if total > 0.0 else equal
+            scarce.loads.refresh(now, own, demand_share)
             scarce.refresh(now)
 
+    def make_update(
+        self, now: float, host: str, is_reply: bool, update: messages.AdmissionUpdate
+    ) -> None:
+        """Tell another entry the demand at this one."""
+        demand = []
+        for name, scarce in self.services.items():
+            rates = [(p, round(r * 10.0)) for p, r in scarce.list_rates().items()]
+            demand.append(messages.ServiceDemand(name, rates))
+        update.demand = demand or None
+
+    def on_message(
+        self,
+        now: float,
+        peer: admissionpart.PeerMessage,
+        update: messages.AdmissionUpdate,
+    ) -> None:
+        """Store the demand at another entry; what is not plausible is left out."""
+        for told in update.demand or ():
+            scarce = self.services.get(told.service)
+            if scarce is None:
+                continue
+            rates = {p: t / 10.0 for p, t in told.rates if 0 <= t <= MAX_TOLD_TENTHS}
+            if len(rates) < len(told.rates):
+                loguru.logger.warning(
+                    "event=capacity_demand_invalid source={} service={} remedy={!r}",
+                    peer.host,
+                    told.service,
+                    "check that the entries run the same version",
+                )
+            scarce.peers.on_message(now, peer.host, rates)
+
 
 def find_scarce_services(
     current: catalog.Catalog,
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -98,13 +98,22 @@
     statements: list[LimitStatement] = []
 
 
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Demand for a service at an entry: priorities, and tenths of requests a second."""
+
+    service: str
+    rates: list[tuple[int, int]]
+
+
 class AdmissionUpdate(msgspec.Struct, array_like=True):
     """What an entry tells another one for its decisions on sends.
 
     Each field is that of one part of ``admission``, None if the part has nothing to
-    tell or is off.
+    tell or is off. ``demand`` is for ``scarcecapacity``.
     """
 
+    demand: list[ServiceDemand] | None = None
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Sent by an entry to another entry, with the entries that the sender has found.
--- a/test/scarcegroups.py
+++ b/test/scarcegroups.py
@@ -159,6 +159,7 @@
         self.host = f"10.{index % 3}.{index // 200}.{index % 200 + 1}"
         self.is_up = True
         self.is_cut = False
+        self.turn = index
         self.part = scarcecapacity.ScarceCapacity(random.Random(f"p{index}"))
         parts = [self.part] if world.is_scarce else []
         self.admission = entryadmission.EntryAdmission(parts)
@@ -296,6 +297,20 @@
                 others = [] if entry.is_cut else [h for h in hosts if h != entry.host]
                 view = admissionpart.EntryView(entry.host, others, others, 0.0)
                 entry.admission.refresh(now, view, entry.pool.list_targets())
+                self._exchange(now, entry, hosts)
+
+    def _exchange(self, now: float, entry: ModelEntry, hosts: list[str]) -> None:
+        """Exchange updates with three other entries in turn, as heartbeats do."""
+        others = [e for e in self.entries if e.is_up and e is not entry]
+        for _ in range(min(3, len(others))):
+            entry.turn = (entry.turn + 1) % len(others)
+            other = others[entry.turn]
+            if entry.is_cut or other.is_cut:
+                continue
+            for sender, receiver in ((entry, other), (other, entry)):
+                update = sender.admission.make_update(now, receiver.host)
+                peer = admissionpart.PeerMessage(sender.host, 1, hosts)
+                receiver.admission.on_message(now, peer, update)
 
     def start(self, coro: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
         """Run a coroutine beside the others."""
