Predict bursts from the growth of the load; compute chances once a group

Cause: entries learn of each other's demand after a second or more, so the start of a burst overshot; prompts vary in length; the chance was computed for each target.

Change: the growth of the reported load counts against the headroom, the prediction allows for the variation of prompts, and chances are cached until something changes.

--- a/sardinesaddle/direct/admission/groupload.py
+++ b/sardinesaddle/direct/admission/groupload.py
@@ -20,6 +20,8 @@
 # Requests that may arrive at the other entries in that time, in excess of those that
 # end: offered work is up to 2.5 times what the groups sustain.
 SURGE_FACTOR: typing.Final = 1.5
+REFRESH_S: typing.Final = 0.25  # the period of ``GroupLoads.refresh``
+GROWTH_WEIGHT: typing.Final = 0.7  # of a new value in the moving average
 CHANCE_SIGMAS: typing.Final = 1.0  # standard deviations of arrivals, kept free
 SPARE_GAIN: typing.Final = 0.5  # of the spare capacity, used within that time
 # Of the capacity that comes free, divided equally among entries, whatever they carry.
@@ -42,6 +44,9 @@
     skew: float = 1.0
     headroom: passmodel.Headroom | None = None
     net_sent: float | None = None
+    # Requests a second by which the reported load grew lately.
+    growth: float = 0.0
+    last_reported: int = 0
 
     def invalidate(self) -> None:
         """Compute the prediction anew when it is next needed."""
@@ -160,6 +165,10 @@
                 if target_id in registered and target.group == group.name
             }
             group.invalidate()
+            reported = group.count_reported()
+            growth = (reported - group.last_reported) / REFRESH_S
+            group.growth += GROWTH_WEIGHT * (growth - group.growth)
+            group.last_reported = reported
             if not group.ranks:
                 del self.groups[group.name]
                 continue
@@ -240,6 +249,8 @@
         if spare < 1.0:
             return 0.0
         # What arrives by chance until the next report, beyond the mean.
+        # A burst shows in the growth of the load before entries tell their demand.
+        spare -= max(group.growth, 0.0) * REPORT_LAG_S * (1.0 - min(self.share, 1.0))
         spare -= CHANCE_SIGMAS * math.sqrt(full_rate * REPORT_LAG_S)
         others = REPORT_LAG_S * (1.0 - min(self.share, 1.0))
         ends = full_rate - urgent_rate / max(len(self.groups), 1)
--- a/sardinesaddle/direct/admission/passmodel.py
+++ b/sardinesaddle/direct/admission/passmodel.py
@@ -18,7 +18,8 @@
 # Headroom of a model that predicts that requests cost no time.
 UNLIMITED_REQUESTS: typing.Final = 1e9
 
-# Standard deviations of the number of prompts in a pass. One long pass makes all
+# Standard deviations of the prompt tokens in a pass, if requests come at random and the
+# lengths of prompts vary as an exponential distribution does. One long pass makes all
 # streams of a group late, so the prediction is for the busier passes.
 PROMPT_SIGMAS: typing.Final = 2.0
 
@@ -71,7 +72,9 @@
         steps = max(self._engine.steps_per_pass, 1)
         return max(self._engine.mean_output_tokens, 1.0) / steps * pass_s
 
-    def _compute_prompts_s(self, loads: typing.Sequence[RankLoad]) -> float:
+    def _compute_prompts_s(
+        self, loads: typing.Sequence[RankLoad], more: float
+    ) -> float:
         """Return the time for prompts in a step, on all ranks together.
 
         That is for those that wait, or for as many as may come in a pass by chance
@@ -87,9 +90,9 @@
             for load in loads
         )
         prompts = tokens / max(self._prompt_tokens, 1.0)
-        requests = sum(load.running + load.waiting for load in loads)
+        requests = more + sum(load.running + load.waiting for load in loads)
         per_pass = max(requests, 0.0) * steps / max(engine.mean_output_tokens, 1.0)
-        usual = (per_pass + PROMPT_SIGMAS * math.sqrt(per_pass)) / steps
+        usual = (per_pass + PROMPT_SIGMAS * math.sqrt(2.0 * per_pass)) / steps
         return max(prompts, usual) * self.compute_prefill_s(self._prompt_tokens)
 
     def compute_pass_s(
@@ -100,14 +103,10 @@
             return 0.0
         engine = self._engine
         own_share = 1.0 - engine.expert_share
-        spread = more / len(loads)
-        loads = [
-            dataclasses.replace(load, running=load.running + spread) for load in loads
-        ]
-        prompts_s = self._compute_prompts_s(loads) / len(loads)
+        prompts_s = self._compute_prompts_s(loads, more) / len(loads)
+        added_s = prompts_s + more / len(loads) * self._request_s
         works = [
-            (load.running + load.waiting) * self._request_s + prompts_s
-            for load in loads
+            (load.running + load.waiting) * self._request_s + added_s for load in loads
         ]
         own_s = max(
             max(load.slowdown, 1.0) * (engine.step_s + own_share * work)
--- a/sardinesaddle/direct/admission/scarcecapacity.py
+++ b/sardinesaddle/direct/admission/scarcecapacity.py
@@ -200,6 +200,8 @@
         self._due: collections.Counter[int] = collections.Counter()
         self.peers = PeerDemand()
         self.total_rates: dict[int, float] = {}
+        # By group, priority, account and whether the caller returns.
+        self._chances: dict[tuple[str, int, str, bool], float] = {}
         # Decides whether a request is among those that are sent; drawn for each.
         self.draw = 0.5
 
@@ -251,19 +253,8 @@
         group = self.loads.groups.get(target.group)
         if group is None or request.is_resumed or not self.loads.is_open(now, group):
             return sendconstraint.ALLOWED
-        reserved = self.compute_reserved(request)
-        if self.loads.is_half_free:
-            # No request is refused while half of the slots are free, so nothing is
-            # reserved, and groups that sustain less than half of them get more.
-            reserved = 0.0
-            if not self.loads.sustains_half(group):
-                return sendconstraint.ALLOWED
-        urgent_rate, rate = self.compute_rates(request)
-        if self.get_class(request.priority).floor_credit >= 1.0:
-            urgent_rate = 0.0
-        chance = self.loads.compute_admission(group, reserved, urgent_rate, rate)
         draw = self.draw / 2.0 if request.is_return else self.draw
-        if draw >= chance:
+        if draw >= self._find_chance(group, request):
             return GROUP_FULL
         report = target.report
         if report is not None and report.waiting and request.latency_objective_s > 0.0:
@@ -275,6 +266,36 @@
                 return PROMPTS_WAIT
         return sendconstraint.ALLOWED
 
+    def _find_chance(
+        self, group: groupload.Group, request: sendconstraint.RequestTraits
+    ) -> float:
+        """Return the chance with which a group gets a request, computed once each."""
+        key = (group.name, request.priority, request.account, request.is_return)
+        chance = self._chances.get(key)
+        if chance is None:
+            chance = self._chances[key] = self._compute_chance(group, request)
+        return chance
+
+    def _compute_chance(
+        self, group: groupload.Group, request: sendconstraint.RequestTraits
+    ) -> float:
+        """Return the chance with which a group gets a request."""
+        reserved = self.compute_reserved(request)
+        if self.loads.is_half_free:
+            # No request is refused while half of the slots are free, so nothing is
+            # reserved, and groups that sustain less than half of them get more.
+            reserved = 0.0
+            if not self.loads.sustains_half(group):
+                return 1.0
+        urgent_rate, rate = self.compute_rates(request)
+        if self.get_class(request.priority).floor_credit >= 1.0:
+            urgent_rate = 0.0
+        return self.loads.compute_admission(group, reserved, urgent_rate, rate)
+
+    def invalidate(self) -> None:
+        """Compute chances anew, since loads or demand changed."""
+        self._chances.clear()
+
     def compute_capacity_wait_s(
         self, now: float, request: sendconstraint.RequestTraits
     ) -> float | None:
@@ -341,6 +362,7 @@
 
     def refresh(self, now: float) -> None:
         """Compute rates, fair levels, due returns and the cutoff priority."""
+        self.invalidate()
         for own_class in self.classes.values():
             own_class.refresh()
         self.total_rates = self.peers.add_up(self.list_rates())
@@ -475,6 +497,7 @@
         scarce = self.services.get(target.registration.service)
         if scarce is not None:
             scarce.loads.on_report(target, report)
+            scarce.invalidate()
 
     def on_request(
         self, now: float, service: str, request: sendconstraint.RequestTraits
@@ -496,6 +519,7 @@
         scarce = self.services.get(target.registration.service)
         if scarce is not None:
             scarce.loads.on_change(target, 1)
+            scarce.invalidate()
             scarce.count_send(request)
 
     def on_outcome(
@@ -510,6 +534,7 @@
         if scarce is None:
             return
         scarce.loads.on_change(target, -1)
+        scarce.invalidate()
         if outcome.result is admissionpart.SendResult.COMPLETED:
             scarce.loads.learn_duration(outcome.duration_s)
 
