--- a/sardinesaddle/direct/admission/scarcecapacity.py
+++ b/sardinesaddle/direct/admission/scarcecapacity.py
@@ -24,6 +24,7 @@
 from sardinesaddle.direct import (
     catalog,
     messages,
+    nodemetrics,
     requestqueue,
     returntimes,
     targetstate,
@@ -457,6 +458,8 @@
         self._rng = rng
         self.services: dict[str, ScarceService] = {}
         self._return_times = returntimes.ReturnTimes()
+        # Services, accounts and priorities of refusals not yet counted in metrics.
+        self._refusals: list[tuple[str, str, int]] = []
 
     def list_constraints(self) -> list[sendconstraint.SendConstraint]:
         """Return the constraint on the passes of groups."""
@@ -559,6 +562,7 @@
         )
         if len(scarce.promises) < MAX_PROMISES:
             scarce.promises[ids.content_id] = (now + return_s, request.priority)
+        self._refusals.append((service, request.account, request.priority))
         loguru.logger.info(
             "event=capacity_refused id={} service={} account={} route={} priority={}"
             " cutoff={} wait_s={:.2f} return_s={:.2f} share={:.3f} ahead={}",
@@ -593,6 +597,21 @@
             scarce.loads.refresh(now, own, demand_share)
             scarce.refresh(now)
 
+    def write_metrics(
+        self, now: float, entry_metrics: nodemetrics.EntryMetrics
+    ) -> None:
+        """Set the predicted pass times and cutoffs, and count the refusals."""
+        pass_times = {
+            (name, group.name): scarce.loads.predict(group).pass_s
+            for name, scarce in self.services.items()
+            for group in scarce.loads.groups.values()
+        }
+        cutoffs = {name: scarce.cutoff for name, scarce in self.services.items()}
+        entry_metrics.set_capacity(pass_times, cutoffs)
+        for refusal in self._refusals:
+            entry_metrics.count_capacity_refusal(*refusal)
+        self._refusals.clear()
+
     def make_update(
         self, now: float, host: str, is_reply: bool, update: messages.AdmissionUpdate
     ) -> None:
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -74,6 +74,36 @@
         )
         self._resting_targets: set[str] = set()
 
+        self._predicted_pass = self.make_gauge(
+            "group_pass_predicted_seconds", "Predicted pass time by lock-step group."
+        )
+        self._capacity_cutoff = self.make_gauge(
+            "capacity_cutoff_priority",
+            "Most urgent priority that is held back by service; -1 if none is.",
+        )
+        self._capacity_refusals = self.make_counter(
+            "capacity_refusals_total",
+            "Requests refused for their share, by service, account and priority.",
+        )
+        self._predicted_groups: set[tuple[str, str]] = set()
+
+    def set_capacity(
+        self, pass_times: dict[tuple[str, str], float], cutoffs: dict[str, int]
+    ) -> None:
+        """Set pass times by service and group, 0 for those gone, and the cutoffs."""
+        for key in self._predicted_groups | pass_times.keys():
+            labels = {"service": key[0], "group": key[1]}
+            self._predicted_pass.set(labels, pass_times.get(key, 0.0))
+        self._predicted_groups = set(pass_times)
+        for service, cutoff in cutoffs.items():
+            self._capacity_cutoff.set({"service": service}, cutoff)
+
+    def count_capacity_refusal(self, service: str, account: str, priority: int) -> None:
+        """Count a request that was refused for its account's or kind's share."""
+        self._capacity_refusals.inc(
+            {"service": service, "account": account, "priority": str(priority)}
+        )
+
     def count_response(self, service: str, status: int, seconds: float) -> None:
         """Count and time the end of a request; status 0 is a broken connection."""
         self._responses.inc({"service": service, "status": str(status)})
