--- a/sardinesaddle/direct/explanation.py
+++ b/sardinesaddle/direct/explanation.py
@@ -183,7 +183,7 @@
                 wait_s=wait_s,
             )
         reason, retry_after_s = self._forwarder.explain_no_target(
-            state, rng, self._forwarder.copy_return_times()
+            state, rng, self._forwarder.copy_return_times(), is_counted=False
         )
         return self._describe(
             state,
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -167,6 +167,10 @@
             req.path, "" if account is None else account.name, req.body
         )
         fingerprint = crashledger.Fingerprint(content_id, req.metadata.prompt_parts)
+        traits = make_traits(req, route, account)
+        now = asyncio.get_running_loop().time()
+        if self._targets.admission.is_return(now, service, content_id):
+            traits = dataclasses.replace(traits, is_return=True)
         return requeststate.RequestState(
             req,
             route,
@@ -174,7 +178,7 @@
             account,
             fingerprint,
             req.arrived_at + limit_s,
-            make_traits(req, route, account),
+            traits,
         )
 
     def _get_retry_budget(self, service: str) -> retrybudget.RetryBudget:
@@ -267,10 +271,12 @@
         state: requeststate.RequestState,
         rng: random.Random,
         return_times: returntimes.ReturnTimes,
+        is_counted: bool = True,
     ) -> tuple[str, float]:
         """Return why a request got no target, and when its caller may come back.
 
-        The time is given to the caller by an entry of ``return_times``.
+        The time is given to the caller by an entry of ``return_times``. Parts count and
+        log their refusals, so they are asked only if ``is_counted`` is set.
         """
         now = asyncio.get_running_loop().time()
         suspicion = self.crashes.find_suspicion(state.fingerprint)
@@ -282,6 +288,16 @@
             return forbidden.reason, requeststate.RETRY_AFTER_NO_CAPACITY_S * (
                 1.0 + rng.random()
             )
+        ids = admissionpart.RequestIds(
+            state.fingerprint.content_id, state.req.metadata.attempt_id
+        )
+        refused = None
+        if is_counted:
+            refused = self._targets.admission.refuse(
+                now, state.service, state.traits, ids
+            )
+        if refused is not None:
+            return refused.reason, refused.return_s
         wait_s = self._targets.compute_wait_s(now, state.service, (), 0, state.traits)
         if wait_s is None:
             # Random times keep callers from retrying simultaneously.
@@ -330,6 +346,7 @@
             # The caller has received part of a stream and does not wait long for more.
             waiting_since = now
             due_at = expires_at = waiting_since + MAX_RESUME_WAIT_S
+            state.traits = dataclasses.replace(state.traits, is_resumed=True)
         return requestqueue.QueuedRequest(
             compute_priority(state.route, state.account),
             waiting_since,
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -76,7 +76,8 @@
 
     ``is_first_start`` is set if no process of the system ran before. ``places`` maps
     each place to its region. ``ramp_up`` lets targets that have just started or
-    recovered get requests gradually.
+    recovered get requests gradually. ``share_capacity`` shares the capacity of
+    lock-step groups by priority and account while it is scarce.
     """
 
     front: Address
@@ -84,6 +85,7 @@
     is_first_start: bool = False
     places: dict[str, str] = {}
     ramp_up: bool = False
+    share_capacity: bool = False
     bounds: EntryBounds = EntryBounds()
 
 
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -54,11 +54,14 @@
         if not self._targets.may_run(loop.time(), service, request.traits).is_allowed:
             return None
         queue = self._queues.setdefault(service, requestqueue.RequestQueue())
+        policy = self._targets.admission.find_policy(service)
+        queue.policy = policy or requestqueue.DEADLINE_POLICY
         if not len(queue):
             target = self._try_assign(service, request)
             now = loop.time()
             if target is not None or not self.may_wait(now, service, request):
                 return target
+        request.wait_deadline = queue.policy.compute_wait_deadline(loop.time(), request)
         queue.enqueue(request)
         assignment: asyncio.Future[targetstate.Target | None] = loop.create_future()
         self._assignments[request] = assignment
@@ -148,7 +151,11 @@
                 now, service, request.crash_count, request.group, request.traits
             ):
                 is_choosy = request.excluded_targets or request.crash_count
-                if is_choosy or request.traits.homes is not None:
+                if (
+                    is_choosy
+                    or request.traits.homes is not None
+                    or queue.policy.lets_others_pass
+                ):
                     continue
                 break
             self._resolve(queue, request, target)
