--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -111,6 +111,16 @@
     assert run.is_planned or run.restore_count > 0
 
 
+# A rough run and a planned one; without the part, the rough one breaks EVAC.
+@pytest.mark.parametrize("seed", [4001, 4002])
+def test_nothing_more_reaches_an_evacuated_zone_in_a_soak(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    run = soak.run_seed(seed, LIMIT_SECONDS, tmp_path, has_zones=True)
+    assert run.violations == []
+    assert run.zone.late_checks > 0
+
+
 def test_exception_that_nothing_handled_is_found_in_a_log(
     tmp_path: pathlib.Path,
 ) -> None:
