Hold requests after a suspension until evacuations can be known

Cause: a process that stands still for nearly the users' bound has not heard of an evacuation that is in force by then, and queued requests go out when it continues.

Change: after a stop of evacuation_s less 1 s, nothing is sent until the configuration is confirmed again, for 0.5 s at most.

--- a/sardinesaddle/direct/admission/evacuations.py
+++ b/sardinesaddle/direct/admission/evacuations.py
@@ -8,6 +8,10 @@
 or its end, and an entry that starts then learns it from the others. Of two statements
 about a place, the one that was certainly written after the other holds, see
 ``replica.Position``. That the first listing of an era lacks a key states nothing.
+
+A process that was suspended for nearly the users' bound may have missed an evacuation
+that is in force by then. It sends nothing until its configuration is confirmed again,
+for ``MAX_HOLD_S`` at most, since an outage of the store must not stop it.
 """
 
 import collections.abc
@@ -27,6 +31,9 @@
 
 # Bounds memory and heartbeats if the keys are faulty; deployments have a few places.
 MAX_STATEMENTS: typing.Final = 64
+# How much earlier than the users' bound a suspension counts; maintenance and the send.
+SUSPENSION_MARGIN_S: typing.Final = 1.0
+MAX_HOLD_S: typing.Final = 0.5  # two periods of heartbeats, which reply within 0.1 s
 EVACUATED: typing.Final = sendconstraint.Verdict(
     sendconstraint.Decision.NEVER, "evacuated"
 )
@@ -45,8 +52,8 @@
 
     name: typing.ClassVar[str] = "evacuation"
 
-    def __init__(self, evacuated: collections.abc.Container[str]) -> None:
-        self._evacuated = evacuated
+    def __init__(self, part: "EvacuationPart") -> None:
+        self._part = part
 
     def check(
         self,
@@ -55,9 +62,14 @@
         request: sendconstraint.RequestTraits,
     ) -> sendconstraint.Verdict:
         """Return whether the target's place is in service."""
-        if target.registration.place in self._evacuated:
+        if not self._part.is_available(target):
             return EVACUATED
-        return sendconstraint.ALLOWED
+        hold_s = self._part.compute_hold_s(now)
+        if hold_s <= 0.0:
+            return sendconstraint.ALLOWED
+        return sendconstraint.Verdict(
+            sendconstraint.Decision.LATER, "suspended", hold_s
+        )
 
 
 class EvacuationPart(admissionpart.AdmissionPart):
@@ -83,15 +95,29 @@
         # Evacuated places for which no targets were looked up yet.
         self._unchecked: set[str] = set()
         self._is_uncertain = False
+        # The last refresh, and until when nothing is sent; the event loop's times.
+        self._refreshed_at: float | None = None
+        self._held_until = 0.0
+        self._resumed_at = 0.0
 
     def list_constraints(self) -> list[sendconstraint.SendConstraint]:
         """Return the constraint that forbids evacuated places."""
-        return [EvacuationConstraint(self._evacuated)]
+        return [EvacuationConstraint(self)]
 
     def is_available(self, target: targetstate.Target) -> bool:
         """Return whether the target's place is in service."""
         return target.registration.place not in self._evacuated
 
+    def compute_hold_s(self, now: float) -> float:
+        """Return for how long nothing is sent after a suspension, 0 for none."""
+        return MAX_HOLD_S if self._has_stood_still(now) else self._held_until - now
+
+    def _has_stood_still(self, now: float) -> bool:
+        """Return whether the process was suspended since the last refresh."""
+        limit_s = self._max_delay_s - SUSPENSION_MARGIN_S
+        refreshed_at = self._refreshed_at
+        return refreshed_at is not None and now - refreshed_at > max(limit_s, 1.0)
+
     def on_store_change(
         self, now: float, change: replica.Change, position: replica.Position
     ) -> bool:
@@ -193,6 +219,7 @@
         targets: collections.abc.Collection[targetstate.Target],
     ) -> None:
         """Log evacuated places without targets, and when evacuations may be missed."""
+        self._refresh_hold(now, entries.config_age_s)
         is_uncertain = entries.config_age_s > self._max_delay_s
         if is_uncertain != self._is_uncertain:
             self._is_uncertain = is_uncertain
@@ -213,6 +240,20 @@
             )
         self._unchecked.clear()
 
+    def _refresh_hold(self, now: float, config_age_s: float) -> None:
+        """Begin to hold requests back after a suspension, or end it."""
+        if self._has_stood_still(now):
+            self._resumed_at = now
+            self._held_until = now + MAX_HOLD_S
+            loguru.logger.warning(
+                "event=evacuation_hold stood_still_s={:.2f} max_hold_s={}",
+                now - (self._refreshed_at or now),
+                MAX_HOLD_S,
+            )
+        elif now < self._held_until and config_age_s < now - self._resumed_at:
+            self._held_until = now
+        self._refreshed_at = now
+
     def write_metrics(
         self, now: float, entry_metrics: nodemetrics.EntryMetrics
     ) -> None:
--- a/test/test_direct_evacuation.py
+++ b/test/test_direct_evacuation.py
@@ -26,7 +26,11 @@
     targetstate,
     upstream,
 )
-from sardinesaddle.direct.admission import admissionpart, evacuations
+from sardinesaddle.direct.admission import (
+    admissionpart,
+    evacuations,
+    sendconstraint,
+)
 from sardinesaddle.platform import catalogformat
 from test import directfleet as df
 from test import test_direct_store
@@ -461,10 +465,14 @@
 
 def is_evacuated(part: evacuations.EvacuationPart) -> bool:
     """Return whether a target in place b is out of service."""
-    registration = catalog.TargetRegistration(
+    return not part.is_available(targetstate.Target(make_registration()))
+
+
+def make_registration() -> catalog.TargetRegistration:
+    """Return the registration of a target in place b."""
+    return catalog.TargetRegistration(
         "t", "plain", "127.0.0.1", 1, "b", 1, catalog.TargetState.READY, 0.0
     )
-    return not part.is_available(targetstate.Target(registration))
 
 
 PEER: typing.Final = admissionpart.PeerMessage("peer", 1, ())
@@ -505,6 +513,37 @@
     assert not is_evacuated(part)
 
 
+def test_process_that_was_suspended_sends_nothing_until_it_can_know_evacuations() -> (
+    None
+):
+    part = make_part()
+    (constraint,) = part.list_constraints()
+    registration = make_registration()
+    target = targetstate.Target(registration)
+
+    def refresh(now: float, config_age_s: float) -> None:
+        part.refresh(now, admissionpart.EntryView("e", (), (), config_age_s), ())
+
+    def is_held(now: float) -> bool:
+        verdict = constraint.check(now, target, sendconstraint.ANY_REQUEST)
+        return verdict.decision is sendconstraint.Decision.LATER
+
+    assert not is_held(100.0)
+    refresh(100.0, 1.0)
+    # A suspension within the users' bound holds nothing back.
+    assert not is_held(103.0)
+    assert is_held(106.0)
+    refresh(106.0, 7.0)
+    assert is_held(106.01)
+    refresh(106.25, 0.2)
+    assert not is_held(106.26)
+    # Without the store and other entries, requests wait for a moment only.
+    refresh(112.0, 6.0)
+    refresh(112.25, 6.25)
+    assert is_held(112.3)
+    assert not is_held(112.0 + evacuations.MAX_HOLD_S)
+
+
 def test_statements_of_faulty_keys_are_bounded() -> None:
     part = make_part()
     for number in range(evacuations.MAX_STATEMENTS * 2):
