Let an entry keep its part beside others that divide nothing

Cause: during a rolling start, an entry with the part on counted each entry without it at the highest claim, and had no permit left. Change: an entry that replied without claims has standing ones; with a sparse policy replies repeat claims until they are acknowledged.

--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -280,16 +280,19 @@
         peer = self.on_process(now, host, process)
         if peer.contacted_at is None:
             peer.contacted_at = now
+            self._needs_recount = True
         if claims is not None:
             self.on_acknowledged(host, number, claims)
 
     def take_claims(self, host: str, is_reply: bool) -> list[tuple[int, int]] | None:
         """Return the claims to send to another entry now, None if it needs none.
 
-        A reply is not acknowledged, so it repeats no claims that were sent before.
+        A reply is not acknowledged, so it repeats no claims that were sent before;
+        with a sparse policy it does, since no claims in it mean that there are none.
         """
         peer = self._peers[host]
-        if not self.needs_claims(host) or (is_reply and peer.was_told):
+        is_repeated = is_reply and peer.was_told and not self._policy.is_sparse
+        if is_repeated or not self.needs_claims(host):
             return None
         peer.was_told = True
         self.on_sent(host)
@@ -477,7 +480,9 @@
         if not self._policy.is_sparse:
             return is_known_before(peer, limit)
         was_never_reached = peer.process == 0 and not peer.is_alive
-        return peer.number >= 0 or (was_never_reached and self._has_started_long_ago)
+        # An entry that divides nothing replies without claims.
+        has_told = peer.number >= 0 or peer.contacted_at is not None
+        return has_told or (was_never_reached and self._has_started_long_ago)
 
     def _get_standing(self, host: str, limit: DividedLimit) -> int:
         """Return what an entry claims before any message."""
