Test the bound on cold targets with real entries, and warn of half a setting

Cause: the part was tested without the request path; one of the two settings alone was silent. Change: a test with three entries, real heartbeats and requests in model time; a log line.

--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -6,6 +6,8 @@
 
 import collections.abc
 
+import loguru
+
 from sardinesaddle.direct import (
     catalog,
     headercodec,
@@ -29,6 +31,11 @@
     overage, slack = cfg.bounds.cold_overage, cfg.bounds.cold_slack
     if overage is not None and slack is not None:
         parts.append(coldlimits.ColdLimits(cfg.host, now, overage, slack))
+    elif overage is not None or slack is not None:
+        loguru.logger.warning(
+            "event=settings_incomplete bounds=cold_overage,cold_slack"
+            " remedy=state_both_or_none"
+        )
     return parts
 
 
--- a/test/test_direct_coldlimits.py
+++ b/test/test_direct_coldlimits.py
@@ -4,6 +4,7 @@
 often as real ones do. Messages and sends are delayed, also by most of the jitter.
 """
 
+import asyncio
 import collections
 import heapq
 import random
@@ -28,6 +29,7 @@
     sendconstraint,
 )
 from sardinesaddle.platform import catalogformat, headers
+from test import directfleet as df
 
 OVERAGE: typing.Final = 1.5  # this and the next two are the users' figures
 SLACK: typing.Final = 5.0
@@ -492,3 +494,51 @@
             f"{name}{{" in line and float(line.split()[-1]) == value
             for line in text.splitlines()
         ), name
+
+
+def test_entries_keep_to_the_bound_with_real_messages_and_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        entryadmission,
+        "build_parts",
+        lambda cfg, now: [coldlimits.ColdLimits(cfg.host, now, OVERAGE, SLACK)],
+    )
+    config = df.make_config()
+    config["services"] = [{"name": "plain", "cold_s": 3.0, "cold_per_s": COLD_RATE}]
+    monkeypatch.setattr(df, "make_config", lambda: config)
+    arrivals: list[float] = []
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        arrivals.append(asyncio.get_running_loop().time())
+        fields = [(headers.COLD, "800")]
+        writer.write(df.make_response(request.attempt_id, extra_fields=fields))
+        return True
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t", "plain", respond)
+        await fleet.settle(2.0)
+        tasks = []
+        for _ in range(200):
+            tasks += [
+                asyncio.create_task(fleet.send_request("/free/a", index))
+                for index in range(3)
+            ]
+            await asyncio.sleep(0.03)
+        responses = await asyncio.gather(*tasks)
+        assert {response.status for response in responses} == {200, 503}
+        worst = max(
+            sum(at - 1.0 < other <= at for other in arrivals) for at in arrivals
+        )
+        assert worst <= ALLOWED
+        assert len(arrivals) / 6.0 >= USABLE_SHARE * ALLOWED
+        (part,) = fleet.entries[0].admission._parts
+        assert isinstance(part, coldlimits.ColdLimits)
+        incarnation = next(iter(fleet.entries[0].targets.list_incarnations()))
+        assert part.is_cold(arrivals[-1], incarnation)
+
+    df.run_scenario(scenario, entry_count=3)
