--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -7,6 +7,8 @@
 import collections.abc
 import random
 
+import loguru
+
 from sardinesaddle.direct import (
     catalog,
     headercodec,
@@ -50,9 +52,13 @@
         )
     # Allows all requests unless the configuration names regions.
     parts.append(homes.HomePart(cfg.places))
-    if bounds.cold_overage is not None and bounds.cold_slack is not None:
-        parts.append(
-            coldlimits.ColdLimits(cfg.host, now, bounds.cold_overage, bounds.cold_slack)
+    overage, slack = bounds.cold_overage, bounds.cold_slack
+    if overage is not None and slack is not None:
+        parts.append(coldlimits.ColdLimits(cfg.host, now, overage, slack))
+    elif overage is not None or slack is not None:
+        loguru.logger.warning(
+            "event=settings_incomplete bounds=cold_overage,cold_slack"
+            " remedy=state_both_or_none"
         )
     if cfg.ramp_up:
         parts.append(
