End a takeover when another leader has released the pass

Change: a takeover ends once any rank reports that the held pass has begun. Conclusion: the log names the true end.

--- a/sardinesaddle/direct/backupleader.py
+++ b/sardinesaddle/direct/backupleader.py
@@ -224,8 +224,9 @@
                 if reply is None or not is_rank_of(reply, state, rank):
                     return "rank_unreachable", order_count
                 views.append(groupleader.make_rank_view(reply))
-            if views[0].held_step != gate.held_step:
-                outcome = "released" if order_count else "ended_by_leader"
+            has_begun = any(view.step >= gate.held_step for view in views)
+            if has_begun or views[0].held_step != gate.held_step:
+                outcome = "released" if order_count else "ended_by_another"
                 return outcome, order_count
             orders = self._coordinator.decide(views)
             if not orders:
