Let map versions rise within a leader's life

Cause: a version has a random part. After an abandoned switch whose prepares were late, the next version could be lower, and a late prepare would replace the map that the next switch holds a pass for, which then could not be armed. The model assumes that versions rise. Change: choose_version also exceeds the last version of this process. Conclusion: code and model agree within one process; across restarts the random part remains.

--- a/sardinesaddle/direct/mapswitch.py
+++ b/sardinesaddle/direct/mapswitch.py
@@ -129,6 +129,7 @@
     __slots__ = (
         "_lead_passes",
         "_arm_rounds",
+        "_last_version",
         "_min_lead_passes",
         "_prepare_sent_at",
         "attempt",
@@ -142,6 +143,7 @@
         self._min_lead_passes = min_lead_passes
         self._lead_passes = min_lead_passes
         self._arm_rounds = 0
+        self._last_version = 0
         self.attempt: SwitchAttempt | None = None
         self.outcome = ""
         self.quiet_from = -math.inf
@@ -150,17 +152,20 @@
     def choose_version(
         self, views: typing.Sequence[RankView], random_fraction: float
     ) -> int:
-        """Return a version that no rank has had.
+        """Return a version that no rank has had and no earlier switch has used.
 
-        ``random_fraction`` is in [0, 1).
+        ``random_fraction`` is in [0, 1). A late prepare of a higher version would
+        replace the prepared map of a switch in progress.
         """
         highest = max(
             max(view.map_version, view.prepared, view.armed) for view in views
         )
+        highest = max(highest, self._last_version)
         return highest + 1 + int(random_fraction * VERSION_RANDOM_RANGE)
 
     def begin_switch(self, now: float, epoch: int, version: int) -> None:
         """Begin a switch; ``may_begin`` must hold."""
+        self._last_version = version
         self.attempt = SwitchAttempt(epoch, version, 0, Phase.PREPARING, now)
         self._prepare_sent_at.clear()
 
--- a/test/test_direct_backupleader.py
+++ b/test/test_direct_backupleader.py
@@ -394,6 +394,14 @@
     assert coordinator.outcome == "switched"
 
 
+def test_versions_rise_although_no_rank_has_seen_the_last_one() -> None:
+    # A late prepare of an abandoned switch replaced the map of the next one otherwise.
+    coordinator = mapswitch.SwitchCoordinator(2)
+    first = coordinator.choose_version(make_views(), 0.9)
+    coordinator.begin_switch(0.0, 1, first)
+    assert coordinator.choose_version(make_views(), 0.0) > first
+
+
 def test_leader_begins_no_switch_while_a_hold_may_be_in_flight() -> None:
     # Two versions could be armed for one held pass otherwise (model mapswitches).
     tracker = groupleader.HoldTracker()
