Do not restrain the groups of a service that has no warm one

Cause: with the part on, callers of the only group of a service waited for it to reform and then for its ramp-up, and some were refused (two tests of test_direct_requests failed in a trial). Change: a lock-step service without a warm group is not restrained; its slots are.

--- a/sardinesaddle/direct/admission/targetpaces.py
+++ b/sardinesaddle/direct/admission/targetpaces.py
@@ -130,6 +130,10 @@
         key = self._keys.get(incarnation)
         if key is None:
             return True
+        service = target.registration.service
+        if service in self._lockstep_services and not self._warm.get(service):
+            # The slots restrain a rank, and no other group can serve instead.
+            return True
         pace = self._paces[key]
         if target.own_in_flight >= self._get_part(now, target, pace):
             return False
