Let the test of a returned place fill the cached lists first

Cause: the test passed without the call that clears the lists when another entry's message ends an evacuation: nothing was cached, and the last watch of the entry still returned.

--- a/test/test_direct_evacuation.py
+++ b/test/test_direct_evacuation.py
@@ -242,7 +242,11 @@
         await add_targets(fleet, "b")
         fleet.store.put(KEY, {})
         await fleet.settle(0.2)
+        # Fills the cached lists of available targets.
+        for index in range(3):
+            assert (await fleet.send_request("/once/a", index)).status == 503
         apart.is_refusing = True
+        await fleet.settle(1.5)  # the last watch that was not refused ends
         fleet.store.delete(KEY)
         await fleet.settle(ROUND_S)
         for index in range(3):
