Find first senders of targets only when the known entries change

Cause: at 370 entries and 3,100 targets each refresh searched the ring for each target. Change: the result is kept with the number of the known entries.

--- a/sardinesaddle/direct/admission/coldlimits.py
+++ b/sardinesaddle/direct/admission/coldlimits.py
@@ -136,6 +136,9 @@
     window: SendWindow | None = None
     cold_until: float = -math.inf
     is_cold: bool = False
+    # Whether this entry is a first sender, and of which entries and permits.
+    is_first: bool = False
+    is_first_of: tuple[int, int] = (-1, 0)
 
 
 class ColdConstraint(sendconstraint.SendConstraint):
@@ -340,7 +343,11 @@
             )
             known.listed_at = now
             is_used = target.target_id in entries.own_targets
-            if is_used or self._shares.is_first_sender(incarnation, permits):
+            version = (self._shares.entries_number, permits)
+            if known.is_first_of != version:
+                known.is_first_of = version
+                known.is_first = self._shares.is_first_sender(incarnation, permits)
+            if is_used or known.is_first:
                 self._shares.set_limit(incarnation, known.registered_at, permits)
                 self._shares.set_used(incarnation, is_used)
                 known.window = known.window or SendWindow(SEND_WINDOW_S)
--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -168,6 +168,8 @@
         self._needs_recount = True
         # Hashes of the known entries, in order, and the entries.
         self._ring: list[tuple[bytes, str]] = []
+        # Increases when the known entries change.
+        self.entries_number = 0
         self._set_orders()
 
     # The entries.
@@ -500,6 +502,7 @@
     def _set_orders(self) -> None:
         """Compute the orders of all limits after a change of the known entries."""
         self._needs_recount = True
+        self.entries_number += 1
         if self._policy.is_sparse:
             hosts = (self._host, *self._peers)
             self._ring = sorted((compute_hash(host), host) for host in hosts)
