Make the test of slow responses strict

Cause: the test compared with a value that it overwrote. Change: it checks that the window grows while responses are fast and then stays.

--- a/test/test_direct_targetpaces.py
+++ b/test/test_direct_targetpaces.py
@@ -232,11 +232,17 @@
 
 
 def test_slow_responses_hold_the_window() -> None:
+    # Guards against growth until the target crashes.
     pace = targetpace.TargetPace(1, 4.0, 0.0, 64)
-    for step in range(20):
-        pace.on_answer(0.1 * step, 0.1 + 0.05 * step, 0.1, 2, 2, 4.0)
-        held = pace.window if step == 5 else 0.0
-    assert pace.window <= max(held, 8.0)
+    for step in range(4):
+        pace.on_answer(0.1 * step, 0.1, 0.1, 2, 2, 4.0)
+    grown = pace.window
+    assert grown > 4.0
+    for step in range(4, 24):
+        pace.on_answer(0.1 * step, 1.0, 0.1, 2, 2, grown)
+        pace.refresh(0.1 * step)
+    assert pace.is_slow
+    assert pace.window <= grown + 2.0
 
 
 def test_merged_states_do_not_depend_on_the_order() -> None:
