Let the entry import only packages that are deployed

Change: the hash of limitshares; a test that imports each role with only deployed packages fails before and passes now.

--- a/sardinesaddle/direct/admission/targetpaces.py
+++ b/sardinesaddle/direct/admission/targetpaces.py
@@ -17,8 +17,13 @@
 
 import loguru
 
-from sardinesaddle import hashing
-from sardinesaddle.direct import catalog, messages, nodemetrics, targetstate
+from sardinesaddle.direct import (
+    catalog,
+    limitshares,
+    messages,
+    nodemetrics,
+    targetstate,
+)
 from sardinesaddle.direct.admission import admissionpart, sendconstraint, targetpace
 
 # Targets that an entry learns of within this time of its start are served by others.
@@ -193,7 +198,7 @@
             self._started_at = now
         registration = target.registration
         previous = self._incarnations.get(registration.target_id)
-        self._names[hashing.hash_text(registration.incarnation)] = (
+        self._names[limitshares.compute_limit_id(registration.incarnation)] = (
             registration.incarnation
         )
         self._targets[registration.target_id] = target
@@ -248,7 +253,7 @@
         is_open = report.is_group_open and report.is_alive
         if is_open or is_new_epoch or not report.is_group_open:
             self._groups[report.group] = (report.epoch, report.is_group_open)
-        self._names[hashing.hash_text(key)] = key
+        self._names[limitshares.compute_limit_id(key)] = key
         if is_new_epoch and known is not None:
             self._forget(f"{report.group}/{known[0]}")
         is_settled = now - self._started_at >= SETTLE_S
@@ -324,7 +329,7 @@
         self._paces[key] = pace
         for target in targets:
             self._restrain(target, key)
-        pending = self._pending.pop(hashing.hash_text(key), None)
+        pending = self._pending.pop(limitshares.compute_limit_id(key), None)
         if pending is not None:
             self._merge(now, key, pending)
 
@@ -473,7 +478,7 @@
         """Drop a pace whose target or epoch is gone."""
         self._paces.pop(key, None)
         self._ended.pop(key, None)
-        self._names.pop(hashing.hash_text(key), None)
+        self._names.pop(limitshares.compute_limit_id(key), None)
         for incarnation in [i for i, k in self._keys.items() if k == key]:
             del self._keys[incarnation]
 
@@ -608,7 +613,7 @@
         """Add the paces in force, and those that ended a short time ago."""
         records = [
             messages.PaceRecord(
-                hashing.hash_text(key),
+                limitshares.compute_limit_id(key),
                 pace.begun,
                 pace.shrink_count,
                 max(int(pace.window), 1),
@@ -623,7 +628,10 @@
             elif age_s < ENDED_SENT_S:
                 records.append(
                     messages.PaceRecord(
-                        hashing.hash_text(key), *ended.version, 0, int(age_s * 1000.0)
+                        limitshares.compute_limit_id(key),
+                        *ended.version,
+                        0,
+                        int(age_s * 1000.0),
                     )
                 )
         if records:
@@ -685,7 +693,7 @@
         self, now: float, key: str, targets: list[targetstate.Target]
     ) -> None:
         """Take over a pace that another entry told of before the target was known."""
-        record = self._pending.pop(hashing.hash_text(key), None)
+        record = self._pending.pop(limitshares.compute_limit_id(key), None)
         if record is not None and record.window:
             self._adopt(now, key, record, targets)
 
--- a/test/test_direct_process.py
+++ b/test/test_direct_process.py
@@ -1,6 +1,7 @@
 """Tests of the direct path's processes: settings, signals, metrics and logs."""
 
 import asyncio
+import importlib.metadata
 import json
 import os
 import pathlib
@@ -163,3 +164,32 @@
     finally:
         os.close(reader)
         os.close(writer)
+
+
+@pytest.mark.parametrize("role", ["entryrole", "sidecarrole"])
+def test_role_imports_only_packages_that_are_deployed(role: str) -> None:
+    """Guards against processes that do not start, since a package is not deployed."""
+    root = pathlib.Path(__file__).parent.parent
+    lines = (root / "requirements.txt").read_text().splitlines()
+    names = {line.partition("==")[0].lower().replace("_", "-") for line in lines}
+    deployed = [
+        module
+        for module, owners in importlib.metadata.packages_distributions().items()
+        if names & {owner.lower().replace("_", "-") for owner in owners}
+    ]
+    script = f"""
+import importlib.abc, sys
+allowed = {{*sys.stdlib_module_names, "sardinesaddle", *{deployed!r}}}
+class Finder(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        top = name.partition(".")[0]
+        # Optional imports of the packages themselves fail as where they are deployed.
+        if top not in allowed:
+            raise ModuleNotFoundError(f"{{name}} is not deployed", name=name)
+        return None
+sys.meta_path.insert(0, Finder())
+import sardinesaddle.direct.{role}
+"""
+    args = [sys.executable, "-c", script]
+    result = subprocess.run(args, cwd=root, capture_output=True, text=True, check=False)
+    assert result.returncode == 0, result.stderr
