Read imports from the sources of the loaded modules in the test of deployed packages

Cause: packages import others optionally, which the first form of the test took for faults; it failed before and after the change that it was to show. Change: only imports of our own modules count. It passes, and fails with an import of a package that is not deployed.

--- a/test/test_direct_process.py
+++ b/test/test_direct_process.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -172,24 +173,22 @@
     root = pathlib.Path(__file__).parent.parent
     lines = (root / "requirements.txt").read_text().splitlines()
     names = {line.partition("==")[0].lower().replace("_", "-") for line in lines}
-    deployed = [
-        module
-        for module, owners in importlib.metadata.packages_distributions().items()
-        if names & {owner.lower().replace("_", "-") for owner in owners}
-    ]
-    script = f"""
-import importlib.abc, sys
-allowed = {{*sys.stdlib_module_names, "sardinesaddle", *{deployed!r}}}
-class Finder(importlib.abc.MetaPathFinder):
-    def find_spec(self, name, path, target=None):
-        top = name.partition(".")[0]
-        # Optional imports of the packages themselves fail as where they are deployed.
-        if top not in allowed:
-            raise ModuleNotFoundError(f"{{name}} is not deployed", name=name)
-        return None
-sys.meta_path.insert(0, Finder())
-import sardinesaddle.direct.{role}
-"""
+    owners_by_module = importlib.metadata.packages_distributions()
+    script = (
+        f"import sys, sardinesaddle.direct.{role}\n"
+        "for name, module in sys.modules.items():\n"
+        "    if name.partition('.')[0] == 'sardinesaddle':\n"
+        "        print(module.__file__)\n"
+    )
     args = [sys.executable, "-c", script]
-    result = subprocess.run(args, cwd=root, capture_output=True, text=True, check=False)
-    assert result.returncode == 0, result.stderr
+    result = subprocess.run(args, cwd=root, capture_output=True, text=True, check=True)
+    files = result.stdout.split()
+    assert len(files) > 20
+    for file in files:
+        for name in re.findall(
+            r"^(?:import|from) (\w+)", pathlib.Path(file).read_text(), re.MULTILINE
+        ):
+            if name in sys.stdlib_module_names or name == "sardinesaddle":
+                continue
+            owners = {o.lower().replace("_", "-") for o in owners_by_module[name]}
+            assert owners & names, f"{file} imports {name}, which is not deployed"
