Fit two tests to the merged parts: the arguments of build_parts, and the template

Cause: each part's test knew only its own branch. The template states the places of all deployments, since the platform always states them, and has an inverted section, which the test's renderer did not read.

--- a/test/test_direct_coldlimits.py
+++ b/test/test_direct_coldlimits.py
@@ -506,7 +506,9 @@
     monkeypatch.setattr(
         entryadmission,
         "build_parts",
-        lambda cfg, now: [coldlimits.ColdLimits(cfg.host, now, OVERAGE, SLACK)],
+        lambda cfg, now, decoder, callback: [
+            coldlimits.ColdLimits(cfg.host, now, OVERAGE, SLACK)
+        ],
     )
     config = df.make_config()
     config["services"] = [{"name": "plain", "cold_s": 3.0, "cold_per_s": COLD_RATE}]
--- a/test/test_direct_evacuation.py
+++ b/test/test_direct_evacuation.py
@@ -432,24 +432,25 @@
 @pytest.mark.parametrize(
     ("values", "evacuation_s", "places"),
     [
-        ({}, None, {}),
+        ({"zones": {"z1": "eu"}}, None, {"z1": "eu"}),
         ({"bounds.evacuate_ms": 5000, "zones": {"z1": "eu"}}, 5.0, {"z1": "eu"}),
     ],
 )
-def test_rendered_settings_have_the_bound_and_places_only_if_they_are_stated(
+def test_rendered_settings_have_the_bound_only_if_it_is_stated(
     values: dict[str, object],
     evacuation_s: float | None,
     places: dict[str, str],
     tmp_path: pathlib.Path,
 ) -> None:
     def render_section(match: re.Match[str]) -> str:
-        return match[2] if match[1] in values else ""
+        is_shown = (match[2] in values) == (match[1] == "#")
+        return match[3] if is_shown else ""
 
     def render_value(match: re.Match[str]) -> str:
         return json.dumps(values.get(match[1], STATED.get(match[1], 1)))
 
     text = ENTRY_TEMPLATE.read_text()
-    text = re.sub(r"{{#([^}]+)}}(.*?){{/\1}}", render_section, text)
+    text = re.sub(r"{{([#^])([^}]+)}}(.*?){{/\2}}", render_section, text)
     text = re.sub(r"{{([^}|]+)\|json}}", render_value, text)
     path = tmp_path / "entry.jsonc"
     path.write_text(text)
