--- a/test/test_direct_evacuation.py
+++ b/test/test_direct_evacuation.py
@@ -104,7 +104,7 @@
 async def begin_backoff(
     fleet: df.Fleet, target: df.ScriptedTarget, path: str
 ) -> asyncio.Task[df.ReceivedResponse]:
-    """Let a target refuse one request, so that the next ones wait for 0.15 s."""
+    """Make a target refuse one request, which holds back the next for 0.15 s."""
     target.respond = refuse
     pending = asyncio.create_task(fleet.send_request(path))
     await fleet.settle(0.02)
