Keep a reference to the requests of the containment test's guilty callers

Cause: the test of one group at a time started requests as tasks that nothing referred to. A garbage collection ended the first one, which closed its connection, so that the entry logged outcome=caller_left at 100 ms in the same moment in which the rank crashed, recorded the crash only 3 s later (evidence replaced), and a second group was lost: crashes at 7.1, 8.1 and 11.1 s in place of two. Ruled out: late messages between entries; the other entries merged the crash of the second request within a millisecond.

--- a/test/test_direct_containment.py
+++ b/test/test_direct_containment.py
@@ -48,9 +48,13 @@
         await fleet.settle(2.0)
         sound = asyncio.create_task(send_sound(fleet, 30.0))
         await fleet.settle(4.0)
+        # A task that nothing refers to may be garbage collected, which closes its
+        # connection; the entry then takes its caller for gone.
+        guilty = []
         for number in range(16):
             parts = ("aa", f"caller{number % 4}", GUILTY)
-            asyncio.create_task(send(fleet, number, "/stream/g", *parts))
+            request = send(fleet, number, "/stream/g", *parts)
+            guilty.append(asyncio.create_task(request))
             await fleet.settle(1.0)
         responses = await sound
         groups.stop()
