Share scarce capacity by a common rate of sends

Cause: each entry decided by a chance from its own view of the headroom, with corrections for what it could not see.

Change: all entries compute the same rate of sends from the reports of the ranks (as many as end, and the difference to the aimed load within 0.5 s) and divide it by priority and by account. An entry sends as its own requests end, and divides its sends among the groups by their rates. Refused clients return at places within the capacity that the usual demand leaves, or are told a time after their deadline.

The load checks change in three ways. The capacity of the model counts the partial last pass of a stream (12.34 passes instead of 12), which the former figure left out. Its use is measured in tokens of streams on time, as the number of streams that end in 5 s varies by 4 in 100 with their lengths. The time of a client that returns counts from its first attempt, all returns are awaited, and half of the refused must be given a time that they can meet.

--- a/sardinesaddle/direct/admission/groupload.py
+++ b/sardinesaddle/direct/admission/groupload.py
@@ -1,10 +1,13 @@
 """What an entry knows of the load of lock-step groups, from the reports of their ranks.
 
 The load of a group is what its ranks reported, with what this entry sent and saw end
-since. What the other entries sent and saw end since is taken to cancel out, except for
-a surge that ``GroupLoads`` bounds from the rate at which requests end.
+since. Sends of other entries since the reports are not visible; they are estimated from
+the rates that all entries compute, or, while nothing is held back, from the rate at
+which the reported load changes.
 """
 
+import collections
+import collections.abc
 import dataclasses
 import math
 import typing
@@ -14,44 +17,48 @@
 
 # Part of the permitted pause that the network takes, not the pass.
 TRANSIT_S: typing.Final = 0.005
-# From a send at another entry to the report that shows it: most of a report period of
-# 0.3 s, as the sends of a burst are the newest.
-REPORT_LAG_S: typing.Final = 0.25
-# Requests that may arrive at the other entries in that time, in excess of those that
-# end: offered work is up to 2.5 times what the groups sustain.
-SURGE_FACTOR: typing.Final = 1.5
+# Mean time from a send to the report that shows it: half of a report period of 0.3 s,
+# reading the engine and the network.
+REPORT_LAG_S: typing.Final = 0.2
+GROWTH_SPAN_S: typing.Final = 0.25  # over which the rate of change is measured
+# In which a group's load is led to its target; twice the lag of reports is stable.
+APPROACH_S: typing.Final = 0.5
+# Standard deviations of the requests that arrive and end between reports, by which the
+# load stays below the capacity.
+CHANCE_SIGMAS: typing.Final = 1.5
+# Of the slots of a group; with more taken, entries that do not see each other's newest
+# sends choose the same last slots.
+SLOT_FILL: typing.Final = 0.97
+# Over which ends are counted to learn how long requests run, and the number of ends
+# that the mean of the configuration counts for. This entry alone may see few.
+DURATION_WINDOW_S: typing.Final = 20.0
+PRIOR_ENDS: typing.Final = 20.0
+MIN_DURATION_S: typing.Final = 0.1
 REFRESH_S: typing.Final = 0.25  # the period of ``GroupLoads.refresh``
-GROWTH_WEIGHT: typing.Final = 0.7  # of a new value in the moving average
-CHANCE_SIGMAS: typing.Final = 1.0  # standard deviations of arrivals, kept free
-SPARE_GAIN: typing.Final = 0.5  # of the spare capacity, used within that time
-# Of the capacity that comes free, divided equally among entries, whatever they carry.
-EQUAL_SHARE: typing.Final = 0.25
-DURATION_WEIGHT: typing.Final = 0.02  # of a request in the moving average
-SHARE_WEIGHT: typing.Final = 0.2  # of a new value in the moving average, 4 a second
 
 
 @dataclasses.dataclass(slots=True)
 class Group:
-    """A lock-step group: its ranks by target, and the newest prediction.
+    """A lock-step group: its ranks by target, and what its reports show.
 
-    ``net_sent`` is what this entry sent since the ranks' reports were read, less what
-    it saw end; None if it must be counted anew, as must ``headroom``.
+    ``capacity`` is the number of requests at which passes last as long as permitted,
+    at most the slots. ``net_sent`` is what this entry sent since the ranks' reports
+    were read, less what it saw end.
     """
 
     name: str
     ranks: dict[str, targetstate.Target] = dataclasses.field(default_factory=dict)
     epoch: int = -1
     skew: float = 1.0
-    headroom: passmodel.Headroom | None = None
-    net_sent: float | None = None
-    # Requests a second by which the reported load grew lately.
-    growth: float = 0.0
-    last_reported: int = 0
-
-    def invalidate(self) -> None:
-        """Compute the prediction anew when it is next needed."""
-        self.headroom = None
-        self.net_sent = None
+    is_current: bool = False
+    is_open: bool = False
+    reported: int = 0
+    net_sent: int = 0
+    slots: int = 0
+    capacity: float = 0.0
+    pass_s: float = 0.0
+    # Requests a second that all entries sent lately, as far as this one can tell.
+    sent_rate: float = 0.0
 
     def list_loads(self) -> list[passmodel.RankLoad]:
         """Return the loads of the ranks as they reported them."""
@@ -63,63 +70,70 @@
             if target.report is not None
         ]
 
-    def count_reported(self) -> int:
-        """Return the requests of all entries that the ranks reported."""
-        return sum(
-            target.report.running + target.report.waiting
-            for target in self.ranks.values()
-            if target.report is not None
-        )
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """The open groups of a service together, at one time.
+
+    ``present`` estimates the requests of all entries that run or are on their way.
+    """
+
+    capacity: float
+    reported: int
+    present: float
+    slots: int
+    open_groups: list[Group]
 
 
 class GroupLoads:
     """The groups of one service and what each of them takes now."""
 
     __slots__ = (
+        "_history",
+        "_is_available",
         "_model",
+        "_own_ends",
+        "_own_seconds",
         "duration_s",
-        "entry_count",
         "groups",
-        "half_slots",
-        "in_flight",
+        "growth",
         "max_pass_s",
+        "own_in_flight",
         "share",
     )
 
     def __init__(
-        self, model: passmodel.PassModel, max_pause_s: float, entry_count: int = 1
+        self,
+        model: passmodel.PassModel,
+        max_pause_s: float,
+        is_available: collections.abc.Callable[[targetstate.Target], bool],
     ) -> None:
         self._model = model
+        self._is_available = is_available
         self.groups: dict[str, Group] = {}
         self.max_pass_s = max(max_pause_s - TRANSIT_S, 0.0)
-        self.entry_count = entry_count
-        # This entry's share of the capacity that comes free.
-        self.share = 1.0 / entry_count
+        self.own_in_flight = 0
+        # Discounted ends of this entry's requests, and the seconds that these ran.
+        self._own_ends = 0.0
+        self._own_seconds = 0.0
         self.duration_s = model.compute_mean_duration_s(self.max_pass_s)
-        # Requests of all entries at open groups, and half of these groups' slots.
-        self.in_flight = 0.0
-        self.half_slots = 0.0
+        # Requests a second by which the reported load of all open groups grows.
+        self.growth = 0.0
+        # This entry's share of the demand, and so of what is sent between reports.
+        self.share = 1.0
+        # Times, numbers of open groups and their reported loads.
+        self._history: collections.deque[tuple[float, int, int]] = collections.deque()
 
     def set_model(self, model: passmodel.PassModel, max_pause_s: float) -> None:
         """Use the figures of a new configuration."""
         self._model = model
         self.max_pass_s = max(max_pause_s - TRANSIT_S, 0.0)
-        for group in self.groups.values():
-            group.invalidate()
-
-    def learn_duration(self, duration_s: float) -> None:
-        """Learn how long requests run from one that was completed."""
-        self.duration_s += DURATION_WEIGHT * (max(duration_s, 0.1) - self.duration_s)
+        self.invalidate()
 
-    @property
-    def end_rate(self) -> float:
-        """The requests a second that end, which is the capacity that comes free."""
-        return self.in_flight / max(self.duration_s, 0.1)
-
-    @property
-    def is_half_free(self) -> bool:
-        """Whether fewer than half of the slots of open groups are taken."""
-        return self.in_flight < self.half_slots
+    def invalidate(self) -> None:
+        """Read all groups anew when they are next needed."""
+        for group in self.groups.values():
+            group.is_current = False
 
     def on_report(self, target: targetstate.Target, report: messages.Report) -> None:
         """Apply a report; only that of rank 0 has the skew of the group's map."""
@@ -137,125 +151,141 @@
         group.ranks[target.target_id] = target
         if report.rank == 0:
             group.skew = max(report.skew, 1.0)
-        group.invalidate()
+        group.is_current = False
 
     def on_change(self, target: targetstate.Target, added: int) -> None:
         """Count a request that this entry sent to a target (1) or that ended (-1)."""
-        self.in_flight = max(self.in_flight + added, 0.0)
+        self._own_ends += added < 0
+        self.own_in_flight = max(self.own_in_flight + added, 0)
         group = self.groups.get(target.group)
         if group is not None:
-            group.net_sent = None
+            group.net_sent += added
 
     def refresh(
-        self,
-        now: float,
-        targets: typing.Collection[targetstate.Target],
-        demand_share: float,
+        self, now: float, targets: collections.abc.Collection[targetstate.Target]
     ) -> None:
-        """Drop ranks that are gone, and compute loads and this entry's share.
-
-        ``demand_share`` is this entry's share of the demand at all entries.
-        """
+        """Drop ranks that are gone, and learn how long requests run."""
         registered = {target.target_id for target in targets}
-        own = in_flight = slots = 0.0
         for group in list(self.groups.values()):
             group.ranks = {
                 target_id: target
                 for target_id, target in group.ranks.items()
                 if target_id in registered and target.group == group.name
             }
-            group.invalidate()
-            reported = group.count_reported()
-            growth = (reported - group.last_reported) / REFRESH_S
-            group.growth += GROWTH_WEIGHT * (growth - group.growth)
-            group.last_reported = reported
+            group.is_current = False
             if not group.ranks:
                 del self.groups[group.name]
-                continue
-            if not self.is_open(now, group):
-                continue
-            for target in group.ranks.values():
-                own += target.own_in_flight
-                in_flight += target.estimate_in_flight(now, self.entry_count)
-                slots += target.registration.slots
-        self.in_flight = in_flight
-        self.half_slots = slots / 2.0
-        carried = own / in_flight if in_flight else 1.0 / self.entry_count
-        by_load = (min(carried, 1.0) + demand_share) / 2.0
-        share = EQUAL_SHARE / self.entry_count + (1.0 - EQUAL_SHARE) * by_load
-        self.share += SHARE_WEIGHT * (min(share, 1.0) - self.share)
-
-    def is_open(self, now: float, group: Group) -> bool:
-        """Return whether a group has ranks, and those with fresh reports all work."""
-        fresh = [t for t in group.ranks.values() if t.has_fresh_report(now)]
-        return bool(fresh) and all(
-            t.report is not None and t.report.is_alive and t.report.is_group_open
+        self.own_in_flight = sum(target.own_in_flight for target in targets)
+        self._learn_duration(self.own_in_flight)
+
+    def learn_growth(self, now: float, load: ServiceLoad) -> None:
+        """Learn how the reported load changes."""
+        count = len(load.open_groups)
+        if self._history and self._history[-1][1] != count:
+            # A group that opened or closed is no change of the demand.
+            self._history.clear()
+        self._history.append((now, count, load.reported))
+        while len(self._history) > 2 and self._history[1][0] <= now - GROWTH_SPAN_S:
+            self._history.popleft()
+        began_at, _, was = self._history[0]
+        span_s = max(now - began_at, GROWTH_SPAN_S)
+        self.growth = (load.reported - was) / span_s
+
+    def _learn_duration(self, own_in_flight: int) -> None:
+        """Learn how long requests run: the seconds that they run for each that ends.
+
+        A mean of those that ended would be too short after a burst began.
+        """
+        decay = 1.0 - REFRESH_S / DURATION_WINDOW_S
+        self._own_ends *= decay
+        self._own_seconds = self._own_seconds * decay + own_in_flight * REFRESH_S
+        prior_s = self._model.compute_mean_duration_s(self.max_pass_s)
+        self.duration_s = max(
+            (self._own_seconds + PRIOR_ENDS * prior_s) / (self._own_ends + PRIOR_ENDS),
+            MIN_DURATION_S,
+        )
+
+    def read(self, now: float, name: str) -> Group | None:
+        """Return a group with what its reports show now, None if it is unknown."""
+        group = self.groups.get(name)
+        if group is None:
+            return None
+        if not group.is_current:
+            self._read_reports(now, group)
+        return group
+
+    def _read_reports(self, now: float, group: Group) -> None:
+        """Compute load and capacity of a group from the reports of its ranks."""
+        ranks = list(group.ranks.values())
+        fresh = [t for t in ranks if t.has_fresh_report(now)]
+        group.is_open = bool(fresh) and all(
+            t.report is not None
+            and t.report.is_alive
+            and t.report.is_group_open
+            and self._is_available(t)
             for t in fresh
         )
+        loads = group.list_loads()
+        group.reported = round(sum(load.running + load.waiting for load in loads))
+        group.net_sent = sum(len(t.recent_sends) - len(t.recent_ends) for t in ranks)
+        group.slots = sum(t.registration.slots for t in ranks)
+        headroom = self._model.compute_headroom(loads, group.skew, self.max_pass_s)
+        group.pass_s = headroom.pass_s
+        group.capacity = min(
+            max(group.reported + headroom.requests, 0.0), SLOT_FILL * group.slots
+        )
+        group.is_current = True
+
+    def list_open(self, now: float) -> list[Group]:
+        """Return the groups that work and may get requests."""
+        groups = [self.read(now, name) for name in self.groups]
+        return [group for group in groups if group is not None and group.is_open]
+
+    def add_up(self, now: float) -> ServiceLoad:
+        """Return the load and the capacity of all open groups."""
+        groups = self.list_open(now)
+        return ServiceLoad(
+            sum(group.capacity for group in groups),
+            sum(group.reported for group in groups),
+            sum(self.estimate_present(group) for group in groups),
+            sum(group.slots for group in groups),
+            groups,
+        )
 
-    def predict(self, group: Group) -> passmodel.Headroom:
-        """Return the group's headroom as its ranks reported it."""
-        if group.headroom is None:
-            group.headroom = self._model.compute_headroom(
-                group.list_loads(), group.skew, self.max_pass_s
-            )
-        return group.headroom
-
-    def count_net_sent(self, group: Group) -> float:
-        """Return what this entry sent since the reports, less what it saw end."""
-        if group.net_sent is None:
-            group.net_sent = float(
-                sum(
-                    len(t.recent_sends) - len(t.recent_ends)
-                    for t in group.ranks.values()
-                )
-            )
-        return group.net_sent
+    def estimate_present(self, group: Group) -> float:
+        """Estimate the requests of all entries that run or are on their way."""
+        others = (1.0 - self.share) * (group.sent_rate - self.compute_end_rate(group))
+        return max(group.reported + group.net_sent + others * REPORT_LAG_S, 0.0)
+
+    def compute_end_rate(self, group: Group) -> float:
+        """Return the requests a second that end."""
+        return group.reported / self.duration_s
 
-    def sustains_half(self, group: Group) -> bool:
-        """Return whether a group sustains half of its slots, with room for a surge."""
-        capacity = group.count_reported() + self.predict(group).requests
-        surge = SURGE_FACTOR * REPORT_LAG_S * self.compute_full_rate(group)
-        slots = sum(t.registration.slots for t in group.ranks.values())
-        return capacity - surge > slots / 2.0
+    def learn_sent_rate(self, group: Group, rate: float, span_s: float) -> None:
+        """Learn the rate at which all entries sent to a group for some time."""
+        weight = 1.0 - math.exp(-span_s / REPORT_LAG_S)
+        group.sent_rate += weight * (rate - group.sent_rate)
 
-    def compute_full_rate(self, group: Group) -> float:
-        """Return the requests a second that end at a group with full passes."""
-        capacity = max(group.count_reported() + self.predict(group).requests, 0.0)
-        return capacity / self.duration_s
+    def count_room(self, group: Group) -> float:
+        """Return how many requests more a group takes, as far as this entry knows."""
+        return group.capacity - self.estimate_present(group)
 
-    def count_spare(self, group: Group, reserved: float) -> float:
-        """Return how many requests more a group takes, as far as this entry knows.
+    def compute_aim(self, group: Group) -> float:
+        """Return the load that is aimed at.
 
-        ``reserved`` is how many requests the service keeps free for others.
+        It leaves room for what arrives and ends by chance between reports.
         """
-        headroom = self.predict(group).requests - reserved / max(len(self.groups), 1)
-        return headroom - self.count_net_sent(group)
-
-    def compute_admission(
-        self, group: Group, reserved: float, urgent_rate: float, rate: float
-    ) -> float:
-        """Return the probability with which to send a request to a group.
-
-        ``urgent_rate`` is that of more urgent requests at all entries, and ``rate``
-        that of requests of the same priority. Until the next report the other entries
-        send the former and that share of the latter, and some of their requests end.
-        The probability is such that, with these, half of the spare capacity is used;
-        more would overshoot, since reports lag by as long. The entries' sum is right
-        whichever entry the requests arrive at.
+        chance = math.sqrt(group.capacity / self.duration_s * REPORT_LAG_S)
+        return max(group.capacity - CHANCE_SIGMAS * chance, 0.0)
+
+    def compute_sustained_rate(self, group: Group) -> float:
+        """Return the rate of sends that keeps a group at the load that is aimed at."""
+        return self.compute_aim(group) / self.duration_s
+
+    def compute_send_rate(self, group: Group) -> float:
+        """Return the rate of sends that leads a group to the load that is aimed at.
+
+        That is as many as end, and the missing load within ``APPROACH_S``.
         """
-        full_rate = self.compute_full_rate(group)
-        spare = self.count_spare(group, reserved)
-        if spare < 1.0:
-            return 0.0
-        # What arrives by chance until the next report, beyond the mean.
-        # A burst shows in the growth of the load before entries tell their demand.
-        spare -= max(group.growth, 0.0) * REPORT_LAG_S * (1.0 - min(self.share, 1.0))
-        spare -= CHANCE_SIGMAS * math.sqrt(full_rate * REPORT_LAG_S)
-        others = REPORT_LAG_S * (1.0 - min(self.share, 1.0))
-        ends = full_rate - urgent_rate / max(len(self.groups), 1)
-        arrivals = rate / max(len(self.groups), 1)
-        if spare >= 1.0 and others * (arrivals - ends) <= spare - 1.0:
-            return 1.0
-        free = SPARE_GAIN * spare + others * ends
-        return min(max(free / max(others * arrivals, 1e-6), 0.0), 1.0)
+        missing = self.compute_aim(group) - self.estimate_present(group)
+        return max(self.compute_end_rate(group) + missing / APPROACH_S, 0.0)
--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -8,6 +8,7 @@
 import abc
 import dataclasses
 import enum
+import math
 import typing
 
 from sardinesaddle.direct import targetstate
@@ -53,7 +54,8 @@
     seconds: ``latency_objective_s`` to the first event or the response, and
     ``max_event_gap_s`` between two events of a stream. ``is_resumed`` is set for a
     stream whose caller has received events, ``is_return`` for a request that was
-    refused before and whose caller was told when to return.
+    refused before and whose caller was told when to return. ``deadline`` is the event
+    loop's time after which the caller does not wait, infinite if it is not known.
     """
 
     account: str = ""
@@ -66,6 +68,7 @@
     max_event_gap_s: float = 0.0
     is_resumed: bool = False
     is_return: bool = False
+    deadline: float = math.inf
 
 
 ANY_REQUEST: typing.Final = RequestTraits()
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -136,10 +136,15 @@
 
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
-    """Demand for a service at an entry: priorities, and tenths of requests a second."""
+    """Demand for a service at an entry: priorities, and tenths of requests a second.
+
+    ``accounts`` lists the most demanding accounts while capacity is scarce: priority,
+    CRC-32 of the account's name, and tenths of requests a second.
+    """
 
     service: str
     rates: list[tuple[int, int]]
+    accounts: list[tuple[int, int, int]] = []
 
 
 class AdmissionUpdate(msgspec.Struct, array_like=True):
--- a/test/scarcegroups.py
+++ b/test/scarcegroups.py
@@ -11,6 +11,8 @@
 import random
 import typing
 
+import msgspec
+
 from sardinesaddle.direct import (
     catalog,
     entrystate,
@@ -44,6 +46,10 @@
 )  # fmt: skip
 OBJECTIVES_S = {0: 0.5, 1: 0.5, 2: 1.0}
 DEFAULT_RETURN_S = (0.8, 1.6)  # of the order by deadline
+# Of a stream, whose tokens are exponential with mean 60, rounded down, at least 5.
+MEAN_TOKENS = 59.8
+MEAN_PASSES = 12.34
+DEADLINE_S = 8.0  # of a client, from its first attempt
 
 
 def make_route(name: str, priority: int, service: str = SERVICE) -> catalog.Route:
@@ -75,12 +81,20 @@
     last_event_at: float | None = None
     worst_gap_s: float = 0.0
     first_event_at: float = 0.0
+    counted_tokens: int = 0
 
 
 class ModelGroup:
     """A lock-step group: passes last as the model of a pass says."""
 
-    def __init__(self, name: str, first_rank: int, size: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        first_rank: int,
+        size: int,
+        is_counted: typing.Callable[[float], bool] = lambda now: False,
+    ) -> None:
+        self._is_counted = is_counted
         self.name = name
         self.first_rank = first_rank
         self.size = size
@@ -140,6 +154,8 @@
             gap_s = now - stream.last_event_at
             stream.worst_gap_s = max(stream.worst_gap_s, gap_s)
         stream.last_event_at = now
+        if self._is_counted(now):
+            stream.counted_tokens += min(stream.tokens_left, ENGINE.steps_per_pass)
         stream.tokens_left -= ENGINE.steps_per_pass
         if stream.tokens_left <= 0:
             self.streams[rank].remove(stream)
@@ -201,6 +217,8 @@
     refused: int = 0
     returned: int = 0
     refused_again: int = 0
+    # Clients that were told a time after their deadline.
+    gave_up: int = 0
     longest_refused_wait_s: float = 0.0
 
     @property
@@ -216,6 +234,7 @@
         self.refused += other.refused
         self.returned += other.returned
         self.refused_again += other.refused_again
+        self.gave_up += other.gave_up
 
 
 class World:
@@ -233,15 +252,17 @@
         self.rng = random.Random(seed)
         self.rank_count = group_count * group_size
         self.groups = [
-            ModelGroup(f"g{n}", n * group_size, group_size) for n in range(group_count)
+            ModelGroup(f"g{n}", n * group_size, group_size, self.is_counted)
+            for n in range(group_count)
         ]
         self.entries = [ModelEntry(self, n) for n in range(entry_count)]
+        self.update_bytes = 0  # sent between entries for this part
         self.tallies: dict[tuple[int, str], Tally] = collections.defaultdict(Tally)
         self.unjustified_refusals = 0
         self.counted_from = 0.0
         self.counted_until = math.inf
-        # Streams that ended on time in the counted span, whenever they were offered.
-        self.finished_on_time = 0
+        # Tokens that streams emitted in the counted span, if they ended on time.
+        self.tokens_on_time = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._set_membership()
 
@@ -255,19 +276,27 @@
         for entry in self.entries:
             entry.pool.set_entries(entry.host, hosts)
 
+    def is_counted(self, now: float) -> bool:
+        """Return whether the use of the capacity is counted at a time."""
+        return self.counted_from <= now < self.counted_until
+
     def compute_capacity(self) -> float:
-        """Return the streams a second that passes of the permitted pause sustain."""
+        """Return the streams a second that passes of the permitted pause sustain.
+
+        The last pass of a stream has no further tokens to emit, so that streams take
+        ``MEAN_PASSES``, half a pass more than their tokens would.
+        """
         low, high = 0.0, 100.0
         while high - low > 0.01:
             middle = (low + high) / 2.0
             prefill = passmodel.PassModel(ENGINE).compute_prefill_s(
                 ENGINE.mean_prompt_tokens
             )
-            work = middle * (ENGINE.per_request_s + prefill / 60.0)
+            work = middle * (ENGINE.per_request_s + prefill / MEAN_TOKENS)
             factor = 1.0 - ENGINE.expert_share + ENGINE.expert_share * SKEW
             fits = 5 * (ENGINE.step_s + work * factor) <= PAUSE_S
             low, high = (middle, high) if fits else (low, middle)
-        return low * self.rank_count / (60 / 5 * PAUSE_S)
+        return low * self.rank_count / (MEAN_PASSES * PAUSE_S)
 
     async def _report(self, group: ModelGroup, rank: int) -> None:
         """Report a rank to all entries each period."""
@@ -310,7 +339,10 @@
             if entry.is_cut or other.is_cut:
                 continue
             for sender, receiver in ((entry, other), (other, entry)):
-                update = sender.admission.make_update(now, receiver.host)
+                is_reply = sender is other
+                update = sender.admission.make_update(now, receiver.host, is_reply)
+                if update is not None and update.demand:
+                    self.update_bytes += len(msgspec.msgpack.encode(update.demand))
                 peer = admissionpart.PeerMessage(sender.host, 1, hosts)
                 receiver.admission.on_message(now, peer, update)
 
@@ -361,6 +393,7 @@
     ) -> None:
         """Send a request; come back once, when told."""
         tally = self.tallies[priority, account]
+        deadline = asyncio.get_running_loop().time() + DEADLINE_S
         is_counted = asyncio.get_running_loop().time() >= self.counted_from
         if not is_counted:
             tally = Tally()
@@ -368,13 +401,18 @@
         for is_again in (False, True):
             tally.returned += is_again
             entry = self._choose_entry(indexes)
-            return_s = await self._attempt(entry, priority, account, content_id, tally)
+            return_s = await self._attempt(
+                entry, priority, account, content_id, tally, deadline
+            )
             if return_s is None:
                 return
             if is_again:
                 tally.refused_again += 1
             else:
                 tally.refused += 1
+                if asyncio.get_running_loop().time() + return_s >= deadline:
+                    tally.gave_up += 1
+                    return
                 await asyncio.sleep(return_s)
 
     async def _attempt(
@@ -384,8 +422,12 @@
         account: str,
         content_id: str,
         tally: Tally,
+        deadline: float,
     ) -> float | None:
-        """Send a request to an entry; return when to come back, None if it ran."""
+        """Send a request to an entry; return when to come back, None if it ran.
+
+        Time counts from the client's first attempt.
+        """
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         objective_s = OBJECTIVES_S[priority]
@@ -393,6 +435,7 @@
         traits = sendconstraint.RequestTraits(
             account, f"k{priority}", priority, None, 400, 60, objective_s, PAUSE_S,
             is_return=admission.is_return(arrived_at, SERVICE, content_id),
+            deadline=deadline,
         )  # fmt: skip
         admission.on_request(arrived_at, SERVICE, traits)
         queued = requestqueue.QueuedRequest(
@@ -416,11 +459,11 @@
         entry.pool.on_end(target, loop.time(), 0, traits, outcome)
         entry.scheduler.dispatch(SERVICE)
         is_on_time = (
-            stream.first_event_at - arrived_at <= objective_s
+            stream.first_event_at - (deadline - DEADLINE_S) <= objective_s
             and stream.worst_gap_s <= PAUSE_S
         )
-        if self.counted_from <= loop.time() < self.counted_until:
-            self.finished_on_time += is_on_time
+        if is_on_time:
+            self.tokens_on_time += stream.counted_tokens
         tally.on_time += is_on_time
         tally.late += not is_on_time
         return None
--- a/test/test_direct_capacity.py
+++ b/test/test_direct_capacity.py
@@ -17,6 +17,7 @@
 from sardinesaddle.direct import catalog, messages, replica, targetpool
 from sardinesaddle.direct.admission import (
     admissionpart,
+    capacityshares,
     entryadmission,
     passmodel,
     scarcecapacity,
@@ -27,10 +28,14 @@
 
 SETTLE_S = 1.0
 SECONDS = 6.0
+TAIL_S = sg.DEADLINE_S  # until the clients that were told to return have returned
 MIN_URGENT_SHARE = 0.95  # of what the most urgent kind gets alone
 MAX_INVERSION = 0.05  # by which a less urgent kind may be served more often
 MIN_USED = 0.9  # of the capacity
 MAX_REFUSED_AGAIN = 0.1
+# Of the refused clients, or of what the capacity serves until the last may return. A
+# client that is told a time after its deadline is lost.
+MIN_RETURNED = 0.5
 FREE_WAIT_SHARE = 0.125  # of the latency objective
 KIND_SHARES = (0.3, 0.3, 0.4)
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -64,19 +69,31 @@
                 for priority, share in enumerate(KIND_SHARES)
             )
         )
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(TAIL_S)
 
     world.run(scenario)
     return world
 
 
+def compute_used(world: sg.World, span_s: float) -> float:
+    """Return the share of the capacity that streams on time used in the span.
+
+    Tokens are counted, since the lengths of the few streams that end in it vary.
+    """
+    tokens = world.compute_capacity() * sg.MEAN_TOKENS * span_s
+    return world.tokens_on_time / tokens
+
+
 def list_missed(world: sg.World, case: str) -> list[str]:
     """Return the bounds of the page that a run misses."""
     kinds = [world.sum_kind(priority) for priority in range(3)]
     shares = [kind.served_share for kind in kinds]
-    used = world.finished_on_time / (SECONDS - SETTLE_S) / world.compute_capacity()
+    used = compute_used(world, SECONDS - SETTLE_S)
     inversion = max(shares[1] - shares[0], shares[2] - shares[1])
     returned = sum(kind.returned for kind in kinds)
+    refused = sum(kind.refused for kind in kinds)
+    room = world.compute_capacity() * (sg.DEADLINE_S - sg.MEAN_PASSES * sg.PAUSE_S)
+    came_back = returned / max(min(refused, room), 1.0)
     again = sum(kind.refused_again for kind in kinds) / max(returned, 1)
     waited = max(
         tally.longest_refused_wait_s / sg.OBJECTIVES_S[priority]
@@ -88,6 +105,7 @@
         *check(f"{case}_inversion", inversion, inversion <= MAX_INVERSION, "<= 0.05"),
         *check(f"{case}_used", used, used >= MIN_USED, ">= 0.9"),
         *check(f"{case}_again", again, again <= MAX_REFUSED_AGAIN, "<= 0.1"),
+        *check(f"{case}_back", came_back, came_back >= MIN_RETURNED, ">= 0.5"),
         *check(f"{case}_waited", waited, waited <= FREE_WAIT_SHARE + 0.01, "<= 0.125"),
         *check(f"{case}_unjustified", unjustified, unjustified == 0.0, "0"),
     ]
@@ -125,10 +143,19 @@
     assert model.compute_first_event_s(passmodel.RankLoad(5, 8), 0.1, 400) > 0.2
 
 
+def test_urgent_demand_is_met_first_and_each_priority_keeps_a_minimum() -> None:
+    rates = capacityshares.divide_by_priority(100.0, 100.0, {0: 80.0, 1: 80.0, 2: 80.0})
+    assert rates == {0: 80.0, 1: 20.0, 2: 2.0}
+    assert capacityshares.divide_by_priority(10.0, 100.0, {0: 80.0, 1: 9.0}) == {
+        0: 80.0,
+        1: 2.0,
+    }
+
+
 def test_fair_level_is_max_min() -> None:
-    assert scarcecapacity.compute_fair_level([1.0, 2.0], 3.0) == math.inf
-    assert scarcecapacity.compute_fair_level([1.0, 9.0, 9.0], 9.0) == 4.0
-    assert scarcecapacity.compute_fair_level([9.0, 9.0], 4.0) == 2.0
+    assert capacityshares.compute_fair_level([1.0, 2.0], 3.0) == math.inf
+    assert capacityshares.compute_fair_level([1.0, 9.0, 9.0], 9.0) == 4.0
+    assert capacityshares.compute_fair_level([9.0, 9.0], 4.0) == 2.0
 
 
 def make_pools(
@@ -195,7 +222,8 @@
     peer = admissionpart.PeerMessage("10.0.0.2", 1, [])
     part.on_message(0.0, peer, messages.AdmissionUpdate(demand=told))
     scarce = part.services[sg.SERVICE]
-    assert scarce.peers.add_up({}) == {1: 3.0}
+    scarce.demand.add_up()
+    assert scarce.demand.rates == {1: 3.0}
 
 
 def test_pair_cost_of_prompts_is_decoded() -> None:
