Plan groups for the skew after a shift of demand, and rank requests by route too

Change: an entry observes passes as the gaps between the events of its streams, derives the skew of the longest one, and plans each group for the highest of the last 10 s. The priority of the account takes precedence, and that of the route orders the requests of accounts of the same priority. Parts know the deadline of a request.

--- a/sardinesaddle/direct/admission/admissionpart.py
+++ b/sardinesaddle/direct/admission/admissionpart.py
@@ -179,6 +179,11 @@
         Unlike ``on_outcome`` it comes before a stream ends, and not for refusals.
         """
 
+    def on_event_gap(
+        self, target: targetstate.Target, stream: str, gap_s: float
+    ) -> None:
+        """Handle the time between two events of a stream, named by its attempt."""
+
     def on_rest(self, now: float, incarnation: str, rest_s: float) -> None:
         """Handle that a target asked this entry to send nothing for a time."""
 
--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -43,6 +43,15 @@
     message of another entry changes which targets are available.
     """
     parts: list[admissionpart.AdmissionPart] = []
+
+    def is_in_service(target: targetstate.Target) -> bool:
+        """Return whether a target is in no evacuated zone."""
+        return all(
+            part.is_available(target)
+            for part in parts
+            if isinstance(part, evacuations.EvacuationPart)
+        )
+
     bounds = cfg.bounds
     if bounds.evacuation_s is not None:
         parts.append(
@@ -61,18 +70,9 @@
             " remedy=state_both_or_none"
         )
     if cfg.ramp_up:
-        parts.append(
-            targetpaces.TargetPaces(
-                cfg.host,
-                lambda target: all(
-                    part.is_available(target)
-                    for part in parts
-                    if isinstance(part, evacuations.EvacuationPart)
-                ),
-            )
-        )
+        parts.append(targetpaces.TargetPaces(cfg.host, is_in_service))
     if cfg.share_capacity:
-        parts.append(scarcecapacity.ScarceCapacity(random.Random()))
+        parts.append(scarcecapacity.ScarceCapacity(random.Random(), is_in_service))
     return parts
 
 
@@ -172,6 +172,13 @@
         for part in self._parts:
             part.on_first_event(now, target, request, first_event_s)
 
+    def on_event_gap(
+        self, target: targetstate.Target, stream: str, gap_s: float
+    ) -> None:
+        """Handle the time between two events of a stream."""
+        for part in self._parts:
+            part.on_event_gap(target, stream, gap_s)
+
     def on_rest(self, now: float, incarnation: str, rest_s: float) -> None:
         """Handle that a target asked this entry to send nothing for a time."""
         for part in self._parts:
--- a/sardinesaddle/direct/admission/groupload.py
+++ b/sardinesaddle/direct/admission/groupload.py
@@ -13,7 +13,7 @@
 import typing
 
 from sardinesaddle.direct import messages, targetstate
-from sardinesaddle.direct.admission import passmodel
+from sardinesaddle.direct.admission import groupskew, passmodel
 
 # Part of the permitted pause that the network takes, not the pass.
 TRANSIT_S: typing.Final = 0.005
@@ -50,6 +50,9 @@
     ranks: dict[str, targetstate.Target] = dataclasses.field(default_factory=dict)
     epoch: int = -1
     skew: float = 1.0
+    skews: groupskew.SkewMemory = dataclasses.field(
+        default_factory=groupskew.SkewMemory
+    )
     is_current: bool = False
     is_open: bool = False
     reported: int = 0
@@ -148,9 +151,11 @@
             group.epoch = report.epoch
             group.ranks = {}
             group.skew = 1.0
+            group.skews = groupskew.SkewMemory()
         group.ranks[target.target_id] = target
         if report.rank == 0:
             group.skew = max(report.skew, 1.0)
+            group.skews.record(target.reported_at, group.skew)
         group.is_current = False
 
     def on_change(self, target: targetstate.Target, added: int) -> None:
@@ -161,6 +166,14 @@
         if group is not None:
             group.net_sent += added
 
+    def on_event_gap(
+        self, target: targetstate.Target, stream: str, gap_s: float
+    ) -> None:
+        """Record the time between two events of a stream, which is a pass."""
+        group = self.groups.get(target.group)
+        if group is not None:
+            group.skews.on_gap(stream, gap_s)
+
     def refresh(
         self, now: float, targets: collections.abc.Collection[targetstate.Target]
     ) -> None:
@@ -173,6 +186,7 @@
                 if target_id in registered and target.group == group.name
             }
             group.is_current = False
+            group.skews.learn(now, self._model, group.list_loads())
             if not group.ranks:
                 del self.groups[group.name]
         self.own_in_flight = sum(target.own_in_flight for target in targets)
@@ -229,7 +243,8 @@
         group.reported = round(sum(load.running + load.waiting for load in loads))
         group.net_sent = sum(len(t.recent_sends) - len(t.recent_ends) for t in ranks)
         group.slots = sum(t.registration.slots for t in ranks)
-        headroom = self._model.compute_headroom(loads, group.skew, self.max_pass_s)
+        planned = group.skews.find_highest(group.skew)
+        headroom = self._model.compute_headroom(loads, planned, self.max_pass_s)
         group.pass_s = headroom.pass_s
         group.capacity = min(
             max(group.reported + headroom.requests, 0.0), SLOT_FILL * group.slots
--- a/sardinesaddle/direct/admission/scarcecapacity.py
+++ b/sardinesaddle/direct/admission/scarcecapacity.py
@@ -138,6 +138,14 @@
             scarce.on_change(target, 1)
             scarce.count_send(target, request)
 
+    def on_event_gap(
+        self, target: targetstate.Target, stream: str, gap_s: float
+    ) -> None:
+        """Learn from the passes of groups for which skew to plan."""
+        scarce = self.services.get(target.registration.service)
+        if scarce is not None:
+            scarce.loads.on_event_gap(target, stream, gap_s)
+
     def on_outcome(
         self,
         now: float,
--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -48,8 +48,8 @@
 class RequestTraits:
     """What constraints may ask of a request.
 
-    ``account`` and ``kind`` name the client account and the route. ``priority`` 0 is
-    the highest. ``homes`` are the regions in which the request may run, None for any.
+    ``account`` and ``kind`` name the client account and the route. ``priority`` orders
+    the requests of a service, 0 first: by account, then by route. ``homes`` are the regions in which the request may run, None for any.
     ``output_tokens`` is the expected number, 0 if it is not known. Times are in
     seconds: ``latency_objective_s`` to the first event or the response, and
     ``max_event_gap_s`` between two events of a stream. ``is_resumed`` is set for a
--- a/sardinesaddle/direct/explanation.py
+++ b/sardinesaddle/direct/explanation.py
@@ -251,7 +251,7 @@
             state.route.name,
             state.service,
             state.traits.account,
-            state.traits.priority,
+            forward.compute_priority(state.route, state.account),
             None if homes is None else sorted(homes),
             targets=lines,
             **details,
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -167,7 +167,8 @@
             req.path, "" if account is None else account.name, req.body
         )
         fingerprint = crashledger.Fingerprint(content_id, req.metadata.prompt_parts)
-        traits = make_traits(req, route, account)
+        deadline = req.arrived_at + limit_s
+        traits = make_traits(req, route, account, deadline)
         now = asyncio.get_running_loop().time()
         if self._targets.admission.is_return(now, service, content_id):
             traits = dataclasses.replace(traits, is_return=True)
@@ -177,7 +178,7 @@
             service,
             account,
             fingerprint,
-            req.arrived_at + limit_s,
+            deadline,
             traits,
         )
 
@@ -550,6 +551,17 @@
             state.service, state.first_event_at - state.req.arrived_at
         )
 
+    def record_event_gap(
+        self,
+        state: requeststate.RequestState,
+        target: targetstate.Target,
+        gap_s: float,
+    ) -> None:
+        """Pass on the time between two events of a stream."""
+        self._targets.admission.on_event_gap(
+            target, state.req.metadata.attempt_id, gap_s
+        )
+
     def _record_limit(
         self,
         incarnation: str,
@@ -735,6 +747,10 @@
             self._state, self._target, now - self._timing.began_at
         )
 
+    def on_event_gap(self, gap_s: float) -> None:
+        """Pass on how long the target took for the next event."""
+        self._forwarder.record_event_gap(self._state, self._target, gap_s)
+
     async def has_target_ended(self) -> bool:
         """Find out whether the target's process has ended."""
         return await self._forwarder.crashes.has_ended(self._target)
@@ -748,8 +764,21 @@
     return min(max(priority, 0), LOWEST_PRIORITY)
 
 
+def compute_urgency(route: catalog.Route, account: catalog.Account | None) -> int:
+    """Return the rank of a request among those of a service; 0 goes first.
+
+    The priority of the account takes precedence, and that of the route orders the
+    requests of accounts of the same priority.
+    """
+    route_priority = min(max(route.priority, 0), LOWEST_PRIORITY)
+    return compute_priority(route, account) * (LOWEST_PRIORITY + 1) + route_priority
+
+
 def make_traits(
-    req: requeststate.Request, route: catalog.Route, account: catalog.Account | None
+    req: requeststate.Request,
+    route: catalog.Route,
+    account: catalog.Account | None,
+    deadline: float,
 ) -> sendconstraint.RequestTraits:
     """Return what the constraints of targets ask of a request."""
     metadata = req.metadata
@@ -757,12 +786,13 @@
     return sendconstraint.RequestTraits(
         account="" if account is None else account.name,
         kind=route.name,
-        priority=compute_priority(route, account),
+        priority=compute_urgency(route, account),
         homes=catalog.intersect_homes(route, account),
         prompt_tokens=metadata.prompt_tokens,
         output_tokens=metadata.max_output_tokens if hint is None else hint,
         latency_objective_s=route.latency_objective_s,
         max_event_gap_s=route.max_event_gap_s,
+        deadline=deadline,
     )
 
 
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -60,6 +60,10 @@
     def on_first_event(self) -> None:
         """Handle that the caller gets the first event of its stream."""
 
+    @abc.abstractmethod
+    def on_event_gap(self, gap_s: float) -> None:
+        """Handle that events arrived ``gap_s`` after the event before them."""
+
     @abc.abstractmethod
     async def has_target_ended(self) -> bool:
         """Find out whether the target's process has ended."""
@@ -198,6 +202,7 @@
         """Relay the complete events of a stream as they arrive."""
         parser = sse.EventParser()
         has_events = False
+        last_event_at = 0.0
         while True:
             data = await read_with_timeout(
                 self._exchange.read_body(), self._silence_timeout_s
@@ -217,9 +222,14 @@
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
             received = parser.feed(data)
-            if received and not has_events:
-                has_events = True
-                self._observer.on_begun()
+            if received:
+                now = asyncio.get_running_loop().time()
+                if has_events:
+                    self._observer.on_event_gap(now - last_event_at)
+                else:
+                    has_events = True
+                    self._observer.on_begun()
+                last_event_at = now
             if parser.is_oversized:
                 kind = upstream.FailureKind.MALFORMED
                 return upstream.Failure(kind, True, "event exceeds the size limit")
