Limit groups that open by predicted passes instead of by an exchanged window

Cause: a lock-step group opens with expert map 0 (skew 3.5), and its ramp-up was that of single targets: a window per rank, divided over the entries. Without any limit the first passes are overloaded (up to 250 ms).

Change: for a group that opens, each rank gets only as many requests as keep predicted passes at skew 3.5 within the permitted pause (3 of 5 slots there). The limit ends when the leader reports a map with which full slots and a new prompt at each rank fit, or after 2.25 s. All entries compute the same limit from the same reports; nothing is exchanged.

--- a/sardinesaddle/direct/admission/targetpace.py
+++ b/sardinesaddle/direct/admission/targetpace.py
@@ -52,18 +52,17 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetPace:
-    """The window of one target, or of each rank of a lock-step group.
+    """The window of one target.
 
     ``begun`` counts the ramp-ups of the incarnation and ``shrink_count`` the decreases
     in this one. ``changed_at`` is when the last of either was. ``slots`` are those of
-    the target, ``size`` the number of ranks whose responses count together.
+    the target.
     """
 
     begun: int
     window: float
     changed_at: float
     slots: int
-    size: int = 1
     shrink_count: int = 0
     end_reason: EndReason | None = None
     latency_s: float = 0.0
@@ -116,7 +115,7 @@
             return
         growth = CAREFUL_ROUND_GROWTH if self.shrink_count else ROUND_GROWTH
         weight = min(self.window / max(part, 1), MAX_RESPONSE_WEIGHT)
-        self.window += growth * weight / self.size
+        self.window += growth * weight
         self._end_if_full()
 
     def _observe(self, now: float, latency_s: float, reference_s: float | None) -> None:
@@ -196,7 +195,7 @@
     """Return the window with which a pace begins.
 
     An eighth of the slots, 4 at most. If no target of the service is warm, a quarter,
-    since the others cannot serve instead; one pass of a lock-step group bears that.
+    since the others cannot serve instead.
     """
     if is_service_cold:
         return max(slots / 4.0, 2.0)
--- a/sardinesaddle/direct/admission/targetpaces.py
+++ b/sardinesaddle/direct/admission/targetpaces.py
@@ -1,10 +1,11 @@
 """Lets targets that have just started or recovered get requests gradually.
 
-A pace is kept for each such target, and for each lock-step group as a whole;
-``targetpace`` decides on its window. Entries exchange the windows in their heartbeats.
-Each takes its part by its own position among the entries, so that the parts add up to
-the window without a message. The positions begin at the entry whose subset has the
-target, which is the one that prefers it. See ``docs/design/ramp-up.md``.
+A pace is kept for each such target; ``targetpace`` decides on its window. Entries
+exchange the windows in their heartbeats. Each takes its part by its own position among
+the entries, so that the parts add up to the window without a message. The positions
+begin at the entry whose subset has the target, which is the one that prefers it.
+Lock-step groups have limits of their own (``targetpacegroups``).
+See ``docs/design/ramp-up.md``.
 """
 
 import collections.abc
@@ -24,7 +25,12 @@
     nodemetrics,
     targetstate,
 )
-from sardinesaddle.direct.admission import admissionpart, sendconstraint, targetpace
+from sardinesaddle.direct.admission import (
+    admissionpart,
+    sendconstraint,
+    targetpace,
+    targetpacegroups,
+)
 
 # Targets that an entry learns of within this time of its start are served by others.
 SETTLE_S: typing.Final = 5.0
@@ -94,20 +100,18 @@
         self._started_at: float | None = None
         self._refreshed_at: float | None = None
         self._lockstep_services: frozenset[str] = frozenset()
-        # By the key of a pace, which is an incarnation or a group with its epoch.
+        self._opened_groups = targetpacegroups.OpenedGroups()
+        # By incarnation.
         self._paces: dict[str, targetpace.TargetPace] = {}
         self._ended: dict[str, EndedPace] = {}
         self._names: dict[int, str] = {}
         self._pending: dict[int, messages.PaceRecord] = {}
-        # By incarnation; only of targets that ramp up.
-        self._keys: dict[str, str] = {}
         # By target identifier: incarnation, warm-up time, service.
         self._targets: dict[str, targetstate.Target] = {}
         # By service, sorted; computed when needed.
         self._ready: dict[str, dict[str, int]] = {}
         self._incarnations: dict[str, str] = {}
         self._warmups: dict[str, float] = {}
-        self._groups: dict[str, tuple[int, bool]] = {}
         self._usual: dict[str, UsualLatency] = {}
         self._references: dict[str, float] = {}
         # By service, the incarnations that do not ramp up.
@@ -131,15 +135,11 @@
 
     def may_send(self, now: float, target: targetstate.Target) -> bool:
         """Return whether this entry's part of the target's window has room."""
-        incarnation = target.registration.incarnation
-        key = self._keys.get(incarnation)
-        if key is None:
-            return True
-        service = target.registration.service
-        if service in self._lockstep_services and not self._warm.get(service):
-            # The slots restrain a rank, and no other group can serve instead.
+        if target.registration.service in self._lockstep_services:
+            return self._opened_groups.may_send(now, target)
+        pace = self._paces.get(target.registration.incarnation)
+        if pace is None:
             return True
-        pace = self._paces[key]
         if target.own_in_flight >= self._get_part(now, target, pace):
             return False
         if not target.has_fresh_report(now):
@@ -148,13 +148,13 @@
 
     def get_window(self, incarnation: str) -> float | None:
         """Return the window of a target, None if it is not restrained."""
-        key = self._keys.get(incarnation)
-        return None if key is None else self._paces[key].window
+        pace = self._paces.get(incarnation)
+        return None if pace is None else pace.window
 
     def get_part(self, now: float, target: targetstate.Target) -> int | None:
         """Return this entry's part of a window, None if it is not restrained."""
-        key = self._keys.get(target.registration.incarnation)
-        return None if key is None else self._get_part(now, target, self._paces[key])
+        pace = self._paces.get(target.registration.incarnation)
+        return None if pace is None else self._get_part(now, target, pace)
 
     def _get_window(
         self, target: targetstate.Target, pace: targetpace.TargetPace
@@ -186,11 +186,7 @@
 
     def on_catalog(self, now: float, current: catalog.Catalog) -> None:
         """Learn which services have lock-step groups."""
-        self._lockstep_services = frozenset(
-            service.name
-            for service in current.services.values()
-            if service.engine is not None and service.engine.layer_sets
-        )
+        self._lockstep_services = self._opened_groups.on_catalog(current)
 
     def on_registered(self, now: float, target: targetstate.Target) -> None:
         """Begin a pace for a new incarnation and for one that turned cold."""
@@ -223,7 +219,7 @@
         else:
             warm = self._warm.setdefault(registration.service, set())
             warm.add(registration.incarnation)
-            self._adopt_pending(now, registration.incarnation, [target])
+            self._adopt_pending(now, target)
 
     def _is_recent(self, registration: catalog.TargetRegistration) -> bool:
         """Return whether a target states that it started or is cold just now."""
@@ -235,7 +231,7 @@
     def on_report(
         self, now: float, target: targetstate.Target, report: messages.Report
     ) -> None:
-        """Begin a pace for a group that opened; a rank follows its group."""
+        """Begin a pace after an outage; limit a group that opened."""
         registration = target.registration
         if not report.group or registration.service not in self._lockstep_services:
             if report.is_alive and registration.incarnation in self._silent:
@@ -244,27 +240,9 @@
             return
         if self._started_at is None:
             self._started_at = now
-        known = self._groups.get(report.group)
-        if known is not None and report.epoch < known[0]:
-            return
-        key = f"{report.group}/{report.epoch}"
-        is_new_epoch = known is None or report.epoch > known[0]
-        was_open = known is not None and known[1] and not is_new_epoch
-        is_open = report.is_group_open and report.is_alive
-        if is_open or is_new_epoch or not report.is_group_open:
-            self._groups[report.group] = (report.epoch, report.is_group_open)
-        self._names[limitshares.compute_limit_id(key)] = key
-        if is_new_epoch and known is not None:
-            self._forget(f"{report.group}/{known[0]}")
         is_settled = now - self._started_at >= SETTLE_S
-        if is_open and not was_open:
-            if known is not None or is_settled or self._is_recent(registration):
-                self._begin(now, target, "group_opened", key, max(report.size, 1))
-            else:
-                self._adopt_pending(now, key, [target])
-        pace = self._paces.get(key)
-        if pace is not None and self._keys.get(registration.incarnation) != key:
-            self._restrain(target, key)
+        has_just_opened = is_settled or self._is_recent(registration)
+        self._opened_groups.on_report(now, target, report, has_just_opened)
 
     def on_rest(self, now: float, incarnation: str, rest_s: float) -> None:
         """Begin a pace when a rest ends."""
@@ -281,32 +259,25 @@
         now: float,
         target: targetstate.Target,
         cause: str,
-        key: str = "",
-        size: int = 1,
         is_careful: bool = False,
     ) -> None:
         """Begin a pace, unless one is in force or others have ended it already."""
-        incarnation = target.registration.incarnation
-        if target.registration.service in self._lockstep_services and not key:
-            return
-        key = key or incarnation
-        if key in self._paces:
-            self._restrain(target, key)
+        key = target.registration.incarnation
+        if target.registration.service in self._lockstep_services or key in self._paces:
             return
         slots = max(target.registration.slots, 1)
         ended = self._ended.pop(key, None)
-        self._restrain(target, key)
+        self._discard_warm(target)
         is_cold = not self._warm.get(target.registration.service)
         pace = targetpace.TargetPace(
             1 if ended is None else ended.version[0] + 1,
             targetpace.make_first_window(slots, is_cold),
             now,
             slots,
-            size,
             shrink_count=int(is_careful),
             grown_at=now,
         )
-        self._add(now, key, pace, [target])
+        self._add(now, target, pace)
         loguru.logger.info(
             "event=ramp_up_begins target={} service={} cause={} window={:.1f}"
             " begun={} careful={}",
@@ -319,32 +290,27 @@
         )
 
     def _add(
-        self,
-        now: float,
-        key: str,
-        pace: targetpace.TargetPace,
-        targets: collections.abc.Iterable[targetstate.Target],
+        self, now: float, target: targetstate.Target, pace: targetpace.TargetPace
     ) -> None:
         """Put a pace in force, with what is known of it from other entries."""
+        key = target.registration.incarnation
         self._paces[key] = pace
-        for target in targets:
-            self._restrain(target, key)
+        self._discard_warm(target)
         pending = self._pending.pop(limitshares.compute_limit_id(key), None)
         if pending is not None:
             self._merge(now, key, pending)
 
-    def _restrain(self, target: targetstate.Target, key: str) -> None:
-        """Let a target follow a pace."""
-        incarnation = target.registration.incarnation
-        self._keys[incarnation] = key
-        self._warm.get(target.registration.service, set()).discard(incarnation)
+    def _discard_warm(self, target: targetstate.Target) -> None:
+        """Note that a target ramps up."""
+        warm = self._warm.get(target.registration.service, set())
+        warm.discard(target.registration.incarnation)
 
     def _find_warm(self) -> None:
         """Find the targets of each service that do not ramp up."""
         self._warm = {}
         for target in self._targets.values():
             incarnation = target.registration.incarnation
-            if incarnation not in self._keys:
+            if incarnation not in self._paces:
                 warm = self._warm.setdefault(target.registration.service, set())
                 warm.add(incarnation)
 
@@ -359,11 +325,10 @@
     ) -> None:
         """Let a window grow, or note how long a warm target usually takes."""
         incarnation = target.registration.incarnation
-        key = self._keys.get(incarnation)
-        if key is None:
+        pace = self._paces.get(incarnation)
+        if pace is None:
             self._note_usual(target, first_event_s)
             return
-        pace = self._paces[key]
         total = None
         if target.has_fresh_report(now):
             total = target.estimate_in_flight(now, 1)
@@ -376,7 +341,7 @@
             total,
         )
         if pace.is_over:
-            self._end(now, key)
+            self._end(now, incarnation)
 
     def _note_usual(self, target: targetstate.Target, latency_s: float) -> None:
         """Update the usual latency of a warm target."""
@@ -404,14 +369,14 @@
         outcome: admissionpart.SendOutcome,
     ) -> None:
         """Shrink a window after a refusal or failure."""
-        key = self._keys.get(target.registration.incarnation)
-        if key is None or target.has_stale_address:
+        key = target.registration.incarnation
+        pace = self._paces.get(key)
+        if pace is None or target.has_stale_address:
             return
         results = admissionpart.SendResult
         is_failure = outcome.result in (results.BROKEN, results.UNREACHABLE)
         if not is_failure and outcome.result is not results.REFUSED:
             return
-        pace = self._paces[key]
         before = pace.window
         if is_failure:
             self._failed_at[target.target_id] = now
@@ -446,10 +411,11 @@
             pace.refresh(now)
             if pace.is_over:
                 self._end(now, key)
+        self._opened_groups.refresh(now, {target.group for target in targets})
         services = {
             target.registration.service
             for target in targets
-            if target.registration.incarnation in self._keys
+            if target.registration.incarnation in self._paces
         }
         self._find_warm()
         self._compute_references(services)
@@ -461,10 +427,8 @@
             self._forget(self._incarnations.pop(target_id))
             self._warmups.pop(target_id, None)
             self._usual.pop(target_id, None)
-        for incarnation in self._keys.keys() - incarnations:
-            key = self._keys.pop(incarnation)
-            if key not in self._keys.values():
-                self._forget(key)
+        for incarnation in self._paces.keys() - incarnations:
+            self._forget(incarnation)
         for kept in (self._returns, self._ejected_at):
             for incarnation in kept.keys() - incarnations:
                 del kept[incarnation]
@@ -475,12 +439,10 @@
         self._unavailable &= incarnations
 
     def _forget(self, key: str) -> None:
-        """Drop a pace whose target or epoch is gone."""
+        """Drop a pace whose target is gone."""
         self._paces.pop(key, None)
         self._ended.pop(key, None)
         self._names.pop(limitshares.compute_limit_id(key), None)
-        for incarnation in [i for i, k in self._keys.items() if k == key]:
-            del self._keys[incarnation]
 
     def _update_entries(self, now: float, view: admissionpart.EntryView) -> None:
         """Update the entries among which the windows are divided.
@@ -581,7 +543,7 @@
         for target_id, usual in self._usual.items():
             if usual.service not in samples:
                 continue
-            if self._incarnations.get(target_id) in self._keys:
+            if self._incarnations.get(target_id) in self._paces:
                 continue
             if usual.sample_count >= MIN_REFERENCE_SAMPLES:
                 samples[usual.service].append(usual.latency_s)
@@ -593,8 +555,6 @@
         """End a pace; the target is no longer restrained."""
         pace = self._paces.pop(key)
         self._ended[key] = EndedPace(pace.version, now)
-        for incarnation in [i for i, k in self._keys.items() if k == key]:
-            del self._keys[incarnation]
         loguru.logger.info(
             "event=ramp_up_ends target={} reason={} window={:.1f} seconds={:.2f}"
             " decreases={}",
@@ -674,60 +634,51 @@
                 self._pending.pop(next(iter(self._pending)))
             self._pending[record.key] = record
             return
-        self._adopt(now, key, record, self._list_members(key))
-
-    def _list_members(self, key: str) -> list[targetstate.Target]:
-        """Return the target or the ranks of a group with a key."""
-        return [
-            target
-            for target in self._targets.values()
-            if target.registration.incarnation == key
-            or (
-                target.report is not None
-                and target.group
-                and f"{target.group}/{target.report.epoch}" == key
-            )
-        ]
+        self._adopt(now, key, record, self._find_target(key))
 
-    def _adopt_pending(
-        self, now: float, key: str, targets: list[targetstate.Target]
-    ) -> None:
+    def _find_target(self, incarnation: str) -> targetstate.Target | None:
+        """Return the target of an incarnation, None if it is not registered."""
+        targets = self._targets.values()
+        return next(
+            (t for t in targets if t.registration.incarnation == incarnation), None
+        )
+
+    def _adopt_pending(self, now: float, target: targetstate.Target) -> None:
         """Take over a pace that another entry told of before the target was known."""
+        key = target.registration.incarnation
         record = self._pending.pop(limitshares.compute_limit_id(key), None)
         if record is not None and record.window:
-            self._adopt(now, key, record, targets)
+            self._adopt(now, key, record, target)
 
     def _adopt(
         self,
         now: float,
         key: str,
         record: messages.PaceRecord,
-        targets: list[targetstate.Target],
+        target: targetstate.Target | None,
     ) -> None:
         """Begin the pace that another entry began, or note that it is over."""
         version = record.begun, record.shrink_count
         if not record.window:
             self._ended[key] = EndedPace(version, now)
             return
-        if not targets:
+        if target is None:
             return
         self._ended.pop(key, None)
-        sizes = [t.report.size for t in targets if t.report is not None]
         pace = targetpace.TargetPace(
             record.begun,
             float(record.window),
             now - record.age_ms / 1000.0,
-            max(targets[0].registration.slots, 1),
-            max([*sizes, 1]) if key != targets[0].registration.incarnation else 1,
+            max(target.registration.slots, 1),
             record.shrink_count,
             grown_at=now,
         )
-        self._add(now, key, pace, targets)
+        self._add(now, target, pace)
         loguru.logger.info(
             "event=ramp_up_begins target={} service={} cause=peer window={:.1f}"
             " begun={} decreases={}",
             key,
-            targets[0].registration.service,
+            target.registration.service,
             pace.window,
             pace.begun,
             pace.shrink_count,
@@ -755,10 +706,13 @@
         windows, parts = {}, {}
         for target in self._targets.values():
             incarnation = target.registration.incarnation
-            key = self._keys.get(incarnation)
-            if key is not None:
-                windows[incarnation] = self._paces[key].window
-                parts[incarnation] = self._get_part(now, target, self._paces[key])
+            pace = self._paces.get(incarnation)
+            limit = self._opened_groups.get_limit(target)
+            if pace is not None:
+                windows[incarnation] = pace.window
+                parts[incarnation] = self._get_part(now, target, pace)
+            elif limit is not None:
+                windows[incarnation], parts[incarnation] = float(limit), limit
         entry_metrics.set_paces(windows, parts)
 
 
