Let entries that start use their parts of the cold bound earlier

Cause: an entry that started sent nothing to targets of a service with cold_per_s for a fixed second, and then for 1.25 s until its part counted; with an unreachable entry it waited for 2 s before the 1.25 s.

Change: the window of 1.25 s begins with the reply of the last entry that it knows, if an entry that serves is among them (ClaimUpdate.is_serving). Entries that serve tell a new process which entries they count and do not reach, with their claims, so it neither waits for these nor leaves their parts out.

An entry that is never reached kept the claims of an entry that had just started at 0 for ten minutes.

make_part() in the tests now does the periodic work of the 10 s that it stands for: a process that does nothing for so long counts as suspended. The test of missing mechanisms also plays a new target and a partition beside a start, since a claim that was not acknowledged no longer crosses the bound after a common start.

--- a/sardinesaddle/direct/admission/coldlimits.py
+++ b/sardinesaddle/direct/admission/coldlimits.py
@@ -33,7 +33,7 @@
     targetlimits,
     targetstate,
 )
-from sardinesaddle.direct.admission import admissionpart, sendconstraint
+from sardinesaddle.direct.admission import admissionpart, sendconstraint, startgate
 
 WINDOW_S: typing.Final = 1.0  # the users' bound is on any second
 # Sends within this time may arrive within one window.
@@ -48,7 +48,9 @@
     # One lost entry with a standing part among twelve: it may have one permit more
     # than the others count, which rounding leaves.
     max_lost_share=1.0 / 16.0,
-    isolated_start_s=2.0,  # several heartbeats; longer refuses too much after a start
+    # ``startgate`` decides when an entry that starts may use its parts.
+    isolated_start_s=0.0,
+    discovery_s=0.0,
     is_sparse=True,
 )
 # Longer than the time between two refreshes. Sends may be delayed by a stall.
@@ -139,6 +141,8 @@
     # Whether this entry is a first sender, and of which entries and permits.
     is_first: bool = False
     is_first_of: tuple[int, int] = (-1, 0)
+    # Whether the window's capacity was computed once.
+    is_divided: bool = False
 
 
 class ColdConstraint(sendconstraint.SendConstraint):
@@ -168,10 +172,12 @@
         self, host: str, started_at: float, overage: float, slack: float
     ) -> None:
         self._bound = limitshares.Bound(WINDOW_S, overage, slack)
-        self._started_at = started_at
+        self._gate = startgate.StartGate(started_at, SEND_WINDOW_S)
         self._shares = limitshares.LimitShares(host, started_at, POLICY)
         self._permits: dict[str, int] = {}
         self._targets: dict[str, ColdTarget] = {}
+        # What other entries asked for in a heartbeat, until the reply to it.
+        self._asked: dict[str, list[str]] = {}
         self._seen_at = started_at
         self._filled_count = 0
 
@@ -202,10 +208,18 @@
     def on_registered(self, now: float, target: targetstate.Target) -> None:
         """Note a target, and for how long its registration says that it is cold."""
         registration = target.registration
-        if registration.service in self._permits:
+        permits = self._permits.get(registration.service)
+        if permits is not None:
             known = self._targets.setdefault(
                 registration.incarnation, ColdTarget(registration.service, now, now)
             )
+            if known.window is None:
+                # A part that starts to count at the next refresh would be used later.
+                self._add_window(registration.incarnation, known, permits, False)
+                if known.window is not None:
+                    self._apply_share(
+                        now, registration.incarnation, known, known.window
+                    )
             if registration.warmup_s > 0.0:
                 self._set_cold(
                     now, registration.incarnation, known, registration.warmup_s
@@ -253,7 +267,10 @@
         known = self._targets.get(registration.incarnation)
         if known is None or known.window is None:
             return NO_PART
-        wait_s = known.window.compute_wait_s(now)
+        wait_s = max(
+            known.window.compute_wait_s(now),
+            self._gate.compute_wait_s(now, self._shares),
+        )
         if wait_s <= 0.0:
             return sendconstraint.ALLOWED
         return dataclasses.replace(NO_PART, wait_s=wait_s)
@@ -276,6 +293,7 @@
         seen_at, self._seen_at = self._seen_at, now
         if now - seen_at <= STALL_S:
             return
+        self._gate.on_stall(now - seen_at)
         for known in self._targets.values():
             if known.window is not None:
                 known.window.postpone(now, seen_at - UNWRITTEN_S)
@@ -289,8 +307,18 @@
         if not self._permits or self._shares.get_peer(host) is None:
             return
         claims = self._shares.take_claims(host, is_reply)
-        if claims is not None:
-            update.cold = messages.ClaimUpdate(self._shares.number, claims)
+        is_serving = self._gate.compute_wait_s(now, self._shares) <= 0.0
+        unreached = [] if is_serving else self._shares.list_unreached()
+        asked = self._asked.pop(host, []) if is_reply else []
+        if claims is None and not unreached and not asked:
+            return
+        update.cold = messages.ClaimUpdate(
+            self._shares.number,
+            list(self._shares.list_claims().items()) if claims is None else claims,
+            is_serving,
+            self._shares.list_lost(now, host, asked) if is_serving else [],
+            unreached,
+        )
 
     def on_message(
         self,
@@ -303,6 +331,11 @@
         self._shares.on_process(now, peer.host, peer.process)
         if update.cold is not None:
             self._shares.on_claims(peer.host, update.cold.number, update.cold.claims)
+            if update.cold.is_serving:
+                self._gate.on_serving_peer()
+            self._shares.add_lost(now, update.cold.lost)
+            if update.cold.unreached:
+                self._asked[peer.host] = update.cold.unreached
         self._apply_shares(now)
 
     def on_reply(
@@ -343,16 +376,9 @@
             )
             known.listed_at = now
             is_used = target.target_id in entries.own_targets
-            version = (self._shares.entries_number, permits)
-            if known.is_first_of != version:
-                known.is_first_of = version
-                known.is_first = self._shares.is_first_sender(incarnation, permits)
-            if is_used or known.is_first:
-                self._shares.set_limit(incarnation, known.registered_at, permits)
+            self._add_window(incarnation, known, permits, is_used)
+            if known.window is not None:
                 self._shares.set_used(incarnation, is_used)
-                known.window = known.window or SendWindow(SEND_WINDOW_S)
-            elif known.window is not None:
-                self._shares.set_used(incarnation, False)
         for incarnation, known in list(self._targets.items()):
             if known.is_cold and known.cold_until <= now:
                 known.is_cold = False
@@ -362,17 +388,43 @@
                 self._shares.remove_limit(incarnation)
         self._apply_shares(now)
 
+    def _add_window(
+        self, incarnation: str, known: ColdTarget, permits: int, is_used: bool
+    ) -> None:
+        """Divide the bound on a target of which this entry may have a part."""
+        version = (self._shares.entries_number, permits)
+        if known.is_first_of != version:
+            known.is_first_of = version
+            known.is_first = self._shares.is_first_sender(incarnation, permits)
+        if is_used or known.is_first:
+            self._shares.set_limit(incarnation, known.registered_at, permits)
+            known.window = known.window or SendWindow(SEND_WINDOW_S)
+
     def _apply_shares(self, now: float) -> None:
         """Set the capacities of all windows."""
         for incarnation, known in self._targets.items():
-            if known.window is None:
-                continue
-            # No entry sent anything to a target that is new. After its start, this one
-            # cannot tell which targets are.
-            age_s = known.registered_at - self._started_at
-            is_new = age_s > SEND_WINDOW_S and now - known.registered_at < WINDOW_S
-            share = self._shares.compute_share(now, incarnation)
-            known.window.set_capacity(now, share.burst, is_new)
+            if known.window is not None:
+                self._apply_share(now, incarnation, known, known.window)
+
+    def _apply_share(
+        self, now: float, incarnation: str, known: ColdTarget, window: SendWindow
+    ) -> None:
+        """Set the capacity of a window.
+
+        The standing part of a target that is new is used at once, since no entry sent
+        anything to it before; a part that grows later may have been used by others. An
+        entry that starts cannot tell which targets are new.
+        """
+        self._gate.compute_wait_s(now, self._shares)
+        opened_at = self._gate.opened_at
+        is_new = (
+            opened_at is not None
+            and known.registered_at > opened_at
+            and now - known.registered_at < WINDOW_S
+        )
+        share = self._shares.compute_share(now, incarnation)
+        window.set_capacity(now, share.burst, is_new and not known.is_divided)
+        known.is_divided = True
 
     def write_metrics(
         self, now: float, entry_metrics: nodemetrics.EntryMetrics
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -589,6 +589,8 @@
         for watcher in self._watchers.values():
             self._tasks.append(loop.create_task(watcher.run()))
         self._peers.set_seeds(self._cfg.list_seed_hosts())
+        # Parts that wait for the replies of all seeds have to know them.
+        self._refresh_admission(loop.time())
         self._tasks.append(loop.create_task(self._run_maintenance()))
         await self.frontend.start(*nodesettings.split_address(self._cfg.front))
 
--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -42,6 +42,7 @@
 MAX_LOST_SHARE: typing.Final = 0.25  # of all claims
 # An entry that starts without reaching the others uses nothing for so long.
 ISOLATED_START_S: typing.Final = 10.0
+UNKNOWN_PROCESS: typing.Final = -1  # of an entry whose claims are not known
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +66,8 @@
     ``max_claim`` the highest claim. A first sender has ``permits_per_sender`` of the
     permits, and permits for ``spare_senders`` more are kept back, for an entry that
     counts itself among them since it does not know a new one yet. ``max_lost_share``
-    and ``isolated_start_s`` are described in the module.
+    and ``isolated_start_s`` are described in the module. For ``discovery_s`` after its
+    start, an entry has no share.
 
     With ``is_sparse``, standing claims are not sent, each process of another entry is
     told the other claims once, and the first senders follow each other on a ring of
@@ -78,6 +80,7 @@
     spare_senders: int = 0
     max_lost_share: float = MAX_LOST_SHARE
     isolated_start_s: float = ISOLATED_START_S
+    discovery_s: float = retrybudget.ENTRY_DISCOVERY_S
     is_sparse: bool = False
 
     def count_first_senders(self, permits: int) -> int:
@@ -102,7 +105,8 @@
     ``number`` of that update. ``held`` is the lowest value of this entry's claims that
     it may hold. ``acknowledged`` is the number of this entry's claims that it has,
     ``digest`` that of the statements that it has. ``was_told`` is set when this entry's
-    claims were sent to its process.
+    claims were sent to its process. ``has_replied`` is set when any process at the host
+    replied, ``is_told_lost`` if another entry tells that it is lost.
     """
 
     last_known_at: float
@@ -115,6 +119,8 @@
     acknowledged: int = -1
     digest: int = 0
     was_told: bool = False
+    has_replied: bool = False
+    is_told_lost: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,10 +176,19 @@
         self._ring: list[tuple[bytes, str]] = []
         # Increases when the known entries change.
         self.entries_number = 0
+        # When an entry last replied that had not replied before.
+        self.reached_at = started_at
         self._set_orders()
 
     # The entries.
 
+    @property
+    def has_reached_all(self) -> bool:
+        """Whether each entry replied that is known and that others have not lost."""
+        return self._knows_entries and all(
+            peer.has_replied or peer.is_told_lost for peer in self._peers.values()
+        )
+
     def get_peer(self, host: str) -> Peer | None:
         """Return what is known of another entry, or None."""
         return self._peers.get(host)
@@ -190,7 +205,7 @@
         """
         alive = frozenset(alive)
         uptime_s = now - self._started_at
-        has_started_long_ago = uptime_s > self._policy.isolated_start_s
+        has_started_long_ago = uptime_s >= self._policy.isolated_start_s
         self._needs_recount |= has_started_long_ago != self._has_started_long_ago
         self._has_started_long_ago = has_started_long_ago
         self._knows_entries = True
@@ -218,6 +233,57 @@
             self._set_orders()
             self.recount()
 
+    def list_unreached(self) -> list[str]:
+        """Return the entries whose claims this entry has to ask the others for."""
+        return [
+            host
+            for host, peer in self._peers.items()
+            if not peer.has_replied and not peer.is_told_lost
+        ]
+
+    def list_lost(
+        self, now: float, host: str, asked: typing.Collection[str]
+    ) -> list[tuple[str, int, list[tuple[int, int]] | None]]:
+        """Return the entries that a new process of another one has to count.
+
+        These are those that it asked for, and those that are no longer listed, so that
+        it cannot hear of them otherwise. They may be cut off from it and still use what
+        they claim.
+        """
+        is_new = self._peers[host].acknowledged < 0
+        return [
+            (
+                lost,
+                int(now - peer.last_known_at),
+                list(peer.claims.items()) if self._claims_standing(peer) else None,
+            )
+            for lost, peer in self._peers.items()
+            if lost in asked or (is_new and not peer.is_alive and lost != host)
+        ]
+
+    def add_lost(
+        self,
+        now: float,
+        lost: typing.Iterable[tuple[str, int, list[tuple[int, int]] | None]],
+    ) -> None:
+        """Count entries that another one has lost, unless one is known better."""
+        has_changed = False
+        for host, age_s, claims in lost:
+            known = self._peers.get(host)
+            if host == self._host or (known is not None and known.process):
+                continue
+            if known is None:
+                known = self._peers[host] = Peer(now - max(age_s, 0))
+            known.is_told_lost = True
+            if claims is None:
+                # Without a claim it counts as one that claims most.
+                known.process = UNKNOWN_PROCESS
+            known.claims = dict(claims or ())
+            has_changed = True
+        if has_changed:
+            self._set_orders()
+            self.recount()
+
     def recount(self) -> None:
         """Compute the sums of all claims from what is known of each entry."""
         self._needs_recount = False
@@ -283,6 +349,9 @@
         if peer.contacted_at is None:
             peer.contacted_at = now
             self._needs_recount = True
+        if not peer.has_replied:
+            peer.has_replied = True
+            self.reached_at = now
         if claims is not None:
             self.on_acknowledged(host, number, claims)
 
@@ -411,7 +480,7 @@
 
     def compute_share(self, now: float, incarnation: str) -> Share:
         """Return the part of a limit that this entry may use now."""
-        has_just_started = now - self._started_at < retrybudget.ENTRY_DISCOVERY_S
+        has_just_started = now - self._started_at < self._policy.discovery_s
         if has_just_started or not self._knows_entries:
             return NO_SHARE
         limit = self._limits[compute_limit_id(incarnation)]
@@ -481,6 +550,10 @@
         """Return whether an entry claims what all assume, as it told nothing else."""
         if not self._policy.is_sparse:
             return is_known_before(peer, limit)
+        return self._claims_standing(peer)
+
+    def _claims_standing(self, peer: Peer) -> bool:
+        """Return whether what an entry did not tell are standing claims, if sparse."""
         was_never_reached = peer.process == 0 and not peer.is_alive
         # An entry that divides nothing replies without claims.
         has_told = peer.number >= 0 or peer.contacted_at is not None
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -113,11 +113,18 @@
     """An entry's claims to parts of limits, by a hash of the target's incarnation.
 
     ``number`` increases with the sender's claims. Those that all entries assume without
-    a message are left out.
+    a message are left out. ``is_serving`` tells that the sender's start is over: it has
+    found the other entries. ``lost`` are entries that the receiver may not reach: the
+    host, the seconds since the sender reached it, and its claims, None if unknown.
+    They are those that the sender counts and does not reach, for a receiver that
+    starts, and those that the receiver asked for in ``unreached``.
     """
 
     number: int
     claims: list[tuple[int, int]]
+    is_serving: bool = False
+    lost: list[tuple[str, int, list[tuple[int, int]] | None]] = []
+    unreached: list[str] = []
 
 
 class PaceRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/test/test_direct_coldlimits.py
+++ b/test/test_direct_coldlimits.py
@@ -27,6 +27,7 @@
     coldlimits,
     entryadmission,
     sendconstraint,
+    startgate,
 )
 from sardinesaddle.platform import catalogformat, headers
 from test import directfleet as df
@@ -40,6 +41,8 @@
 STEP_S: typing.Final = 0.02
 REPORT_AGE_S: typing.Final = 0.3
 MAX_BYTES_PER_S: typing.Final = 512.0
+# A window, a refresh, and messages to a seed and on to the others; before, 2.3 s.
+QUICK_START_S: typing.Final = 2.0
 
 
 def make_target(number: int, warmup_s: float = 0.0) -> targetstate.Target:
@@ -93,6 +96,9 @@
         self.entries: dict[str, Entry] = {}
         self.parted: set[str] = set()
         self.sent_bytes = 0
+        # When each process was started, and when it sent first.
+        self.started: dict[tuple[str, int], float] = {}
+        self.first_sends: dict[tuple[str, int], float] = {}
         self._messages: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._number = 0
         for host in self.hosts:
@@ -101,7 +107,9 @@
     def start(self, host: str, process: int = 1) -> None:
         """Start an entry that knows the seeds alone."""
         seeds = set(self.hosts[:SEED_COUNT])
+        self.started[host, process] = self.now
         self.entries[host] = Entry(host, self.now, process, seeds)
+        self._refresh(self.entries[host])
 
     def introduce_all(self) -> None:
         """Let all entries know each other, as long after a start."""
@@ -143,6 +151,7 @@
                 and entry.part.check(self.now, target).is_allowed
             ):
                 entry.part.on_send(self.now, target, sendconstraint.ANY_REQUEST)
+                self.first_sends.setdefault((entry.host, entry.process), self.now)
                 self.arrivals[target.target_id].append(self.now + self._draw_delay())
 
     def _refresh(self, entry: Entry) -> None:
@@ -210,6 +219,11 @@
 
         self._call_later(arrive)
 
+    def compute_start_s(self, host: str, process: int) -> float:
+        """Return how long after its start a process sent first."""
+        key = host, process
+        return self.first_sends[key] - self.started[key]
+
     def compute_worst(self) -> int:
         """Return the most requests that a target got in any second."""
         worst = 0
@@ -243,8 +257,17 @@
     # Entries that are first for a target send; the others leave it to them.
     simulation = Simulation(370, 1)
     simulation.introduce_all()
-    simulation.run(3.5)
-    assert 0 < simulation.compute_worst() <= ALLOWED
+    simulation.run(2.5)
+    # One that sent until then restarts; the slowest of 369 replies takes 0.48 s.
+    restarted = next(
+        host
+        for host, _ in simulation.first_sends
+        if not simulation.entries[host].part._shares.list_claims()
+    )
+    simulation.start(restarted, 2)
+    simulation.run(4.8)
+    assert simulation.compute_worst() <= ALLOWED
+    assert simulation.compute_start_s(restarted, 2) <= QUICK_START_S + 0.25
     claims = [
         len(entry.part._shares.list_claims()) for entry in simulation.entries.values()
     ]
@@ -286,7 +309,92 @@
     assert simulation.compute_used(22.0, 34.0) >= USABLE_SHARE
 
 
-@pytest.mark.parametrize("removed", ["delay", "claims", "jitter", "acknowledgement"])
+NEW_HOST: typing.Final = "10.2.0.1"
+OTHER_NEW_HOST: typing.Final = "10.2.0.2"
+START_AT_S: typing.Final = 4.0
+HAZARDS: typing.Final = (
+    "restart",
+    "join",
+    "two",
+    "suspended",
+    "parted",
+    "unheard",
+    "unheard_restart",
+    "seeds",
+)
+
+
+def play_start(count: int, hazard: str, seed: int) -> Simulation:
+    """Start an entry while the others serve, with a hazard of an early start."""
+    simulation = Simulation(count, 1 if count > 100 else 4, seed)
+    simulation.introduce_all()
+    simulation.run(START_AT_S)
+    other, restarted = simulation.rng.sample(simulation.hosts[1:], 2)
+    if hazard.startswith("unheard"):
+        # No reply names it after a time; it serves callers on.
+        simulation.parted = {other}
+        simulation.run(START_AT_S + entrypeers.ENTRY_TTL_S + 2.0)
+    if "restart" in hazard:
+        # The previous process sent until the new one starts.
+        simulation.start(restarted, 2)
+    else:
+        simulation.hosts.append(NEW_HOST)
+        simulation.start(NEW_HOST, 2)
+    if hazard == "two":
+        simulation.hosts.append(OTHER_NEW_HOST)
+        simulation.start(OTHER_NEW_HOST, 2)
+    elif hazard == "suspended":
+        # It sends all that it may when the new entry does.
+        simulation.entries[other].suspended_until = START_AT_S + 1.7
+    elif hazard == "parted":
+        simulation.parted = {other}
+    elif hazard == "seeds":
+        # They do not know the entries that serve until these contact them.
+        for host in simulation.hosts[:SEED_COUNT]:
+            simulation.start(host, 2)
+    simulation.run(simulation.now + 4.5)
+    return simulation
+
+
+@pytest.mark.parametrize("hazard", HAZARDS)
+@pytest.mark.parametrize("count", [4, 13, 54])
+def test_entry_that_starts_beside_others_keeps_to_the_bound(
+    count: int, hazard: str
+) -> None:
+    for seed in range(3 if count < 50 else 1):
+        simulation = play_start(count, hazard, seed)
+        assert simulation.compute_worst() <= ALLOWED, seed
+        if hazard in ("restart", "join", "two") and count <= 13:
+            started = [key for key in simulation.started if key[1] == 2]
+            assert started
+            for key in started:
+                assert simulation.compute_start_s(*key) <= QUICK_START_S
+
+
+def play_new_target(count: int, seed: int) -> Simulation:
+    """Add a target while entries serve; one is suspended soon after it knows it."""
+    simulation = Simulation(count, 1 if count > 100 else 4, seed)
+    simulation.introduce_all()
+    simulation.run(START_AT_S)
+    simulation.targets.append(make_target(len(simulation.targets)))
+    simulation.run(START_AT_S + 0.3)
+    other = simulation.rng.choice(simulation.hosts)
+    simulation.entries[other].suspended_until = START_AT_S + 2.0
+    simulation.run(START_AT_S + 4.0)
+    return simulation
+
+
+@pytest.mark.parametrize("count", [4, 13, 54])
+def test_target_that_is_new_gets_no_more_than_the_bound(count: int) -> None:
+    # Parts that grow soon after the start of a target were once used at once.
+    for seed in range(3):
+        simulation = play_new_target(count, seed)
+        assert 0 < simulation.compute_worst() <= ALLOWED
+
+
+@pytest.mark.parametrize(
+    "removed", ["delay", "claims", "jitter", "acknowledgement", "gate", "lost"]
+)
 def test_checks_find_a_mechanism_that_is_missing(
     removed: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -306,6 +414,12 @@
         )
     elif removed == "jitter":
         monkeypatch.setattr(coldlimits, "SEND_WINDOW_S", coldlimits.WINDOW_S)
+    elif removed == "gate":
+        monkeypatch.setattr(
+            startgate.StartGate, "compute_wait_s", lambda self, now, shares: 0.0
+        )
+    elif removed == "lost":
+        monkeypatch.setattr(limitshares.LimitShares, "list_lost", lambda *_: [])
     else:
         recount = limitshares.LimitShares._recount_limit
 
@@ -319,7 +433,11 @@
 
         monkeypatch.setattr(limitshares.LimitShares, "_recount_limit", recount_without)
     # The faults of one seed may not need each mechanism.
-    worst = max(play_faults(4, seed).compute_worst() for seed in (0, 4))
+    worst = max(
+        max(play_faults(4, seed).compute_worst() for seed in (0, 4)),
+        max(play_new_target(4, seed).compute_worst() for seed in (0, 4)),
+        play_start(4, "parted", 0).compute_worst(),
+    )
     assert worst > ALLOWED
 
 
@@ -343,6 +461,9 @@
     """Return the part of an entry that knows no others."""
     part = coldlimits.ColdLimits("10.0.0.1", now - 10.0, OVERAGE, SLACK)
     part.on_catalog(now, make_catalog())
+    # An entry that does nothing for so long would count as suspended.
+    for step in range(40):
+        refresh(part, now - 10.0 + step * 0.25)
     return part
 
 
