--- a/sardinesaddle/direct/admission/coldlimits.py
+++ b/sardinesaddle/direct/admission/coldlimits.py
@@ -293,7 +293,7 @@
         seen_at, self._seen_at = self._seen_at, now
         if now - seen_at <= STALL_S:
             return
-        self._gate.on_stall(now - seen_at)
+        self._gate.on_stall(now - seen_at - STALL_S)
         for known in self._targets.values():
             if known.window is not None:
                 known.window.postpone(now, seen_at - UNWRITTEN_S)
--- a/sardinesaddle/direct/admission/startgate.py
+++ b/sardinesaddle/direct/admission/startgate.py
@@ -40,7 +40,10 @@
         self._has_serving_peer = True
 
     def on_stall(self, stall_s: float) -> None:
-        """Leave out a time in which the process stood still and reached nobody."""
+        """Leave out a time in which the process stood still and reached nobody.
+
+        The gate opens under load, too, where stalls are short and follow each other.
+        """
         self._started_at += stall_s
 
     def compute_wait_s(self, now: float, shares: limitshares.LimitShares) -> float:
--- a/test/test_direct_coldlimits.py
+++ b/test/test_direct_coldlimits.py
@@ -392,6 +392,26 @@
         assert 0 < simulation.compute_worst() <= ALLOWED
 
 
+@pytest.mark.parametrize("count", [4, 13, 54])
+def test_engines_that_return_after_a_power_loss_get_requests_at_once(
+    count: int,
+) -> None:
+    # All entries start anew; parts of 4 entries that grew were once used at once.
+    simulation = Simulation(count, 0)
+    simulation.entries.clear()
+    for number, host in enumerate(simulation.hosts):
+        simulation.run(number * 0.3 / count)
+        simulation.start(host)
+    simulation.run(START_AT_S)
+    simulation.targets = [make_target(number) for number in range(4)]
+    simulation.run(START_AT_S + 1.5)
+    # A part that does not count at once is used after a window of 1.25 s.
+    first_sends = sorted(simulation.first_sends.values())
+    assert first_sends[len(first_sends) // 2] - START_AT_S <= 0.8
+    simulation.run(START_AT_S + 4.0)
+    assert simulation.compute_worst() <= ALLOWED
+
+
 @pytest.mark.parametrize(
     "removed", ["delay", "claims", "jitter", "acknowledgement", "gate", "lost"]
 )
