--- a/test/soaktargets.py
+++ b/test/soaktargets.py
@@ -29,8 +29,14 @@
         self._told_at: dict[str, float] = {}
         self._rests_until = 0.0
         self._rest = ""
+        # When the last rest ends that a sender was asked for.
+        self._last_rest_ends_at = 0.0
         self.is_leaving = False
 
+    def is_held_back(self, now: float) -> bool:
+        """Return whether the target leaves, or a sender was asked to let it rest."""
+        return self.is_leaving or now < self._last_rest_ends_at
+
     def find_fault(
         self, now: float, sender: str, sent_at: float, slack_s: float
     ) -> tuple[str, str] | None:
@@ -59,6 +65,7 @@
             self._rests_until = now + seconds
         seconds = headers.parse_decimal(self._rest) or 0.0
         self._rests.on_rest(now, sender, seconds)
+        self._last_rest_ends_at = max(self._last_rest_ends_at, now + seconds)
         fields = [("Content-Length", "0"), (headers.REST, self._rest)]
         if self._rng.random() < 0.8:
             fields.append((headers.NOT_RUN, "1"))
