Keep the requests of all entries below an engine's memory

Cause: an engine that holds more than its memory crashes, and entries learn what it uses from reports that are 0.3 s old.

Report and ReportReply have an optional last field each. The setting contracts and the capacity kv_capacity are decoded. The part is not built yet by entryadmission.build_parts, so nothing changes so far.

--- a/sardinesaddle/direct/admission/admissionpart.py
+++ b/sardinesaddle/direct/admission/admissionpart.py
@@ -128,6 +128,15 @@
     ) -> None:
         """Handle a sidecar's report."""
 
+    def make_memory_use(
+        self, now: float, target: targetstate.Target
+    ) -> messages.MemoryUse | None:
+        """Return what the reply to a report states on the engine's memory.
+
+        Called after ``on_report``; None if this part does not decide on memory.
+        """
+        return None
+
     def on_request(
         self, now: float, service: str, request: sendconstraint.RequestTraits
     ) -> None:
--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -115,6 +115,13 @@
         for part in self._parts:
             part.on_report(now, target, report)
 
+    def make_memory_use(
+        self, now: float, target: targetstate.Target
+    ) -> messages.MemoryUse | None:
+        """Return what the first part that decides on memory states, None if none."""
+        uses = (part.make_memory_use(now, target) for part in self._parts)
+        return next((use for use in uses if use is not None), None)
+
     def on_request(
         self, now: float, service: str, request: sendconstraint.RequestTraits
     ) -> None:
--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -43,6 +43,13 @@
 ALLOWED: typing.Final = Verdict(Decision.ALLOWED)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class ResponseProgress:
+    """How many events of a response the entry has received, over all attempts."""
+
+    events: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestTraits:
     """What constraints may ask of a request.
@@ -53,7 +60,10 @@
     seconds: ``latency_objective_s`` to the first event or the response, and
     ``max_event_gap_s`` between two events of a stream. ``is_resumed`` is set for a
     stream whose caller has received events, ``is_return`` for a request that was
-    refused before and whose caller was told when to return.
+    refused before and whose caller was told when to return. ``max_output_tokens`` is 0
+    if the caller states no maximum. ``has_events`` is set for a stream, whose
+    ``progress`` is counted while it lasts. ``progress`` is shared by the copies of the
+    traits and identifies the request.
     """
 
     account: str = ""
@@ -66,6 +76,11 @@
     max_event_gap_s: float = 0.0
     is_resumed: bool = False
     is_return: bool = False
+    max_output_tokens: int = 0
+    has_events: bool = True
+    progress: ResponseProgress = dataclasses.field(
+        default_factory=ResponseProgress, compare=False
+    )
 
 
 ANY_REQUEST: typing.Final = RequestTraits()
--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -66,7 +66,8 @@
     ``prefill_s_per_pair`` for each pair of a token and an earlier one. An expert map
     covers ``layer_sets`` sets of ``experts_per_set`` experts. A rank holds at most
     ``max_experts_per_rank`` experts of a set and copies at most ``max_added_per_rank``
-    new ones for a switch.
+    new ones for a switch. ``memory_tokens`` is how many tokens of prompts and outputs
+    an engine holds, 0 if that is not stated.
     """
 
     slots: int
@@ -85,6 +86,7 @@
     expert_share: float
     copy_s_per_expert: float
     prefill_s_per_pair: float = 0.0
+    memory_tokens: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/engine.py
+++ b/sardinesaddle/direct/engine.py
@@ -19,7 +19,9 @@
     last pass that started. ``slowdown`` above 1 means that the engine is slow. A
     version or step that does not exist is 0; without a group, its name is empty.
     ``is_leaving`` is set if the engine states that it leaves, ``started_ms`` is the
-    Unix time of its start, 0 if it does not state that.
+    Unix time of its start, 0 if it does not state that. ``memory_used`` is the memory
+    that cannot be reclaimed and ``memory_total`` all of it, in tokens; ``memory_total``
+    is 0 if the engine does not state both.
     """
 
     running: int
@@ -39,6 +41,8 @@
     held_step: int
     is_leaving: bool = False
     started_ms: int = 0
+    memory_used: int = 0
+    memory_total: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -370,8 +370,12 @@
         wants_every_change = self.targets.is_in_subset(report.target)
         if digest == report.known_digest:
             entries, ranks, targets = [], [], []
+        target = self.targets.get_at_address(report.target)
+        memory = None
+        if target is not None:
+            memory = self.admission.make_memory_use(loop.time(), target)
         return messages.ReportReply(
-            digest, wants_every_change, entries, ranks, True, targets
+            digest, wants_every_change, entries, ranks, True, targets, memory
         )
 
     def _on_leaving_report(self, report: messages.Report) -> None:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -238,6 +238,39 @@
     value: bytes | None
 
 
+class MemoryState(msgspec.Struct, frozen=True, array_like=True):
+    """The memory of an engine, in tokens, and what the receiver may hold of it.
+
+    ``used`` cannot be reclaimed, ``total`` is all that the engine has. ``number``
+    increases with each statement. ``limit`` is what the requests of the receiver's
+    ``process`` may need together at each of the horizons of ``memorygrants``, None for
+    an entry that has stated no ``MemoryUse`` yet. It counts for a lease that begins
+    with the receiver's time ``echo_ms``.
+    """
+
+    used: int
+    total: int
+    number: int
+    limit: list[int] | None = None
+    echo_ms: int = 0
+    process: int = 0
+
+
+class MemoryUse(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry's requests need of an engine's memory, in tokens by horizon.
+
+    ``process`` is a random number of the entry's process, ``held`` what its requests
+    there need, ``wanted`` what the largest recent request needs. ``sent_ms`` is the
+    entry's time, ``hold_ms`` the longest time that a request may take.
+    """
+
+    process: int
+    held: list[int]
+    wanted: list[int]
+    sent_ms: int
+    hold_ms: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """State and load of a target, sent by its sidecar to an entry.
 
@@ -247,6 +280,7 @@
     this entry, or is 0. ``is_leaving`` is set if the engine states that it leaves, and
     ``started_ms`` is the Unix time of its start, 0 if it does not state that.
     ``wants_ranks`` asks for the list of ranks, which rank 0 gets in any case.
+    ``memory`` is None if the engine does not state its memory.
     """
 
     sender: str
@@ -266,6 +300,7 @@
     is_leaving: bool = False
     started_ms: int = 0
     wants_ranks: bool = False
+    memory: MemoryState | None = None
 
 
 class ReportReply(msgspec.Struct, frozen=True, array_like=True, tag="report_reply"):
@@ -275,6 +310,7 @@
     ``wants_every_change`` asks the sidecar to report each change of load at once.
     ``takes_crash_records`` is set if the entry replies to ``CrashSync``. ``targets``
     are the addresses of the engines of ``ranks``, for a report with ``wants_ranks``.
+    ``memory`` is None unless the entry decides on the engine's memory.
     """
 
     digest: int
@@ -283,6 +319,7 @@
     ranks: list[tuple[int, str]] = []
     takes_crash_records: bool = False
     targets: list[str] = []
+    memory: MemoryUse | None = None
 
 
 class CrashSync(msgspec.Struct, frozen=True, array_like=True, tag="crash_sync"):
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -111,6 +111,44 @@
         )
         self._predicted_groups: set[tuple[str, str]] = set()
 
+        self._memory_held = self.make_gauge(
+            "engine_memory_held_tokens",
+            "Tokens that this entry's requests need at all engines.",
+        )
+        self._memory_limit = self.make_gauge(
+            "engine_memory_limit_tokens",
+            "Tokens that this entry's requests may need at all engines.",
+        )
+        self._full_engines = self.make_gauge(
+            "engines_full", "Engines whose memory takes no usual request now."
+        )
+        self._filled_engines = self.make_counter(
+            "engines_became_full_total", "Times that an engine's memory became full."
+        )
+        self._lengths = self.make_gauge(
+            "response_length_ratio",
+            "Length over the hint that a part of the responses exceeds, by that part.",
+        )
+
+    def set_engine_memory(
+        self,
+        held: float,
+        limit: float,
+        full: int,
+        became_full: int,
+        lengths: dict[tuple[str, float], float],
+    ) -> None:
+        """Set tokens at all engines, and lengths by service and part that exceeds them.
+
+        ``became_full`` adds to its counter.
+        """
+        self._memory_held.set({}, held)
+        self._memory_limit.set({}, limit)
+        self._full_engines.set({}, full)
+        self._filled_engines.add({}, became_full)
+        for (service, part), ratio in lengths.items():
+            self._lengths.set({"service": service, "exceeded_by": str(part)}, ratio)
+
     def set_capacity(
         self, pass_times: dict[tuple[str, str], float], cutoffs: dict[str, int]
     ) -> None:
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -10,6 +10,8 @@
 # With one host lost at a time, a held group waits for its leader to return.
 MIN_HOSTS_LOST_FOR_BACKUP: typing.Final = 2
 
+MEMORY_CONTRACT: typing.Final = "pressure"
+
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
@@ -77,7 +79,8 @@
     ``is_first_start`` is set if no process of the system ran before. ``places`` maps
     each place to its region. ``ramp_up`` lets targets that have just started or
     recovered get requests gradually. ``share_capacity`` shares the capacity of
-    lock-step groups by priority and account while it is scarce.
+    lock-step groups by priority and account while it is scarce. ``contracts`` names
+    the parts of the platform's rules that are in force.
     """
 
     front: Address
@@ -86,8 +89,14 @@
     places: dict[str, str] = {}
     ramp_up: bool = False
     share_capacity: bool = False
+    contracts: list[str] = []
     bounds: EntryBounds = EntryBounds()
 
+    @property
+    def bounds_engine_memory(self) -> bool:
+        """Whether engines crash that hold more than their memory."""
+        return MEMORY_CONTRACT in self.contracts
+
 
 class SidecarSettings(
     NodeSettings, frozen=True, forbid_unknown_fields=True, kw_only=True
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -217,6 +217,7 @@
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
             received = parser.feed(data)
+            self._state.traits.progress.events += len(received)
             if received and not has_events:
                 has_events = True
                 self._observer.on_begun()
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -10,6 +10,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
 import random
 import typing
 
@@ -22,6 +23,7 @@
     engine,
     freshness,
     groupleader,
+    memorygrants,
     messages,
     nodemetrics,
     noderole,
@@ -88,6 +90,8 @@
         self._change_count = 0
         self._transition_count = 0
         self._membership: dict[str, MembershipLists] = {}
+        # Gives out nothing before the start.
+        self._grants = memorygrants.MemoryGrants(math.inf)
         self._tasks: list[asyncio.Task[None]] = []
         self.is_draining = False
         self._rank_agent = rankagent.RankAgent(local_engine, self.metrics, rng)
@@ -182,6 +186,7 @@
         """Start to listen, to read the engine and to report to the seeds."""
         loop = asyncio.get_running_loop()
         await self._server.start()
+        self._grants = memorygrants.MemoryGrants(loop.time())
         for host in self._cfg.list_seed_hosts():
             self._start_reports(host)
         self._tasks.append(loop.create_task(self._read_engine()))
@@ -320,7 +325,12 @@
                     await self._changed.wait()
 
     def on_reply(self, host: str, epoch: int, reply: messages.ReportReply) -> None:
-        """Store the lists in a reply, and start to report to the entries in it."""
+        """Store the lists in a reply, and start to report to the entries in it.
+
+        What the entry's requests need of the engine's memory is stored, too.
+        """
+        now = asyncio.get_running_loop().time()
+        self._grants.on_reply(now, host, reply.memory, reply.wants_every_change)
         lists = self._membership.get(host)
         if lists is None or lists.digest != reply.digest:
             lists = MembershipLists(
@@ -344,6 +354,11 @@
         loop = asyncio.get_running_loop()
         state = self.state
         lists = self._membership.get(host)
+        memory = None
+        if state is not None:
+            memory = self._grants.make_state(
+                loop.time(), host, state.memory_used, state.memory_total
+            )
         return messages.Report(
             sender=self._cfg.host,
             target=self._cfg.target,
@@ -362,6 +377,7 @@
             is_leaving=state is not None and state.is_leaving,
             started_ms=0 if state is None else state.started_ms,
             wants_ranks=self._wants_ranks(host),
+            memory=memory,
         )
 
     def _wants_ranks(self, host: str) -> bool:
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -80,6 +80,8 @@
     spare: int = 0
     expert_mb: float = 0.0
     expert_share: float = 0.0
+    # Decoded by ``decode_number``, so that a wrong value does not refuse all the rest.
+    kv_capacity: typing.Any = 0.0
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -250,6 +252,9 @@
             * 8.0
             / max(wire_engine.link_mbps, 1e-9),
             prefill_s_per_pair=wire_engine.pairs_per_m * SECONDS_PER_MS * 1e-6,
+            memory_tokens=decode_number(
+                wire.name, "kv_capacity", wire_engine.kv_capacity
+            ),
         )
     return catalog.Service(
         wire.name,
--- a/sardinesaddle/platform/engines.py
+++ b/sardinesaddle/platform/engines.py
@@ -1,5 +1,6 @@
 """An HTTP client for model engines."""
 
+import math
 import typing
 
 import msgspec
@@ -14,6 +15,7 @@
 # The counts of a large engine are a fiftieth of that.
 MAX_PAGE_BYTES: typing.Final = 4 * 1024 * 1024
 
+MAX_MEMORY_TOKENS: typing.Final = 10**12  # larger statements are invalid
 STATUS_OK: typing.Final = 200
 
 
@@ -51,6 +53,9 @@
     armed: int | WireVersion | None = None
     held: int | None = None
     born: int = 0
+    # Decoded by ``decode_memory``, so that a wrong value does not lose all the rest.
+    kv_used: typing.Any = None
+    kv_total: typing.Any = None
 
 
 class WirePicked(msgspec.Struct, frozen=True):
@@ -81,6 +86,18 @@
     return wire.version if isinstance(wire, WireVersion) else wire
 
 
+def decode_memory(used: object, total: object) -> tuple[int, int]:
+    """Return used and total memory in tokens, (0, 0) unless both are valid."""
+    values = []
+    for value in (used, total):
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            return 0, 0
+        if not 0 <= value <= MAX_MEMORY_TOKENS:  # false for NaN, too
+            return 0, 0
+        values.append(math.ceil(value))
+    return values[0], values[1]
+
+
 class PlatformEngine(engine.Engine):
     """A client of the engine at an address; failed calls return ``EngineFault``."""
 
@@ -99,6 +116,7 @@
         wire, is_leaving = page
         group = wire.group or WireGroup()
         armed = wire.armed
+        memory_used, memory_total = decode_memory(wire.kv_used, wire.kv_total)
         return engine.EngineState(
             running=wire.running,
             waiting=wire.waiting,
@@ -117,6 +135,8 @@
             held_step=wire.held or 0,
             is_leaving=is_leaving,
             started_ms=wire.born,
+            memory_used=memory_used,
+            memory_total=memory_total,
         )
 
     async def read_counts(self) -> engine.ExpertCounts | engine.EngineFault:
