Bound what an entry buffers for callers that read slowly

Cause: only each response was bounded (twice 256 KiB at the relay, as the part that was being written did not count, and 128 KiB at the server); 12 callers that do not read made an entry hold 4,524,872 bytes, and each further one more. A response without length or chunks that its target cut off unread looked complete, the cut counted as a failure of the target, and what the server had not sent was dropped.

Change: connections and responders count what they hold (responsebuffers). Above a total bound (setting max_buffered_bytes, by default a quarter of the entry's memory where the contract "pressure" is in force), each response is read only as its caller reads, 4 KiB at a time. A response that breaks off after its caller paused ends incomplete, with all that was read. Metrics, log event.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import typing
 import zlib
@@ -35,6 +36,7 @@
     nodesettings,
     partprobes,
     replica,
+    responsebuffers,
     rpc,
     storedecoder,
     storewatcher,
@@ -95,7 +97,9 @@
         )
         self.targets.set_entries(cfg.host, ())
         self.metrics = nodemetrics.EntryMetrics(cfg.name)
-        self.pool = upstream.ConnectionPool()
+        self._were_buffers_full = False
+        self.buffers = responsebuffers.ResponseBuffers(make_buffer_total(cfg))
+        self.pool = upstream.ConnectionPool(self.buffers)
         self._watchers = {
             prefix: storewatcher.StoreWatcher(
                 store,
@@ -154,7 +158,11 @@
         )
         limits = catalog.Limits()
         self.frontend = frontend.Frontend(
-            self.forwarder, header_codec, self._get_max_body, limits.idle_timeout_s
+            self.forwarder,
+            header_codec,
+            self._get_max_body,
+            limits.idle_timeout_s,
+            self.buffers,
         )
         self._server = rpc.Server(self, cfg.host, cfg.node_port)
         # The entries that this one has fetched all crash records from.
@@ -618,6 +626,7 @@
             self._refresh_limits(now)
             self._refresh_admission(now)
             self.metrics.set_rests(self.targets.rests.list_resting(now))
+            self._refresh_buffers()
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
@@ -638,6 +647,24 @@
             self.limits.statements.list_limits(), self.limits.list_parts()
         )
 
+    def _refresh_buffers(self) -> None:
+        """Set the metrics of buffered responses; log when they reach their bound."""
+        buffers = self.buffers
+        self.metrics.set_buffers(
+            buffers.held_bytes,
+            buffers.take_peak(),
+            buffers.paused,
+            buffers.take_pause_count(),
+        )
+        if buffers.is_full != self._were_buffers_full:
+            self._were_buffers_full = buffers.is_full
+            loguru.logger.info(
+                "event=response_buffers full={} held_bytes={} paused={}",
+                buffers.is_full,
+                buffers.held_bytes,
+                buffers.paused,
+            )
+
     def _refresh_admission(self, now: float) -> None:
         """Do the periodic work of the parts of the admission."""
         entries = admissionpart.EntryView(
@@ -688,6 +715,15 @@
     return asyncio.get_running_loop().time()
 
 
+def make_buffer_total(cfg: nodesettings.EntrySettings) -> float:
+    """Return the bound on what all responses hold; infinite if none is asked for."""
+    if cfg.max_buffered_bytes is not None:
+        return float(cfg.max_buffered_bytes)
+    if not cfg.bounds_engine_memory:
+        return math.inf
+    return float(responsebuffers.compute_default_total())
+
+
 def make_bounds(cfg: nodesettings.EntrySettings) -> entrystate.RequestBounds:
     """Return the bounds of the request path from the settings."""
     return entrystate.RequestBounds(
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -17,12 +17,18 @@
 import aiohttp.web
 import loguru
 
-from sardinesaddle.direct import forward, headercodec, requeststate
+from sardinesaddle.direct import (
+    forward,
+    headercodec,
+    requeststate,
+    responsebuffers,
+)
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
 STATUS_TOO_LARGE: typing.Final = 413
 RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)  # linger for 0 s
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
+WRITE_BUFFER_BYTES: typing.Final = 16 * 1024  # unsent; then the caller is waited for
 WRITE_TIMEOUT_S: typing.Final = 10.0  # then a caller that does not read is cut off
 
 
@@ -30,9 +36,13 @@
     """Writes the response to one request through aiohttp."""
 
     def __init__(
-        self, request: aiohttp.web.BaseRequest, closes_connection: bool
+        self,
+        request: aiohttp.web.BaseRequest,
+        closes_connection: bool,
+        account: responsebuffers.BufferAccount,
     ) -> None:
         self._request = request
+        self._account = account
         self._closes_connection = closes_connection
         self.response: aiohttp.web.StreamResponse | None = None
 
@@ -59,25 +69,53 @@
             resp.force_close()
         self.response = resp
         self.is_started = True
+        if self._request.transport is not None:
+            self._request.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         await resp.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
         """Send part of the body; cancel the request if the caller stopped reading."""
         assert self.response is not None
         try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                await self.response.write(data)
+            for start in range(0, len(data), responsebuffers.READ_BYTES):
+                piece = data[start : start + responsebuffers.READ_BYTES]
+                async with asyncio.timeout(WRITE_TIMEOUT_S):
+                    await self.response.write(piece)
+                    self._count_unsent()
+                    # Otherwise, it waits only after each 64 KiB.
+                    await self._request.writer.drain()
         except (TimeoutError, OSError):
-            self.abort()
+            self._reset()
             raise asyncio.CancelledError from None
 
+    def _count_unsent(self) -> None:
+        """Count the bytes that the caller has not taken yet."""
+        transport = self._request.transport
+        if transport is not None:
+            self._account.set_held(transport.get_write_buffer_size())
+
     async def finish(self) -> None:
         """Complete the response."""
         assert self.response is not None
         await self.response.write_eof()
 
     def abort(self) -> None:
-        """Close the connection without completing the response."""
+        """Close the connection without completing the response.
+
+        The caller still gets what was written, if it reads that in time.
+        """
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._request.version < aiohttp.HttpVersion11:
+            self._reset()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(WRITE_TIMEOUT_S, transport.abort)
+        transport.close()
+
+    def _reset(self) -> None:
+        """Close the connection at once; what was not sent is dropped."""
         transport = self._request.transport
         if transport is None:
             return
@@ -97,7 +135,9 @@
         header_codec: headercodec.HeaderCodec,
         get_max_body_bytes: typing.Callable[[], int],
         idle_timeout_s: float,
+        buffers: responsebuffers.ResponseBuffers,
     ) -> None:
+        self._buffers = buffers
         self._forwarder = forwarder
         self._header_codec = header_codec
         self._get_max_body_bytes = get_max_body_bytes
@@ -138,7 +178,8 @@
         """Read a request and forward it, or refuse it."""
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
-        responder = HttpResponder(request, self.is_draining)
+        account = self._buffers.open_account()
+        responder = HttpResponder(request, self.is_draining, account)
         headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
         metadata = self._header_codec.parse_request_headers(headers)
         self.active_requests += 1
@@ -158,6 +199,7 @@
         except OSError:
             responder.abort()
         finally:
+            account.set_held(0)
             self.active_requests -= 1
         return responder.response or aiohttp.web.Response(status=500)
 
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -111,6 +111,19 @@
         )
         self._predicted_groups: set[tuple[str, str]] = set()
 
+        self._buffered_bytes = self.make_gauge(
+            "response_buffered_bytes", "Bytes of responses that the entry holds."
+        )
+        self._peak_buffered_bytes = self.make_gauge(
+            "response_buffered_peak_bytes",
+            "The most that it held since the last refresh, in bytes.",
+        )
+        self._paused_responses = self.make_gauge(
+            "responses_paused", "Responses that wait for their callers to read."
+        )
+        self._response_pauses = self.make_counter(
+            "response_pauses_total", "Times that reading from a target paused."
+        )
         self._memory_held = self.make_gauge(
             "engine_memory_held_tokens",
             "Tokens that this entry's requests need at all engines.",
@@ -130,6 +143,13 @@
             "Length over the hint that a part of the responses exceeds, by that part.",
         )
 
+    def set_buffers(self, held: int, peak: int, paused: int, pauses: int) -> None:
+        """Set what responses hold; ``pauses`` adds to its counter."""
+        self._buffered_bytes.set({}, held)
+        self._peak_buffered_bytes.set({}, peak)
+        self._paused_responses.set({}, paused)
+        self._response_pauses.add({}, pauses)
+
     def set_engine_memory(
         self,
         held: float,
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -80,7 +80,9 @@
     each place to its region. ``ramp_up`` lets targets that have just started or
     recovered get requests gradually. ``share_capacity`` shares the capacity of
     lock-step groups by priority and account while it is scarce. ``contracts`` names
-    the parts of the platform's rules that are in force.
+    the parts of the platform's rules that are in force. ``max_buffered_bytes`` limits
+    what the entry buffers of all responses; without it, a part of the entry's memory
+    does where engines crash that hold more than theirs.
     """
 
     front: Address
@@ -90,6 +92,7 @@
     ramp_up: bool = False
     share_capacity: bool = False
     contracts: list[str] = []
+    max_buffered_bytes: typing.Annotated[int, msgspec.Meta(ge=2**20)] | None = None
     bounds: EntryBounds = EntryBounds()
 
     @property
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -12,6 +12,7 @@
 import abc
 import asyncio
 import collections.abc
+import math
 import typing
 
 from sardinesaddle.direct import headercodec, requeststate, sse, targetstate, upstream
@@ -19,6 +20,14 @@
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
 MAX_REFUSAL_BYTES: typing.Final = 64 * 1024  # of the body of a refusal
+# Engines cut off a response that stays unread for some seconds. One that breaks off
+# after so long a pause of its caller was cut off, which is no fault of its target.
+UNREAD_S: typing.Final = 1.0
+# After the pause, until the caller has taken what was read before the cut.
+UNREAD_MEMORY_S: typing.Final = 10.0
+UNREAD: typing.Final = (
+    "unread"  # reason: the target cut off what the caller left unread
+)
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
 NOT_RUN_STATUSES: typing.Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that the request was not run."""
@@ -81,11 +90,39 @@
         self._responder = responder
         self._header_codec = header_codec
         self._observer = observer
+        # When the caller last took something after a long pause; the event loop's time.
+        self._paused_until = -math.inf
         # Silence does not end a request that may not be repeated.
         self._silence_timeout_s = SILENCE_TIMEOUT_S if state.may_run_twice else None
 
     async def run(self, target: targetstate.Target) -> Outcome:
-        """Relay the response; return the outcome, also if it could not be relayed."""
+        """Relay the response; return the outcome, also if it could not be relayed.
+
+        A response that its target cut off because the caller did not read it ends
+        there: it is not sent to another target, and its end is not marked as complete.
+        """
+        outcome = await self._relay(target)
+        if self._was_unread and isinstance(outcome, upstream.Failure):
+            return requeststate.Refusal(requeststate.STATUS_OUTCOME_UNKNOWN, UNREAD)
+        return outcome
+
+    @property
+    def _was_unread(self) -> bool:
+        """Whether the target may have cut off the response for the caller's pause."""
+        ago_s = asyncio.get_running_loop().time() - self._paused_until
+        return self._exchange.has_buffer_bound and ago_s <= UNREAD_MEMORY_S
+
+    async def _write(self, data: bytes) -> None:
+        """Pass a part of the body on, and note how long the caller takes."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        await self._responder.write(data)
+        now = loop.time()
+        if now - began_at >= UNREAD_S:
+            self._paused_until = now
+
+    async def _relay(self, target: targetstate.Target) -> Outcome:
+        """Relay the response; return the outcome."""
         head = await read_with_timeout(
             self._exchange.read_head(), self._silence_timeout_s
         )
@@ -144,6 +181,7 @@
                 is_complete = True
             else:
                 body += data
+                self._exchange.hold(len(body))
         if self._responder.is_started:
             # The head of an earlier target's stream was sent; only a stream can follow.
             return upstream.Failure(
@@ -172,7 +210,9 @@
         await self._responder.start(
             head.status, headers, int(length) if length else None
         )
-        await self._responder.write(body)
+        await self._write(body)
+        del body
+        self._exchange.hold(0)
         while True:
             data = await self._exchange.read_body()
             if isinstance(data, upstream.EndOfBody):
@@ -182,10 +222,17 @@
                 return requeststate.Completed(head.status)
             if isinstance(data, upstream.Failure):
                 return data
-            await self._responder.write(data)
+            await self._write(data)
 
     async def _find_broken_end(self) -> upstream.Failure | None:
-        """Return a failure if a response ended because its target's process did."""
+        """Return a failure if a response did not end where its target meant it to.
+
+        A response that nothing else bounds also ends when its target's process does, or
+        when the target cuts it off because it was not read.
+        """
+        if self._exchange.is_unframed and self._was_unread:
+            kind = upstream.FailureKind.CLOSED
+            return upstream.Failure(kind, True, "ended while it was not read")
         if (
             not self._exchange.is_unframed
             or not await self._observer.has_target_ended()
@@ -218,6 +265,7 @@
                 return requeststate.Completed(head.status)
             received = parser.feed(data)
             self._state.traits.progress.events += len(received)
+            self._exchange.hold(parser.buffered_bytes)
             if received and not has_events:
                 has_events = True
                 self._observer.on_begun()
@@ -254,7 +302,7 @@
             new_events.append(event)
         if new_events:
             await self._start_stream(head)
-            await self._responder.write(b"".join(event.data for event in new_events))
+            await self._write(b"".join(event.data for event in new_events))
             self._state.last_event = last_event_id
         return None
 
--- a/sardinesaddle/direct/sse.py
+++ b/sardinesaddle/direct/sse.py
@@ -44,6 +44,11 @@
         """The buffered bytes, which do not make up a complete event."""
         return bytes(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of buffered bytes."""
+        return len(self._buffer)
+
     @property
     def is_oversized(self) -> bool:
         """Whether the incomplete event is longer than ``MAX_EVENT_BYTES``."""
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -23,7 +23,8 @@
 
 import h11
 
-READ_HIGH_WATER_BYTES: typing.Final = 256 * 1024  # reading pauses above this
+from sardinesaddle.direct import responsebuffers
+
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
 MAX_SKIPPED_BYTES: typing.Final = 256 * 1024  # of the bodies of such responses
@@ -78,16 +79,23 @@
 END_OF_BODY: typing.Final = EndOfBody()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a target.
 
     ``was_idle`` is set if it was idle before its present request: the target may have
     fallen silent in the meantime. ``was_aborted`` is set if this process closed it.
+
+    Reading pauses while the bytes that were read and not yet passed on exceed a bound;
+    what ``receive`` returned last counts until the next call.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, buffers: responsebuffers.ResponseBuffers | None = None) -> None:
+        self.buffers = buffers or responsebuffers.ResponseBuffers()
+        self._account = self.buffers.open_account()
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._received_bytes = 0  # by the last call of receive
+        self._relayed_bytes = 0  # that the relay holds
         self._waiter: asyncio.Future[None] | None = None
         self._is_paused = False
         self.is_closed = False
@@ -102,17 +110,53 @@
         """Store the transport."""
         self._transport = typing.cast("asyncio.Transport", transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections share for a read."""
+        return self.buffers.get_read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read from the shared buffer."""
+        self.data_received(bytes(self.buffers.scratch[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer bytes for the reader; close the connection if it is idle."""
         if self.is_idle:
             self.abort()
             return
         self._buffer += data
-        if len(self._buffer) > READ_HIGH_WATER_BYTES and self._transport is not None:
-            self._transport.pause_reading()
-            self._is_paused = True
+        self._update_reading()
         self._wake_reader()
 
+    def _update_reading(self) -> None:
+        """Count the bytes that are held; pause or resume reading accordingly.
+
+        If all were passed on, reading resumes in any case, so that it goes on for
+        callers that read fast.
+        """
+        held = len(self._buffer) + self._received_bytes + self._relayed_bytes
+        self._account.set_held(held)
+        if self._transport is None or self.is_closed or self._transport.is_closing():
+            return
+        may_read = self._account.may_read or not (self._buffer or self._received_bytes)
+        if may_read and self._is_paused:
+            self._is_paused = False
+            self.buffers.paused -= 1
+            self._transport.resume_reading()
+        elif not may_read and not self._is_paused:
+            self._is_paused = True
+            self.buffers.count_pause()
+            self._transport.pause_reading()
+
+    def hold(self, relayed_bytes: int) -> None:
+        """Count bytes of the response that the relay holds."""
+        self._relayed_bytes = relayed_bytes
+        self._account.set_held(len(self._buffer) + self._received_bytes + relayed_bytes)
+
+    def release(self) -> None:
+        """Count that nothing of the last response is held, since it has ended."""
+        self._received_bytes = self._relayed_bytes = 0
+        self._update_reading()
+
     def eof_received(self) -> bool:
         """Let asyncio close the transport after the end of the stream."""
         return False
@@ -120,6 +164,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record whether the connection was closed in order or reset."""
         self.is_closed = True
+        self._forget_pause()
         self.was_reset = self.was_reset or exc is not None
         self._wake_reader()
 
@@ -135,6 +180,8 @@
 
     async def receive(self) -> bytes | None:
         """Return all buffered bytes, waiting for some; None once it is closed."""
+        self._received_bytes = 0
+        self._update_reading()
         while not self._buffer:
             if self.is_closed:
                 return None
@@ -145,9 +192,8 @@
                 self._waiter = None
         data = bytes(self._buffer)
         self._buffer.clear()
-        if self._is_paused and self._transport is not None:
-            self._transport.resume_reading()
-            self._is_paused = False
+        self._received_bytes = len(data)
+        self._update_reading()
         return data
 
     @property
@@ -155,9 +201,17 @@
         """Whether there are bytes in the buffer that were not read."""
         return bool(self._buffer)
 
+    def _forget_pause(self) -> None:
+        """Count a connection that has ended as one that is not paused."""
+        if self._is_paused:
+            self._is_paused = False
+            self.buffers.paused -= 1
+
     def abort(self) -> None:
         """Close the connection at once; the target cancels the request on it."""
         self.is_closed = self.was_aborted = True
+        self._forget_pause()
+        self._account.set_held(0)
         if self._transport is not None:
             self._transport.abort()
         self._wake_reader()
@@ -265,6 +319,15 @@
             if name.lower() == "timeout" and value.isdigit():
                 self._idle_limit_s = int(value) * IDLE_TIMEOUT_SHARE
 
+    @property
+    def has_buffer_bound(self) -> bool:
+        """Whether what the entry buffers is bounded in total."""
+        return self._conn.buffers.is_bounded
+
+    def hold(self, relayed_bytes: int) -> None:
+        """Count bytes of the response that the relay holds."""
+        self._conn.hold(relayed_bytes)
+
     async def read_body(self) -> bytes | EndOfBody | Failure:
         """Return the next bytes of the body, ``END_OF_BODY`` or a failure."""
         event = await self._next_event()
@@ -320,6 +383,7 @@
 
     def finish(self, now: float) -> bool:
         """Mark the connection idle, or close it; return whether it can be reused."""
+        self._conn.release()
         rest, was_closed = self._h11.trailing_data
         is_kept = (
             self._is_complete
@@ -345,7 +409,8 @@
 class ConnectionPool:
     """Pool of idle connections to targets, by address and target identifier."""
 
-    def __init__(self) -> None:
+    def __init__(self, buffers: responsebuffers.ResponseBuffers | None = None) -> None:
+        self._buffers = buffers or responsebuffers.ResponseBuffers()
         self._idle: dict[PoolKey, list[Connection]] = {}
         self.opened = 0
         self.reused = 0
@@ -387,7 +452,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(connect_timeout_s):
-                _, conn = await loop.create_connection(Connection, key[0], key[1])
+                _, conn = await loop.create_connection(
+                    lambda: Connection(self._buffers), key[0], key[1]
+                )
         except (TimeoutError, OSError) as exc:
             kind = FailureKind.CONNECT
             if isinstance(exc, ConnectionRefusedError):
