--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -44,6 +44,13 @@
 ALLOWED: typing.Final = Verdict(Decision.ALLOWED)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class ResponseProgress:
+    """How many events of a response the entry has received, over all attempts."""
+
+    events: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestTraits:
     """What constraints may ask of a request.
@@ -56,6 +63,9 @@
     stream whose caller has received events, ``is_return`` for a request that was
     refused before and whose caller was told when to return. ``deadline`` is the event
     loop's time after which the caller does not wait, infinite if it is not known.
+    ``max_output_tokens`` is 0 if the caller states no maximum. ``has_events`` is set
+    for a stream, whose ``progress`` is counted while it lasts. ``progress`` is shared
+    by the copies of the traits and identifies the request.
     """
 
     account: str = ""
@@ -69,6 +79,11 @@
     is_resumed: bool = False
     is_return: bool = False
     deadline: float = math.inf
+    max_output_tokens: int = 0
+    has_events: bool = True
+    progress: ResponseProgress = dataclasses.field(
+        default_factory=ResponseProgress, compare=False
+    )
 
 
 ANY_REQUEST: typing.Final = RequestTraits()
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -111,6 +111,64 @@
         )
         self._predicted_groups: set[tuple[str, str]] = set()
 
+        self._buffered_bytes = self.make_gauge(
+            "response_buffered_bytes", "Bytes of responses that the entry holds."
+        )
+        self._peak_buffered_bytes = self.make_gauge(
+            "response_buffered_peak_bytes",
+            "The most that it held since the last refresh, in bytes.",
+        )
+        self._paused_responses = self.make_gauge(
+            "responses_paused", "Responses that wait for their callers to read."
+        )
+        self._response_pauses = self.make_counter(
+            "response_pauses_total", "Times that reading from a target paused."
+        )
+        self._memory_held = self.make_gauge(
+            "engine_memory_held_tokens",
+            "Tokens that this entry's requests need at all engines.",
+        )
+        self._memory_limit = self.make_gauge(
+            "engine_memory_limit_tokens",
+            "Tokens that this entry's requests may need at all engines.",
+        )
+        self._full_engines = self.make_gauge(
+            "engines_full", "Engines whose memory takes no usual request now."
+        )
+        self._filled_engines = self.make_counter(
+            "engines_became_full_total", "Times that an engine's memory became full."
+        )
+        self._lengths = self.make_gauge(
+            "response_length_ratio",
+            "Length over the hint that a part of the responses exceeds, by that part.",
+        )
+
+    def set_buffers(self, held: int, peak: int, paused: int, pauses: int) -> None:
+        """Set what responses hold; ``pauses`` adds to its counter."""
+        self._buffered_bytes.set({}, held)
+        self._peak_buffered_bytes.set({}, peak)
+        self._paused_responses.set({}, paused)
+        self._response_pauses.add({}, pauses)
+
+    def set_engine_memory(
+        self,
+        held: float,
+        limit: float,
+        full: int,
+        became_full: int,
+        lengths: dict[tuple[str, float], float],
+    ) -> None:
+        """Set tokens at all engines, and lengths by service and part that exceeds them.
+
+        ``became_full`` adds to its counter.
+        """
+        self._memory_held.set({}, held)
+        self._memory_limit.set({}, limit)
+        self._full_engines.set({}, full)
+        self._filled_engines.add({}, became_full)
+        for (service, part), ratio in lengths.items():
+            self._lengths.set({"service": service, "exceeded_by": str(part)}, ratio)
+
     def set_capacity(
         self, pass_times: dict[tuple[str, str], float], cutoffs: dict[str, int]
     ) -> None:
