--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -56,16 +56,17 @@
     """What constraints may ask of a request.
 
     ``account`` and ``kind`` name the client account and the route. ``priority`` orders
-    the requests of a service, 0 first: by account, then by route. ``homes`` are the regions in which the request may run, None for any.
-    ``output_tokens`` is the expected number, 0 if it is not known. Times are in
-    seconds: ``latency_objective_s`` to the first event or the response, and
-    ``max_event_gap_s`` between two events of a stream. ``is_resumed`` is set for a
-    stream whose caller has received events, ``is_return`` for a request that was
-    refused before and whose caller was told when to return. ``deadline`` is the event
-    loop's time after which the caller does not wait, infinite if it is not known.
-    ``max_output_tokens`` is 0 if the caller states no maximum. ``has_events`` is set
-    for a stream, whose ``progress`` is counted while it lasts. ``progress`` is shared
-    by the copies of the traits and identifies the request.
+    the requests of a service, 0 first: by account, then by route. ``homes`` are the
+    regions in which the request may run, None for any. ``output_tokens`` is the
+    expected number, 0 if it is not known, and ``max_output_tokens`` is 0 if the caller
+    states no maximum. Times are in seconds: ``latency_objective_s`` to the first event
+    or the response, and ``max_event_gap_s`` between two events of a stream.
+    ``is_resumed`` is set for a stream whose caller has received events, ``is_return``
+    for a request that was refused before and whose caller was told when to return.
+    ``deadline`` is the event loop's time after which the caller does not wait, infinite
+    if it is not known. ``has_events`` is set for a stream, whose ``progress`` is counted
+    while it lasts. ``progress`` is shared by the copies of the traits and identifies
+    the request.
     """
 
     account: str = ""
