--- a/sardinesaddle/direct/admission/sendconstraint.py
+++ b/sardinesaddle/direct/admission/sendconstraint.py
@@ -64,8 +64,8 @@
     ``is_resumed`` is set for a stream whose caller has received events, ``is_return``
     for a request that was refused before and whose caller was told when to return.
     ``deadline`` is the event loop's time after which the caller does not wait, infinite
-    if it is not known. ``has_events`` is set for a stream, whose ``progress`` is counted
-    while it lasts. ``progress`` is shared by the copies of the traits and identifies
+    if it is not known. ``has_events`` is set for a stream, whose ``progress`` is
+    counted while it lasts. ``progress`` is shared by the copies and identifies
     the request.
     """
 
