--- a/sardinesaddle/direct/admission/coldlimits.py
+++ b/sardinesaddle/direct/admission/coldlimits.py
@@ -5,11 +5,11 @@
 late, so the bound rests on what each entry may send to any such target at any time.
 
 The bound on a sliding window is divided into permits. Each entry sends no more requests
-within a window than it has permits, which ``limitshares`` divides among the entries: a
-dozen entries for each target have equal standing parts, which need no messages, and the
-entries that have the target in their subset claim more. A part that grows may be used
-one window later, when what its previous owner sent is no longer in the window. So the
-sum of the requests never exceeds the permits. A part does not accrue: an entry that
+within a window than it has permits, which ``limitshares`` divides among the entries: 13
+entries for each target have equal standing parts, which need no messages, and the entry
+that has the target in its subset claims half of the bound. A part that grows may be
+used one window later, when what its previous owner sent is no longer in the window. So
+the sum of the requests never exceeds the permits. A part does not accrue: an entry that
 wakes up after a suspension has what it had before. See docs/design/cold-targets.md.
 
 Tokens at a rate, as for stated limits, were ruled out: over a window of a second, the
@@ -38,15 +38,15 @@
 WINDOW_S: typing.Final = 1.0  # the users' bound is on any second
 # Sends within this time may arrive within one window.
 SEND_WINDOW_S: typing.Final = WINDOW_S + targetlimits.ARRIVAL_JITTER_S
-# With a bound of 53 requests, 12 entries for each target have 4 permits each, or 3
-# beside one that uses it and has 16. Other numbers leave more unused by rounding.
+# With a bound of 53 requests, 13 entries for each target have 2 permits each, and the
+# one that uses it has 27, or 24 if it is not among the 13. These sum up to 51 or 50,
+# and leave 2 for an entry that does not know another one; 49 remain while one is lost.
 POLICY: typing.Final = limitshares.SharePolicy(
-    standing_claim=1,
-    max_claim=5,
+    standing_claim=2,
+    max_claim=26,
+    used_claim=24,
     permits_per_sender=4,
-    spare_senders=1,
-    # One lost entry with a standing part among twelve: it may have one permit more
-    # than the others count, which rounding leaves.
+    # One lost entry with a standing part, which does not depend on the others' claims.
     max_lost_share=1.0 / 16.0,
     # ``startgate`` decides when an entry that starts may use its parts.
     isolated_start_s=0.0,
@@ -329,6 +329,7 @@
         """Apply the claims of another entry."""
         self._shares.add_entries(now, peer.listed)
         self._shares.on_process(now, peer.host, peer.process)
+        self._shares.on_listed(peer.host, peer.listed)
         if update.cold is not None:
             self._shares.on_claims(peer.host, update.cold.number, update.cold.claims)
             if update.cold.is_serving:
--- a/sardinesaddle/direct/limitshares.py
+++ b/sardinesaddle/direct/limitshares.py
@@ -36,7 +36,7 @@
 import typing
 import zlib
 
-from sardinesaddle.direct import retrybudget
+from sardinesaddle.direct import retrybudget, sharespare
 
 MAX_CLAIM: typing.Final = 8
 MAX_LOST_SHARE: typing.Final = 0.25  # of all claims
@@ -63,11 +63,13 @@
     """How entries claim parts of a limit.
 
     ``standing_claim`` is what each first sender claims before any message,
-    ``max_claim`` the highest claim. A first sender has ``permits_per_sender`` of the
-    permits, and permits for ``spare_senders`` more are kept back, for an entry that
-    counts itself among them since it does not know a new one yet. ``max_lost_share``
-    and ``isolated_start_s`` are described in the module. For ``discovery_s`` after its
-    start, an entry has no share.
+    ``max_claim`` the highest claim, and ``used_claim`` what an entry claims beyond its
+    standing claim to a limit that it uses. Each entry counts one such claim also if it
+    knows none, so that standing parts are the same in all views. A first sender has
+    ``permits_per_sender`` of the permits, and permits for ``spare_senders`` more are
+    kept back, for an entry that counts itself among them since it does not know a new
+    one yet. ``max_lost_share`` and ``isolated_start_s`` are described in the module.
+    For ``discovery_s`` after its start, an entry has no share.
 
     With ``is_sparse``, standing claims are not sent, each process of another entry is
     told the other claims once, and the first senders follow each other on a ring of
@@ -76,6 +78,7 @@
 
     standing_claim: int = MAX_CLAIM
     max_claim: int = MAX_CLAIM
+    used_claim: int = 0
     permits_per_sender: int = 1
     spare_senders: int = 0
     max_lost_share: float = MAX_LOST_SHARE
@@ -87,6 +90,17 @@
         """Return how many entries claim a part before any message."""
         return max(permits // self.permits_per_sender - self.spare_senders, 1)
 
+    def compute_spare_claim(self, permits: int) -> int:
+        """Return what is kept free of a limit, as a claim that nobody uses."""
+        if not self.used_claim:
+            return 0
+        return sharespare.compute_spare_claim(
+            permits,
+            self.count_first_senders(permits),
+            self.standing_claim,
+            self.used_claim,
+        )
+
 
 DEFAULT_POLICY: typing.Final = SharePolicy()
 
@@ -106,7 +120,8 @@
     it may hold. ``acknowledged`` is the number of this entry's claims that it has,
     ``digest`` that of the statements that it has. ``was_told`` is set when this entry's
     claims were sent to its process. ``has_replied`` is set when any process at the host
-    replied, ``is_told_lost`` if another entry tells that it is lost.
+    replied, ``is_told_lost`` if another entry tells that it is lost. ``missing`` are
+    the entries that it did not list as alive.
     """
 
     last_known_at: float
@@ -121,6 +136,7 @@
     was_told: bool = False
     has_replied: bool = False
     is_told_lost: bool = False
+    missing: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -172,6 +188,8 @@
         self._knows_entries = False
         # Whether sums of claims may have changed since the last recount.
         self._needs_recount = True
+        # Lost entries, as far as the live ones agree.
+        self._lost: frozenset[str] = frozenset()
         # Hashes of the known entries, in order, and the entries.
         self._ring: list[tuple[bytes, str]] = []
         # Increases when the known entries change.
@@ -287,9 +305,31 @@
     def recount(self) -> None:
         """Compute the sums of all claims from what is known of each entry."""
         self._needs_recount = False
+        self._lost = self._list_agreed_lost()
         for limit_id, limit in self._limits.items():
             self._recount_limit(limit_id, limit)
 
+    def on_listed(self, host: str, listed: typing.Iterable[str]) -> None:
+        """Note which of the known entries another one does not list as alive."""
+        peer = self._peers[host]
+        missing = frozenset(self._peers.keys() - {*listed})
+        if missing != peer.missing:
+            peer.missing = missing
+            self._needs_recount = True
+
+    def _list_agreed_lost(self) -> frozenset[str]:
+        """Return the entries that are lost, of which no live entry says otherwise.
+
+        If only the link between two entries fails, both might claim the same limit and
+        pass over each other.
+        """
+        lost = [host for host, peer in self._peers.items() if not peer.is_alive]
+        if not self._policy.is_sparse or not lost:
+            return frozenset(lost)
+        return frozenset(lost).intersection(
+            *(peer.missing for peer in self._peers.values() if peer.is_alive)
+        )
+
     def on_process(self, now: float, host: str, process: int) -> Peer:
         """Note the process of an entry that a message came from."""
         self.add_entries(now, (host,))
@@ -442,7 +482,7 @@
         limit = self._limits[compute_limit_id(incarnation)]
         claim = self._get_standing(self._host, limit)
         if is_used and not self._is_withdrawn:
-            highest = self._policy.max_claim
+            highest = claim + self._policy.used_claim
             if limit.own_claim == highest or self._may_skip_lost(limit, highest):
                 claim = highest
         if claim != limit.own_claim:
@@ -485,10 +525,20 @@
             return NO_SHARE
         limit = self._limits[compute_limit_id(incarnation)]
         total = limit.usable + limit.others
+        if self._peers:
+            total = max(total, self._compute_least_total(limit))
+            total += self._policy.compute_spare_claim(limit.permits)
         if not limit.usable or limit.permits * limit.usable < total:
             return NO_SHARE
         return Share(limit.usable / total, limit.permits * limit.usable // total)
 
+    def _compute_least_total(self, limit: DividedLimit) -> int:
+        """Return the sum of all claims if one entry uses a limit."""
+        used_claim = self._policy.used_claim
+        if not used_claim:
+            return 0
+        return len(limit.first_senders) * self._policy.standing_claim + used_claim
+
     def _recount_limit(self, limit_id: int, limit: DividedLimit) -> None:
         """Compute the sums of one limit; see ``DividedLimit``."""
         others = lost = 0
@@ -496,7 +546,7 @@
         for host, peer in self._peers.items():
             claim = self._get_claim(host, peer, limit_id, limit)
             others += claim
-            if peer.is_alive:
+            if peer.is_alive or host not in self._lost:
                 held = min(held, self._get_held(peer, limit_id, limit))
             else:
                 lost += claim
@@ -508,6 +558,8 @@
 
     def _may_skip_lost(self, limit: DividedLimit, own_claim: int) -> bool:
         """Return whether a claim may be used that entries that are lost do not hold."""
+        if any(not p.is_alive and h not in self._lost for h, p in self._peers.items()):
+            return False
         limit_id = compute_limit_id(limit.incarnation)
         lost = sum(
             self._get_claim(host, peer, limit_id, limit)
