Keep sums over entries in a sidecar's division of memory

Change: sums are kept with each change and rebuilt four times a second. A test sends a stream through an entry with the part; one shows that a sidecar that starts gives nothing out during the leases of its predecessor.

--- a/sardinesaddle/direct/memorygrants.py
+++ b/sardinesaddle/direct/memorygrants.py
@@ -21,6 +21,8 @@
 
 import collections.abc
 import dataclasses
+import math
+import operator
 import typing
 
 from sardinesaddle.direct import messages
@@ -69,6 +71,9 @@
 # An entry whose lease has ended may hold this part, at most that of an equal division.
 STANDING_SHARE: typing.Final = 1.0 / 32.0
 STANDING_MEMORY_S: typing.Final = 60.0  # after the last reply of an entry
+# Between two searches for entries that are lost. One that is not found yet counts with
+# its limit, as it does while its lease lasts.
+RECOUNT_S: typing.Final = 0.25
 # An entry with the engine in its subset sends it most of its requests.
 SUBSET_WEIGHT: typing.Final = 8.0
 ACTIVE_WEIGHT: typing.Final = 2.0
@@ -90,11 +95,13 @@
     """A process of an entry.
 
     ``limit`` is the highest limit that it may use or hold, ``stated`` the newest one.
-    ``held`` and ``wanted`` are from its last reply, at ``replied_at``.
+    ``held`` and ``wanted`` are from its last reply, at ``replied_at``. ``lost_limit``
+    is what counts for it once its lease has ended. ``weight`` is the part of free
+    memory that it gets, relative to the others.
     """
 
     process: int
-    replied_at: float
+    replied_at: float = -math.inf
     echo_ms: int = 0
     hold_s: float = 0.0
     held: Amounts = NOTHING
@@ -102,23 +109,53 @@
     limit: Amounts = NOTHING
     stated: Amounts = NOTHING
     is_in_subset: bool = False
+    lost_limit: Amounts | None = None
+    weight: float = 0.0
 
-    @property
-    def weight(self) -> float:
-        """The part of free memory that it gets, relative to the others."""
-        if self.is_in_subset:
-            return SUBSET_WEIGHT
-        return ACTIVE_WEIGHT if any(self.held) else IDLE_WEIGHT
+
+class Sums:
+    """Sums over holders: what they may hold, what they hold, what is kept for them."""
+
+    __slots__ = ("held", "limited", "wanted", "weight")
+
+    def __init__(self) -> None:
+        self.limited: Amounts = NOTHING
+        self.held: Amounts = NOTHING
+        self.wanted: Amounts = NOTHING
+        self.weight = 0.0
+
+    def add(self, holder: Holder, sign: int) -> None:
+        """Add a holder, or with ``sign`` -1 take it away."""
+        change = operator.add if sign > 0 else operator.sub
+        lost_limit = holder.lost_limit
+        limit = holder.limit if lost_limit is None else lost_limit
+        held = holder.held if lost_limit is None else lost_limit
+        self.limited = list(map(change, self.limited, limit))
+        self.held = list(map(change, self.held, held))
+        self.weight += sign * holder.weight
+        if holder.is_in_subset and lost_limit is None:
+            self.wanted = list(map(change, self.wanted, holder.wanted))
+
+    def add_ended(self, limit: Amounts) -> None:
+        """Add the limit of a process that ended."""
+        self.limited = list(map(operator.add, self.limited, limit))
+        self.held = list(map(operator.add, self.held, limit))
 
 
 class MemoryGrants:
-    """The limits of the entries; times are the event loop's."""
+    """The limits of the entries; times are the event loop's.
+
+    Sums over all holders are kept up to date with each change, since hundreds of
+    entries get thousands of reports a second.
+    """
 
     def __init__(self, started_at: float) -> None:
         self._started_at = started_at
         self._holders: dict[str, Holder] = {}
         # Processes that ended, with the times until which their requests count.
         self._ended: list[tuple[float, Amounts]] = []
+        self._sums = Sums()
+        self._counted_at = -math.inf
 
     def make_state(
         self, now: float, host: str, used: int, total: int
@@ -127,13 +164,20 @@
         if total <= 0:
             return None
         number = int(now * 1000.0)
+        if host not in self._holders:
+            return messages.MemoryState(used, total, number)
+        if now - self._counted_at >= RECOUNT_S:
+            self._recount(now, total)
         holder = self._holders.get(host)
         if holder is None:
             return messages.MemoryState(used, total, number)
-        self._forget_ended(now)
-        stated = self._compute_limit(now, holder, used, total)
+        self._sums.add(holder, -1)
+        stated = list(holder.held)
+        if now - self._started_at >= LEASE_S + ARRIVAL_S:
+            stated = self._compute_limit(holder, used, total)
         holder.stated = stated
         holder.limit = list(map(max, holder.limit, stated))
+        self._sums.add(holder, 1)
         return messages.MemoryState(
             used, total, number, stated, holder.echo_ms, holder.process
         )
@@ -149,11 +193,14 @@
         if use is None or {len(use.held), len(use.wanted)} != {len(HORIZONS)}:
             return
         holder = self._holders.get(host)
-        if holder is not None and holder.process != use.process:
-            self._ended.append((now + PROCESS_END_S, holder.limit))
-            holder = None
+        if holder is not None:
+            self._sums.add(holder, -1)
+            if holder.process != use.process:
+                self._ended.append((now + PROCESS_END_S, holder.limit))
+                self._counted_at = -math.inf
+                holder = None
         if holder is None:
-            holder = self._holders[host] = Holder(use.process, now)
+            holder = self._holders[host] = Holder(use.process)
         holder.replied_at = now
         holder.echo_ms = use.sent_ms
         holder.hold_s = max(use.hold_ms, 0) / 1000.0
@@ -161,56 +208,67 @@
         holder.wanted = use.wanted
         holder.limit = list(map(max, holder.stated, holder.held))
         holder.is_in_subset = is_in_subset
+        holder.lost_limit = None
+        self._set_weight(holder)
+        self._sums.add(holder, 1)
+
+    def _set_weight(self, holder: Holder) -> None:
+        """Set the part of free memory that an entry gets, relative to the others."""
+        if holder.lost_limit is not None:
+            holder.weight = 0.0
+        elif holder.is_in_subset:
+            holder.weight = SUBSET_WEIGHT
+        elif any(holder.held):
+            holder.weight = ACTIVE_WEIGHT
+        else:
+            is_few = len(self._holders) <= MAX_IDLE_ENTRIES
+            holder.weight = IDLE_WEIGHT if is_few else 0.0
 
-    def _forget_ended(self, now: float) -> None:
-        """Forget what no longer counts."""
+    def _recount(self, now: float, total: int) -> None:
+        """Find the entries that are lost, forget what no longer counts, add up all."""
+        self._counted_at = now
         self._ended = [(until, limit) for until, limit in self._ended if until > now]
+        standing = int(total * compute_standing_share(len(self._holders)))
         for host, holder in list(self._holders.items()):
             silent_s = now - holder.replied_at
             if silent_s > LEASE_S + ARRIVAL_S + holder.hold_s:
                 holder.limit = holder.held = holder.stated = holder.wanted = NOTHING
             if silent_s > max(STANDING_MEMORY_S, holder.hold_s + 2.0 * LEASE_S):
                 del self._holders[host]
+                continue
+            if silent_s > LEASE_S:
+                holder.lost_limit = [max(limit, standing) for limit in holder.limit]
+            self._set_weight(holder)
+        self._sums = Sums()
+        for holder in self._holders.values():
+            self._sums.add(holder, 1)
+        for _, limit in self._ended:
+            self._sums.add_ended(limit)
 
-    def _compute_limit(
-        self, now: float, holder: Holder, used: int, total: int
-    ) -> list[int]:
-        """Return the limit for an entry."""
-        if now - self._started_at < LEASE_S + ARRIVAL_S:
-            return list(holder.held)
-        others = [known for known in self._holders.values() if known is not holder]
-        alive = [known for known in others if now - known.replied_at <= LEASE_S]
-        lost = [known for known in others if now - known.replied_at > LEASE_S]
-        standing = int(total * compute_standing_share(len(self._holders)))
-        sharing = [
-            known
-            for known in alive
-            if known.is_in_subset or any(known.held) or len(alive) < MAX_IDLE_ENTRIES
-        ]
-        weight = holder.weight / (holder.weight + sum(k.weight for k in sharing))
+    def _compute_limit(self, holder: Holder, used: int, total: int) -> list[int]:
+        """Return the limit for an entry; the sums are those of all others."""
+        sums = self._sums
+        own_weight = holder.weight or IDLE_WEIGHT
+        weight = own_weight / (own_weight + sums.weight)
+        # Requests that no entry stated.
+        unstated = max(used - sums.limited[0] - holder.limit[0], 0)
         limits = []
-        unstated = 0
         for index, horizon in enumerate(HORIZONS):
-            fixed = sum(limit[index] for _, limit in self._ended)
-            fixed += sum(max(known.limit[index], standing) for known in lost)
-            limited = fixed + sum(known.limit[index] for known in alive)
-            if not index:
-                # Requests that no entry stated.
-                unstated = max(used - limited - holder.limit[index], 0)
             budget = horizon.compute_budget(total) - unstated
             held = holder.held[index]
-            pool = budget - fixed - held - sum(known.held[index] for known in alive)
-            free = budget - limited - held
+            free = budget - sums.limited[index] - held
+            pool = budget - sums.held[index] - held
             if free <= 0 or pool <= 0:
                 # Requests have grown more than expected: an entry that has sent its
                 # part may not replace all that end.
                 limits.append(max(held + min(int(pool * weight), 0), 0))
                 continue
             # The requests of others would else keep a large one waiting.
-            reserve = sum(known.wanted[index] for known in alive if known.is_in_subset)
-            pool -= min(reserve, int(budget * MAX_RESERVE_SHARE))
-            offer = max(int(pool * weight), holder.wanted[index])
-            limits.append(held + min(offer, free))
+            pool -= min(sums.wanted[index], int(budget * MAX_RESERVE_SHARE))
+            offer = 0
+            if holder.weight:
+                offer = int(pool * weight)
+            limits.append(held + min(max(offer, holder.wanted[index]), free))
         return limits
 
 
