--- a/sardinesaddle/direct/admission/enginememory.py
+++ b/sardinesaddle/direct/admission/enginememory.py
@@ -15,7 +15,6 @@
 """
 
 import collections.abc
-import dataclasses
 import math
 import operator
 import typing
@@ -31,12 +30,12 @@
 )
 from sardinesaddle.direct.admission import (
     admissionpart,
+    enginestate,
     responselengths,
     sendconstraint,
 )
 
 REASON: typing.Final = "engine_memory"
-COUNT: typing.Final = len(memorygrants.HORIZONS)
 # After the registration of an engine, until its sidecar is taken to have failed.
 FIRST_LIMIT_S: typing.Final = 5.0
 # After the end of a lease; a single sidecar that restarts is back by then.
@@ -58,65 +57,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class HeldRequest:
-    """A request at an engine; ``need`` is in tokens by horizon, as computed last.
-
-    ``counted`` are the output tokens that count as a length that was reached.
-
-    ``ended_at`` is set once this entry gave it up and the engine may still run it.
-    """
-
-    progress: sendconstraint.ResponseProgress
-    size: responselengths.RequestSize
-    sent_at: float
-    need: list[float]
-    has_events: bool
-    counted: float = 0.0
-    ended_at: float | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class EngineState:
-    """What is known of an engine and of this entry's requests there.
-
-    ``total`` is its memory in tokens as its sidecar states it, 0 if it does not.
-    ``limit`` counts until ``lease_until``; like ``held`` it is by horizon.
-    """
-
-    service: str
-    listed_at: float
-    registered_at: float
-    total: int = 0
-    used: int = 0
-    number: int = -1
-    limit: list[int] = dataclasses.field(default_factory=lambda: [0] * COUNT)
-    lease_until: float = -math.inf
-    has_lease: bool = False
-    is_full: bool = False
-    states_memory: bool = True
-    requests: list[HeldRequest] = dataclasses.field(default_factory=list)
-    held: list[float] = dataclasses.field(default_factory=lambda: [0.0] * COUNT)
-
-
-@dataclasses.dataclass(slots=True)
-class ServiceState:
-    """A service whose engines have a bounded memory.
-
-    ``capacity`` is that of an engine, in tokens. ``event_tokens`` is the highest number
-    of tokens in an event, ``token_s`` the least time of a token. ``wanted`` are sizes
-    of recent requests with their times.
-    """
-
-    capacity: float
-    event_tokens: int
-    token_s: float
-    mean_output: float
-    hold_s: float
-    lengths: responselengths.ResponseLengths
-    wanted: list[tuple[float, list[float]]] = dataclasses.field(default_factory=list)
-
-
 class MemoryConstraint(sendconstraint.SendConstraint):
     """Keeps to this entry's limit on the memory of an engine."""
 
@@ -145,8 +85,8 @@
 
     def __init__(self, process: int) -> None:
         self._process = process
-        self._services: dict[str, ServiceState] = {}
-        self._engines: dict[str, EngineState] = {}
+        self._services: dict[str, enginestate.ServiceState] = {}
+        self._engines: dict[str, enginestate.EngineState] = {}
         self._entry_count = 1
         self._full_count = 0
         # The need of the request that was checked last, as each is for many targets.
@@ -175,7 +115,7 @@
                 )
             ]
             known = self._services.get(service.name)
-            services[service.name] = ServiceState(
+            services[service.name] = enginestate.ServiceState(
                 model.memory_tokens,
                 max(model.steps_per_pass, 1),
                 max(model.step_s, 1e-4),
@@ -197,7 +137,7 @@
     # Sizes of requests.
 
     def _make_size(
-        self, service: ServiceState, request: sendconstraint.RequestTraits
+        self, service: enginestate.ServiceState, request: sendconstraint.RequestTraits
     ) -> responselengths.RequestSize:
         """Return the size of a request, with the usual output if it states none."""
         maximum = float(max(request.max_output_tokens, 0))
@@ -222,7 +162,10 @@
         return need
 
     def _count_produced(
-        self, now: float, service: ServiceState, held: HeldRequest
+        self,
+        now: float,
+        service: enginestate.ServiceState,
+        held: enginestate.HeldRequest,
     ) -> float:
         """Return the output tokens that a request has by now, at most."""
         size = held.size
@@ -274,14 +217,19 @@
             return sendconstraint.ALLOWED
         return NO_ROOM
 
-    def _get_total(self, service: ServiceState, known: EngineState | None) -> float:
+    def _get_total(
+        self, service: enginestate.ServiceState, known: enginestate.EngineState | None
+    ) -> float:
         """Return the memory of an engine in tokens."""
         if known is None or not known.total:
             return service.capacity
         return min(service.capacity, known.total)
 
     def _get_limit(
-        self, now: float, service: ServiceState, known: EngineState
+        self,
+        now: float,
+        service: enginestate.ServiceState,
+        known: enginestate.EngineState,
     ) -> collections.abc.Sequence[float]:
         """Return what this entry's requests at an engine may need now, by horizon."""
         if now < known.lease_until:
@@ -290,9 +238,9 @@
         if math.isinf(known.lease_until):
             standing_at = known.registered_at + FIRST_LIMIT_S
         if now < standing_at:
-            return [0.0] * COUNT
+            return [0.0] * enginestate.COUNT
         share = memorygrants.compute_standing_share(self._entry_count)
-        return [share * self._get_total(service, known)] * COUNT
+        return [share * self._get_total(service, known)] * enginestate.COUNT
 
     def on_send(
         self,
@@ -309,7 +257,9 @@
         need = self._compute_need(registration.service, request)
         size = self._make_size(service, request)
         known.requests.append(
-            HeldRequest(request.progress, size, now, need, request.has_events)
+            enginestate.HeldRequest(
+                request.progress, size, now, need, request.has_events
+            )
         )
         known.held = list(map(operator.add, known.held, need))
 
@@ -342,7 +292,10 @@
             service.lengths.count_ended(held.size, tokens)
 
     def _count_reached(
-        self, service: ServiceState, held: HeldRequest, tokens: float
+        self,
+        service: enginestate.ServiceState,
+        held: enginestate.HeldRequest,
+        tokens: float,
     ) -> None:
         """Count the length that a response has reached, if that is known."""
         if held.has_events and tokens > held.counted:
@@ -351,12 +304,14 @@
 
     # Engines.
 
-    def _get_engine(self, now: float, target: targetstate.Target) -> EngineState:
+    def _get_engine(
+        self, now: float, target: targetstate.Target
+    ) -> enginestate.EngineState:
         """Return the state of an engine, which is new if it was not known."""
         incarnation = target.registration.incarnation
         known = self._engines.get(incarnation)
         if known is None:
-            known = EngineState(target.registration.service, now, now)
+            known = enginestate.EngineState(target.registration.service, now, now)
             self._engines[incarnation] = known
         return known
 
@@ -391,7 +346,7 @@
         known.total, known.used = max(state.total, 0), max(state.used, 0)
         # A limit of the process that ran here before counts against that one.
         limit = state.limit or []
-        if len(limit) == COUNT and state.process == self._process:
+        if len(limit) == enginestate.COUNT and state.process == self._process:
             known.limit = limit
             lease_until = state.echo_ms / 1000.0 + memorygrants.LEASE_S
             known.lease_until = min(lease_until, now + memorygrants.LEASE_S)
@@ -399,7 +354,7 @@
                 known.has_lease = True
                 self._log_lease(target.registration.incarnation, known)
 
-    def _log_lease(self, incarnation: str, known: EngineState) -> None:
+    def _log_lease(self, incarnation: str, known: enginestate.EngineState) -> None:
         """Log that the lease of an engine's memory began or ended."""
         loguru.logger.info(
             "event=engine_memory_lease target={} in_force={} limit={} held={:.0f}",
@@ -427,14 +382,19 @@
             math.ceil(service.hold_s * 1000.0),
         )
 
-    def _find_wanted(self, now: float, service: ServiceState) -> list[float]:
+    def _find_wanted(
+        self, now: float, service: enginestate.ServiceState
+    ) -> list[float]:
         """Return what the largest recent request of a service needs."""
         while service.wanted and service.wanted[0][0] < now - WANTED_S:
             service.wanted.pop(0)
-        return service.wanted[0][1] if service.wanted else [0.0] * COUNT
+        return service.wanted[0][1] if service.wanted else [0.0] * enginestate.COUNT
 
     def _refresh_needs(
-        self, now: float, service: ServiceState, known: EngineState
+        self,
+        now: float,
+        service: enginestate.ServiceState,
+        known: enginestate.EngineState,
     ) -> None:
         """Compute what the requests at an engine need anew, as they have grown."""
         kept = []
@@ -450,7 +410,7 @@
             )
             kept.append(held)
         known.requests = kept
-        known.held = [0.0] * COUNT
+        known.held = [0.0] * enginestate.COUNT
         if kept:
             known.held = list(map(sum, zip(*(held.need for held in kept), strict=True)))
 
@@ -484,8 +444,8 @@
         self,
         now: float,
         incarnation: str,
-        service: ServiceState,
-        known: EngineState,
+        service: enginestate.ServiceState,
+        known: enginestate.EngineState,
     ) -> None:
         """Log when an engine no longer takes the largest recent request, or again."""
         wanted = self._find_wanted(now, service)
