Build the part on engine memory where the settings' contracts ask for it

The platform's name for the rule is decoded in sardinesaddle/platform/contracts.py, and the composition root sets bounds_engine_memory. A response that was cut off because its caller did not read is not sent to another target. Requests that fit pass those that wait for memory. The test of the setting builds the parts from a settings file.

--- a/sardinesaddle/direct/admission/entryadmission.py
+++ b/sardinesaddle/direct/admission/entryadmission.py
@@ -23,6 +23,7 @@
 from sardinesaddle.direct.admission import (
     admissionpart,
     coldlimits,
+    enginememory,
     evacuations,
     homes,
     scarcecapacity,
@@ -71,6 +72,8 @@
         )
     if cfg.ramp_up:
         parts.append(targetpaces.TargetPaces(cfg.host, is_in_service))
+    if cfg.bounds_engine_memory:
+        parts.append(enginememory.EngineMemory(random.getrandbits(32)))
     if cfg.share_capacity:
         parts.append(scarcecapacity.ScarceCapacity(random.Random(), is_in_service))
     return parts
@@ -83,6 +86,10 @@
         self, parts: collections.abc.Sequence[admissionpart.AdmissionPart]
     ) -> None:
         self._parts = parts
+        # Whether a request that fits may pass one that does not.
+        self.lets_others_pass = any(
+            isinstance(part, enginememory.EngineMemory) for part in parts
+        )
         self.constraints = [
             constraint for part in parts for constraint in part.list_constraints()
         ]
--- a/sardinesaddle/direct/entryrole.py
+++ b/sardinesaddle/direct/entryrole.py
@@ -3,10 +3,11 @@
 import random
 
 import aiohttp
+import msgspec
 
 from sardinesaddle import settings
 from sardinesaddle.direct import entrynode, freshness, noderole, nodesettings
-from sardinesaddle.platform import catalogformat, headers, store
+from sardinesaddle.platform import catalogformat, contracts, headers, store
 
 
 def make_session() -> aiohttp.ClientSession:
@@ -30,9 +31,13 @@
     ) -> nodesettings.NodeSettings | settings.SettingsFault:
         """Read and check an entry's settings; keep them if they are valid."""
         cfg = nodesettings.load_entry(path)
-        if isinstance(cfg, nodesettings.EntrySettings):
-            self._cfg = cfg
-        return cfg
+        if not isinstance(cfg, nodesettings.EntrySettings):
+            return cfg
+        is_bounded = contracts.bounds_engine_memory(cfg.contracts)
+        self._cfg = msgspec.structs.replace(
+            cfg, bounds_engine_memory=cfg.bounds_engine_memory or is_bounded
+        )
+        return self._cfg
 
     def build(self) -> noderole.WiredNode:
         """Build the entry."""
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -397,6 +397,11 @@
             return state.connect_failures < MAX_CONNECT_ATTEMPTS
         if state.send_count >= state.route.max_attempts:
             return False
+        if isinstance(outcome, requeststate.Refusal) and (
+            outcome.reason == responserelay.UNREAD
+        ):
+            # Another target would be held back by the same caller.
+            return False
         if state.may_have_run and not state.may_run_twice:
             return False
         now = asyncio.get_running_loop().time()
@@ -793,6 +798,8 @@
         latency_objective_s=route.latency_objective_s,
         max_event_gap_s=route.max_event_gap_s,
         deadline=deadline,
+        max_output_tokens=metadata.max_output_tokens,
+        has_events=route.is_stream,
     )
 
 
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -10,8 +10,6 @@
 # With one host lost at a time, a held group waits for its leader to return.
 MIN_HOSTS_LOST_FOR_BACKUP: typing.Final = 2
 
-MEMORY_CONTRACT: typing.Final = "pressure"
-
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 
@@ -80,9 +78,10 @@
     each place to its region. ``ramp_up`` lets targets that have just started or
     recovered get requests gradually. ``share_capacity`` shares the capacity of
     lock-step groups by priority and account while it is scarce. ``contracts`` names
-    the parts of the platform's rules that are in force. ``max_buffered_bytes`` limits
-    what the entry buffers of all responses; without it, a part of the entry's memory
-    does where engines crash that hold more than theirs.
+    the parts of the platform's rules that are in force, from which follows whether
+    engines crash that hold more than their memory (``bounds_engine_memory``).
+    ``max_buffered_bytes`` limits what the entry buffers of all responses; without it, a
+    part of the entry's memory does where engines crash that hold more than theirs.
     """
 
     front: Address
@@ -92,14 +91,10 @@
     ramp_up: bool = False
     share_capacity: bool = False
     contracts: list[str] = []
+    bounds_engine_memory: bool = False
     max_buffered_bytes: typing.Annotated[int, msgspec.Meta(ge=2**20)] | None = None
     bounds: EntryBounds = EntryBounds()
 
-    @property
-    def bounds_engine_memory(self) -> bool:
-        """Whether engines crash that hold more than their memory."""
-        return MEMORY_CONTRACT in self.contracts
-
 
 class SidecarSettings(
     NodeSettings, frozen=True, forbid_unknown_fields=True, kw_only=True
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -155,6 +155,7 @@
                     is_choosy
                     or request.traits.homes is not None
                     or queue.policy.lets_others_pass
+                    or self._targets.admission.lets_others_pass
                 ):
                     continue
                 break
--- a/test/test_direct_enginememory.py
+++ b/test/test_direct_enginememory.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import collections.abc
+import json
 import math
+import pathlib
 import typing
 
 import msgspec
@@ -15,6 +17,7 @@
 from sardinesaddle.direct import (
     catalog,
     engine,
+    entryrole,
     memorygrants,
     messages,
     nodemetrics,
@@ -262,19 +265,33 @@
     assert decoded == reply
 
 
-def test_part_is_asked_for_by_the_contract_and_shows_its_metrics() -> None:
-    cfg = nodesettings.EntrySettings(
-        name="n",
-        host="h",
-        place="p",
-        store="h:1",
-        node_ports=(1, 1),
-        front="h:2",
-        ready="h:3",
-        contracts=["other", "pressure"],
+@pytest.mark.parametrize("names", [["other", "pressure"], ["other"]])
+def test_part_is_asked_for_by_the_contract(
+    names: list[str], tmp_path: pathlib.Path
+) -> None:
+    # Guards against a deployment without the rule that gets the part.
+    path = tmp_path / "entry.json"
+    settings = {
+        "name": "n",
+        "host": "h",
+        "place": "p",
+        "store": "h:1",
+        "node_ports": [1, 1],
+        "front": "h:2",
+        "ready": "h:3",
+        "contracts": names,
+    }
+    path.write_text(json.dumps(settings))
+    cfg = entryrole.EntryRole().load_settings(str(path))
+    assert isinstance(cfg, nodesettings.EntrySettings)
+    parts = entryadmission.build_parts(
+        cfg, 0.0, catalogformat.PlatformStoreDecoder(), lambda: None
     )
-    assert cfg.bounds_engine_memory
-    assert not msgspec.structs.replace(cfg, contracts=[]).bounds_engine_memory
+    has_part = any(isinstance(part, enginememory.EngineMemory) for part in parts)
+    assert has_part == ("pressure" in names)
+
+
+def test_part_shows_its_metrics() -> None:
     entry_metrics = nodemetrics.EntryMetrics("n")
     part, target = make_part(), fullengines.Engine(0)
     part.on_report(0.0, target.target, make_report(target, 5000, 0))
