--- a/sardinesaddle/direct/admission/groupload.py
+++ b/sardinesaddle/direct/admission/groupload.py
@@ -23,9 +23,10 @@
 GROWTH_SPAN_S: typing.Final = 0.25  # over which the rate of change is measured
 # In which a group's load is led to its target; twice the lag of reports is stable.
 APPROACH_S: typing.Final = 0.5
-# Standard deviations of the requests that arrive and end between reports, by which the
-# load stays below the capacity.
-CHANCE_SIGMAS: typing.Final = 1.5
+# Standard deviations of the requests that other entries send between reports, by which
+# the load stays below the capacity.
+CHANCE_SIGMAS: typing.Final = 1.3
+MAX_SEEN_SHARE: typing.Final = 0.8  # of the sends; ends come by chance in any case
 # Of the slots of a group; with more taken, entries that do not see each other's newest
 # sends choose the same last slots.
 SLOT_FILL: typing.Final = 0.97
@@ -54,6 +55,7 @@
     is_open: bool = False
     reported: int = 0
     net_sent: int = 0
+    own_in_flight: int = 0
     slots: int = 0
     capacity: float = 0.0
     pass_s: float = 0.0
@@ -98,7 +100,6 @@
         "groups",
         "growth",
         "max_pass_s",
-        "own_in_flight",
         "share",
     )
 
@@ -112,7 +113,6 @@
         self._is_available = is_available
         self.groups: dict[str, Group] = {}
         self.max_pass_s = max(max_pause_s - TRANSIT_S, 0.0)
-        self.own_in_flight = 0
         # Discounted ends of this entry's requests, and the seconds that these ran.
         self._own_ends = 0.0
         self._own_seconds = 0.0
@@ -156,10 +156,10 @@
     def on_change(self, target: targetstate.Target, added: int) -> None:
         """Count a request that this entry sent to a target (1) or that ended (-1)."""
         self._own_ends += added < 0
-        self.own_in_flight = max(self.own_in_flight + added, 0)
         group = self.groups.get(target.group)
         if group is not None:
             group.net_sent += added
+            group.own_in_flight += added
 
     def refresh(
         self, now: float, targets: collections.abc.Collection[targetstate.Target]
@@ -175,8 +175,7 @@
             group.is_current = False
             if not group.ranks:
                 del self.groups[group.name]
-        self.own_in_flight = sum(target.own_in_flight for target in targets)
-        self._learn_duration(self.own_in_flight)
+        self._learn_duration(sum(target.own_in_flight for target in targets))
 
     def learn_growth(self, now: float, load: ServiceLoad) -> None:
         """Learn how the reported load changes."""
@@ -228,6 +227,7 @@
         loads = group.list_loads()
         group.reported = round(sum(load.running + load.waiting for load in loads))
         group.net_sent = sum(len(t.recent_sends) - len(t.recent_ends) for t in ranks)
+        group.own_in_flight = sum(t.own_in_flight for t in ranks)
         group.slots = sum(t.registration.slots for t in ranks)
         headroom = self._model.compute_headroom(loads, group.skew, self.max_pass_s)
         group.pass_s = headroom.pass_s
@@ -273,9 +273,11 @@
     def compute_aim(self, group: Group) -> float:
         """Return the load that is aimed at.
 
-        It leaves room for what arrives and ends by chance between reports.
+        It leaves room for what the other entries send by chance between reports.
         """
-        chance = math.sqrt(group.capacity / self.duration_s * REPORT_LAG_S)
+        others = 1.0 - min(self.share, MAX_SEEN_SHARE)
+        unseen = others * group.capacity / self.duration_s * REPORT_LAG_S
+        chance = math.sqrt(unseen)
         return max(group.capacity - CHANCE_SIGMAS * chance, 0.0)
 
     def compute_sustained_rate(self, group: Group) -> float:
--- a/sardinesaddle/direct/admission/kinddemand.py
+++ b/sardinesaddle/direct/admission/kinddemand.py
@@ -15,10 +15,10 @@
 from sardinesaddle.direct import messages
 
 REFRESH_S: typing.Final = 0.25  # the period of ``refresh``
-# A burst of some seconds must show soon; at 100 requests a second the error is a tenth.
-KIND_WINDOW_S: typing.Final = 1.0
+# A burst of some seconds must show soon; at 100 requests a second the error is 0.13.
+KIND_WINDOW_S: typing.Final = 0.6
 # Accounts have few requests each, and their shares need not follow each burst.
-ACCOUNT_WINDOW_S: typing.Final = 3.0
+ACCOUNT_WINDOW_S: typing.Final = 2.0
 # A heartbeat or its reply tells an entry the demand of another one twice a second with
 # 13 entries, and every 15 s with 370.
 DEMAND_TTL_S: typing.Final = 3.0
@@ -174,16 +174,34 @@
 
     def add_up(self) -> None:
         """Add the demand of this entry and what the others told."""
-        rates = collections.Counter(self.list_own_rates())
-        accounts = collections.Counter(
-            {key: meter.rate for key, meter in self._account_meters.items()}
-        )
+        own = self.list_own_rates()
+        rates = collections.Counter(own)
+        own_accounts = {key: meter.rate for key, meter in self._account_meters.items()}
+        accounts = collections.Counter(own_accounts)
         for told in self._told.values():
             rates.update(told.rates)
             accounts.update(told.accounts)
         factor = 1.0 + self.missing / (1.0 + len(self._told))
         self.rates = {priority: rate * factor for priority, rate in rates.items()}
-        self.accounts = {key: rate * factor for key, rate in accounts.items()}
+        self.accounts = self._complete(dict(accounts), own_accounts)
+
+    def _complete(
+        self,
+        accounts: dict[AccountKey, float],
+        own_accounts: collections.abc.Mapping[AccountKey, float],
+    ) -> dict[AccountKey, float]:
+        """Return the rates of accounts, which add up to those of the priorities.
+
+        What others did not list is divided as the demand at this entry is.
+        """
+        for priority, total in self.rates.items():
+            own = {key: r for key, r in own_accounts.items() if key[0] == priority}
+            listed = sum(rate for key, rate in accounts.items() if key[0] == priority)
+            missing, present = total - listed, sum(own.values())
+            if missing > 0.0 and present > 0.0:
+                for key, rate in own.items():
+                    accounts[key] += missing * rate / present
+        return accounts
 
 
 class UsualDemand:
--- a/sardinesaddle/direct/admission/scarcecapacity.py
+++ b/sardinesaddle/direct/admission/scarcecapacity.py
@@ -136,7 +136,7 @@
         scarce = self.services.get(target.registration.service)
         if scarce is not None:
             scarce.on_change(target, 1)
-            scarce.count_send(target, request)
+            scarce.count_send(request)
 
     def on_outcome(
         self,
--- a/sardinesaddle/direct/admission/scarceservice.py
+++ b/sardinesaddle/direct/admission/scarceservice.py
@@ -26,15 +26,16 @@
     kinddemand,
     passmodel,
     returnplaces,
+    sendbalance,
     sendconstraint,
 )
 
 # Of the capacity, by which requests more urgent than the priority that is held back may
 # exceed it. Their rate is sustained, so that this is by chance and for a short time.
 URGENT_EXCESS: typing.Final = 0.05
-# While less than half of the slots is taken nothing is refused; the margin is for the
-# age of reports.
-HALF_FREE_SHARE: typing.Final = 0.55
+# While less than half of the slots is taken nothing is refused. The margins are for the
+# age of reports: to begin to hold back, and to go on.
+HALF_FREE_SHARES: typing.Final = (0.55, 0.54)
 STALE_S: typing.Final = 0.02  # for which the computed shares are used
 FREE_WAIT_SHARE: typing.Final = 0.125  # of the latency objective, users' bound
 USUAL_WINDOW_S: typing.Final = 30.0
@@ -42,9 +43,6 @@
 LATE_STEPS: typing.Final = 1.8
 # Requests of an account that are sent in excess of its share after some were not used.
 MAX_CREDIT: typing.Final = 2.0
-# Bounds of the balance: requests, and a share of those that this entry runs.
-MAX_BALANCE: typing.Final = 2.0
-MAX_BALANCE_SHARE: typing.Final = 0.03
 # A client returns a round trip and some jitter after the time that it was told.
 EARLY_RETURN_S: typing.Final = 0.25
 LATE_RETURN_S: typing.Final = 1.0
@@ -114,13 +112,10 @@
         self._promises: dict[str, float] = {}
         # Requests that an account may send, by priority and account.
         self._credits: dict[tuple[int, str], float] = {}
-        # Sends that this entry may make to keep the load at its target.
-        self._balance = 0.0
-        self._settled_at = -math.inf
-        # Sends that groups are owed, by group.
-        self._group_credits: dict[str, float] = {}
+        self._balance = sendbalance.SendBalance()
         self._random_fraction = random_fraction
         self._shares: Shares | None = None
+        self._was_scarce = False
         self._learned_at = -math.inf
         # The groups to which requests may go, until loads or shares change.
         self._groups_by_priority: dict[int, frozenset[str]] = {}
@@ -172,7 +167,10 @@
             levels[priority] = capacityshares.compute_fair_level(
                 accounts, rate / max(factor, 1e-6)
             )
-        is_half_free = load.present < HALF_FREE_SHARE * load.slots
+        # By the reports alone, since the others may send less than their demand allows.
+        reported = load.reported + self.loads.growth * groupload.REPORT_LAG_S
+        taken = min(load.present, reported)
+        is_half_free = taken < HALF_FREE_SHARES[self._was_scarce] * load.slots
         held_back = [p for p, level in levels.items() if math.isfinite(level)]
         cutoff = NEVER_HELD_BACK
         if held_back and not is_half_free:
@@ -187,6 +185,7 @@
         shares = Shares(
             now, load, is_half_free, cutoff, own_rate, group_rates, rates, levels
         )
+        self._was_scarce = shares.is_scarce
         self._learn_sent_rates(shares)
         return shares
 
@@ -198,30 +197,26 @@
         available = sum(shares.group_rates.values())
         sent = sum(shares.rates.values())
         for group in groups:
-            rate = self.loads.compute_end_rate(group)
-            rate += self.loads.growth / len(groups)
             if shares.is_scarce:
                 part = shares.group_rates[group.name] / max(available, 1e-6)
                 rate = sent * part
+            else:
+                # The growth shows a burst before the entries have told their demand.
+                growing = self.loads.compute_end_rate(group)
+                growing += self.loads.growth / len(groups)
+                rate = max(growing, sent / len(groups))
             self.loads.learn_sent_rate(group, max(rate, 0.0), span_s)
 
     def _settle_balance(self, now: float) -> None:
-        """Bring the balance of sends up to date.
-
-        It changes by what this entry should send beyond what ends here, and by the
-        actual ends and sends. A balance of zero keeps the load as it should be.
-        """
+        """Bring the balance of sends up to date."""
         shares = self.compute_shares(now)
-        span_s = now - self._settled_at
-        self._settled_at = now
-        own = self.loads.own_in_flight
         if not shares.is_scarce:
-            self._balance = 0.0
+            self._balance.reset(now)
             return
-        rate = shares.own_rate - own / self.loads.duration_s
-        most = MAX_BALANCE + MAX_BALANCE_SHARE * own
-        balance = self._balance + rate * span_s
-        self._balance = min(max(balance, -most), most)
+        part = shares.own_rate / max(sum(shares.group_rates.values()), 1e-6)
+        rates = {name: rate * part for name, rate in shares.group_rates.items()}
+        groups = shares.load.open_groups
+        self._balance.settle(now, groups, rates, self.loads.duration_s)
 
     def compute_part(self, now: float, priority: int, account: str) -> float:
         """Return which part of an account's requests of a priority is sent."""
@@ -250,7 +245,7 @@
     def on_change(self, target: targetstate.Target, added: int) -> None:
         """Count a request that this entry sent to a target (1) or that ended (-1)."""
         self.loads.on_change(target, added)
-        self._balance -= added
+        self._balance.add(target.group, -added)
         self._groups_by_priority.clear()
 
     def on_report(self, target: targetstate.Target, report: messages.Report) -> None:
@@ -258,35 +253,25 @@
         self.loads.on_report(target, report)
         self._groups_by_priority.clear()
 
-    def count_send(
-        self, target: targetstate.Target, request: sendconstraint.RequestTraits
-    ) -> None:
-        """Take the credit of a request that is sent, and of its group."""
-        shares = self._shares
-        if shares is not None:
-            total = sum(shares.group_rates.values())
-            for name, rate in shares.group_rates.items():
-                part = rate / total if total > 0.0 else 0.0
-                self._add_group_credit(name, part)
-        self._add_group_credit(target.group, -1.0)
+    def count_send(self, request: sendconstraint.RequestTraits) -> None:
+        """Take the credit of a request that is sent."""
         key = request.priority, request.account
         if not request.is_resumed and key in self._credits:
             self._credits[key] = max(self._credits[key] - 1.0, -MAX_CREDIT)
 
-    def _add_group_credit(self, name: str, added: float) -> None:
-        """Add to the sends that a group is owed by this entry."""
-        known = self._group_credits.get(name, 0.0) + added
-        self._group_credits[name] = min(max(known, -MAX_CREDIT), MAX_CREDIT)
-
     def is_selected(self, now: float, request: sendconstraint.RequestTraits) -> bool:
         """Return whether a request is among those that are sent."""
         key = request.priority, request.account
         shares = self.compute_shares(now)
         if request.is_return or shares.is_half_free:
             return True
+        if self.compute_part(now, *key) >= 1.0 and (
+            request.priority != shares.cutoff or not self._balance.is_exhausted
+        ):
+            return True
         credit = self._credits.get(key, 1.0)
         if request.priority == shares.cutoff:
-            credit += self._balance
+            credit += self._balance.compute_total()
         return credit >= 1.0
 
     # Targets.
@@ -320,9 +305,9 @@
     def _find_groups(self, now: float, priority: int) -> frozenset[str]:
         """Return the groups to which a request may go now, computed once for each load.
 
-        While capacity is scarce, that is the group whose turn it is: entries divide
-        their sends among the groups by the groups' rates. If each chose the group with
-        the most room, all would choose the same one until the next reports. While half
+        While capacity is scarce, that is the group to which this entry should send
+        most. If each chose the group with the most room, all would choose the same one
+        until the next reports. While half
         of the slots are free and no group has room, all groups may get requests, since
         nothing may be refused then.
         """
@@ -341,20 +326,10 @@
         if not names and shares.is_half_free:
             names = [group.name for group in groups]
         elif names and shares.is_scarce:
-            names = [max(names, key=self._compute_group_claim)]
+            names = [max(names, key=self._balance.get)]
         found = self._groups_by_priority[priority] = frozenset(names)
         return found
 
-    def _compute_group_claim(self, name: str) -> float:
-        """Return what a group is owed including the next send."""
-        shares = self._shares
-        if shares is None:
-            return 0.0
-        rate = shares.group_rates.get(name, 0.0)
-        total = sum(shares.group_rates.values())
-        owed = self._group_credits.get(name, 0.0)
-        return owed + (rate / total if total > 0.0 else 0.0)
-
     # The queue.
 
     def sort(
