--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -783,11 +783,13 @@
     left than its route permits, can only be late, and goes after new ones that are
     worth more.
     """
-    route_priority = max(route.priority, 0)
-    if remaining_s < REPEAT_SHARE * route.timeout_s:
-        route_priority += REPEAT_STEPS
-    route_priority = min(route_priority, LOWEST_PRIORITY)
-    return compute_priority(route, account) * (LOWEST_PRIORITY + 1) + route_priority
+    is_repeated = remaining_s < REPEAT_SHARE * route.timeout_s
+    steps = REPEAT_STEPS if is_repeated else 0
+    within = min(max(route.priority, 0) + steps, LOWEST_PRIORITY)
+    first = within
+    if account is not None and account.priority is not None:
+        first = min(max(account.priority, 0), LOWEST_PRIORITY)
+    return first * (LOWEST_PRIORITY + 1) + within
 
 
 def make_traits(
--- a/test/test_direct_scheduling.py
+++ b/test/test_direct_scheduling.py
@@ -327,6 +327,7 @@
 def test_repeated_request_goes_after_new_ones_that_are_worth_more() -> None:
     # Guards against clients that return during a burst and displace requests that can
     # still be on time.
-    rank = forward.compute_urgency(make_stream_route(0), None, 5.3)
-    assert rank > forward.compute_urgency(make_stream_route(1), None, 7.9)
-    assert forward.compute_urgency(make_stream_route(9), None, 5.3) < 100
+    for account in (None, catalog.Account("a", 1)):
+        rank = forward.compute_urgency(make_stream_route(0), account, 5.3)
+        assert rank > forward.compute_urgency(make_stream_route(1), account, 7.9)
+        assert forward.compute_urgency(make_stream_route(9), account, 5.3) < 100
