Let a claim on a new cold target wait for the window

Cause: in the first second after its registration each part that grew counted at once, since nobody can have sent anything to a new target. That holds for the standing part alone. An entry whose claim is acknowledged within that second got its larger part at once, while what the others had sent by their larger parts before was still in the window.

Change: only the first part of a new target counts at once.

Not covered: an entry that hears of a target much later than the others, which it takes for new, while one of them gives up a claim.

--- a/sardinesaddle/direct/admission/coldlimits.py
+++ b/sardinesaddle/direct/admission/coldlimits.py
@@ -128,12 +128,14 @@
 
     ``cold_until`` is the latest time to which it is known to be cold.
     ``registered_at`` is when it was registered first, ``listed_at`` when last.
+    ``had_part`` is set once this entry had a part of the bound.
     """
 
     service: str
     registered_at: float
     listed_at: float
     window: SendWindow | None = None
+    had_part: bool = False
     cold_until: float = -math.inf
     is_cold: bool = False
     # Whether this entry is a first sender, and of which entries and permits.
@@ -368,11 +370,14 @@
             if known.window is None:
                 continue
             # No entry sent anything to a target that is new. After its start, this one
-            # cannot tell which targets are.
+            # cannot tell which targets are. A part that grows by a claim waits for the
+            # window even then, since the others sent by their larger parts before.
             age_s = known.registered_at - self._started_at
             is_new = age_s > SEND_WINDOW_S and now - known.registered_at < WINDOW_S
             share = self._shares.compute_share(now, incarnation)
-            known.window.set_capacity(now, share.burst, is_new)
+            is_first_part = is_new and not known.had_part
+            known.window.set_capacity(now, share.burst, is_first_part)
+            known.had_part = known.had_part or share.burst > 0
 
     def write_metrics(
         self, now: float, entry_metrics: nodemetrics.EntryMetrics
--- a/test/test_direct_coldlimits.py
+++ b/test/test_direct_coldlimits.py
@@ -286,6 +286,24 @@
     assert simulation.compute_used(22.0, 34.0) >= USABLE_SHARE
 
 
+@pytest.mark.parametrize(("count", "seed"), [(4, 0), (4, 1), (13, 0), (54, 0)])
+def test_target_that_appears_gets_no_more_than_the_bound(count: int, seed: int) -> None:
+    # An entry used a claim on a new target at once, while the sends of the others, by
+    # their larger parts before, were still in the window.
+    simulation = Simulation(count, 4, seed)
+    simulation.introduce_all()
+    simulation.run(6.0)
+    simulation.targets.append(make_target(4, warmup_s=3.0))
+    for entry in simulation.entries.values():
+        entry.part.on_registered(simulation.now, simulation.targets[4])
+    simulation.run(9.0)
+    new_arrivals = simulation.arrivals["r4"]
+    assert new_arrivals
+    # The standing parts are used at once.
+    assert min(new_arrivals) < 6.0 + coldlimits.WINDOW_S
+    assert simulation.compute_worst() <= ALLOWED
+
+
 @pytest.mark.parametrize("removed", ["delay", "claims", "jitter", "acknowledgement"])
 def test_checks_find_a_mechanism_that_is_missing(
     removed: str, monkeypatch: pytest.MonkeyPatch
