--- a/test/test_direct_evacuation.py
+++ b/test/test_direct_evacuation.py
@@ -44,6 +44,7 @@
 )
 # What the platform states of every entry; other values are numbers.
 STATED: typing.Final[dict[str, object]] = {
+    "contracts": ["base"],
     "node_name": "e1",
     "ip": "127.0.0.1",
     "zone": "z1",
@@ -457,6 +458,9 @@
     cfg = nodesettings.load_entry(str(path))
     assert isinstance(cfg, nodesettings.EntrySettings), cfg
     assert (cfg.bounds.evacuation_s, cfg.places) == (evacuation_s, places)
+    is_stated = evacuation_s is not None
+    assert (cfg.ramp_up, cfg.share_capacity) == (is_stated, is_stated)
+    assert cfg.contracts == ["base"]
 
 
 # The order of statements.
