--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -232,8 +232,8 @@
     """An engine that runs each request once and records it.
 
     ``work_s`` is how long a request runs. On streaming paths it writes ``events``
-    events, one each ``gap_s``; ``pauses`` maps the number of an event to the seconds
-    for which the engine writes nothing before it.
+    events, one each ``gap_s``; ``pauses`` maps the number of an event of a run to the
+    seconds for which the engine writes nothing before it.
     """
 
     def __init__(self, name, service, record, work_s=0.05):
@@ -339,7 +339,7 @@
             return
         first = int(fields.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            await asyncio.sleep(self.pauses.get(number, 0.0) + self.gap_s)
+            await asyncio.sleep(self.pauses.get(number - first + 1, 0.0) + self.gap_s)
             if number == first:
                 fields_out = [*head, ("Content-Type", "text/event-stream")]
                 if not self.is_unframed:
