--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -311,16 +311,20 @@
         await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
             work.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await work
+            if watch.exception() is not None:
+                self.record.write(f"engine {self.name}: {watch.exception()!r}")
             run["is_cut"] = True
             run["ended"] = self.record.now()
             self.record.write(f"engine {self.name} finds {attempt} cut by its caller")
             return False
         run["ended"] = self.record.now()
-        self.record.write(f"engine {self.name} has ended {attempt}")
-        if not watch.done():
-            watch.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await watch
+        fault = work.exception()
+        self.record.write(f"engine {self.name} has ended {attempt} {fault or ''}".rstrip())
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError, OSError):
+            await watch
         return False
 
     async def _work(self, path, fields, attempt, writer):
