Keep long-lived tasks running, and calls on reset connections

Cause: uvloop raises RuntimeError for a write to a connection that was closed while idle. rpc.Peer.call did not return it as a failed call, so it ended GroupLeader.run with a hold in place. Nobody awaits that task: nothing was logged and nothing started it again. The reports of sidecars and the heartbeats of entries ended alike.

Change: such a connection is replaced before the request is written. supervision owns every long-lived task of entry and sidecar, logs its end and runs it again. A hold that no armed rank explains is ended by a switch to the map in force, without an entry's help. The soak reports the new events as ERROR.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -40,6 +40,7 @@
     rpc,
     storedecoder,
     storewatcher,
+    supervision,
     targetlimits,
     targetpool,
     targetregistry,
@@ -599,13 +600,19 @@
         loguru.logger.info("event=entry_starts first_start={}", self.is_first_start)
         await self._server.start()
         for watcher in self._watchers.values():
-            self._tasks.append(loop.create_task(watcher.run()))
+            self._start_task(f"watch of {watcher.prefix}", watcher.run)
         self._peers.set_seeds(self._cfg.list_seed_hosts())
         # Parts that wait for the replies of all seeds have to know them.
         self._refresh_admission(loop.time())
-        self._tasks.append(loop.create_task(self._run_maintenance()))
+        self._start_task("maintenance", self._run_maintenance)
         await self.frontend.start(*nodesettings.split_address(self._cfg.front))
 
+    def _start_task(self, name: str, body: supervision.Body) -> None:
+        """Start a task that runs as long as the process."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(supervision.run_restarting(name, body))
+        self._tasks.append(task)
+
     def reload(self, cfg: nodesettings.EntrySettings) -> None:
         """Apply new seeds and bounds; changed addresses need a restart."""
         self._cfg = cfg
--- a/sardinesaddle/direct/entrypeers.py
+++ b/sardinesaddle/direct/entrypeers.py
@@ -20,7 +20,7 @@
 
 import loguru
 
-from sardinesaddle.direct import messages, rpc
+from sardinesaddle.direct import messages, rpc, supervision
 
 HEARTBEAT_PERIOD_S: typing.Final = 0.25
 HEARTBEATS_PER_PERIOD: typing.Final = 3  # sent by an entry to all others together
@@ -148,7 +148,16 @@
         """Start the heartbeats to an entry unless they are running."""
         if host != self._host and host not in self._tasks:
             loop = asyncio.get_running_loop()
-            self._tasks[host] = loop.create_task(self._run_heartbeats(host))
+            self._tasks[host] = loop.create_task(self._keep_heartbeats(host))
+
+    async def _keep_heartbeats(self, host: str) -> None:
+        """Run the heartbeats to an entry until it expires."""
+        try:
+            await supervision.run_restarting(
+                f"heartbeats to {host}", lambda: self._run_heartbeats(host)
+            )
+        finally:
+            self._tasks.pop(host, None)
 
     async def _run_heartbeats(self, host: str) -> None:
         """Send heartbeats to an entry until it expires; seeds are retried forever."""
@@ -159,8 +168,11 @@
         try:
             while True:
                 announced = self._announced
-                await self._send_heartbeat(peer, cursor)
-                self._asked.add(host)
+                try:
+                    await self._send_heartbeat(peer, cursor)
+                finally:
+                    # An entry that cannot handle a reply must not wait for it forever.
+                    self._asked.add(host)
                 last_heard = self._last_heard.get(host, started_at)
                 if loop.time() - last_heard > ENTRY_TTL_S:
                     if self._last_heard.pop(host, None) is not None:
@@ -175,7 +187,6 @@
                         await announced.wait()
         finally:
             peer.close()
-            self._tasks.pop(host, None)
 
     async def _send_heartbeat(self, peer: rpc.Peer, cursor: LedgerCursor) -> None:
         """Send one heartbeat and pass the reply on."""
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -107,8 +107,9 @@
         self._rng = rng
         self._peers: dict[str, rpc.Peer] = {}
         self._coordinator = mapswitch.SwitchCoordinator(0)
-        self._plan: expertplan.MapPlan | None = None
+        self._switch_plan: expertplan.MapPlan | None = None
         self._hold_started_at = 0.0
+        self._demand = 0.0  # of the group, when a map was last planned
         # By rank: epoch, map version, and the rank's experts by set of layers.
         self._experts_by_rank: dict[int, tuple[int, int, list[list[int]]]] = {}
         self.skew = 1.0
@@ -217,9 +218,9 @@
         kind = order.kind
         experts = None
         if kind is mapswitch.OrderKind.PREPARE:
-            if self._plan is None:
+            if self._switch_plan is None:
                 return
-            experts = self._plan.experts
+            experts = self._switch_plan.experts
         if order.rank == 0:
             await self._agent.apply_order(
                 engine.EngineOrder(
@@ -255,18 +256,27 @@
         self._metrics.count_map_switch(outcome)
         self._experts_by_rank.clear()
         loguru.logger.info("event=map_switch_ends outcome={}", outcome)
-        self._plan = None
+        self._switch_plan = None
+
+    def _join_experts(
+        self, replies: list[messages.RankReply]
+    ) -> list[list[list[int]]] | None:
+        """Return the experts by set and rank, or None unless all ranks' are known."""
+        by_rank = [self._get_experts(rank_reply) for rank_reply in replies]
+        known = [experts for experts in by_rank if experts]
+        if len(known) < len(by_rank) or len({len(sets) for sets in known}) != 1:
+            return None
+        return [list(sets) for sets in zip(*known, strict=True)]
 
-    async def _maybe_begin_switch(
+    def _plan_map(
         self,
+        model: catalog.EngineModel,
         replies: list[messages.RankReply],
-        views: list[mapswitch.RankView],
-    ) -> None:
-        """Begin a switch if a better map is worth it or a stale hold requires one."""
-        model = await self._context.get_model()
-        current = [self._get_experts(rank_reply) for rank_reply in replies]
-        if model is None or not model.layer_sets:
-            return
+        experts: list[list[list[int]]],
+    ) -> expertplan.MapPlan | None:
+        """Return a map that is worth a switch by the group's demand, or None."""
+        if not model.layer_sets or len(experts) != model.layer_sets:
+            return None
         total_demand = expertdemand.sum_packed(
             [
                 (rank_reply.demand or b"", rank_reply.demand_unit)
@@ -275,21 +285,11 @@
         )
         demand_count = model.layer_sets * model.experts_per_set
         if len(total_demand) not in (demand_count, demand_count + 1):
-            return
+            return None
         del total_demand[demand_count:]
-        if sum(total_demand) < MIN_TOTAL_DEMAND and not self._coordinator.must_begin(
-            views
-        ):
-            return
-        if any(
-            rank_experts is None or len(rank_experts) != model.layer_sets
-            for rank_experts in current
-        ):
-            return
-        experts = [
-            [list((rank_experts or [])[index]) for rank_experts in current]
-            for index in range(model.layer_sets)
-        ]
+        self._demand = sum(total_demand)
+        if self._demand < MIN_TOTAL_DEMAND:
+            return None
         shape = expertplan.GroupShape(
             tuple(max(rank_reply.slowdown, 0.1) for rank_reply in replies),
             model.experts_per_set,
@@ -301,13 +301,30 @@
         self.skew = expertplan.compute_skew(total_demand, experts, shape)
         self._metrics.set_skew(self.skew)
         plan = expertplan.plan_map(total_demand, experts, shape, MAX_COPIES_PER_RANK)
-        if plan is None and self._coordinator.must_begin(views):
-            plan = expertplan.make_unchanged_plan(experts, self.skew)
         if plan is None:
             self.last_decision = f"kept at skew {self.skew:.2f}"
+        return plan
+
+    async def _maybe_begin_switch(
+        self,
+        replies: list[messages.RankReply],
+        views: list[mapswitch.RankView],
+    ) -> None:
+        """Begin a switch if a better map is worth it or a stale hold requires one."""
+        experts = self._join_experts(replies)
+        if experts is None:
             return
+        if self._coordinator.must_begin(views):
+            # The group stands still, so no entry is asked for the engine's model.
+            plan = expertplan.make_unchanged_plan(experts, self.skew)
+        else:
+            model = await self._context.get_model()
+            better = None if model is None else self._plan_map(model, replies, experts)
+            if better is None:
+                return
+            plan = better
         version = self._coordinator.choose_version(views, self._rng.random())
-        self._plan = plan
+        self._switch_plan = plan
         now = asyncio.get_running_loop().time()
         self._coordinator.begin_switch(now, views[0].epoch, version)
         self.last_decision = f"version {version} at skew {plan.skew_before:.2f}"
@@ -321,7 +338,7 @@
             plan.copies,
             plan.max_copies_on_a_rank,
             plan.pass_time_gain,
-            sum(total_demand),
+            self._demand,
         )
 
     def close(self) -> None:
--- a/sardinesaddle/direct/httpclient.py
+++ b/sardinesaddle/direct/httpclient.py
@@ -180,7 +180,8 @@
                         return outcome
                     if not (outcome.is_unanswered and is_retried):
                         return outcome
-        except (TimeoutError, OSError) as exc:
+        except (TimeoutError, OSError, RuntimeError) as exc:
+            # uvloop raises RuntimeError for a write to a connection that was closed.
             return HttpFault(f"{type(exc).__name__}: {exc}")
 
     async def _acquire(self) -> Connection:
--- a/sardinesaddle/direct/requestscheduler.py
+++ b/sardinesaddle/direct/requestscheduler.py
@@ -17,6 +17,7 @@
 from sardinesaddle.direct import (
     entrystate,
     requestqueue,
+    supervision,
     targetpool,
     targetstate,
 )
@@ -201,7 +202,11 @@
         """Start the periodic dispatch unless it is running."""
         if self._dispatch_task is None or self._dispatch_task.done():
             loop = asyncio.get_running_loop()
-            self._dispatch_task = loop.create_task(self._dispatch_periodically())
+            self._dispatch_task = loop.create_task(
+                supervision.run_restarting(
+                    "periodic dispatch", self._dispatch_periodically
+                )
+            )
 
     async def _dispatch_periodically(self) -> None:
         """Dispatch all queues periodically until no request waits."""
--- a/sardinesaddle/direct/rpc.py
+++ b/sardinesaddle/direct/rpc.py
@@ -2,7 +2,9 @@
 
 A connection has one request in flight. A call that times out closes its connection,
 so that a late reply is never taken for the reply to another request, and a connection
-that stopped working is replaced at the next call.
+that stopped working is replaced at the next call. One that was closed or reset while it
+was idle is replaced before the request is written: uvloop raises RuntimeError for a
+write to it.
 """
 
 import abc
@@ -14,7 +16,7 @@
 import loguru
 import msgspec
 
-from sardinesaddle.direct import messages
+from sardinesaddle.direct import messages, supervision
 
 LENGTH_BYTES: typing.Final = 4
 # Fits a full listing of a large data centre.
@@ -59,6 +61,7 @@
     asyncio.IncompleteReadError,
     msgspec.DecodeError,
     ValueError,
+    RuntimeError,  # uvloop, for a connection that was closed; RecursionError
 )
 
 
@@ -96,15 +99,22 @@
                 reply = await self._handler.handle_request(
                     messages.REQUEST_DECODER.decode(data)
                 )
-                if reply is None:
+                if reply is None or writer.is_closing():
                     break
                 writer.write(make_frame(reply))
                 async with asyncio.timeout(IDLE_TIMEOUT_S):
                     await writer.drain()
         except (TimeoutError, asyncio.IncompleteReadError, OSError):
             pass  # The peer left or is idle; it reconnects when needed.
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (msgspec.DecodeError, RecursionError, ValueError) as exc:
             loguru.logger.warning("event=bad_message reason={!r}", str(exc))
+        except Exception as exc:
+            # Only this connection ends; the peer opens another one.
+            loguru.logger.error(
+                "event=message_failed reason={!r} at={}",
+                supervision.describe(exc),
+                supervision.locate(exc),
+            )
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -131,6 +141,8 @@
 
     async def _exchange(self, msg: messages.Request) -> messages.Reply:
         """Do one exchange; close the connection unless the reply was read."""
+        if self._streams is not None and is_closed(*self._streams):
+            self.close()
         if self._streams is None:
             self._streams = await asyncio.open_connection(self.host, self.port)
         reader, writer = self._streams
@@ -148,3 +160,8 @@
             with contextlib.suppress(RuntimeError):
                 self._streams[1].transport.abort()
             self._streams = None
+
+
+def is_closed(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Return whether an idle connection has been closed or reset, by either side."""
+    return writer.is_closing() or reader.at_eof() or reader.exception() is not None
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -31,6 +31,7 @@
     rankagent,
     rpc,
     storedecoder,
+    supervision,
 )
 
 ENGINE_READ_PERIOD_S: typing.Final = 0.1
@@ -189,11 +190,17 @@
         self._grants = memorygrants.MemoryGrants(loop.time())
         for host in self._cfg.list_seed_hosts():
             self._start_reports(host)
-        self._tasks.append(loop.create_task(self._read_engine()))
-        self._tasks.append(loop.create_task(self._read_demand()))
-        self._tasks.append(loop.create_task(self._leader.run()))
+        self._start_task("engine state", self._read_engine)
+        self._start_task("engine demand", self._read_demand)
+        self._start_task("group leader", self._leader.run)
         if self._backup is not None:
-            self._tasks.append(loop.create_task(self._backup.run()))
+            self._start_task("backup leader", self._backup.run)
+
+    def _start_task(self, name: str, body: supervision.Body) -> None:
+        """Start a task that runs as long as the process."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(supervision.run_restarting(name, body))
+        self._tasks.append(task)
 
     def reload(self, cfg: nodesettings.SidecarSettings) -> None:
         """Apply new seeds; changed addresses need a restart."""
@@ -277,7 +284,17 @@
         loop = asyncio.get_running_loop()
         self._last_listed[host] = loop.time()
         if host not in self._report_tasks:
-            self._report_tasks[host] = loop.create_task(self._report_to(host))
+            self._report_tasks[host] = loop.create_task(self._keep_reporting(host))
+
+    async def _keep_reporting(self, host: str) -> None:
+        """Report to an entry until it is no longer listed."""
+        try:
+            await supervision.run_restarting(
+                f"reports to {host}", lambda: self._report_to(host)
+            )
+        finally:
+            self._report_tasks.pop(host, None)
+            self._membership.pop(host, None)
 
     async def _report_to(self, host: str) -> None:
         """Report to an entry until it is no longer listed; seeds never expire."""
@@ -304,8 +321,6 @@
                 await self._wait_for_change(reported_counts, wants_every_change)
         finally:
             peer.close()
-            self._report_tasks.pop(host, None)
-            self._membership.pop(host, None)
 
     async def _wait_for_change(
         self, reported_counts: tuple[int, int], wants_every_change: bool
--- a/sardinesaddle/direct/start.py
+++ b/sardinesaddle/direct/start.py
@@ -17,7 +17,13 @@
 import uvloop
 
 from sardinesaddle import settings
-from sardinesaddle.direct import nodelog, noderole, nodesettings, statusserver
+from sardinesaddle.direct import (
+    nodelog,
+    noderole,
+    nodesettings,
+    statusserver,
+    supervision,
+)
 
 SETTINGS_VARIABLE: typing.Final = "SARDINESADDLE_BOOT"
 EXIT_USAGE: typing.Final = 2
@@ -92,6 +98,7 @@
     loop = asyncio.get_running_loop()
     sink = nodelog.start_logging(role_name, cfg.log_lines_per_s)
     sink.attach(loop)
+    loop.set_exception_handler(supervision.log_unhandled)
     stopping, reload_requested = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
@@ -105,7 +112,10 @@
     if cfg.metrics_port:
         await status_server.listen(cfg.host, cfg.metrics_port)
     watcher = loop.create_task(
-        watch_settings(role, path, reload_requested, loaded_data)
+        supervision.run_restarting(
+            "settings",
+            lambda: watch_settings(role, path, reload_requested, loaded_data),
+        )
     )
     await stopping.wait()
     loguru.logger.info("event=sigterm")
--- a/test/soak.py
+++ b/test/soak.py
@@ -134,6 +134,9 @@
 LOG_DELAY_S: typing.Final = 1.0  # until a line is in the log of a busy process
 NOT_EXECUTED_STATUSES: typing.Final = frozenset({408, 421, 429, 503})
 STORE_HOST: typing.Final = "127.0.4.1"
+UNHANDLED_PATTERN: typing.Final = re.compile(
+    r"event=(?:task_failed|exception_unhandled|message_failed|change_failed) .*"
+)
 ATTEMPT_PATTERN: typing.Final = re.compile(r"\b[0-9a-f]{16}\b")
 
 
@@ -326,8 +329,14 @@
         self.in_touch_from = 0.0
 
     def find_unhandled_error(self) -> str:
-        """Return the last line of the log's first traceback, or an empty string."""
-        _, _, trace = self._log_path.read_text(errors="replace").partition("Traceback ")
+        """Return the first exception that the log tells of, or an empty string.
+
+        That is an event, or else the last line of a traceback.
+        """
+        text = self._log_path.read_text(errors="replace")
+        if logged := UNHANDLED_PATTERN.search(text):
+            return logged.group()
+        _, _, trace = text.partition("Traceback ")
         lines = trace.splitlines()[1:]
         return next((line for line in lines if not line.startswith(" ")), "")
 
@@ -585,6 +594,7 @@
         is_in_zone = self._has_zones and split_target_name(name) == soakzones.TARGET
         zone = soakzones.ZONE if is_in_zone else "p"
         registration = {"service": service, "addr": addr, "zone": zone, "slots": 4}
+        registration |= {"version": "v1", "cold_left_ms": 0, "seq": 0}
         if self._has_cold and service == "engines":
             registration["slots"] = soakcold.SLOTS
             registration["cold_left_ms"] = soakcold.COLD_S * 1000
