Require API keys wherever the configuration has accounts

Cause: whether keys are required was read from the dictionary of keys. An account without keys looked like a deployment without accounts.

Change: the catalog says whether the configuration contains tenants.

--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -127,9 +127,20 @@
 
 
 class Catalog:
-    """One version of the configuration."""
+    """One version of the configuration.
 
-    __slots__ = ("_routes_by_host", "accounts", "limits", "services", "version")
+    ``accounts`` are by API key. ``requires_keys`` is whether routes that are not
+    anonymous require one, which they also do while no account has a key.
+    """
+
+    __slots__ = (
+        "_routes_by_host",
+        "accounts",
+        "limits",
+        "requires_keys",
+        "services",
+        "version",
+    )
 
     def __init__(
         self,
@@ -138,8 +149,10 @@
         services: typing.Iterable[Service],
         accounts: dict[str, Account],
         limits: Limits,
+        requires_keys: bool,
     ) -> None:
         self.version = version
+        self.requires_keys = requires_keys
         self.services = {service.name: service for service in services}
         self.accounts = accounts
         self.limits = limits
@@ -149,11 +162,6 @@
         for host_routes in self._routes_by_host.values():
             host_routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
-    @property
-    def has_accounts(self) -> bool:
-        """Whether routes that are not anonymous require an API key."""
-        return bool(self.accounts)
-
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching prefix, or None."""
         for route in self._routes_by_host.get(host, ()):
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -155,7 +155,7 @@
             return requeststate.Refusal(404, "no_route")
         key = req.metadata.api_key
         account = None if key is None else current_catalog.accounts.get(key)
-        if current_catalog.has_accounts and not route.allows_anonymous:
+        if current_catalog.requires_keys and not route.allows_anonymous:
             if self._entry_state.compute_config_age() > self._bounds.max_key_age_s:
                 return refuse_not_run("keys_stale", requeststate.RETRY_AFTER_OUTAGE_S)
             if account is None:
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -114,12 +114,15 @@
 
 
 class WireConfig(msgspec.Struct, frozen=True):
-    """The whole configuration, as stored under ``CONFIG_KEY``."""
+    """The whole configuration, as stored under ``CONFIG_KEY``.
+
+    ``tenants`` is None if the deployment has none; an empty list leaves no valid key.
+    """
 
     version: typing.Annotated[int, msgspec.Meta(ge=1)]
     routes: list[WireRoute]
     services: list[WireService]
-    tenants: list[WireAccount] = []
+    tenants: list[WireAccount] | None = None
     limits: WireLimits = WireLimits()
 
 
@@ -152,7 +155,7 @@
             wire_tenant.priority,
             decode_regions(wire_tenant.allowed_regions),
         )
-        for wire_tenant in wire.tenants
+        for wire_tenant in wire.tenants or ()
         for key in wire_tenant.api_keys
     }
     limits = catalog.Limits(
@@ -163,7 +166,10 @@
     )
     routes = [decode_route(wire_route) for wire_route in wire.routes]
     services = [decode_service(wire_service) for wire_service in wire.services]
-    return catalog.Catalog(wire.version, routes, services, accounts, limits)
+    requires_keys = wire.tenants is not None
+    return catalog.Catalog(
+        wire.version, routes, services, accounts, limits, requires_keys
+    )
 
 
 def find_contradiction(wire: WireConfig) -> str | None:
@@ -172,7 +178,7 @@
     services = [f"service {service.name}" for service in wire.services]
     # Keys are secret, so only the account is named.
     owners: dict[str, str] = {}
-    for account in wire.tenants:
+    for account in wire.tenants or ():
         for key in account.api_keys:
             if owners.setdefault(key, account.name) != account.name:
                 return f"accounts {owners[key]} and {account.name} have the same key"
--- a/test/fullengines.py
+++ b/test/fullengines.py
@@ -90,7 +90,7 @@
         rankgroup.ENGINE_MODEL, memory_tokens=capacity, steps_per_pass=1
     )
     service = catalog.Service("model", 100, model)
-    return catalog.Catalog(1, [], [service], {}, catalog.Limits())
+    return catalog.Catalog(1, [], [service], {}, catalog.Limits(), False)
 
 
 class Simulation:
--- a/test/reopeninggroups.py
+++ b/test/reopeninggroups.py
@@ -72,7 +72,7 @@
         PAUSE_S, 1, 1, True, False, (catalog.WeightedService(SERVICE, 1.0),),
     )  # fmt: skip
     service = catalog.Service(SERVICE, 100, ENGINE)
-    return catalog.Catalog(1, [route], [service], {}, catalog.Limits())
+    return catalog.Catalog(1, [route], [service], {}, catalog.Limits(), False)
 
 
 def compute_pass_s(requests: float, skew: float) -> float:
--- a/test/scarcegroups.py
+++ b/test/scarcegroups.py
@@ -67,7 +67,7 @@
     """Return a configuration with one route for each priority."""
     routes = [make_route(f"k{priority}", priority) for priority in priorities]
     services = [catalog.Service(SERVICE, 100, ENGINE)]
-    return catalog.Catalog(version, routes, services, {}, catalog.Limits())
+    return catalog.Catalog(version, routes, services, {}, catalog.Limits(), False)
 
 
 @dataclasses.dataclass(slots=True)
--- a/test/test_direct_coldlimits.py
+++ b/test/test_direct_coldlimits.py
@@ -64,7 +64,7 @@
 def make_catalog(cold_rate: float = COLD_RATE) -> catalog.Catalog:
     """Return a configuration with a service whose targets may be cold."""
     service = catalog.Service("model", 100, None, 3.0, cold_rate)
-    return catalog.Catalog(1, [], [service], {}, catalog.Limits())
+    return catalog.Catalog(1, [], [service], {}, catalog.Limits(), False)
 
 
 class Entry:
--- a/test/test_direct_requests.py
+++ b/test/test_direct_requests.py
@@ -323,6 +323,53 @@
     df.run_scenario(scenario)
 
 
+def test_no_request_runs_once_the_last_api_key_is_gone() -> None:
+    """Guards against routes that open to everybody when no account has a key left."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        assert (await fleet.send_request("/once/a")).status == 200
+        fleet.store.put("op/config", df.make_config(2, ()))
+        await fleet.settle()
+        # An entry that starts now has never seen a key.
+        await fleet.add_entry()
+        await fleet.settle(2.0)
+        served = len(target.requests)
+        for version, tenants in (2, None), (3, []), (4, [{"name": "alice"}]):
+            if tenants is not None:
+                config = df.make_config(version) | {"tenants": tenants}
+                fleet.store.put("op/config", config)
+                await fleet.settle()
+            for entry_index in range(2):
+                for key in "key-a", "wrong", None:
+                    resp = await fleet.send_request("/once/a", entry_index, key)
+                    assert resp.status == 401
+        assert len(target.requests) == served
+        resp = await fleet.send_request("/open/a", key=None, method="GET")
+        assert resp.status == 200
+        fleet.store.put("op/config", df.make_config(5, ("key-b",)))
+        await fleet.settle()
+        assert (await fleet.send_request("/once/a", key="key-b")).status == 200
+
+    df.run_scenario(scenario)
+
+
+def test_deployment_without_accounts_needs_no_api_keys() -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        for version, tenants in (2, {}), (3, {"tenants": None}):
+            config = df.make_config(version)
+            del config["tenants"]
+            fleet.store.put("op/config", config | tenants)
+            await fleet.settle()
+            for key in "key-a", None:
+                assert (await fleet.send_request("/once/a", key=key)).status == 200
+        assert all("tenant" not in request.headers for request in target.requests)
+
+    df.run_scenario(scenario)
+
+
 def test_draining_target_gets_no_requests_and_reused_address_gets_new_instance() -> (
     None
 ):
