Take no target out of use for another writer's entry at its address

Cause: any later entry at an address counted as the successor of the target there, and as the proof that the target had ended.

Change: entries of services that no configuration names are held back until one does. A target that has just shown that it runs ends only when the later one at its address has responded; a 421, its own response or its sidecar's report excludes the later one. An engine's own entry counts again when it is written after an entry with a later start.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -148,6 +148,7 @@
             self._crashes,
             self.limits,
             self._on_target_leaving,
+            self._registry.on_response,
         )
         self._explainer = explanation.Explainer(
             self,
@@ -260,6 +261,7 @@
                 if service.engine is not None and service.engine.layer_sets
             )
             self.admission.on_catalog(read_loop_time(), self._config.catalog)
+            self._registry.set_services(self._config.catalog.services.keys())
         return is_valid
 
     def _compute_probe_turn(self, suspect: str) -> int:
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -79,8 +79,10 @@
         crashes: crashdetector.CrashDetector,
         limits: targetlimits.TargetLimits,
         on_target_leaving: collections.abc.Callable[[str, str], None],
+        on_target_response: collections.abc.Callable[[targetstate.Target, float], None],
     ) -> None:
         self._entry_state = entry_state
+        self._on_target_response = on_target_response
         self._on_target_leaving = on_target_leaving
         self._limits = limits
         self.crashes = crashes
@@ -228,7 +230,7 @@
                 )
             outcome = await self._attempt(state, target, responder)
             if isinstance(outcome, requeststate.Completed):
-                self._targets.on_success(target)
+                self._targets.on_success(asyncio.get_running_loop().time(), target)
                 if outcome.is_success:
                     self.crashes.on_completed(state.fingerprint)
                 self._log(state.req, state, "answered", outcome.status, target)
@@ -530,6 +532,7 @@
     def record_statements(
         self,
         state: requeststate.RequestState,
+        target: targetstate.Target,
         incarnation: str,
         sent_at: float,
         metadata: headercodec.ResponseMetadata,
@@ -538,6 +541,10 @@
         if metadata.is_wrong_target:
             # What another target states of itself is not about this one.
             return
+        if metadata.is_signed:
+            # A full target may refuse a request before it looks for whom that is.
+            self._on_target_response(target, sent_at)
+            target.heard_at = asyncio.get_running_loop().time()
         self._record_limit(incarnation, sent_at, metadata)
         self._record_rest(state, incarnation, metadata)
         now = asyncio.get_running_loop().time()
@@ -567,6 +574,7 @@
         gap_s: float,
     ) -> None:
         """Pass on the time between two events of a stream."""
+        target.heard_at = asyncio.get_running_loop().time()
         self._targets.admission.on_event_gap(
             target, state.req.metadata.attempt_id, gap_s
         )
@@ -741,7 +749,11 @@
         if not self._state.route.is_stream:
             self._timing.first_event_at = asyncio.get_running_loop().time()
         self._forwarder.record_statements(
-            self._state, self._sent.incarnation, self._sent_at, metadata
+            self._state,
+            self._target,
+            self._sent.incarnation,
+            self._sent_at,
+            metadata,
         )
 
     def on_begun(self) -> None:
--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -25,8 +25,12 @@
 targets of a service are ejected, the one whose ejection ends first is used, so that
 wrong suspicions cannot stop a service.
 
-If two targets are registered at one address, the one created last is used: the
-registration of the other has not expired yet.
+If two targets are registered at one address, the one created last is tried: as a rule,
+the registration of the other has not expired yet. If the other one has shown within
+``RECENT_S`` that it runs, the requests that run there go on until the later one
+responds. If it is of another service, it gets new requests until then, too. If the
+address responds as another target (421), or the other one responds, the later one is
+excluded.
 
 The ranks of a lock-step group work only while the whole group does, which their
 sidecars report. The first report of a new epoch applies to all ranks, so that waiting
@@ -81,6 +85,8 @@
 SUSPECT_LOAD_PENALTY: typing.Final = 0.8
 # From so many crashes on, a suspect waits for a target without other suspects.
 CRASHES_TO_ISOLATE: typing.Final = 2
+# An address gets another target two seconds after the end of the one before, or later.
+RECENT_S: typing.Final = 1.0
 REPORT_DELAY_S: typing.Final = 0.01  # network and handling, sidecar to entry
 SLOTS_FULL: typing.Final = sendconstraint.Verdict(
     sendconstraint.Decision.LATER, "slots_full", math.inf
@@ -162,9 +168,19 @@
             and self._departures.may_serve(
                 candidate.registration.incarnation, candidate.listed
             )
-            and self._by_address[candidate.address] is candidate
+            and self._may_be_at_address(candidate)
         ]
 
+    def _may_be_at_address(self, target: targetstate.Target) -> bool:
+        """Return whether a target is in use at its address."""
+        holder = self._by_address.get(target.address)
+        if holder is None or holder is target:
+            return holder is target
+        return (
+            holder.unconfirmed_since is not None
+            and holder.registration.service != target.registration.service
+        )
+
     def list_subset(self, service: str) -> frozenset[str]:
         """Return the identifiers of the targets in this entry's subset."""
         subset = self._subsets.get(service)
@@ -256,7 +272,7 @@
         if known is None:
             added = targetstate.Target(registration, created, listed)
             self._targets[registration.target_id] = added
-            self._claim_address(added)
+            self._claim_address(added, now)
             self.admission.on_registered(now, added)
             return True
         is_state_changed = known.registration.state is not registration.state
@@ -269,14 +285,21 @@
         known.listed = listed
         known.removal_deadline = None
         if is_address_changed:
-            self._claim_address(known)
+            self._claim_address(known, now)
         self.admission.on_registered(now, known)
         return is_state_changed or is_address_changed
 
-    def _claim_address(self, target: targetstate.Target) -> None:
-        """Use a target at its address unless a later one is registered there."""
+    def _claim_address(self, target: targetstate.Target, now: float | None) -> None:
+        """Use a target at its address unless a later one is registered there.
+
+        ``now`` is None for one that was registered there before.
+        """
         known = self._by_address.get(target.address)
-        if known is None or target.created.is_after(known.created):
+        if target.has_stale_address:
+            self._by_address.setdefault(target.address, target)
+        elif known is None or known.has_stale_address or is_later(target, known):
+            if known is not None and not known.has_stale_address:
+                target.unconfirmed_since = now
             self._by_address[target.address] = target
 
     def _release_address(self, target: targetstate.Target) -> None:
@@ -286,15 +309,19 @@
         del self._by_address[target.address]
         for other in self._targets.values():
             if other is not target and other.address == target.address:
-                self._claim_address(other)
+                self._claim_address(other, None)
 
     def find_replaced(
-        self, registration: catalog.TargetRegistration, created: replica.Position
+        self,
+        now: float,
+        registration: catalog.TargetRegistration,
+        created: replica.Position,
     ) -> list[targetstate.Target]:
         """Return the targets that must have ended, since another one is registered.
 
         That is one with the same identifier that started earlier, or one that was
-        registered earlier at the same address. Call this before ``register``.
+        registered earlier at the same address and has not shown that it runs since
+        ``RECENT_S``. Call this before ``register``.
         """
         replaced = []
         same_id = self._targets.get(registration.target_id)
@@ -304,11 +331,35 @@
         if (
             known is not None
             and known.target_id != registration.target_id
-            and created.is_after(known.created)
+            and is_later(targetstate.Target(registration, created), known)
+            and now - known.heard_at > RECENT_S
         ):
             replaced.append(known)
         return replaced
 
+    def confirm(
+        self, target: targetstate.Target, asked_at: float
+    ) -> list[targetstate.Target]:
+        """Record that a target responded; return those whose address it has taken.
+
+        These must have ended. ``asked_at`` is when the request was sent. A target that
+        was registered at the address before that, but has not responded, is not there.
+        """
+        holder = self._by_address.get(target.address)
+        if holder is None or holder.unconfirmed_since is None:
+            return []
+        if holder is not target:
+            if asked_at > holder.unconfirmed_since:
+                self.on_stale_address(holder)
+            return []
+        target.unconfirmed_since = None
+        self.invalidate_lists()
+        return [
+            other
+            for other in self._targets.values()
+            if other is not target and other.address == target.address
+        ]
+
     def remove(self, target_id: str) -> None:
         """Remove a target; another one registered at its address takes its place."""
         removed = self._targets.pop(target_id, None)
@@ -343,12 +394,31 @@
         known = self._by_address.get(report.target)
         if known is None:
             return
+        if report.is_alive and report.started_ms:
+            known = self._record_sign(now - report.age_s, report, known)
         self._update_group(report)
         known.report = report
         known.reported_at = now
         known.discard_before(now - REPORT_DELAY_S - report.age_s)
         self.admission.on_report(now, known, report)
 
+    def _record_sign(
+        self, read_at: float, report: messages.Report, holder: targetstate.Target
+    ) -> targetstate.Target:
+        """Record which target a report is of; return that target."""
+        if holder.registration.started_ms == report.started_ms:
+            holder.heard_at = max(holder.heard_at, read_at)
+        elif holder.unconfirmed_since is not None:
+            for other in self._targets.values():
+                if (
+                    other.address == report.target
+                    and other.registration.started_ms == report.started_ms
+                ):
+                    other.heard_at = max(other.heard_at, read_at)
+                    self.confirm(other, read_at)
+                    return other
+        return holder
+
     def _update_group(self, report: messages.Report) -> None:
         """Update a group's state; a group that closes opens only in a new epoch."""
         if not report.group:
@@ -611,7 +681,7 @@
             return "gone"
         if target.has_stale_address:
             return "address_taken"
-        if self._by_address[target.address] is not target:
+        if not self._may_be_at_address(target):
             return "replaced"
         return "" if self.admission.is_available(target) else "out_of_service"
 
@@ -699,8 +769,9 @@
         target.recent_ends.append(now)
         self.admission.on_outcome(now, target, request, outcome)
 
-    def on_success(self, target: targetstate.Target) -> None:
+    def on_success(self, now: float, target: targetstate.Target) -> None:
         """Record a successful response, which resets the ejection backoff."""
+        target.heard_at = now
         target.consecutive_failures = 0
         target.ejection_s = targetstate.BASE_EJECTION_S
         target.failure_rate *= 1.0 - FAILURE_EWMA_WEIGHT
@@ -717,6 +788,7 @@
         ``is_conclusive`` ejects at the first failure.
         """
         self.on_error_response(target)
+        target.heard_at = -math.inf
         target.consecutive_failures += 1
         if (
             not is_conclusive
@@ -733,13 +805,31 @@
         target.backoff_until = now + FULL_BACKOFF_S
 
     def on_stale_address(self, target: targetstate.Target) -> None:
-        """Exclude a target at whose address another target responds."""
+        """Exclude a target at whose address another target responds.
+
+        The one that was registered there before it is used again.
+        """
         target.has_stale_address = True
+        target.unconfirmed_since = None
+        self._release_address(target)
+        self._claim_address(target, None)
         self.invalidate_lists()
 
 
+def is_later(target: targetstate.Target, known: targetstate.Target) -> bool:
+    """Return whether a target may have taken the address of a known one.
+
+    It was registered after that, and started after that as far as both state it.
+    """
+    started_ms = target.registration.started_ms
+    known_ms = known.registration.started_ms
+    has_started_later = not started_ms or not known_ms or started_ms > known_ms
+    return has_started_later and target.created.is_after(known.created)
+
+
 def make_address_sort_key(host: str) -> tuple[tuple[int, str], ...]:
     """Return a key that sorts IP addresses by the values of their parts."""
     return tuple(
-        (int(part), "") if part.isdigit() else (0, part) for part in host.split(".")
+        (int(part), "") if part.isascii() and part.isdigit() else (0, part)
+        for part in host.split(".")
     )
--- a/sardinesaddle/direct/targetregistry.py
+++ b/sardinesaddle/direct/targetregistry.py
@@ -1,5 +1,10 @@
 """Applies changes of the targets' registrations to the target pool.
 
+Other writers have entries among the registrations, too. One that is malformed or of a
+service that the configuration does not name is no target; once a configuration names
+the service, it is. One that names the address of a target that runs may be another
+writer's, too: the target has ended only once a response shows that.
+
 A registration that the store no longer lists is removed at once. Around an outage or a
 restore of the store it may come back within ``targetpool.REREGISTRATION_GRACE_S``, so
 its target stays in use until then, unless it had stated that it leaves.
@@ -9,6 +14,7 @@
 """
 
 import asyncio
+import collections.abc
 import typing
 
 import loguru
@@ -39,6 +45,9 @@
         crashes: crashdetector.CrashDetector,
         watcher: storewatcher.StoreWatcher,
     ) -> None:
+        self._services: collections.abc.Container[str] = ()
+        # By target: the last change of a registration whose service is not named.
+        self._unnamed: dict[str, tuple[replica.Change, str]] = {}
         self._store_decoder = store_decoder
         self._targets = targets
         self._departures = left
@@ -48,6 +57,7 @@
     def apply(self, change: replica.Change, source: str) -> None:
         """Apply a change of a target's registration."""
         target_id = self._store_decoder.get_target_id(change.key)
+        was_unnamed = self._unnamed.pop(target_id, None) is not None
         if change.value is None:
             self._on_unlisted(target_id, change.rev, source)
             return
@@ -58,8 +68,39 @@
             )
             self._targets.remove(target_id)
             return
+        if registration.service not in self._services:
+            self._unnamed[target_id] = (change, source)
+            self._targets.remove(target_id)
+            if not was_unnamed:
+                loguru.logger.info(
+                    "event=target_unnamed target={} service={!r:.60} rev={} source={}",
+                    target_id,
+                    registration.service,
+                    change.rev,
+                    source,
+                )
+            return
         self._on_listed(registration, change, source)
 
+    def set_services(self, names: collections.abc.Container[str]) -> None:
+        """Set the services that the configuration names; register their targets."""
+        self._services = names
+        held_back = sorted(self._unnamed.values(), key=lambda item: item[0].rev)
+        for change, source in held_back:
+            self.apply(change, source)
+
+    def on_response(self, target: targetstate.Target, asked_at: float) -> None:
+        """Record that a target responded: others at its address must have ended.
+
+        ``asked_at`` is the event loop's time at which the request was sent.
+        """
+        now = asyncio.get_running_loop().time()
+        for ended in self._targets.confirm(target, asked_at):
+            self._crashes.on_target_ended(ended, crashdetector.Evidence.REPLACED)
+            self._departures.on_removed(
+                now, ended.registration.incarnation, target.created
+            )
+
     def _on_listed(
         self,
         registration: catalog.TargetRegistration,
@@ -72,9 +113,10 @@
         listed = self._watcher.replica.make_position(change.rev)
         created = self._watcher.replica.make_position(change.created_rev)
         known = self._targets.get(registration.target_id)
-        if known is not None and known.registration.started_ms > (
+        is_earlier = known is not None and known.registration.started_ms > (
             registration.started_ms or known.registration.started_ms
-        ):
+        )
+        if known is not None and is_earlier and listed.may_be_copied:
             loguru.logger.info(
                 "event=target_outdated target={} known={} rev={} source={}",
                 incarnation,
@@ -91,7 +133,7 @@
         if registration.state is catalog.TargetState.DRAINING:
             self._departures.on_leaving(now, incarnation)
         if self._departures.may_serve(incarnation, listed):
-            for replaced in self._targets.find_replaced(registration, created):
+            for replaced in self._targets.find_replaced(now, registration, created):
                 self._crashes.on_target_ended(replaced, crashdetector.Evidence.REPLACED)
                 self._departures.on_removed(
                     now, replaced.registration.incarnation, created
--- a/sardinesaddle/direct/targetstate.py
+++ b/sardinesaddle/direct/targetstate.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 
 from sardinesaddle.direct import catalog, messages, replica
@@ -19,7 +20,9 @@
     """A target, its last report, and this entry's own requests and results.
 
     ``created`` and ``listed`` are where in the store's history its registration was
-    created and last changed. Times are the event loop's.
+    created and last changed. ``heard_at`` is when it last showed that it runs.
+    ``unconfirmed_since`` is when it was registered at the address of another target; it
+    is None once a response has shown that it is there. Times are the event loop's.
     """
 
     registration: catalog.TargetRegistration
@@ -41,6 +44,8 @@
     ejection_s: float = BASE_EJECTION_S
     backoff_until: float = 0.0
     has_stale_address: bool = False
+    unconfirmed_since: float | None = None
+    heard_at: float = -math.inf
     removal_deadline: float | None = None
 
     @property
