Refuse odd entries of the store whatever their bytes

Other operators saw machines that ended, or stopped following the list, for one odd entry. Here a deeply nested entry ended the watch of the store (RecursionError), and large numbers, digits that are not ASCII, host names and unfit keys failed the requests of a service.

Cause: the decoder expected only some exceptions, and passed on values that later code cannot use.

A change that cannot be applied is logged, and the others are applied. Test fleets register targets with all fields.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -215,13 +215,30 @@
     # Changes in the store.
 
     def _on_store_changes(self, new_changes: list[replica.Change], source: str) -> None:
-        """Apply changes of the configuration, the targets, and for the admission."""
+        """Apply changes of the configuration, the targets, and for the admission.
+
+        Anybody may write to the store, so no change may keep others from being applied.
+        """
         for change in new_changes:
-            self._pass_to_admission(change)
-            if change.key == self._store_decoder.config_key:
-                self._on_config(change, source)
-            elif change.key.startswith(self._store_decoder.targets_prefix):
-                self._registry.apply(change, source)
+            try:
+                self._apply_change(change, source)
+            except Exception as exc:
+                loguru.logger.error(
+                    "event=change_failed key={!r} rev={} source={} reason={!r} at={}",
+                    change.key,
+                    change.rev,
+                    source,
+                    supervision.describe(exc),
+                    supervision.locate(exc),
+                )
+
+    def _apply_change(self, change: replica.Change, source: str) -> None:
+        """Apply one change."""
+        self._pass_to_admission(change)
+        if change.key == self._store_decoder.config_key:
+            self._on_config(change, source)
+        elif change.key.startswith(self._store_decoder.targets_prefix):
+            self._registry.apply(change, source)
 
     def _pass_to_admission(self, change: replica.Change) -> None:
         """Let the parts of the admission handle a change of the store."""
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -1,7 +1,9 @@
 """Decodes values of the platform's store into the types of ``direct.catalog``."""
 
 import collections
+import ipaddress
 import math
+import re
 import typing
 
 import loguru
@@ -15,7 +17,14 @@
 EVACUATION_PREFIX: typing.Final = "op/evacuate/"
 
 SECONDS_PER_MS: typing.Final = 1e-3
+# An identifier is sent in a header and names connections and log lines.
+TARGET_ID_PATTERN: typing.Final = re.compile(r"[!-.0-~]{1,200}")
+MAX_SLOTS: typing.Final = 65536
+MAX_MS: typing.Final = 1 << 53  # larger numbers of milliseconds are no times
+MAX_PORT: typing.Final = 65535
 
+# DecodeError is a ValueError; values that are nested too deeply raise RecursionError.
+_MALFORMED: typing.Final = (ValueError, RecursionError)
 
 PositiveMs = typing.Annotated[float, msgspec.Meta(gt=0)]
 Weight = typing.Annotated[float, msgspec.Meta(ge=0)]
@@ -129,23 +138,27 @@
 class WireTarget(msgspec.Struct, frozen=True):
     """A target's registration; ``cold_left_ms`` is its remaining warm-up time.
 
-    ``born`` is the Unix time of the target's start in milliseconds.
+    ``born`` is the Unix time of the target's start in milliseconds. Entries of other
+    writers lack fields or have them with other types, so all are read, also those that
+    are not used.
     """
 
     service: str
     addr: str
     zone: str
-    slots: int
+    version: str
+    slots: typing.Annotated[int, msgspec.Meta(le=MAX_SLOTS)]
     state: typing.Literal["ready", "draining"]
-    cold_left_ms: float = 0.0
-    born: int = 0
+    cold_left_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+    seq: int
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)] = 0
 
 
 def decode_catalog(data: bytes) -> catalog.Catalog | Fault:
     """Decode the stored configuration."""
     try:
         wire = msgspec.json.decode(data, type=WireConfig)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except _MALFORMED as exc:
         return Fault(f"invalid configuration: {exc}")
     if contradiction := find_contradiction(wire):
         return Fault(f"invalid configuration: {contradiction}")
@@ -289,21 +302,23 @@
 
 
 def decode_target(key: str, data: bytes) -> catalog.TargetRegistration | Fault:
-    """Decode the stored registration of a target."""
+    """Decode the stored registration of a target, whatever wrote it."""
+    target_id = key.removeprefix(TARGETS_PREFIX)
+    if TARGET_ID_PATTERN.fullmatch(target_id) is None:
+        return Fault(f"{key!r}: invalid identifier")
     try:
         wire = msgspec.json.decode(data, type=WireTarget)
-        host, _, port = wire.addr.rpartition(":")
-        port_number = int(port)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
-        return Fault(f"{key}: invalid registration: {exc}")
-    if not host or not 0 < port_number < 65536:
-        return Fault(f"{key}: invalid address {wire.addr!r}")
+    except _MALFORMED as exc:
+        return Fault(f"{key}: invalid registration: {type(exc).__name__}: {exc}")
+    address = parse_address(wire.addr)
+    if address is None:
+        return Fault(f"{key}: invalid address {wire.addr!r:.60}")
     is_draining = wire.state == "draining"
     return catalog.TargetRegistration(
-        target_id=key.removeprefix(TARGETS_PREFIX),
+        target_id=target_id,
         service=wire.service,
-        host=host,
-        port=port_number,
+        host=address[0],
+        port=address[1],
         place=wire.zone,
         slots=max(wire.slots, 1),
         state=catalog.TargetState.DRAINING
@@ -314,6 +329,18 @@
     )
 
 
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Return IPv4 address and port, or None; there are no host names to look up."""
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        return None
+    try:
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        return None
+
+
 class PlatformStoreDecoder(storedecoder.StoreDecoder):
     """Decodes the values under the prefixes of the platform's store."""
 
--- a/sardinesaddle/platform/engines.py
+++ b/sardinesaddle/platform/engines.py
@@ -189,6 +189,6 @@
         leaving = resp.headers.get(headers.LEAVING.lower(), "").strip()
         try:
             body = msgspec.json.decode(resp.body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (ValueError, RecursionError) as exc:
             return engine.EngineFault(f"{type(exc).__name__}: {exc}")
         return body, leaving == headers.IS_LEAVING
--- a/sardinesaddle/platform/store.py
+++ b/sardinesaddle/platform/store.py
@@ -27,6 +27,7 @@
     msgspec.DecodeError,
     binascii.Error,
     UnicodeDecodeError,
+    RecursionError,
 )
 
 
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -520,8 +520,11 @@
             "service": service,
             "addr": f"127.0.0.1:{self.targets[name].port}",
             "zone": place,
+            "version": "v1",
             "slots": 4,
             "state": state,
+            "cold_left_ms": 0,
+            "seq": 0,
             "born": started_ms,
         }
         self.store.put(f"servers/{name}", registration)
