Do not end a response for the silence of a target that may go on

Slow responses that are not streams were replaced by a 502.

Cause: 1.2 s without a byte ended any exchange that may be repeated, before it was known whether the request could go on elsewhere. The log lines have outcome=silent.

Change: a silent target is left only if another one can take the request at that moment, or if the target is gone. A refusal by the other one does not count as an attempt.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -106,7 +106,7 @@
     group: str = ""
     found_at: float = freshness.NEVER
     is_leaving: bool = False
-    probe: asyncio.Task[None] | None = None
+    probe: asyncio.Task[bool] | None = None
 
     def is_needed(self, oldest: float) -> bool:
         """Return whether this holds more than what was found before ``oldest``."""
@@ -268,15 +268,18 @@
                 del self._unanswered_at[content_id]
         self._probes.expire(self._clock.read())
 
-    async def probe(self, target: targetstate.Target) -> None:
-        """Find out whether a target crashed; call after a broken exchange."""
+    async def probe(self, target: targetstate.Target) -> bool:
+        """Find out whether a target crashed; return whether it accepts connections.
+
+        Call this after a broken exchange, or if the target is silent.
+        """
         exchanges = self._get_exchanges(target.registration.incarnation)
         if exchanges.evidence is not None:
-            return
+            return False
         if exchanges.probe is None:
             loop = asyncio.get_running_loop()
             exchanges.probe = loop.create_task(self._run_probe(target, exchanges))
-        await asyncio.shield(exchanges.probe)
+        return await asyncio.shield(exchanges.probe)
 
     async def has_ended(self, target: targetstate.Target) -> bool:
         """Return whether a target's process has ended, and not because it leaves."""
@@ -288,8 +291,11 @@
 
     async def _run_probe(
         self, target: targetstate.Target, exchanges: TargetExchanges
-    ) -> None:
-        """Connect to a target; it crashed if the connection is refused."""
+    ) -> bool:
+        """Connect to a target; it crashed if the connection is refused.
+
+        Return whether it accepted the connection.
+        """
         registration = target.registration
         key = (registration.host, registration.port, registration.target_id)
         now = asyncio.get_running_loop().time()
@@ -310,6 +316,7 @@
             and failure.kind is upstream.FailureKind.CONNECTION_REFUSED
         ):
             self.on_target_ended(target, Evidence.REFUSED)
+        return failure is None
 
     def on_target_ended(self, target: targetstate.Target, evidence: Evidence) -> None:
         """Record that a target's process has ended.
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -238,6 +238,9 @@
             reason = self._record_outcome(target, outcome)
             state.attempt_log.append(f"{target.target_id}:{reason}")
             state.tried_targets.add(target.target_id)
+            if is_not_run(outcome):
+                # It would have gone on at the target that it left.
+                state.tried_targets.discard(state.left_target)
             if isinstance(outcome, requeststate.TargetError):
                 last_error = outcome
             if is_broken(outcome):
@@ -401,7 +404,7 @@
         if isinstance(outcome, upstream.Failure) and not outcome.was_sent:
             state.connect_failures += 1
             return state.connect_failures < MAX_CONNECT_ATTEMPTS
-        if state.send_count >= state.route.max_attempts:
+        if self._count_attempts(state) >= state.route.max_attempts:
             return False
         if isinstance(outcome, requeststate.Refusal) and (
             outcome.reason == responserelay.UNREAD
@@ -418,6 +421,59 @@
         self._metrics.count_retry(state.service)
         return True
 
+    def _count_attempts(self, state: requeststate.RequestState) -> int:
+        """Return the attempts that count against the route's greatest number.
+
+        If a request left a target that may have gone on, refusals do not count: they
+        must not end what the target would have completed.
+        """
+        refused = state.refused_count if state.left_target else 0
+        return state.send_count - refused
+
+    async def may_leave(
+        self, state: requeststate.RequestState, target: targetstate.Target
+    ) -> bool:
+        """Return whether a request may leave a target that is silent.
+
+        That is so if another target can take it now, or if this one is gone: its
+        sidecar does not report it as alive, and it accepts no connection.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._can_go_on_elsewhere(now, state, target):
+            state.left_target = target.target_id
+            return True
+        report = target.report
+        if report is not None and target.has_fresh_report(now) and report.is_alive:
+            return False
+        return not await self.crashes.probe(target)
+
+    def _can_go_on_elsewhere(
+        self, now: float, state: requeststate.RequestState, target: targetstate.Target
+    ) -> bool:
+        """Return whether a request may be sent again and another target is free."""
+        if (
+            self._count_attempts(state) >= state.route.max_attempts
+            or not state.may_run_twice
+            or state.deadline - now < MIN_REMAINING_S
+            or not self._get_retry_budget(state.service).may_spend(now)
+            or self.crashes.find_refusal(state.fingerprint) is not None
+        ):
+            return False
+        traits = state.traits
+        queued = self.make_queued_request(state, now)
+        state.traits = traits
+        other = self._targets.choose_target(
+            now,
+            state.service,
+            {*state.tried_targets, target.target_id},
+            self._entry_state.count_entries(),
+            self._rng.random,
+            queued.crash_count,
+            queued.group,
+            queued.traits,
+        )
+        return other is not None
+
     async def _finish_without_response(
         self,
         state: requeststate.RequestState,
@@ -522,11 +578,9 @@
             state, exchange, responder, self._header_codec, observer
         )
         outcome = await relay.run(target)
-        if (
-            isinstance(outcome, requeststate.Refusal)
-            and outcome.status == requeststate.STATUS_NOT_RUN
-        ):
+        if is_not_run(outcome):
             state.may_have_run = may_have_run_before
+            state.refused_count += 1
         return outcome
 
     def record_statements(
@@ -772,6 +826,10 @@
         """Pass on how long the target took for the next event."""
         self._forwarder.record_event_gap(self._state, self._target, gap_s)
 
+    async def may_leave(self) -> bool:
+        """Find out whether the request may leave its target, which is silent."""
+        return await self._forwarder.may_leave(self._state, self._target)
+
     async def has_target_ended(self) -> bool:
         """Find out whether the target's process has ended."""
         return await self._forwarder.crashes.has_ended(self._target)
@@ -828,6 +886,14 @@
     )
 
 
+def is_not_run(outcome: responserelay.Outcome) -> bool:
+    """Return whether the target stated that it did not run the request."""
+    return (
+        isinstance(outcome, requeststate.Refusal)
+        and outcome.status == requeststate.STATUS_NOT_RUN
+    )
+
+
 def is_broken(outcome: responserelay.Outcome) -> bool:
     """Return whether the target closed the connection before its response ended."""
     return (
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -105,7 +105,9 @@
     run the request. ``crash_count`` is how many targets had crashed under the
     ``fingerprint`` when the present attempt began. ``last_event`` is the number of the
     last stream event that was relayed to the caller. ``attempt_log`` lists target and
-    reason of each failed attempt.
+    reason of each failed attempt. ``refused_count`` is how many sends were not run.
+    ``left_target`` is the target that the request left though it may have gone on, an
+    empty string for none.
     """
 
     req: Request
@@ -117,6 +119,8 @@
     traits: sendconstraint.RequestTraits = sendconstraint.ANY_REQUEST
     crash_count: int = 0
     send_count: int = 0
+    refused_count: int = 0
+    left_target: str = ""
     may_have_run: bool = False
     connect_failures: int = 0
     tried_targets: set[str] = dataclasses.field(default_factory=set)
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -4,6 +4,11 @@
 that fails before that can be retried at another target. For the same reason, small
 responses are buffered until they are complete; larger ones are relayed as they arrive.
 
+The silence of a target does not end a response: targets pause, and a response that
+ends early is worth nothing. After ``SILENCE_TIMEOUT_S`` a request that may be repeated
+leaves its target only if it goes on elsewhere at once, or if the target is gone; see
+``RelayObserver.may_leave``.
+
 A response that nothing but the end of its connection bounds is complete only if its
 target still runs, as the end of a process looks the same. Such a stream is also broken
 off if it ends within an event or before the first one.
@@ -54,6 +59,9 @@
 )
 
 
+Read = typing.TypeVar("Read")
+
+
 class RelayObserver(abc.ABC):
     """Is told what a response shows of its target, and what the caller gets."""
 
@@ -73,6 +81,10 @@
     def on_event_gap(self, gap_s: float) -> None:
         """Handle that events arrived ``gap_s`` after the event before them."""
 
+    @abc.abstractmethod
+    async def may_leave(self) -> bool:
+        """Find out whether the request may leave its target, which is silent."""
+
     @abc.abstractmethod
     async def has_target_ended(self) -> bool:
         """Find out whether the target's process has ended."""
@@ -96,7 +108,7 @@
         self._observer = observer
         # When the caller last took something after a long pause; the event loop's time.
         self._paused_until = -math.inf
-        # Silence does not end a request that may not be repeated.
+        # A request that may not be repeated has nowhere to go.
         self._silence_timeout_s = SILENCE_TIMEOUT_S if state.may_run_twice else None
 
     async def run(self, target: targetstate.Target) -> Outcome:
@@ -127,9 +139,7 @@
 
     async def _relay(self, target: targetstate.Target) -> Outcome:
         """Relay the response; return the outcome."""
-        head = await read_with_timeout(
-            self._exchange.read_head(), self._silence_timeout_s
-        )
+        head = await self._read(self._exchange.read_head)
         if isinstance(head, upstream.Failure):
             return head
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
@@ -153,6 +163,23 @@
             return await self._relay_stream(head)
         return await self._relay_buffered(target, head)
 
+    async def _read(
+        self,
+        read: collections.abc.Callable[
+            [], collections.abc.Coroutine[typing.Any, typing.Any, Read]
+        ],
+    ) -> Read | upstream.Failure:
+        """Return what is read; a failure if the request leaves its silent target."""
+        while True:
+            result = await read_with_timeout(read(), self._silence_timeout_s)
+            if not isinstance(result, upstream.Failure):
+                return result
+            if result.kind is not upstream.FailureKind.TIMED_OUT:
+                return result
+            may_leave = await self._observer.may_leave()
+            if may_leave and not self._exchange.has_news:
+                return result
+
     async def _discard_body(self) -> None:
         """Read and drop the body of a refusal, so that the connection can be reused.
 
@@ -174,9 +201,7 @@
         body = bytearray()
         is_complete = False
         while not is_complete and len(body) <= MAX_BUFFERED_BYTES:
-            data = await read_with_timeout(
-                self._exchange.read_body(), self._silence_timeout_s
-            )
+            data = await self._read(self._exchange.read_body)
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
@@ -251,9 +276,7 @@
         has_events = False
         last_event_at = 0.0
         while True:
-            data = await read_with_timeout(
-                self._exchange.read_body(), self._silence_timeout_s
-            )
+            data = await self._read(self._exchange.read_body)
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
@@ -317,9 +340,6 @@
         return None
 
 
-Read = typing.TypeVar("Read")
-
-
 async def read_with_timeout(
     reading: collections.abc.Coroutine[typing.Any, typing.Any, Read],
     timeout_s: float | None,
--- a/sardinesaddle/direct/retrybudget.py
+++ b/sardinesaddle/direct/retrybudget.py
@@ -93,12 +93,16 @@
         self._request_times.append(now)
         self._expire(now)
 
-    def try_spend(self, now: float) -> bool:
-        """Use one retry; return False if the budget is spent."""
+    def may_spend(self, now: float) -> bool:
+        """Return whether the budget has another retry."""
         self._expire(now)
         limit = self._compute_own_allowance(now)
         limit += SAFETY_FACTOR * self._ratio * len(self._request_times)
-        if len(self._retry_times) + 1 > limit:
+        return len(self._retry_times) + 1 <= limit
+
+    def try_spend(self, now: float) -> bool:
+        """Use one retry; return False if the budget is spent."""
+        if not self.may_spend(now):
             return False
         self._retry_times.append(now)
         return True
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -324,6 +324,11 @@
         """Whether what the entry buffers is bounded in total."""
         return self._conn.buffers.is_bounded
 
+    @property
+    def has_news(self) -> bool:
+        """Whether the next read returns at once."""
+        return self._conn.has_unread or self._conn.is_closed
+
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
         self._conn.hold(relayed_bytes)
