Do not keep a connection after a response without an id

Other operators saw clients that were told "not run" for requests that ran: an engine wrote an earlier refusal once more on a kept connection. Here this could happen to idempotent requests and resumable streams if the refusal has no id of its attempt.

Cause: a response without an id that is no success counts as that of the present request.

Change: a connection on which such a response came is closed after it.

--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -7,7 +7,9 @@
 
 - A connection carries one request at a time. Bytes that arrive on an idle connection
   belong to no request; the connection is closed.
-- A response with the id of another attempt is skipped, and the next one is read.
+- A response with the id of another attempt is skipped, and the next one is read. A
+  connection is not kept after a response without an id, since the target might write
+  that response once more.
 - A response with neither a length nor chunks is complete if the connection was closed
   in order, and incomplete if it was reset. The end of the target's process closes
   connections in order, too; ``responserelay`` tells the two apart.
@@ -265,6 +267,9 @@
                 )
             headers = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
             head = ResponseHead(event.status_code, headers)
+            if head.get(self._echo_header) is None:
+                # Once it is written again, nothing tells for which request it was.
+                self._is_reusable = False
             if self._is_own_response(head):
                 self._has_length = head.get("content-length") is not None
                 is_chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
