Relay only events with an id as parts of a stream

Cause: a blank line ends an event, also one in an error's text, and events without an id were relayed unchecked.

Change: an event without a numeric id is a failure of its target. What came before it is sent, and the stream is resumed elsewhere or ends as incomplete.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -318,26 +318,33 @@
     async def _send_events(
         self, head: upstream.ResponseHead, received: list[sse.Event]
     ) -> upstream.Failure | None:
-        """Send the events that the caller lacks; a gap in the ids is a failure."""
+        """Send the events that the caller lacks.
+
+        An event without an id, or a gap in the ids, is a failure: the target writes
+        something else than its stream. What came before that is sent.
+        """
         last_event_id = self._state.last_event
         new_events = []
+        failure = None
         for event in received:
-            if event.event_id is not None and last_event_id is not None:
-                if event.event_id <= last_event_id:
-                    continue
-                if event.event_id != last_event_id + 1:
-                    kind = upstream.FailureKind.MALFORMED
-                    return upstream.Failure(
-                        kind, True, f"gap after event {last_event_id}"
-                    )
-            if event.event_id is not None:
+            if event.event_id is None:
+                detail = f"no id after event {last_event_id}"
+            elif last_event_id is not None and event.event_id <= last_event_id:
+                continue
+            elif last_event_id is not None and event.event_id != last_event_id + 1:
+                detail = f"gap after event {last_event_id}"
+            else:
                 last_event_id = event.event_id
-            new_events.append(event)
+                new_events.append(event)
+                continue
+            kind = upstream.FailureKind.MALFORMED
+            failure = upstream.Failure(kind, True, detail)
+            break
         if new_events:
             await self._start_stream(head)
             await self._write(b"".join(event.data for event in new_events))
             self._state.last_event = last_event_id
-        return None
+        return failure
 
 
 async def read_with_timeout(
--- a/sardinesaddle/direct/sse.py
+++ b/sardinesaddle/direct/sse.py
@@ -9,6 +9,7 @@
 import typing
 
 MAX_EVENT_BYTES: typing.Final = 1024 * 1024
+MAX_ID_DIGITS: typing.Final = 18
 _EVENT_END: typing.Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_FIELD: typing.Final = re.compile(rb"(?:^|\r\n|\n|\r)id: ?([^\r\n]*)")
 
@@ -36,6 +37,8 @@
         while (match := _EVENT_END.search(self._buffer)) is not None:
             event_bytes = bytes(self._buffer[: match.end()])
             del self._buffer[: match.end()]
+            if is_comment(event_bytes):
+                continue
             events.append(Event(event_bytes, parse_event_id(event_bytes)))
         return events
 
@@ -55,10 +58,15 @@
         return len(self._buffer) > MAX_EVENT_BYTES
 
 
+def is_comment(event: bytes) -> bool:
+    """Return whether a block has comments only, which servers send to show life."""
+    return all(line.startswith(b":") for line in event.splitlines() if line)
+
+
 def parse_event_id(event: bytes) -> int | None:
     """Return the event's numeric id, or None if it has none."""
     match = _ID_FIELD.search(event)
     if match is None:
         return None
     text = match.group(1).strip()
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
