Plan no copies of experts if all of them raise the skew

Cause: the search for copies minimizes a sum of powers, so all its copies may raise the skew. The limit of what they save was then below each of them.

Change: copies that save nothing are not kept.

Result: test_copies_that_raise_the_skew_are_not_made fails on the code before.

--- a/sardinesaddle/direct/expertplan.py
+++ b/sardinesaddle/direct/expertplan.py
@@ -14,6 +14,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 
 LOAD_EXPONENT: typing.Final = 8
@@ -279,10 +280,13 @@
 
 
 def choose_copies(copies: list[Copy], skew_before: float) -> list[Copy]:
-    """Return the fewest copies that save ``KEPT_GAIN_SHARE`` of what all save."""
-    if not copies:
+    """Return the fewest copies that save ``KEPT_GAIN_SHARE`` of what all save.
+
+    The search minimizes a sum of powers, so its copies may also raise the skew.
+    """
+    saved = skew_before - min((copy.mean_skew for copy in copies), default=math.inf)
+    if saved <= 0.0:
         return []
-    saved = skew_before - min(copy.mean_skew for copy in copies)
     limit = skew_before - KEPT_GAIN_SHARE * saved + ROUNDING
     count = next(n for n, copy in enumerate(copies, 1) if copy.mean_skew <= limit)
     return copies[:count]
--- a/test/test_direct_maps.py
+++ b/test/test_direct_maps.py
@@ -262,6 +262,14 @@
     assert planned == pytest.approx(plan.skew_after)
 
 
+def test_copies_that_raise_the_skew_are_not_made() -> None:
+    """Guards against a leader that ends by an exception of its planner."""
+    copies = [expertplan.Copy(0, 1, 2, -1, skew) for skew in (1.32, 1.31)]
+    assert expertplan.choose_copies(copies, 1.3) == []
+    assert expertplan.choose_copies([], 1.3) == []
+    assert expertplan.choose_copies(copies, 1.4) != []
+
+
 def test_even_demand_needs_no_new_map() -> None:
     current = [[[e for e in range(16) if e % 4 == r] for r in range(4)]] * 3
     assert expertplan.plan_map([1.0] * 48, current, GROUP_SHAPE, 2) is None
