Let a test of ports ignore connections that linger

test_port_that_is_listened_on_is_passed_over failed once, beside other test runs: "Address already in use" for its own bind. A connection of an earlier run lingers for a minute at its port, which a bind without SO_REUSEADDR refuses; shown with a connection of that kind.

Change: the test binds as servers do. It checks as before that a port on which something listens is passed over.

--- a/test/test_freeports.py
+++ b/test/test_freeports.py
@@ -24,6 +24,8 @@
     block = freeports.PortBlock()
     port = block.find_free_port(HOSTS[0])
     with socket.socket() as sock:
+        # A connection of an earlier test run may linger at this port.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((HOSTS[0], port + 1))
         sock.listen()
         assert block.find_free_port(HOSTS[0]) == port + 2
