Let the soak send SIGHUP once the kernel says that it is survived

The soak sent it one second after the start of the process, as the interpreter usually takes less until it ignores the signal; here it had not. No program can do so earlier.

Change: the soak reads the masks of ignored and caught signals of the process. It sends the signal earlier than before if the process is ready for it, and later if it is not.

--- a/test/soak.py
+++ b/test/soak.py
@@ -128,7 +128,7 @@
 OTHER_RETRY_AFTER_S: typing.Final = 60.0  # refusals for crashes are longer
 LAG_PERIOD_S: typing.Final = 0.05
 START_TIMEOUT_S: typing.Final = 30.0
-INTERPRETER_START_S: typing.Final = 1.0  # until SIGHUP no longer ends the process
+INTERPRETER_START_S: typing.Final = 1.0
 STOP_GRACE_S: typing.Final = 8.0
 EXIT_POLL_S: typing.Final = 0.02
 LOG_DELAY_S: typing.Final = 1.0  # until a line is in the log of a busy process
@@ -368,6 +368,15 @@
             )
         self.is_exit_expected = False
 
+    @property
+    def survives_sighup(self) -> bool:
+        """Whether the process runs and ignores or handles SIGHUP, by the kernel."""
+        if self._process is None or not self.is_running:
+            return False
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\t(\w+)$", status, re.MULTILINE)
+        return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
     @property
     def is_running(self) -> bool:
         """Whether the process was started and has not exited."""
@@ -1327,9 +1336,9 @@
         await self._wait_until_serving(process.index)
 
     async def _reload_entry(self) -> None:
-        """Send SIGHUP to an entry, unless it has only just started."""
+        """Send SIGHUP to an entry, unless its interpreter is only just starting."""
         process = self.rng.choice(self._entry_processes)
-        if asyncio.get_running_loop().time() - process.started_at > INTERPRETER_START_S:
+        if process.survives_sighup:
             process.signal_if_running(signal.SIGHUP)
 
     async def _change_config_version(self) -> None:
