--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -172,7 +172,12 @@
         ]
 
     def _may_be_at_address(self, target: targetstate.Target) -> bool:
-        """Return whether a target is in use at its address."""
+        """Return whether a target is in use at its address.
+
+        A target of another service stays in use until the later one has responded: if
+        nobody asks for the service of the later one, nothing else would show that it
+        is not there.
+        """
         holder = self._by_address.get(target.address)
         if holder is None or holder is target:
             return holder is target
