--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -236,6 +236,7 @@
                 self._log(state.req, state, "answered", outcome.status, target)
                 return None
             reason = self._record_outcome(target, outcome)
+            self._log_malformed(state, target, outcome)
             state.attempt_log.append(f"{target.target_id}:{reason}")
             state.tried_targets.add(target.target_id)
             if is_not_run(outcome):
@@ -264,6 +265,25 @@
             refusal.retry_after_s,
         )
 
+    def _log_malformed(
+        self,
+        state: requeststate.RequestState,
+        target: targetstate.Target,
+        outcome: responserelay.Outcome,
+    ) -> None:
+        """Log what is wrong with a response that is malformed, and count it."""
+        kind = upstream.FailureKind.MALFORMED
+        if not isinstance(outcome, upstream.Failure) or outcome.kind is not kind:
+            return
+        self._metrics.count_malformed(state.service)
+        loguru.logger.warning(
+            "event=response_malformed id={} target={} last_event={} reason={!r:.160}",
+            state.req.metadata.attempt_id,
+            target.target_id,
+            "" if state.last_event is None else state.last_event,
+            outcome.detail,
+        )
+
     def _choose_return_s(self, state: requeststate.RequestState) -> float:
         """Return when the caller of a request that is not sent again may come back."""
         now = asyncio.get_running_loop().time()
@@ -739,7 +759,7 @@
         loguru.logger.info(
             "event=request id={} content={} parts={} crashes={} outcome={} status={}"
             " route={} service={} target={} sends={} tried={} first_ms={:.0f} ms={:.0f}"
-            " left_ms={:.0f} config={} config_age_s={:.2f}",
+            " left_ms={:.0f} config={} config_age_s={:.2f} last_event={}",
             req.metadata.attempt_id,
             state.fingerprint.content_id if state else "",
             ",".join(req.metadata.prompt_parts[:MAX_LOGGED_PARTS]),
@@ -758,6 +778,7 @@
             (state.deadline - now) * 1000 if state else 0,
             self._entry_state.config_version,
             self._entry_state.compute_config_age(),
+            "" if state is None or state.last_event is None else state.last_event,
         )
 
 
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -33,6 +33,9 @@
             "target_rests_total",
             "Refusals in which targets asked for rest, by service.",
         )
+        self._malformed = self.make_counter(
+            "malformed_responses_total", "Responses that were malformed, by service."
+        )
         self._leaving_targets = self.make_counter(
             "targets_leaving_total", "Targets that stated in responses that they leave."
         )
@@ -207,6 +210,10 @@
         """Count a refusal in which a target of a service asked for rest."""
         self._rests.inc({"service": service})
 
+    def count_malformed(self, service: str) -> None:
+        """Count a malformed response of a target of a service."""
+        self._malformed.inc({"service": service})
+
     def count_leaving_target(self) -> None:
         """Count a target that stated in a response that it leaves."""
         self._leaving_targets.inc({})
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -328,7 +328,7 @@
         failure = None
         for event in received:
             if event.event_id is None:
-                detail = f"no id after event {last_event_id}"
+                detail = f"no id after event {last_event_id}: {event.data!r:.60}"
             elif last_event_id is not None and event.event_id <= last_event_id:
                 continue
             elif last_event_id is not None and event.event_id != last_event_id + 1:
