--- a/test/soak.py
+++ b/test/soak.py
@@ -382,6 +382,12 @@
         """Whether the process was started and has not exited."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """The id of the process, which must have been started."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def exit_status(self) -> int | None:
         """The exit status, negative for a signal; None while the process runs."""
