Accept only events that any reader reads alike

Callers found pieces with an empty id that no run had made. The entry decided on bytes that the caller reads again, and the two readings differed: the entry knew three of the seven pairs of line ends that make a blank line, took the first id where the standard takes the last, stripped what belongs to the value, and took an event without data for a piece. A success on a streaming route whose type was missing, in capitals or given twice was relayed without being read at all.

All else is a fault of the target: what came before is sent, and the stream is resumed or ends as incomplete. The ids of a response follow each other; those of a stream begin with 0 or 1. The decision is where bytes become events; the relay only looks at the fault. On streaming routes only event streams are relayed.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -33,6 +33,8 @@
 UNREAD: typing.Final = (
     "unread"  # reason: the target cut off what the caller left unread
 )
+EVENT_STREAM: typing.Final = "text/event-stream"
+MAX_FIRST_ID: typing.Final = 1  # targets count the events of a stream from 0 or 1
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
 NOT_RUN_STATUSES: typing.Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that the request was not run."""
@@ -154,12 +156,12 @@
         is_encoded = head.get("content-encoding") is not None
         if is_success and (is_encoded or not metadata.is_signed):
             return upstream.Failure(upstream.FailureKind.MALFORMED, True, "unsigned")
-        content_type = head.get("content-type") or ""
-        if (
-            is_success
-            and self._state.route.is_stream
-            and "event-stream" in content_type
-        ):
+        if is_success and self._state.route.is_stream:
+            if not is_event_stream(head):
+                # The caller would read events that were not checked.
+                return upstream.Failure(
+                    upstream.FailureKind.MALFORMED, True, "not an event stream"
+                )
             return await self._relay_stream(head)
         return await self._relay_buffered(target, head)
 
@@ -280,8 +282,8 @@
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
-                is_empty = not has_events and self._state.last_event is None
-                if parser.incomplete_data.strip() or (
+                is_empty = not has_events and not self._responder.is_started
+                if parser.has_incomplete_event or (
                     is_empty and self._exchange.is_unframed
                 ):
                     kind = upstream.FailureKind.CLOSED
@@ -306,6 +308,9 @@
                 kind = upstream.FailureKind.MALFORMED
                 return upstream.Failure(kind, True, "event exceeds the size limit")
             failure = await self._send_events(head, received)
+            if failure is None and parser.fault:
+                kind = upstream.FailureKind.MALFORMED
+                failure = upstream.Failure(kind, True, parser.fault)
             if failure is not None:
                 return failure
 
@@ -320,31 +325,25 @@
     ) -> upstream.Failure | None:
         """Send the events that the caller lacks.
 
-        An event without an id, or a gap in the ids, is a failure: the target writes
-        something else than its stream. What came before that is sent.
+        A gap after the events that the caller has is a failure of the target.
         """
         last_event_id = self._state.last_event
-        new_events = []
-        failure = None
-        for event in received:
-            if event.event_id is None:
-                detail = f"no id after event {last_event_id}: {event.data!r:.60}"
-            elif last_event_id is not None and event.event_id <= last_event_id:
-                continue
-            elif last_event_id is not None and event.event_id != last_event_id + 1:
-                detail = f"gap after event {last_event_id}"
-            else:
-                last_event_id = event.event_id
-                new_events.append(event)
-                continue
+        new_events = [
+            event
+            for event in received
+            if last_event_id is None or event.event_id > last_event_id
+        ]
+        if not new_events:
+            return None
+        first_id = new_events[0].event_id
+        if first_id > (MAX_FIRST_ID if last_event_id is None else last_event_id + 1):
             kind = upstream.FailureKind.MALFORMED
-            failure = upstream.Failure(kind, True, detail)
-            break
-        if new_events:
-            await self._start_stream(head)
-            await self._write(b"".join(event.data for event in new_events))
-            self._state.last_event = last_event_id
-        return failure
+            detail = f"event {first_id} follows event {last_event_id}"
+            return upstream.Failure(kind, True, detail)
+        await self._start_stream(head)
+        await self._write(b"".join(event.data for event in new_events))
+        self._state.last_event = new_events[-1].event_id
+        return None
 
 
 async def read_with_timeout(
@@ -365,6 +364,13 @@
         return upstream.Failure(upstream.FailureKind.TIMED_OUT, True, detail)
 
 
+def is_event_stream(head: upstream.ResponseHead) -> bool:
+    """Return whether the one media type of a response is that of event streams."""
+    types = [value for name, value in head.headers if name == "content-type"]
+    media_type = types[0].partition(";")[0].strip().lower() if types else ""
+    return len(types) == 1 and media_type == EVENT_STREAM
+
+
 def list_response_headers(head: upstream.ResponseHead) -> headercodec.Headers:
     """Return the headers of a response that are relayed to the caller."""
     return [(n, v) for n, v in head.headers if n not in HOP_BY_HOP_HEADERS]
