Give an item of the store without a clear value an empty one

An item with both a value and `deleted`, or with neither, was read as a deletion, which ends an evacuation.

A value counts if it is the standard base64 text of its bytes. An item without a clear value gets an empty one and a log line: it names no target and no configuration, an evacuation stays, and the others of its page hold. So does one that was changed before its creation.

--- a/sardinesaddle/platform/store.py
+++ b/sardinesaddle/platform/store.py
@@ -1,7 +1,6 @@
 """An HTTP client for the platform's key-value store."""
 
 import asyncio
-import base64
 import binascii
 import dataclasses
 import typing
@@ -62,13 +61,48 @@
 
 
 def decode_item(wire: WireItem) -> replica.Change:
-    """Convert an item and decode its value."""
-    if wire.deleted or wire.value is None:
+    """Convert an item and decode its value.
+
+    An item of which readers find different values, or none, gets an empty value, which
+    names no target and no configuration. The others of its page hold, and it does not
+    count as deleted, which would end an evacuation.
+    """
+    if wire.deleted and wire.value is None:
         return replica.Change(wire.key, wire.rev, None)
-    data = base64.b64decode(wire.value)
+    data = b""
+    fault = ""
+    if wire.deleted:
+        fault = "deleted_with_a_value"
+    elif wire.created_rev > wire.rev:
+        fault = "changed_before_its_creation"
+    elif (decoded := decode_value(wire.value)) is None:
+        fault = "not_standard_base64"
+    else:
+        data = decoded
+    if fault:
+        # Values are not logged: they may hold keys of accounts.
+        loguru.logger.warning(
+            "event=item_unreadable key={!r} rev={} fault={}", wire.key, wire.rev, fault
+        )
     return replica.Change(wire.key, wire.rev, data, wire.created_rev)
 
 
+def decode_value(text: str | None) -> bytes | None:
+    """Decode standard base64 with padding; return None for any other form.
+
+    The decoder skips characters of other alphabets, blanks and spare bits, of which
+    other readers make other bytes.
+    """
+    if text is None or not text.isascii():
+        return None
+    try:
+        data = binascii.a2b_base64(text)
+    except binascii.Error:
+        return None
+    is_standard = binascii.b2a_base64(data, newline=False) == text.encode()
+    return data if is_standard else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreBody:
     """The body of a successful response, and the era that the store states."""
--- a/test/processfleet.py
+++ b/test/processfleet.py
@@ -25,17 +25,21 @@
 class ProcessFleet(df.Fleet):
     """A store, targets, and entries as processes; entry N listens on 127.0.6.1N."""
 
-    def __init__(self, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        serve_store: type[soak.StoreServer] = soak.StoreServer,
+    ) -> None:
         self.store = df.MemoryStore()
         self.ports = []
         self.targets = {}
         self.processes: list[soak.NodeProcess] = []
         self._directory = directory
-        self._store_server = soak.StoreServer(self.store)
+        self.store_server = serve_store(self.store)
 
     async def start(self, entry_count: int, **settings: object) -> None:
         """Start the store and the entries; ``settings`` are other fields of theirs."""
-        store_port = await self._store_server.start()
+        store_port = await self.store_server.start()
         ports = [
             freeports.find_free_port(soak.STORE_HOST)
             for _ in range(2 * entry_count + 1)
@@ -95,7 +99,7 @@
         """End the processes, then the store and the targets."""
         for process in self.processes:
             await process.kill_and_wait()
-        await self._store_server.stop()
+        await self.store_server.stop()
         for target in self.targets.values():
             await target.stop()
 
@@ -116,12 +120,13 @@
     directory: pathlib.Path,
     scenario: Scenario,
     entry_count: int = 1,
+    serve_store: type[soak.StoreServer] = soak.StoreServer,
     **settings: object,
 ) -> None:
     """Run a scenario on a new fleet, after the entries loaded configuration 1."""
 
     async def run() -> None:
-        fleet = ProcessFleet(directory)
+        fleet = ProcessFleet(directory, serve_store)
         fleet.store.put("op/config", df.make_config())
         try:
             await fleet.start(entry_count, **settings)
--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -1,16 +1,20 @@
 """Tests that what readers of the store could take differently is not used."""
 
 import asyncio
+import base64
+import json
 import pathlib
 import typing
 
+import aiohttp
+import aiohttp.web
 import msgspec
 import pytest
 
-from sardinesaddle.direct import catalog
-from sardinesaddle.platform import catalogformat
+from sardinesaddle.direct import catalog, replica
+from sardinesaddle.platform import catalogformat, store
 from test import directfleet as df
-from test import processfleet
+from test import processfleet, soak
 from test import test_direct_foreignentries as foreign
 
 CONFIG: typing.Final = msgspec.json.encode(df.make_config(2))
@@ -135,3 +139,142 @@
             assert "exception" not in fleet.read_log(index)
 
     processfleet.run_scenario(tmp_path, scenario, 2)
+
+
+class AlteringStoreServer(soak.StoreServer):
+    """Serves a store whose items have other fields, which ``altered`` has by key.
+
+    A field whose value is None is left out.
+    """
+
+    def __init__(self, memory_store: df.MemoryStore) -> None:
+        super().__init__(memory_store)
+        self.altered: dict[str, dict[str, object]] = {}
+
+    async def _handle(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Respond as the store does, with altered items."""
+        resp = await super()._handle(request)
+        if resp.status != store.STATUS_OK or not resp.text:
+            return resp
+        body = json.loads(resp.text)
+        for item in body.get("items", []) + body.get("events", []):
+            item |= self.altered.get(item["key"], {})
+            for name in [name for name, value in item.items() if value is None]:
+                del item[name]
+        era = {store.ERA_HEADER: resp.headers[store.ERA_HEADER]}
+        return aiohttp.web.json_response(body, headers=era)
+
+
+# Fields of an item of which readers find different values, or none.
+UNREADABLE_ITEMS: typing.Final[dict[str, dict[str, object]]] = {
+    "urlsafe_alphabet": {"value": "-_8="},
+    "urlsafe_characters_left_out": {"value": "eyJh-_In0="},
+    "blank": {"value": "YW Jj"},
+    "line_end": {"value": "YWJj\n"},
+    "no_padding": {"value": "YWI"},
+    "padding_only": {"value": "===="},
+    "bits_after_the_end": {"value": "YWJ="},
+    "text_after_the_padding": {"value": "YQ==YWJj"},
+    "not_ascii": {"value": "YW\u00e9="},
+    "value_and_deleted": {"value": "e30=", "deleted": True},
+    "neither_value_nor_deleted": {"value": None},
+    "changed_before_its_creation": {"created_rev": 1 << 40},
+}
+
+
+async def read_altered(
+    altered: dict[str, dict[str, object]],
+) -> tuple[replica.Delta, replica.Delta]:
+    """List and watch a store with entries a, b and c, some of which are altered."""
+    memory_store = df.MemoryStore()
+    server = AlteringStoreServer(memory_store)
+    server.altered = altered
+    port = await server.start()
+    for key in "abc":
+        memory_store.put(f"servers/{key}", b"{}")
+    async with aiohttp.ClientSession() as session:
+        client = store.PlatformStore(session, f"{soak.STORE_HOST}:{port}")
+        listing = await client.read_all("servers/")
+        events = await client.watch("servers/", 1, 0.1)
+    await server.stop()
+    assert isinstance(listing, replica.Delta), listing
+    assert isinstance(events, replica.Delta), events
+    return listing, events
+
+
+@pytest.mark.parametrize("name", UNREADABLE_ITEMS)
+def test_item_without_a_clear_value_has_none_and_the_others_hold(name: str) -> None:
+    """Guards against an item that ends each call, or that is read as a deletion."""
+    for delta in asyncio.run(read_altered({"servers/b": UNREADABLE_ITEMS[name]})):
+        assert [(c.key, c.value) for c in delta.changes] == [
+            ("servers/a", b"{}"),
+            ("servers/b", b""),
+            ("servers/c", b"{}"),
+        ]
+
+
+@pytest.mark.parametrize("text", ["", "YQ==", "YWI=", "YWJj", "+/+/"])
+def test_standard_base64_is_read(text: str) -> None:
+    """Guards against a check of values that refuses what the store writes."""
+    listing, _ = asyncio.run(read_altered({"servers/b": {"value": text}}))
+    assert listing.changes[1].value is not None
+    assert base64.b64encode(listing.changes[1].value).decode() == text
+
+
+def test_deletions_are_read() -> None:
+    """Guards against deleted entries that stay in use."""
+    deleted: dict[str, object] = {"value": None, "created_rev": None, "deleted": True}
+    _, events = asyncio.run(read_altered({"servers/b": deleted}))
+    assert [change.value for change in events.changes] == [b"{}", None, b"{}"]
+
+
+def test_unreadable_items_keep_no_process_from_following(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a list that is not followed since an entry in it is odd."""
+
+    async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        server = fleet.store_server
+        assert isinstance(server, AlteringStoreServer)
+        for name, fields in UNREADABLE_ITEMS.items():
+            server.altered[f"servers/{name}"] = fields
+        server.altered["op/evacuate/q"] = {"value": "e30=", "deleted": True}
+        server.altered["op/other"] = UNREADABLE_ITEMS["no_padding"]
+        await fleet.add_target("t1", "plain", foreign.respond_if_meant)
+        await fleet.add_target("far", "plain", foreign.respond_if_meant, place="q")
+        await asyncio.sleep(1.0)
+        for round_number in range(2):
+            for name in UNREADABLE_ITEMS:
+                fleet.store.put(f"servers/{name}", b"{}")
+            fleet.store.put("op/evacuate/q", b"{}")
+            fleet.store.put("op/other", b"{}")
+            await asyncio.sleep(0.5)
+            if round_number:
+                # This one finds them in its first listing.
+                await fleet.restart(1)
+            added = f"new{round_number}"
+            await fleet.add_target(added, "plain", foreign.respond_if_meant)
+            fleet.store.put("op/config", df.make_config(2 + round_number))
+            await asyncio.sleep(1.5)
+            sent = [
+                fleet.send_request(f"/once/{round_number}-{number}", number % 2)
+                for number in range(32)
+            ]
+            responses = await asyncio.gather(*sent)
+            assert {resp.status for resp in responses} == {200}
+            bodies = {resp.body for resp in responses}
+            assert added.encode() in bodies
+            assert b"far" not in bodies
+            for index in range(2):
+                log = fleet.read_log(index)
+                assert f"version={2 + round_number}" in log
+                assert "event=item_unreadable" in log
+                assert "event=task_failed" not in log
+
+    processfleet.run_scenario(
+        tmp_path,
+        scenario,
+        2,
+        serve_store=AlteringStoreServer,
+        bounds={"evacuation_s": 5.0},
+    )
