Accept only revisions, eras and keys of the store that can be told on

An era of over 4,300 digits raised past the client; of two headers with different eras the first one counted, and an era that is read too high has all later responses dropped. A revision beyond 64 bits was applied, though no message to another entry can hold it. A key that lacks the prefix that was asked for was taken for the target of the same name.

Such an era, and a page with such a revision, are a failed call. Items of another prefix are left out with a log line.

Two equal headers, and no header, are read as before.

--- a/sardinesaddle/platform/store.py
+++ b/sardinesaddle/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import binascii
+import collections.abc
 import dataclasses
 import typing
 
@@ -19,6 +20,7 @@
 STATUS_HISTORY_COMPACTED: typing.Final = 410
 # Rises by one each time the store comes back from an older copy.
 ERA_HEADER: typing.Final = "Store-Era"
+MAX_ERA_DIGITS: typing.Final = 18  # integers of 64 bits can be told to other entries
 
 _FAILURES: typing.Final = (
     aiohttp.ClientError,
@@ -31,12 +33,16 @@
 )
 
 
+# Integers of 64 bits can be told to other entries.
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 class WireItem(msgspec.Struct, frozen=True):
     """A write or the deletion of a key; ``value`` is base64."""
 
     key: str
-    rev: int
-    created_rev: int = 0
+    rev: Revision
+    created_rev: Revision = 0
     value: str | None = None
     deleted: bool = False
 
@@ -45,7 +51,7 @@
     """A page of a listing; more follow after its last key if ``more_pages``."""
 
     items: list[WireItem]
-    store_revision: int
+    store_revision: Revision
     more_pages: bool = False
 
 
@@ -53,13 +59,31 @@
     """The result of a watch: the changes up to ``store_revision``."""
 
     events: list[WireItem]
-    store_revision: int
+    store_revision: Revision
 
 
 _PAGE_DECODER: typing.Final = strictjson.StrictDecoder(WirePage)
 _EVENTS_DECODER: typing.Final = strictjson.StrictDecoder(WireEvents)
 
 
+def decode_items(
+    wires: collections.abc.Iterable[WireItem], prefix: str
+) -> tuple[replica.Change, ...]:
+    """Convert the items under a prefix; others would be keys of something else."""
+    changes = []
+    for wire in wires:
+        if wire.key.startswith(prefix):
+            changes.append(decode_item(wire))
+        else:
+            loguru.logger.warning(
+                "event=item_of_another_prefix key={!r} prefix={} rev={}",
+                wire.key,
+                prefix,
+                wire.rev,
+            )
+    return tuple(changes)
+
+
 def decode_item(wire: WireItem) -> replica.Change:
     """Convert an item and decode its value.
 
@@ -111,12 +135,14 @@
     era: int
 
 
-def parse_era(text: str | None) -> int | None:
-    """Parse the store's era, 0 if it states none; return None if it is no number."""
-    if text is None:
+def parse_era(statements: collections.abc.Collection[str]) -> int | None:
+    """Parse the era that headers state, 0 for none; return None if it is not clear."""
+    eras = {statement.strip() for statement in statements}
+    if not eras:
         return 0
-    text = text.strip()
-    return int(text) if text.isdigit() and text.isascii() else None
+    text = eras.pop()
+    is_number = text.isdigit() and text.isascii() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_number and not eras else None
 
 
 class PlatformStore(storewatcher.Store):
@@ -137,7 +163,7 @@
                 return body
             try:
                 page = _PAGE_DECODER.decode(body.data)
-                items = tuple(decode_item(item) for item in page.items)
+                items = decode_items(page.items, prefix)
             except _FAILURES as exc:
                 return storewatcher.StoreFault(f"invalid page: {exc}", False, body.era)
             pages.append(replica.Delta(items, page.store_revision, True, body.era))
@@ -145,9 +171,9 @@
                 return storewatcher.StoreFault(
                     "the store was restored during the listing", False, body.era
                 )
-            if not page.more_pages or not items:
+            if not page.more_pages or not page.items:
                 return replica.join_pages(pages)
-            after = items[-1].key
+            after = page.items[-1].key
         return storewatcher.StoreFault(
             f"{prefix} has more than {MAX_PAGES} pages", False
         )
@@ -166,7 +192,7 @@
             return body
         try:
             wire = _EVENTS_DECODER.decode(body.data)
-            changes = tuple(decode_item(event) for event in wire.events)
+            changes = decode_items(wire.events, prefix)
         except _FAILURES as exc:
             return storewatcher.StoreFault(f"invalid events: {exc}", False, body.era)
         return replica.Delta(changes, wire.store_revision, False, body.era)
@@ -181,9 +207,10 @@
                 self._base_url + path, params=query, timeout=timeout
             ) as resp:
                 data = await resp.read()
-                era = parse_era(resp.headers.get(ERA_HEADER))
+                statements = resp.headers.getall(ERA_HEADER, ())
+                era = parse_era(statements)
                 if era is None:
-                    text = resp.headers[ERA_HEADER]
+                    text = ", ".join(statements)
                     loguru.logger.error("event=store_era_invalid value={!r:.60}", text)
                     return storewatcher.StoreFault("the era is no number", False)
                 if resp.status == STATUS_HISTORY_COMPACTED:
--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -11,10 +11,10 @@
 import msgspec
 import pytest
 
-from sardinesaddle.direct import catalog, replica
+from sardinesaddle.direct import catalog, replica, storewatcher
 from sardinesaddle.platform import catalogformat, store
 from test import directfleet as df
-from test import processfleet, soak
+from test import freeports, processfleet, soak
 from test import test_direct_foreignentries as foreign
 
 CONFIG: typing.Final = msgspec.json.encode(df.make_config(2))
@@ -278,3 +278,69 @@
         serve_store=AlteringStoreServer,
         bounds={"evacuation_s": 5.0},
     )
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"rev": 1 << 63}, {"rev": -1}, {"created_rev": -1}, {"rev": 1.0}, {"key": 7}],
+)
+def test_page_with_an_impossible_item_is_a_failed_call(
+    fields: dict[str, object],
+) -> None:
+    """Guards against revisions that no other entry can be told."""
+    with pytest.raises(AssertionError, match="invalid page"):
+        asyncio.run(read_altered({"servers/b": fields}))
+
+
+def test_key_of_another_prefix_is_left_out() -> None:
+    """Guards against two keys for one target."""
+    for delta in asyncio.run(read_altered({"servers/b": {"key": "b"}})):
+        assert [change.key for change in delta.changes] == ["servers/a", "servers/c"]
+
+
+@pytest.mark.parametrize(
+    "statements",
+    [
+        ["9" * 5000],
+        ["9" * 19],
+        ["-1"],
+        ["1.0"],
+        ["1, 2"],
+        ["1", "2"],
+        ["2", "1"],
+        [""],
+        ["\u0661"],
+    ],
+)
+def test_era_that_is_not_clear_is_a_failed_call(statements: list[str]) -> None:
+    """Guards against an era that drops all later responses, or that cannot be told."""
+    assert isinstance(asyncio.run(read_with_eras(statements)), storewatcher.StoreFault)
+
+
+@pytest.mark.parametrize(("statements", "era"), [([], 0), (["7"], 7), (["7", "7"], 7)])
+def test_clear_era_is_read(statements: list[str], era: int) -> None:
+    listing = asyncio.run(read_with_eras(statements))
+    assert isinstance(listing, replica.Delta)
+    assert listing.era == era
+
+
+async def read_with_eras(
+    statements: list[str],
+) -> replica.Delta | storewatcher.StoreFault:
+    """List a store whose response has these values of the era's header."""
+
+    async def handle(request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        resp = aiohttp.web.json_response({"items": [], "store_revision": 1})
+        for statement in statements:
+            resp.headers.add(store.ERA_HEADER, statement)
+        return resp
+
+    runner = aiohttp.web.ServerRunner(aiohttp.web.Server(handle))
+    await runner.setup()
+    port = freeports.find_free_port(soak.STORE_HOST)
+    await aiohttp.web.TCPSite(runner, soak.STORE_HOST, port).start()
+    async with aiohttp.ClientSession() as session:
+        client = store.PlatformStore(session, f"{soak.STORE_HOST}:{port}")
+        listing = await client.read_all("servers/")
+    await runner.cleanup()
+    return listing
