Keep the last change of a key that a first listing has twice

A listing that begins an era, as each first one does, kept the item that comes last; any later listing, a watch and a relay keep the one with the highest revision. Two entries could hold different values of a key until it changed again.

The case of test_direct_storereadings.py failed on the code before for a store that states an era, and passes now.

--- a/sardinesaddle/direct/replica.py
+++ b/sardinesaddle/direct/replica.py
@@ -140,8 +140,11 @@
 
     def _begin_era(self, listing: Delta) -> list[Change]:
         """Replace everything by the first listing of an era; return what changed."""
-        previous = self._items
-        self._items = {item.key: item for item in listing.changes}
+        previous, self._items = self._items, {}
+        for item in listing.changes:
+            known = self._items.get(item.key)
+            if known is None or known.rev < item.rev:
+                self._items[item.key] = item
         self.era = listing.era
         self.complete_rev = self._compacted_rev = listing.complete_rev
         self.copied_rev = (
@@ -150,13 +153,13 @@
         self.changed_rev = max((item.rev for item in listing.changes), default=0)
         changed = [
             item
-            for item in listing.changes
+            for item in self._items.values()
             if item.key not in previous or previous[item.key].value != item.value
         ]
         return changed + [
             Change(key, listing.complete_rev, None, is_unlisted=True)
-            for key, known in previous.items()
-            if key not in self._items and known.value is not None
+            for key, lost in previous.items()
+            if key not in self._items and lost.value is not None
         ]
 
     def _delete_unlisted(self, listing: Delta) -> list[Change]:
--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -280,6 +280,16 @@
     )
 
 
+def test_listing_with_a_key_twice_has_its_last_change() -> None:
+    """Guards against a first listing that is read otherwise than a later one."""
+    older, newer = (replica.Change("servers/a", rev, b"%d" % rev, 1) for rev in (5, 6))
+    for era in (0, 3):
+        for changes in ((older, newer), (newer, older)):
+            known = replica.Replica()
+            known.apply(replica.Delta(changes, 7, True, era))
+            assert known.get_value("servers/a") == b"6", (era, changes)
+
+
 @pytest.mark.parametrize(
     "fields",
     [{"rev": 1 << 63}, {"rev": -1}, {"created_rev": -1}, {"rev": 1.0}, {"key": 7}],
