Refuse a configuration in which a key has two accounts of one name

Two names for a key were refused already. A key that is listed twice for the same account, and accounts of one name with different keys, stay accepted: all readers find the same there.

Two cases of test_direct_storereadings.py failed on the code before and pass now.

--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -167,15 +167,21 @@
         return Fault(f"invalid configuration: {exc}")
     if contradiction := find_contradiction(wire):
         return Fault(f"invalid configuration: {contradiction}")
-    accounts = {
-        key: catalog.Account(
-            wire_tenant.name,
-            wire_tenant.priority,
-            decode_regions(wire_tenant.allowed_regions),
+    accounts: dict[str, catalog.Account] = {}
+    for wire_account in wire.tenants or ():
+        account = catalog.Account(
+            wire_account.name,
+            wire_account.priority,
+            decode_regions(wire_account.allowed_regions),
         )
-        for wire_tenant in wire.tenants or ()
-        for key in wire_tenant.api_keys
-    }
+        for key in wire_account.api_keys:
+            owner = accounts.setdefault(key, account)
+            if owner != account:
+                # Keys are secret, so only the accounts are named.
+                return Fault(
+                    f"invalid configuration: accounts {owner.name} and {account.name}"
+                    " differ and have the same key"
+                )
     limits = catalog.Limits(
         wire.limits.max_header_bytes,
         wire.limits.max_body_bytes,
@@ -191,15 +197,9 @@
 
 
 def find_contradiction(wire: WireConfig) -> str | None:
-    """Return what a configuration states twice, and thus not clearly, or None."""
+    """Return the route or service that a configuration states twice, or None."""
     routes = [f"route {route.host}{route.prefix}" for route in wire.routes]
     services = [f"service {service.name}" for service in wire.services]
-    # Keys are secret, so only the account is named.
-    owners: dict[str, str] = {}
-    for account in wire.tenants or ():
-        for key in account.api_keys:
-            if owners.setdefault(key, account.name) != account.name:
-                return f"accounts {owners[key]} and {account.name} have the same key"
     for names in filter(None, (routes, services)):
         name, count = collections.Counter(names).most_common(1)[0]
         if count > 1:
--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -99,6 +99,36 @@
     assert isinstance(DECODER.decode_catalog(data), catalog.Catalog)
 
 
+def make_accounts(*accounts: dict[str, object]) -> bytes:
+    """Return a configuration with these accounts."""
+    return msgspec.json.encode(df.make_config(2) | {"tenants": accounts})
+
+
+ALICE: typing.Final[dict[str, object]] = {"name": "alice", "api_keys": ["k", "k"]}
+
+
+@pytest.mark.parametrize(
+    "other",
+    [{"name": "bob"}, {"priority": 9}, {"allowed_regions": ["eu"]}],
+)
+def test_configuration_with_two_accounts_for_a_key_is_refused(
+    other: dict[str, object],
+) -> None:
+    """Guards against requests with the priority or regions of another reading."""
+    assert isinstance(DECODER.decode_catalog(make_accounts(ALICE, ALICE | other)), str)
+    assert isinstance(DECODER.decode_catalog(make_accounts(ALICE | other, ALICE)), str)
+
+
+@pytest.mark.parametrize("other", [ALICE, ALICE | {"api_keys": ["l"], "priority": 9}])
+def test_configuration_with_one_account_for_each_key_is_used(
+    other: dict[str, object],
+) -> None:
+    """Guards against a refusal of accounts of which all readers find the same."""
+    accepted = DECODER.decode_catalog(make_accounts(ALICE, other))
+    assert isinstance(accepted, catalog.Catalog)
+    assert accepted.accounts["k"].priority is None
+
+
 def test_ambiguous_entries_and_configurations_change_nothing_in_processes(
     tmp_path: pathlib.Path,
 ) -> None:
