Read only the headers of the response itself from an engine

The client kept one dict of headers and wrote into it until the end of the bytes: trailers, and the headers of a further response in the same segment, replaced those of the response that was returned, so that an engine left for good by the statement of another response. Of a header that comes twice the last value counted, where the entries take any. A body was taken for whole though its transfer encoding was stated twice or was not only `chunked`; h11 refuses that.

Headers count up to the end of the head. Those that come twice are joined, as HTTP defines. An encoding other than `chunked` is a fault.

What held before and has tests now: two lengths, a length beside an encoding, the rest of a response that timed out, a response that is written twice, headers of an informational response.

--- a/sardinesaddle/direct/httpclient.py
+++ b/sardinesaddle/direct/httpclient.py
@@ -19,7 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A complete response; header names are in lower case."""
+    """A complete response; header names are in lower case.
+
+    The values of a header that comes twice are joined by commas, as HTTP defines.
+    """
 
     status: int
     headers: dict[str, str]
@@ -91,12 +94,19 @@
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        """Store a header, but not a trailer or a header of a further response."""
+        if self._has_head:
+            return
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        known = self._headers.get(key)
+        self._headers[key] = text if known is None else f"{known}, {text}"
 
     def on_headers_complete(self) -> None:
-        """Begin with the body."""
+        """Begin with the body; of other encodings readers find different ends."""
         self._has_head = True
+        encoding = self._headers.get("transfer-encoding", "chunked").strip().lower()
+        if encoding != "chunked":
+            self._fail(f"transfer encoding {encoding!r:.60}")
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, up to its limit."""
--- a/test/test_direct_httpclient.py
+++ b/test/test_direct_httpclient.py
@@ -18,10 +18,13 @@
 class ScriptedServer:
     """Answers each request with the next of some bytes; None closes the connection.
 
-    After ``EOF`` at the end of the bytes it closes the connection in order.
+    After ``EOF`` at the end of the bytes it closes the connection in order. It waits
+    for ``PAUSE_S`` where they have ``PAUSE``.
     """
 
     EOF: typing.Final = b"<eof>"
+    PAUSE: typing.Final = b"<pause>"
+    PAUSE_S: typing.Final = 1.0
 
     def __init__(self, *script: bytes | None) -> None:
         self._script = list(script)
@@ -53,7 +56,11 @@
             reply = self._script.pop(0)
             if reply is None:
                 break
-            writer.write(reply.removesuffix(self.EOF))
+            first, *others = reply.removesuffix(self.EOF).split(self.PAUSE)
+            writer.write(first)
+            for other in others:
+                await asyncio.sleep(self.PAUSE_S)
+                writer.write(other)
             if reply.endswith(self.EOF):
                 break
         writer.close()
@@ -133,6 +140,97 @@
     run(scenario, data, WHOLE)
 
 
+EXTRA_HEAD: typing.Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Own: 8\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        # A further response in the same segment; its headers are not the first one's.
+        WHOLE + EXTRA_HEAD + b"X-Extra: 1\r\n\r\ncd",
+        WHOLE + EXTRA_HEAD,
+        # Trailers are no headers; other readers drop or merge them.
+        b"HTTP/1.1 200 OK\r\nX-Own: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\nX-Own: 8\r\nX-Extra: 1\r\n\r\n",
+        # Headers of an informational response are not those of the final one.
+        b"HTTP/1.1 103 Early Hints\r\nX-Extra: 1\r\n\r\n" + WHOLE,
+    ],
+)
+def test_headers_after_those_of_the_response_are_not_its_own(data: bytes) -> None:
+    """Guards against a statement of another response, or one in the trailers."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        for _ in range(2):
+            response = await client.request("GET", "/report", TIMEOUT_S)
+            assert isinstance(response, httpclient.HttpResponse)
+            assert response.headers["x-own"] == "7"
+            assert "x-extra" not in response.headers
+            assert response.body == b"ab"
+
+    run(scenario, data, WHOLE)
+
+
+def test_values_of_a_header_that_comes_twice_are_joined() -> None:
+    """Guards against a statement of which another reader takes the other value."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        response = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(response, httpclient.HttpResponse)
+        assert response.headers["x-own"] == "8, 7"
+
+    run(scenario, WHOLE.replace(b"X-Own: 7", b"X-Own: 8\r\nx-own: 7"))
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 2\r\nContent-Length: 2\r\n",
+        b"Content-Length: 2\r\nContent-Length: 3\r\n",
+        b"Content-Length: 2, 2\r\n",
+        b"Content-Length: +2\r\n",
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked, chunked\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+    ],
+)
+def test_two_statements_of_the_length_are_a_fault(framing: bytes) -> None:
+    """Guards against a body whose end another reader finds elsewhere."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        outcome = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(outcome, httpclient.HttpFault), outcome
+        response = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(response, httpclient.HttpResponse)
+        assert response.body == b"ab"
+
+    body = b"2\r\nab\r\n0\r\n\r\n" if b"chunked" in framing else b"ab"
+    head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n"
+    run(scenario, head + body + ScriptedServer.EOF, WHOLE)
+
+
+def test_response_that_comes_late_is_not_that_of_the_next_request() -> None:
+    """Guards against the answer to a call that timed out, or one that comes twice."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        # The rest of the first response comes after its time-out.
+        outcome = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(outcome, httpclient.HttpFault)
+        for body in (b"ab", b"ef"):
+            response = await client.request("GET", "/report", TIMEOUT_S)
+            assert isinstance(response, httpclient.HttpResponse)
+            assert response.body == body
+            # A copy of it comes now, on the connection that is idle.
+            await asyncio.sleep(2 * ScriptedServer.PAUSE_S)
+
+    late = WHOLE[:-1] + ScriptedServer.PAUSE + WHOLE[-1:]
+    twice = WHOLE + ScriptedServer.PAUSE + WHOLE.replace(b"ab", b"cd")
+    run(scenario, late, twice, WHOLE.replace(b"ab", b"ef"))
+
+
 @pytest.mark.parametrize(("method", "sent"), [("GET", 3), ("POST", 2)])
 def test_only_a_get_is_sent_again_if_an_idle_connection_was_closed(
     method: str, sent: int
