--- a/sardinesaddle/direct/engine.py
+++ b/sardinesaddle/direct/engine.py
@@ -54,6 +54,14 @@
     counts: list[int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankExperts:
+    """The experts of a rank by layer set, and the version of the map that has them."""
+
+    version: int
+    experts: list[list[int]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineOrder:
     """An order to an engine.
@@ -83,7 +91,7 @@
         """Return how often each expert was selected since the rank started."""
 
     @abc.abstractmethod
-    async def read_experts(self) -> list[list[int]] | EngineFault:
+    async def read_experts(self) -> RankExperts | EngineFault:
         """Return the experts of the rank in the map in force, by layer set."""
 
     @abc.abstractmethod
--- a/sardinesaddle/direct/rankagent.py
+++ b/sardinesaddle/direct/rankagent.py
@@ -76,13 +76,18 @@
         )
 
     async def _read_experts(self, state: engine.EngineState) -> list[list[int]] | None:
-        """Return the rank's experts, which are cached for each epoch and map."""
+        """Return the rank's experts, which are cached for each epoch and map.
+
+        Returns None if they are those of another map than the state names.
+        """
         key = (state.epoch, state.map_version)
         if self._experts_key != key:
             reading = await self._engine.read_experts()
             if isinstance(reading, engine.EngineFault):
                 return None
-            self._experts = reading
+            if reading.version != state.map_version:
+                return None
+            self._experts = reading.experts
             self._experts_key = key
         return self._experts
 
--- a/sardinesaddle/standins/rankgroup.py
+++ b/sardinesaddle/standins/rankgroup.py
@@ -277,12 +277,11 @@
         counts = list(group.ranks[self._index].expert_counts)
         return engine.ExpertCounts(group.step, group.epoch, counts)
 
-    async def read_experts(self) -> list[list[int]] | engine.EngineFault:
+    async def read_experts(self) -> engine.RankExperts | engine.EngineFault:
         """Return the experts of the rank in the map in force, by layer set."""
-        return [
-            list(layer_experts)
-            for layer_experts in self._group.ranks[self._index].experts
-        ]
+        rank = self._group.ranks[self._index]
+        experts = [list(layer_experts) for layer_experts in rank.experts]
+        return engine.RankExperts(rank.map_version, experts)
 
     async def send_order(self, order: engine.EngineOrder) -> int | engine.EngineFault:
         """Execute an order at once, or late and without a response."""
--- a/test/test_direct_backupleader.py
+++ b/test/test_direct_backupleader.py
@@ -67,7 +67,7 @@
         await self._enter()
         return await self._client.read_counts()
 
-    async def read_experts(self) -> list[list[int]] | engine.EngineFault:
+    async def read_experts(self) -> engine.RankExperts | engine.EngineFault:
         """Read the experts."""
         await self._enter()
         return await self._client.read_experts()
