Release a held pass again if a later report shows the hold

While it released a pass, one report of rank 0 without the hold ended the release, though the order had never been sent; the leader then waited for the new map, and the group stood still until its next epoch. Such a report may be an older one that comes late on a kept connection, or lack the field.

The leader sends the release whenever rank 0 reports the hold of its switch, also while it waits for the ranks to report the new map. All ranks have reported to be armed by then, and a release that comes late names a pass that has begun.

--- a/sardinesaddle/direct/mapswitch.py
+++ b/sardinesaddle/direct/mapswitch.py
@@ -221,9 +221,7 @@
             return self._hold(now, attempt, views)
         if attempt.phase is Phase.ARMING:
             return self._arm(attempt, views)
-        if attempt.phase is Phase.RELEASING:
-            return self._release(attempt, views)
-        return []
+        return self._release(attempt, views)
 
     def _is_completed(
         self, attempt: SwitchAttempt, views: typing.Sequence[RankView]
@@ -312,10 +310,15 @@
     def _release(
         self, attempt: SwitchAttempt, views: typing.Sequence[RankView]
     ) -> list[Order]:
-        """Order the gate to release the held pass until it reports the release."""
+        """Order the gate to release the held pass until it reports the release.
+
+        It does so again if a later view shows the hold: the view without it may have
+        been older than the hold, and nothing else would end it.
+        """
         if views[0].held_step == attempt.step:
             return [Order(OrderKind.RELEASE, 0, attempt.epoch, 0, attempt.step)]
-        self._enter_phase(attempt, Phase.SETTLING, attempt.step)
+        if attempt.phase is Phase.RELEASING:
+            self._enter_phase(attempt, Phase.SETTLING, attempt.step)
         return []
 
     def _recover(self, now: float, views: typing.Sequence[RankView]) -> None:
--- a/test/test_direct_maps.py
+++ b/test/test_direct_maps.py
@@ -80,10 +80,14 @@
         """Return the model of the group's engines."""
         return self.rank_group.model
 
+    async def read_gate(self) -> engine.EngineState | engine.EngineFault:
+        """Read the state of the gate's engine."""
+        return await self._gate_engine.read_state()
+
     async def poll_engines(self) -> None:
         """Read the engines periodically, as the sidecars do."""
         while True:
-            engine_state = await self._gate_engine.read_state()
+            engine_state = await self.read_gate()
             self._state = (
                 engine_state if isinstance(engine_state, engine.EngineState) else None
             )
