Read the experts of ranks again if their lists make no map

A list was kept for the map in force by the leader and by the agent of its rank. One list with an expert that does not exist raised in the planner at each poll; one without a set was never asked for again: in both cases the group got no new map until its next epoch. Counts of one rank that were longer than those of the others had all others left out, so that nothing was planned.

The leader checks that the lists of all ranks make a map: the same experts in each set, each on some rank. If not, it forgets them and they are read again; agents keep none. A rank whose counts have another length than the model's is left out.

Four cases of test_direct_groupreadings.py failed on the code before and pass now: experts beyond the last one, a list of no set, counts of 49 and 96 for 48 experts. Counts of 47 cannot be told from 48 once they are packed; the rank's demand is then off by one place.

--- a/sardinesaddle/direct/expertplan.py
+++ b/sardinesaddle/direct/expertplan.py
@@ -206,6 +206,18 @@
         self.added_by_rank[rank] += 1
 
 
+def count_experts(experts_by_rank: list[list[int]]) -> int:
+    """Return how many different experts the ranks hold of one set of layers."""
+    return len(set().union(*experts_by_rank))
+
+
+def is_complete_map(experts: ExpertMap) -> bool:
+    """Return whether each set has the same experts, from 0 on, each on some rank."""
+    count = count_experts(experts[0])
+    numbers = set(range(count))
+    return all(set().union(*by_rank) == numbers for by_rank in experts)
+
+
 def plan_map(
     demand: list[float], current: ExpertMap, shape: GroupShape, max_copies: int
 ) -> MapPlan | None:
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -112,6 +112,8 @@
         self._demand = 0.0  # of the group, when a map was last planned
         # By rank: epoch, map version, and the rank's experts by set of layers.
         self._experts_by_rank: dict[int, tuple[int, int, list[list[int]]]] = {}
+        # The epoch and map version for which the ranks' lists made no map.
+        self._refused_experts = (-1, -1)
         self.skew = 1.0
         self.last_decision = ""
 
@@ -161,7 +163,9 @@
         hosts = self._context.get_rank_hosts()
         if not all(rank in hosts for rank in range(1, state.size)):
             return None
-        own = await self._agent.read_rank(is_idle, is_idle)
+        own = await self._agent.read_rank(
+            is_idle, is_idle and 0 not in self._experts_by_rank
+        )
         others = await asyncio.gather(
             *(
                 self._ask(
@@ -261,12 +265,27 @@
     def _join_experts(
         self, replies: list[messages.RankReply]
     ) -> list[list[list[int]]] | None:
-        """Return the experts by set and rank, or None unless all ranks' are known."""
+        """Return the experts by set and rank, or None unless all ranks' are known.
+
+        Lists that make no map together are forgotten, so that they are read again.
+        """
         by_rank = [self._get_experts(rank_reply) for rank_reply in replies]
-        known = [experts for experts in by_rank if experts]
-        if len(known) < len(by_rank) or len({len(sets) for sets in known}) != 1:
+        known = [experts for experts in by_rank if experts is not None]
+        if len(known) < len(by_rank) or not any(known):
             return None
-        return [list(sets) for sets in zip(*known, strict=True)]
+        if len({len(sets) for sets in known}) == 1:
+            experts = [list(sets) for sets in zip(*known, strict=True)]
+            if expertplan.is_complete_map(experts):
+                return experts
+        self._experts_by_rank.clear()
+        key = (replies[0].epoch, replies[0].map_version)
+        if self._refused_experts != key:
+            self._refused_experts = key
+            loguru.logger.warning(
+                "event=experts_refused epoch={} version={} remedy=they_are_read_again",
+                *key,
+            )
+        return None
 
     def _plan_map(
         self,
@@ -277,14 +296,18 @@
         """Return a map that is worth a switch by the group's demand, or None."""
         if not model.layer_sets or len(experts) != model.layer_sets:
             return None
+        if expertplan.count_experts(experts[0]) != model.experts_per_set:
+            return None
+        demand_count = model.layer_sets * model.experts_per_set
+        parts = [
+            (rank_reply.demand or b"", rank_reply.demand_unit) for rank_reply in replies
+        ]
+        # A rank whose counts have another length is left out.
+        packed_length = (demand_count + 1) // 2
         total_demand = expertdemand.sum_packed(
-            [
-                (rank_reply.demand or b"", rank_reply.demand_unit)
-                for rank_reply in replies
-            ]
+            [part for part in parts if len(part[0]) == packed_length]
         )
-        demand_count = model.layer_sets * model.experts_per_set
-        if len(total_demand) not in (demand_count, demand_count + 1):
+        if len(total_demand) < demand_count:
             return None
         del total_demand[demand_count:]
         self._demand = sum(total_demand)
--- a/sardinesaddle/direct/rankagent.py
+++ b/sardinesaddle/direct/rankagent.py
@@ -31,8 +31,6 @@
         self._metrics = metrics
         self._rng = rng
         self.demand = expertdemand.ExpertDemand()
-        self._experts: list[list[int]] = []
-        self._experts_key: tuple[int, int] = (-1, -1)
 
     async def read_demand(self) -> None:
         """Read the engine's expert counts into the demand estimate."""
@@ -76,20 +74,15 @@
         )
 
     async def _read_experts(self, state: engine.EngineState) -> list[list[int]] | None:
-        """Return the rank's experts, which are cached for each epoch and map.
+        """Return the rank's experts, or None if they are not those of the state's map.
 
-        Returns None if they are those of another map than the state names.
+        The leader keeps them while the map is in force. They are not kept here, so that
+        it can have them read again.
         """
-        key = (state.epoch, state.map_version)
-        if self._experts_key != key:
-            reading = await self._engine.read_experts()
-            if isinstance(reading, engine.EngineFault):
-                return None
-            if reading.version != state.map_version:
-                return None
-            self._experts = reading.experts
-            self._experts_key = key
-        return self._experts
+        reading = await self._engine.read_experts()
+        if isinstance(reading, engine.EngineFault):
+            return None
+        return reading.experts if reading.version == state.map_version else None
 
     async def apply_order(self, order: engine.EngineOrder) -> engine.EngineState | None:
         """Send an order unless it is in effect; return the state after it.
--- a/test/test_direct_groupreadings.py
+++ b/test/test_direct_groupreadings.py
@@ -177,6 +177,21 @@
     "counts_of_half": (2, "/picked", lambda page: change(page, counts=[9] * 24)),
     "counts_of_more": (2, "/picked", lambda page: change(page, counts=[9] * 64)),
     "counts_empty": (2, "/picked", lambda page: change(page, counts=[])),
+    "experts_beyond": (
+        2,
+        "/picked?lists=1",
+        lambda page: page.replace(b"[[", b"[[16,", 1),
+    ),
+    "experts_negative": (
+        2,
+        "/picked?lists=1",
+        lambda page: page.replace(b"[[", b"[[-99,", 1),
+    ),
+    "experts_of_no_set": (
+        2,
+        "/picked?lists=1",
+        lambda page: b'{"map":{"version":0,"experts":[]}}',
+    ),
     "experts_of_another_map": (
         2,
         "/picked?lists=1",
@@ -211,6 +226,23 @@
     assert not errors
 
 
+@pytest.mark.parametrize("count", [0, 24, 47, 49, 96])
+def test_rank_with_counts_of_another_length_is_left_out(count: int) -> None:
+    """Guards against one rank's counts that end the planning for its group."""
+
+    async def scenario(group: PagedGroup) -> None:
+        def alter_page(index: int, path: str, page: bytes) -> bytes:
+            if (index, path) != (2, "/picked"):
+                return page
+            counts = [group.rank_group.step * 1000] * count
+            return change(page, counts=counts)
+
+        group.alter = alter_page
+        await check_that_maps_follow(group)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("reports", [1, 3])
 def test_held_pass_that_one_report_lacks_is_released(seed: int, reports: int) -> None:
