Play late reports of an engine on a group of processes

The first release of each hold gets no response and is not carried out, and for 0.3 s the report from before the hold comes once more before each report, as engines may write a response late. The leader's sidecar and an entry are restarted in between.

--- a/test/processfleet.py
+++ b/test/processfleet.py
@@ -35,6 +35,7 @@
         self.targets = {}
         self.processes: list[soak.NodeProcess] = []
         self._directory = directory
+        self._store_address = ""
         self.store_server = serve_store(self.store)
 
     async def start(self, entry_count: int, **settings: object) -> None:
@@ -45,13 +46,15 @@
             for _ in range(2 * entry_count + 1)
         ]
         self.ports = ports[:entry_count]
+        self.node_port = ports[-1]
+        self._store_address = f"{soak.STORE_HOST}:{store_port}"
         for index in range(entry_count):
             host = make_host(index)
             cfg: dict[str, object] = {
                 "name": f"e{index}",
                 "host": host,
                 "place": "p",
-                "store": f"{soak.STORE_HOST}:{store_port}",
+                "store": self._store_address,
                 "front": f"{host}:{ports[index]}",
                 "ready": f"{host}:{ports[entry_count + index]}",
                 "node_ports": [ports[-1], ports[-1]],
@@ -64,6 +67,24 @@
         for index in range(entry_count):
             await self.wait_until_configured(index)
 
+    def start_sidecar(self, index: int, engine_name: str) -> soak.NodeProcess:
+        """Start the sidecar of a model engine, on 127.0.6.2N."""
+        host = f"127.0.6.{20 + index}"
+        cfg: dict[str, object] = {
+            "name": f"s{index}",
+            "host": host,
+            "place": "p",
+            "store": self._store_address,
+            "node_ports": [self.node_port, self.node_port],
+            "seeds": [f"{make_host(0)}:1"],
+            "target": f"127.0.0.1:{self.targets[engine_name].port}",
+            "service": "engines",
+        }
+        process = soak.NodeProcess("sidecar", index, self._directory, cfg)
+        process.start()
+        self.processes.append(process)
+        return process
+
     async def wait_until_configured(self, index: int) -> None:
         """Wait until an entry responds with the status of an unknown route."""
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -91,9 +112,9 @@
         self.processes[index].is_exit_expected = True
         self.processes[index].signal_if_running(signal.SIGTERM)
 
-    def read_log(self, index: int) -> str:
-        """Return what an entry has logged."""
-        return (self._directory / f"entry-{index}.log").read_text(errors="replace")
+    def read_log(self, index: int, role: str = "entry") -> str:
+        """Return what an entry, or a sidecar, has logged."""
+        return (self._directory / f"{role}-{index}.log").read_text(errors="replace")
 
     async def stop(self) -> None:
         """End the processes, then the store and the targets."""
--- a/test/test_direct_groupreadings.py
+++ b/test/test_direct_groupreadings.py
@@ -1,12 +1,14 @@
 """Tests that an engine's odd pages neither stop its group nor mix its maps.
 
 The leader and the agents are the real ones, on a virtual clock. The agents read pages
-as engines write them, which a test may alter.
+as engines write them, which a test may alter. One test has entries and sidecars as
+processes.
 """
 
 import asyncio
 import collections.abc
 import json
+import pathlib
 import random
 import typing
 
@@ -21,11 +23,13 @@
     supervision,
 )
 from sardinesaddle.platform import engines
-from sardinesaddle.standins import loopdriver
+from sardinesaddle.standins import loopdriver, rankgroup
 from test import directfleet as df
-from test import soakengine
+from test import processfleet, soakengine
 from test import test_direct_maps as maps
 
+WAIT_S: typing.Final = 30.0  # a switch follows a shift of demand within some seconds
+
 # What is altered: the rank, the path of its page, and the bytes of the page.
 Alter = collections.abc.Callable[[int, str, bytes], bytes]
 
@@ -271,3 +275,88 @@
         assert group.rank_group.total_held_s < 1.0
 
     run_scenario(scenario, seed)
+
+
+class LateEngines:
+    """The engines of a group, the first of which loses orders and writes reports late.
+
+    The first release of each held pass gets no response and is not carried out. For
+    ``LATE_S`` after it, the report from before the hold comes once more before each
+    report. ``late_steps`` has these passes.
+    """
+
+    LATE_S: typing.Final = 0.3
+
+    def __init__(self) -> None:
+        self.rank_group = rankgroup.RankGroup(soakengine.RANK_COUNT, 1)
+        self.late_steps: set[int] = set()
+        self._report_before = b""
+        self._late_until = 0.0
+
+    async def respond(
+        self,
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Respond to a sidecar."""
+        group = self.rank_group
+        index = int(target.name[1:])
+        now = asyncio.get_running_loop().time()
+        if request.path == "/order":
+            order = json.loads(request.body)
+            if order["op"] == "go" and order["step"] not in self.late_steps:
+                self.late_steps.add(order["step"])
+                self._late_until = now + self.LATE_S
+                await asyncio.sleep(engines.ORDER_TIMEOUT_S * 2)
+                return False
+        data = await soakengine.respond_to_sidecar(group, index, request, 4)
+        if (index, request.path) == (0, "/report"):
+            if not group.held_step:
+                self._report_before = data
+            elif now < self._late_until:
+                writer.write(self._report_before)
+        writer.write(data)
+        return True
+
+
+def test_group_of_processes_goes_on_though_reports_come_late(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a group that stands still since a report came late.
+
+    The leader's sidecar, and later an entry, are restarted in between.
+    """
+
+    async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        late = LateEngines()
+        group = late.rank_group
+        passes = asyncio.get_running_loop().create_task(group.run())
+        fleet.store.put("op/config", soakengine.make_config(2, ("key-a",), 4000))
+        for index in range(soakengine.RANK_COUNT):
+            await fleet.add_target(f"g{index}", "engines", late.respond)
+        sidecars = [
+            fleet.start_sidecar(index, f"g{index}")
+            for index in range(soakengine.RANK_COUNT)
+        ]
+        for round_number in range(3):
+            late_count = len(late.late_steps)
+            async with asyncio.timeout(WAIT_S):
+                while len(late.late_steps) < late_count + 2:
+                    group.shift_demand(0.9)
+                    await asyncio.sleep(1.0)
+            await asyncio.sleep(1.0)
+            began = len(group.pass_durations_s)
+            await asyncio.sleep(1.0)
+            assert len(group.pass_durations_s) > began + 5, round_number
+            if round_number == 0:
+                await sidecars[0].kill_and_wait()
+                sidecars[0].start()
+            elif round_number == 1:
+                await fleet.restart(1)
+        passes.cancel()
+        assert not group.mixed_passes
+        for index in range(soakengine.RANK_COUNT):
+            assert "event=task_failed" not in fleet.read_log(index, "sidecar")
+
+    processfleet.run_scenario(tmp_path, scenario, 2)
