Refuse zones and ports that readers of an entry take differently

A zone with a blank, a line end or a NUL around or in it is another one here than for a reader that drops it, so an engine of an evacuated zone was used. A port with a leading zero is octal to some readers. A version beyond 64 bits was put in force though no message to another entry can name it.

Such an entry is no target, and such a version is refused. Zones of several words, and an empty one, are accepted as before.

Five cases of test_direct_storereadings.py failed on the code before and pass now.

--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -129,7 +129,8 @@
     ``tenants`` is None if the deployment has none; an empty list leaves no valid key.
     """
 
-    version: typing.Annotated[int, msgspec.Meta(ge=1)]
+    # Integers of 64 bits can be told to other entries.
+    version: typing.Annotated[int, msgspec.Meta(ge=1, le=(1 << 63) - 1)]
     routes: list[WireRoute]
     services: list[WireService]
     tenants: list[WireAccount] | None = None
@@ -318,6 +319,9 @@
     address = parse_address(wire.addr)
     if address is None:
         return Fault(f"{key}: invalid address {wire.addr!r:.60}")
+    if wire.zone != wire.zone.strip() or "\0" in wire.zone:
+        # A reader that drops blanks finds a zone that may be evacuated.
+        return Fault(f"{key}: invalid zone {wire.zone!r:.60}")
     is_draining = wire.state == "draining"
     return catalog.TargetRegistration(
         target_id=target_id,
@@ -338,7 +342,7 @@
     """Return IPv4 address and port, or None; there are no host names to look up."""
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
-    if not is_number or not 0 < int(port) <= MAX_PORT:
+    if not is_number or port.startswith("0") or int(port) > MAX_PORT:
         return None
     try:
         # It accepts what ``ipaddress`` accepts, and takes far less time.
--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -38,6 +38,13 @@
     "nested_twice": append(foreign.change(), b'"x":[{"y":1,"y":1}]'),
     "unknown_without_utf8": append(foreign.change(), b'"x":"\xff"'),
     "unknown_number_of_5000_digits": append(foreign.change(), b'"x":' + b"9" * 5000),
+    "zone_with_a_blank": foreign.change(zone="p "),
+    "zone_with_a_line_end": foreign.change(zone="p\n"),
+    "zone_with_nul": foreign.change(zone="p\0"),
+    "port_with_a_zero": foreign.change(addr="127.0.0.1:09"),
+    "host_with_a_zero": foreign.change(addr="127.0.0.01:9"),
+    "host_of_three_numbers": foreign.change(addr="127.0.1:9"),
+    "address_with_a_blank": foreign.change(addr="127.0.0.1: 9"),
 }
 CLEAR_ENTRIES: typing.Final[dict[str, bytes]] = {
     "compact": foreign.change(),
@@ -51,6 +58,8 @@
     "escaped_value": foreign.change().replace(b'"p"', b'"\\u0070"'),
     "exponent": append(foreign.change(), b'"x":1e5'),
     "beyond_a_double": append(foreign.change(), b'"x":1e999'),
+    "no_zone": foreign.change(zone=""),
+    "zone_of_two_words": foreign.change(zone="S\u00e3o Paulo"),
     "other_case": append(foreign.change(), b'"Service":"engines"'),
 }
 
@@ -78,6 +87,10 @@
         append(CONFIG, b'"\\u0074enants":[]'),
         CONFIG.replace(b'"service":"plain"', b'"service":"plain","service":"x"', 1),
         CONFIG.replace(b'"name":"alice"', b'"name":"bob","name":"alice"'),
+        CONFIG.replace(b'"version":2', b'"version":%d' % (1 << 63)),
+        CONFIG.replace(b'"version":2', b'"version":2.0'),
+        CONFIG.replace(b'"version":2', b'"version":"2"'),
+        CONFIG.replace(b'"version":2', b'"version":true'),
     ],
 )
 def test_configuration_that_readers_take_differently_is_refused(data: bytes) -> None:
