Split a route whose weights have no finite sum

Such weights are divided by their count.

The case of test_direct_storereadings.py failed on the code before and passes now.

--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -214,8 +214,11 @@
     Idempotent routes and resumable streams may be repeated. A route without
     services gets a single one with an empty name.
     """
+    total = sum(split.weight for split in wire.traffic_split)
+    # The sum has to be a number, of which a random part is taken for each request.
+    divisor = 1 if math.isfinite(total) else len(wire.traffic_split)
     splits = tuple(
-        catalog.WeightedService(split.service, split.weight)
+        catalog.WeightedService(split.service, split.weight / divisor)
         for split in wire.traffic_split
     )
     if wire.service is not None:
--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -112,6 +112,21 @@
     assert isinstance(DECODER.decode_catalog(data), catalog.Catalog)
 
 
+def test_route_with_weights_beyond_a_double_is_split() -> None:
+    """Guards against requests that fail since the sum of weights is infinite."""
+    weights = [{"service": name, "weight": 1e308} for name in ("a", "b", "c")]
+    weights.append({"service": "never", "weight": 0.0})
+    config: dict[str, typing.Any] = df.make_config(2)
+    del config["routes"][0]["service"]
+    config["routes"][0]["traffic_split"] = weights
+    accepted = DECODER.decode_catalog(msgspec.json.encode(config))
+    assert isinstance(accepted, catalog.Catalog)
+    route = accepted.find_route("h.example", "/once/a")
+    assert route is not None
+    picked = [catalog.pick_service(route, part / 9) for part in range(9)]
+    assert picked == ["a"] * 3 + ["b"] * 3 + ["c"] * 3
+
+
 def make_accounts(*accounts: dict[str, object]) -> bytes:
     """Return a configuration with these accounts."""
     return msgspec.json.encode(df.make_config(2) | {"tenants": accounts})
