--- a/test/test_direct_storereadings.py
+++ b/test/test_direct_storereadings.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import pathlib
+import random
 import typing
 
 import aiohttp
@@ -78,6 +79,45 @@
     assert (decoded.service, decoded.port) == ("plain", 9)
 
 
+def write_fields(rng: random.Random, fields: list[tuple[str, object]]) -> bytes:
+    """Return the JSON of an object with blanks and escapes at random places."""
+    parts = []
+    for name, value in fields:
+        written = json.dumps(name)
+        if rng.random() < 0.1:
+            written = '"' + "".join(f"\\u{ord(char):04x}" for char in name) + '"'
+        blanks = [rng.choice(("", "", "", " ", "\n", "\t ")) for _ in range(3)]
+        text = json.dumps(value, separators=rng.choice([(",", ":"), (", ", ": ")]))
+        parts.append(f"{written}{blanks[0]}:{blanks[1]}{text}{blanks[2]}")
+    return ("{" + rng.choice((",", ", ")).join(parts) + "}").encode()
+
+
+def test_readers_of_the_first_and_of_the_last_value_find_the_same_target() -> None:
+    """Guards against forms of a name given twice that the fast check does not see.
+
+    Entries have fields twice, unknown ones, and strings with what looks like fields.
+    """
+    rng = random.Random(46)
+    accepted = 0
+    values = ["plain", "engines", ', "service": "x"', 'a": 1, "b', "a:b, c: d", 1, [{}]]
+    for _ in range(5000):
+        fields = list(foreign.VALID.items())
+        fields += [
+            (rng.choice(["service", "state", "x", "y", "x: y", "Service"]), value)
+            for value in rng.choices(values, k=rng.choice([0, 0, 1, 2]))
+        ]
+        rng.shuffle(fields)
+        data = write_fields(rng, fields)
+        is_clear = len(dict(fields)) == len(fields)
+        decoded = DECODER.decode_target("servers/x", data)
+        assert isinstance(decoded, catalog.TargetRegistration) == is_clear, data
+        accepted += is_clear
+        first = json.loads(data, object_pairs_hook=lambda pairs: dict(pairs[::-1]))
+        if isinstance(decoded, catalog.TargetRegistration):
+            assert decoded.service == json.loads(data)["service"] == first["service"]
+    assert 1000 < accepted < 4500
+
+
 @pytest.mark.parametrize(
     "data",
     [
