--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -1,15 +1,16 @@
 """Decodes values of the platform's store into the types of ``direct.catalog``."""
 
 import collections
-import ipaddress
 import math
 import re
+import socket
 import typing
 
 import loguru
 import msgspec
 
 from sardinesaddle.direct import catalog, storedecoder
+from sardinesaddle.platform import strictjson
 
 CONFIG_PREFIX: typing.Final = "op/"
 CONFIG_KEY: typing.Final = "op/config"
@@ -128,7 +129,8 @@
     ``tenants`` is None if the deployment has none; an empty list leaves no valid key.
     """
 
-    version: typing.Annotated[int, msgspec.Meta(ge=1)]
+    # Integers of 64 bits can be told to other entries.
+    version: typing.Annotated[int, msgspec.Meta(ge=1, le=(1 << 63) - 1)]
     routes: list[WireRoute]
     services: list[WireService]
     tenants: list[WireAccount] | None = None
@@ -154,23 +156,33 @@
     born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)] = 0
 
 
+_CONFIG_DECODER: typing.Final = strictjson.StrictDecoder(WireConfig)
+_TARGET_DECODER: typing.Final = strictjson.StrictDecoder(WireTarget)
+
+
 def decode_catalog(data: bytes) -> catalog.Catalog | Fault:
     """Decode the stored configuration."""
     try:
-        wire = msgspec.json.decode(data, type=WireConfig)
+        wire = _CONFIG_DECODER.decode(data)
     except _MALFORMED as exc:
         return Fault(f"invalid configuration: {exc}")
     if contradiction := find_contradiction(wire):
         return Fault(f"invalid configuration: {contradiction}")
-    accounts = {
-        key: catalog.Account(
-            wire_tenant.name,
-            wire_tenant.priority,
-            decode_regions(wire_tenant.allowed_regions),
+    accounts: dict[str, catalog.Account] = {}
+    for wire_account in wire.tenants or ():
+        account = catalog.Account(
+            wire_account.name,
+            wire_account.priority,
+            decode_regions(wire_account.allowed_regions),
         )
-        for wire_tenant in wire.tenants or ()
-        for key in wire_tenant.api_keys
-    }
+        for key in wire_account.api_keys:
+            owner = accounts.setdefault(key, account)
+            if owner != account:
+                # Keys are secret, so only the accounts are named.
+                return Fault(
+                    f"invalid configuration: accounts {owner.name} and {account.name}"
+                    " differ and have the same key"
+                )
     limits = catalog.Limits(
         wire.limits.max_header_bytes,
         wire.limits.max_body_bytes,
@@ -186,15 +198,9 @@
 
 
 def find_contradiction(wire: WireConfig) -> str | None:
-    """Return what a configuration states twice, and thus not clearly, or None."""
+    """Return the route or service that a configuration states twice, or None."""
     routes = [f"route {route.host}{route.prefix}" for route in wire.routes]
     services = [f"service {service.name}" for service in wire.services]
-    # Keys are secret, so only the account is named.
-    owners: dict[str, str] = {}
-    for account in wire.tenants or ():
-        for key in account.api_keys:
-            if owners.setdefault(key, account.name) != account.name:
-                return f"accounts {owners[key]} and {account.name} have the same key"
     for names in filter(None, (routes, services)):
         name, count = collections.Counter(names).most_common(1)[0]
         if count > 1:
@@ -208,8 +214,11 @@
     Idempotent routes and resumable streams may be repeated. A route without
     services gets a single one with an empty name.
     """
+    total = sum(split.weight for split in wire.traffic_split)
+    # The sum has to be a number, of which a random part is taken for each request.
+    divisor = 1 if math.isfinite(total) else len(wire.traffic_split)
     splits = tuple(
-        catalog.WeightedService(split.service, split.weight)
+        catalog.WeightedService(split.service, split.weight / divisor)
         for split in wire.traffic_split
     )
     if wire.service is not None:
@@ -307,12 +316,15 @@
     if TARGET_ID_PATTERN.fullmatch(target_id) is None:
         return Fault(f"{key!r}: invalid identifier")
     try:
-        wire = msgspec.json.decode(data, type=WireTarget)
+        wire = _TARGET_DECODER.decode(data)
     except _MALFORMED as exc:
         return Fault(f"{key}: invalid registration: {type(exc).__name__}: {exc}")
     address = parse_address(wire.addr)
     if address is None:
         return Fault(f"{key}: invalid address {wire.addr!r:.60}")
+    if wire.zone != wire.zone.strip() or "\0" in wire.zone:
+        # A reader that drops blanks finds a zone that may be evacuated.
+        return Fault(f"{key}: invalid zone {wire.zone!r:.60}")
     is_draining = wire.state == "draining"
     return catalog.TargetRegistration(
         target_id=target_id,
@@ -333,12 +345,14 @@
     """Return IPv4 address and port, or None; there are no host names to look up."""
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
-    if not is_number or not 0 < int(port) <= MAX_PORT:
+    if not is_number or port.startswith("0") or int(port) > MAX_PORT:
         return None
     try:
-        return str(ipaddress.IPv4Address(host)), int(port)
-    except ValueError:
+        # It accepts what ``ipaddress`` accepts, and takes far less time.
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
         return None
+    return host, int(port)
 
 
 class PlatformStoreDecoder(storedecoder.StoreDecoder):
