Answer what still runs when a stop ends

Cause: drain() ended with frontend.stop(), which cancels the handlers. Callers of all requests that an engine had not answered got a closed connection, which tells a caller of a request that may run once nothing.

Change: at 0.7 s before the kill, time-outs of all requests expire. What was not run is answered 503, also where the body was still being read, and what may have been is answered 504. Streams that have begun are broken off as before.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -38,6 +38,7 @@
     replica,
     responsebuffers,
     rpc,
+    stopdeadline,
     storedecoder,
     storewatcher,
     supervision,
@@ -64,7 +65,9 @@
 # After SIGTERM; later requests are refused. The users count what is sent later than 3 s
 # after it and cut at the end; a busy process handles the signal some tenths late.
 DRAIN_ACCEPT_S: typing.Final = 2.6
-KILL_MARGIN_S: typing.Final = 0.7  # before the platform kills the process
+# Before the platform kills the process, what still runs is answered.
+KILL_MARGIN_S: typing.Final = 0.7
+ANSWER_S: typing.Final = 0.2  # to send these answers
 
 
 class EntryNode(
@@ -139,6 +142,7 @@
             self._crashes,
             self._watchers[store_decoder.targets_prefix],
         )
+        self._stop_deadline = stopdeadline.StopDeadline()
         self.forwarder = forward.Forwarder(
             self,
             self.targets,
@@ -149,6 +153,7 @@
             rng,
             self._crashes,
             self.limits,
+            self._stop_deadline,
             self._on_target_leaving,
             self._registry.on_response,
         )
@@ -167,6 +172,7 @@
             self._get_max_body,
             limits.idle_timeout_s,
             self.buffers,
+            self._stop_deadline,
         )
         self._server = rpc.Server(self, cfg.host, cfg.node_port)
         # The entries that this one has fetched all crash records from.
@@ -710,8 +716,9 @@
     async def drain(self) -> None:
         """Fail the readiness check, finish requests in flight, and stop."""
         loop = asyncio.get_running_loop()
-        began_at = loop.time()
+        ends_at = loop.time() + self._cfg.bounds.drain_s - KILL_MARGIN_S
         self.is_draining = True
+        self._stop_deadline.set(ends_at)
         loguru.logger.info(
             "event=drain_begins active={}", self.frontend.active_requests
         )
@@ -721,8 +728,7 @@
         self.admission.withdraw()
         await asyncio.sleep(DRAIN_ACCEPT_S - NOT_READY_LEAD_S)
         self.frontend.refuses_requests = True
-        deadline = began_at + self._cfg.bounds.drain_s - KILL_MARGIN_S
-        while self.frontend.active_requests and loop.time() < deadline:
+        while self.frontend.active_requests and loop.time() < ends_at + ANSWER_S:
             await asyncio.sleep(0.02)
         await self.stop()
 
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -5,7 +5,7 @@
 that is allowed. A request that may run at most once is retried only if the target
 stated that it did not run it. The entry responds "not run" (503) only if nothing was
 sent or every target stated that it did not run the request. If the outcome is
-unknown, it responds 502 or 504.
+unknown, it responds 502 or 504. So it does when it stops, to all that still runs.
 
 A request whose content has crashed several targets, at any entry, is refused; see
 ``crashledger``.
@@ -37,6 +37,7 @@
     responserelay,
     retrybudget,
     returntimes,
+    stopdeadline,
     targetlimits,
     targetpool,
     targetstate,
@@ -78,10 +79,12 @@
         rng: random.Random,
         crashes: crashdetector.CrashDetector,
         limits: targetlimits.TargetLimits,
+        stop_deadline: stopdeadline.StopDeadline,
         on_target_leaving: collections.abc.Callable[[str, str], None],
         on_target_response: collections.abc.Callable[[targetstate.Target, float], None],
     ) -> None:
         self._entry_state = entry_state
+        self._stop_deadline = stop_deadline
         self._on_target_response = on_target_response
         self._on_target_leaving = on_target_leaving
         self._limits = limits
@@ -119,7 +122,7 @@
         budget.on_request(loop.time())
         budget.on_entry_count(loop.time(), self._entry_state.count_entries())
         try:
-            async with asyncio.timeout_at(state.deadline):
+            async with self._stop_deadline.timeout_at(state.deadline):
                 refusal = await self._attempt_all(state, responder)
         except TimeoutError:
             is_outcome_unknown = state.may_have_run
@@ -128,8 +131,11 @@
                 if is_outcome_unknown
                 else requeststate.STATUS_NOT_RUN
             )
+            is_stopped = loop.time() < state.deadline
             refusal = requeststate.Refusal(
-                status, "timeout", requeststate.RETRY_AFTER_SHORT_S
+                status,
+                "stopped" if is_stopped else "timeout",
+                requeststate.RETRY_AFTER_SHORT_S,
             )
         except asyncio.CancelledError:
             self._log(req, state, "caller_left", 0)
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -22,6 +22,7 @@
     headercodec,
     requeststate,
     responsebuffers,
+    stopdeadline,
 )
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
@@ -136,8 +137,10 @@
         get_max_body_bytes: typing.Callable[[], int],
         idle_timeout_s: float,
         buffers: responsebuffers.ResponseBuffers,
+        stop_deadline: stopdeadline.StopDeadline,
     ) -> None:
         self._buffers = buffers
+        self._stop_deadline = stop_deadline
         self._forwarder = forwarder
         self._header_codec = header_codec
         self._get_max_body_bytes = get_max_body_bytes
@@ -184,8 +187,14 @@
         metadata = self._header_codec.parse_request_headers(headers)
         self.active_requests += 1
         try:
-            body = await self._read_body(request)
-            if self.refuses_requests:
+            body: bytes | None = None
+            is_stopped = False
+            try:
+                async with self._stop_deadline.timeout_at(None):
+                    body = await self._read_body(request)
+            except TimeoutError:
+                is_stopped = True
+            if is_stopped or self.refuses_requests:
                 await self._refuse(responder, metadata, requeststate.STATUS_NOT_RUN)
             elif body is None:
                 await self._refuse(responder, metadata, STATUS_TOO_LARGE)
--- /dev/null
+++ b/test/test_direct_planned_stops.py
@@ -0,0 +1,87 @@
+"""Tests of requests around a planned stop of an entry: none is left without an answer.
+
+``plannedstops`` plays the requests and states the rule of LOST. The stops with all kinds
+of requests run as processes, the others on the virtual clock.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+import pytest
+
+from test import directfleet as df
+from test import plannedstops
+
+SEND_TIMES: typing.Final = (-0.5, 0.5, 1.5, 2.4)
+ENDS_AT_S: typing.Final = 7.3  # after SIGTERM
+AT_MOST_ONCE: typing.Final = ("once", "unique")
+
+
+def play_stop(
+    plan: collections.abc.Iterable[plannedstops.StopRecord],
+    slots: int = 2000,
+    prepare: collections.abc.Callable[[df.Fleet], typing.Any] | None = None,
+) -> list[plannedstops.StopRecord]:
+    """Play a planned stop on the virtual clock; return the records of the requests."""
+    records = []
+
+    async def scenario(fleet: df.Fleet) -> None:
+        stop = plannedstops.PlannedStop(fleet, plan)
+        await plannedstops.prepare(fleet, stop, slots)
+        if prepare is not None:
+            await prepare(fleet)
+        node = fleet.entries.pop()
+        loop = asyncio.get_running_loop()
+        draining: list[asyncio.Task[None]] = []
+        records.extend(
+            await stop.play(lambda: draining.append(loop.create_task(node.drain())))
+        )
+        await draining[0]
+
+    df.run_scenario(scenario)
+    return records
+
+
+@pytest.mark.parametrize("route", ["once", "free", "stream", "unique"])
+def test_request_that_runs_at_the_end_of_a_stop_gets_an_answer(route: str) -> None:
+    """Guards against closed connections where 504 can still be answered."""
+    for record in play_stop(plannedstops.make_plan(["hang"], SEND_TIMES, [route])):
+        assert record.result == "504", record
+        assert plannedstops.LAST_SIXTH_S < record.ended_at < plannedstops.GRACE_S
+
+
+@pytest.mark.parametrize("route", ["stream", "unique"])
+def test_stream_that_runs_at_the_end_of_a_stop_is_marked_as_incomplete(
+    route: str,
+) -> None:
+    """Guards the other side: a stream that the stop cuts does not look complete."""
+    for record in play_stop(plannedstops.make_plan(["d9.0"], SEND_TIMES, [route])):
+        assert record.result == "cut", record
+        assert plannedstops.LAST_SIXTH_S < record.ended_at < plannedstops.GRACE_S
+
+
+def test_request_still_being_uploaded_at_the_end_of_a_stop_is_refused() -> None:
+    """Guards against a closed connection where 503 can be answered (not run)."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        reader, writer = await fleet.connect()
+        writer.write(
+            b"POST /once/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+            b"Authorization: Bearer key-a\r\nContent-Length: 100\r\n\r\nhalf"
+        )
+        await fleet.settle(0.1)
+        loop = asyncio.get_running_loop()
+        draining = loop.create_task(fleet.entries.pop().drain())
+        began_at = loop.time()
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After" in head
+        assert ENDS_AT_S - 0.1 < loop.time() - began_at < plannedstops.GRACE_S
+        writer.transport.abort()
+        await draining
+        assert not target.requests
+
+    df.run_scenario(scenario)
