Give targets no more time than a stopping entry has

Cause: the deadline that a target is given was the caller's, also where the entry ends sooner. Targets worked on for nobody, and what waited in their queues until the entry's end was answered 504, although a target would have stated that it was not run.

Change: in a stop, targets are given the time until the entry answers what still runs; less 0.1 s where the response is no stream, so that their statement arrives. The same time bounds retries and the wait for a target.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -63,6 +63,9 @@
 CONTAINED_SPREAD_S: typing.Final = 0.5  # over which callers return to the group
 MAX_LOGGED_PARTS: typing.Final = 8  # of a prompt
 MIN_REMAINING_S: typing.Final = 0.02  # with less time left no target can respond
+# From a target's deadline to the end of this process: the target's statement that a
+# request which waited in its queue was not run must still reach the caller.
+STOP_LEAD_S: typing.Final = 0.1
 
 
 class Forwarder:
@@ -357,6 +360,15 @@
         is_open = self._targets.has_open_group(now, state.service, suspicion.group)
         return suspicion.group if is_open else ""
 
+    def _find_target_deadline(self, state: requeststate.RequestState) -> float:
+        """Return until when targets may work on a request.
+
+        A stream has the whole time of this process: at its deadline, a target has
+        nothing to state about a stream that has begun.
+        """
+        lead_s = 0.0 if state.route.is_stream else STOP_LEAD_S
+        return min(state.deadline, self._stop_deadline.at - lead_s)
+
     async def _find_target(
         self, state: requeststate.RequestState
     ) -> targetstate.Target | None:
@@ -387,7 +399,7 @@
             compute_priority(state.route, state.account),
             waiting_since,
             due_at,
-            min(expires_at, state.deadline - MIN_REMAINING_S),
+            min(expires_at, self._find_target_deadline(state) - MIN_REMAINING_S),
             state.tried_targets,
             suspicion.crash_count,
             group,
@@ -440,7 +452,7 @@
         if state.may_have_run and not state.may_run_twice:
             return False
         now = asyncio.get_running_loop().time()
-        if state.deadline - now < MIN_REMAINING_S:
+        if self._find_target_deadline(state) - now < MIN_REMAINING_S:
             return False
         if not self._get_retry_budget(state.service).try_spend(now):
             return False
@@ -480,7 +492,7 @@
         if (
             self._count_attempts(state) >= state.route.max_attempts
             or not state.may_run_twice
-            or state.deadline - now < MIN_REMAINING_S
+            or self._find_target_deadline(state) - now < MIN_REMAINING_S
             or not self._get_retry_budget(state.service).may_spend(now)
             or self.crashes.find_refusal(state.fingerprint) is not None
         ):
@@ -716,7 +728,7 @@
         now = asyncio.get_running_loop().time()
         metadata = headercodec.UpstreamMetadata(
             target=target.target_id,
-            remaining_s=state.deadline - now,
+            remaining_s=self._find_target_deadline(state) - now,
             account=None if state.account is None else state.account.name,
             last_event_id=state.last_event,
             priority=compute_priority(state.route, state.account),
--- a/test/plannedstops.py
+++ b/test/plannedstops.py
@@ -102,13 +102,13 @@
 
     ``d2.5`` takes 2.5 s, or spreads the events of a stream over them; ``q2.0d1.0``
     refuses the first send after 2 s, and takes 1 s at the next; ``p1.5`` pauses for
-    1.5 s before the third event, ``hang`` never responds. ``reads_deadline`` lets it
-    stop at the deadline that it was given, with the 504 of engines.
+    1.5 s before the third event, ``hang`` never responds, ``wait`` stays in the queue
+    until its deadline and is refused then. At the deadline that it was given, an engine
+    stops with its own 504.
     """
 
-    def __init__(self, stop: "PlannedStop", reads_deadline: bool = True) -> None:
+    def __init__(self, stop: "PlannedStop") -> None:
         self._stop = stop
-        self._reads_deadline = reads_deadline
 
     async def respond(
         self,
@@ -127,14 +127,19 @@
         script = request.path.split("/")[2]
         try:
             if script.startswith("q"):
-                wait, _, script = script[1:].partition("d")
-                script = "d" + script
+                wait_s, _, work_s = script[1:].partition("d")
+                script = f"d{work_s}"
                 if len(record.passed_at) == 1:
-                    await asyncio.sleep(float(wait))
+                    await asyncio.sleep(float(wait_s))
                     record.refused_at.append(now())
                     df.write_refusal(writer, 503)
                     return True
-            async with asyncio.timeout(deadline_s if self._reads_deadline else None):
+            if script == "wait":
+                await asyncio.sleep(deadline_s)
+                record.refused_at.append(now())
+                df.write_refusal(writer, 503)
+                return True
+            async with asyncio.timeout(deadline_s):
                 return await self._run(script, request, writer)
         except TimeoutError:
             if request.path.startswith(("/stream/", "/unique/")):
--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -1,7 +1,7 @@
 """Tests of requests around a planned stop of an entry: none is left without an answer.
 
-``plannedstops`` plays the requests and states the rule of LOST. The stops with all kinds
-of requests run as processes, the others on the virtual clock.
+``plannedstops`` plays the requests and states the rule of LOST. The stops with all
+kinds of requests run as processes, the others on the virtual clock.
 """
 
 import asyncio
@@ -85,3 +85,23 @@
         assert not target.requests
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("route", ["once", "free", "stream", "unique"])
+def test_target_gets_no_more_time_than_the_stopping_entry_has(route: str) -> None:
+    """Guards against targets that go on working for an entry that has ended."""
+    late = [0.5, 1.5, 2.4]
+    for record in play_stop(plannedstops.make_plan(["d9.0"], late, [route])):
+        given_s = max(
+            at + s for at, s in zip(record.passed_at, record.deadlines_s, strict=True)
+        )
+        assert given_s <= ENDS_AT_S + 0.01, record
+
+
+def test_request_that_waits_at_its_target_until_a_stop_ends_is_not_run() -> None:
+    """Guards against 504 where the target states that the request was not run."""
+    late = [0.5, 1.5, 2.4]
+    for record in play_stop(plannedstops.make_plan(["wait"], late, ["once"])):
+        assert record.result == "503", record
+        assert not record.may_have_run
+        assert record.retry_after
