Do not send late in a stop what its end would cut

Cause: a request that an entry accepted before it refuses new ones was sent whenever a target was free, up to the entry's end: after a wait in the queue, or after a target had refused it. Requests that may run once were then cut and lost, though until the send they could have been answered 503 (not run) and run at another entry.

Change: in a stop, a request is refused as not run if most of the last 32 responses of its route took longer than the time that is left. With fewer than 8 responses, and where a stream may be resumed, it is sent as before.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -35,6 +35,7 @@
     requestscheduler,
     requeststate,
     responserelay,
+    responsetimes,
     retrybudget,
     returntimes,
     stopdeadline,
@@ -101,6 +102,7 @@
         self.scheduler = requestscheduler.RequestScheduler(entry_state, targets, rng)
         self._retry_budgets: dict[str, retrybudget.RetryBudget] = {}
         self._return_times = returntimes.ReturnTimes()
+        self._response_times = responsetimes.ResponseTimes()
 
     def set_bounds(self, bounds: entrystate.RequestBounds) -> None:
         """Apply new bounds; what was spent of the retry budgets still counts."""
@@ -219,7 +221,17 @@
         last_error: requeststate.TargetError | None = None
         while True:
             refusal = self.crashes.find_refusal(state.fingerprint)
-            target = None if refusal else await self._find_target(state)
+            is_too_late = refusal is None and self._would_be_cut(state)
+            target = None
+            if refusal is None and not is_too_late:
+                target = await self._find_target(state)
+                is_too_late = self._would_be_cut(state)
+            if is_too_late:
+                if target is not None:
+                    self._end_attempt(state, target)
+                return await self._finish_without_response(
+                    state, responder, last_error, "stopping"
+                )
             if refusal is None and target is not None:
                 # Another entry may have reported crashes while the request waited.
                 refusal = self.crashes.begin_run(state.fingerprint)
@@ -369,6 +381,28 @@
         lead_s = 0.0 if state.route.is_stream else STOP_LEAD_S
         return min(state.deadline, self._stop_deadline.at - lead_s)
 
+    def _would_be_cut(self, state: requeststate.RequestState) -> bool:
+        """Return whether the end of this process would cut a request that is sent now.
+
+        That is so if most of the recent responses of its route took longer than the
+        time that is left. Such a request is better begun at another entry: not run, it
+        may be sent there; cut, it is lost or begins anew. A stream that may be resumed
+        goes on there.
+        """
+        if not self._stop_deadline.is_set or state.may_have_run:
+            return False
+        if state.route.is_stream and state.may_run_twice:
+            return False
+        return self._has_time_to_run(state) is False
+
+    def _has_time_to_run(self, state: requeststate.RequestState) -> bool | None:
+        """Return whether a response fits in before this process ends; None: unknown."""
+        usual_s = self._response_times.find_usual(state.route.name)
+        if usual_s is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return now + usual_s <= self._stop_deadline.at - STOP_LEAD_S
+
     async def _find_target(
         self, state: requeststate.RequestState
     ) -> targetstate.Target | None:
@@ -454,6 +488,8 @@
         now = asyncio.get_running_loop().time()
         if self._find_target_deadline(state) - now < MIN_REMAINING_S:
             return False
+        if self._would_be_cut(state):
+            return False
         if not self._get_retry_budget(state.service).try_spend(now):
             return False
         self._metrics.count_retry(state.service)
@@ -565,11 +601,14 @@
             if not state.send_count:
                 self.crashes.on_first_send(state.fingerprint)
             sent = self.crashes.on_sent(target, state.fingerprint, conn)
+            is_resumed = responder.is_started
             try:
                 observer = ExchangeObserver(self, state, target, sent, timing)
                 result = await self._exchange(
                     state, target, exchange, responder, observer
                 )
+                if not is_resumed and isinstance(result, requeststate.Completed):
+                    self._record_response_time(state, result, now() - timing.began_at)
                 return result
             finally:
                 if exchange.finish(now()):
@@ -579,6 +618,16 @@
         finally:
             self._end_attempt(state, target, timing.make_outcome(now(), result))
 
+    def _record_response_time(
+        self,
+        state: requeststate.RequestState,
+        result: requeststate.Completed,
+        seconds: float,
+    ) -> None:
+        """Record how long a target took for a whole response."""
+        if result.is_success:
+            self._response_times.record(state.route.name, seconds)
+
     def _end_attempt(
         self,
         state: requeststate.RequestState,
--- a/test/plannedstops.py
+++ b/test/plannedstops.py
@@ -101,10 +101,10 @@
     """Serves the requests of a plan as the second part of their path says.
 
     ``d2.5`` takes 2.5 s, or spreads the events of a stream over them; ``q2.0d1.0``
-    refuses the first send after 2 s, and takes 1 s at the next; ``p1.5`` pauses for
-    1.5 s before the third event, ``hang`` never responds, ``wait`` stays in the queue
-    until its deadline and is refused then. At the deadline that it was given, an engine
-    stops with its own 504.
+    refuses the first send after 2 s or at its deadline, and takes 1 s at the next;
+    ``p1.5`` pauses for 1.5 s before the third event, ``hang`` never responds, ``wait``
+    stays in the queue until its deadline and is refused then. At the deadline that it
+    was given, an engine stops with its own 504.
     """
 
     def __init__(self, stop: "PlannedStop") -> None:
@@ -130,7 +130,7 @@
                 wait_s, _, work_s = script[1:].partition("d")
                 script = f"d{work_s}"
                 if len(record.passed_at) == 1:
-                    await asyncio.sleep(float(wait_s))
+                    await asyncio.sleep(min(float(wait_s), deadline_s))
                     record.refused_at.append(now())
                     df.write_refusal(writer, 503)
                     return True
@@ -240,6 +240,8 @@
         except OSError:
             for each in both:
                 each.is_unsent = True
+            if conn is not None:
+                conn[1].transport.abort()
             return
         for each in both:
             each.sent_at = self.now()
--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -105,3 +105,58 @@
         assert record.result == "503", record
         assert not record.may_have_run
         assert record.retry_after
+
+
+@pytest.mark.parametrize("route", AT_MOST_ONCE)
+@pytest.mark.parametrize("usual_s", [1.5, 3.0])
+def test_request_is_not_sent_so_late_in_a_stop_that_it_would_be_cut(
+    route: str, usual_s: float
+) -> None:
+    """Guards against late sends of requests that may run once, which the stop cuts.
+
+    Their targets refuse them late. Not run, they can still run at another entry.
+    """
+    usual = plannedstops.make_plan([f"d{usual_s}"], [-8.0 + usual_s] * 12, [route])
+    scripts = [f"q{wait_s}d{usual_s}" for wait_s in (2.0, 3.0, 4.0, 4.5)]
+    late = plannedstops.make_plan(scripts, [0.2, 1.1, 2.4], [route])
+    records = play_stop(usual + late)
+    assert all(r.result == "whole" for r in records[: len(usual)])
+    results = {record.result for record in records[len(usual) :]}
+    assert results == {"whole", "503"}
+    for record in records[len(usual) :]:
+        assert record.ended_at < ENDS_AT_S - 0.1, record
+
+
+@pytest.mark.parametrize("route", AT_MOST_ONCE)
+def test_request_that_cannot_end_before_a_stop_does_is_refused_at_once(
+    route: str,
+) -> None:
+    """Guards against requests that may run once and are accepted to be cut."""
+    usual = plannedstops.make_plan(["d6.0"], [-8.0] * 6, [route])
+    early = plannedstops.make_plan(["d6.0"], [0.1, 1.0], [route])
+    late = plannedstops.make_plan(["d6.0"], [1.6, 2.4], [route])
+    records = play_stop(usual + early + late)
+    for record in records[: -len(late)]:
+        assert record.result == "whole", record
+    for record in records[-len(late) :]:
+        assert record.result == "503", record
+        assert not record.passed_at
+        assert record.retry_after
+
+
+@pytest.mark.parametrize("route", ["once", "stream", "unique"])
+def test_request_whose_time_is_not_known_is_served_in_a_stop(route: str) -> None:
+    """Guards the other side: requests are served as long as that may be in time."""
+    few = plannedstops.make_plan(["d6.0"], [-8.0] * 3, [route], kept=[False])
+    plan = plannedstops.make_plan(["d4.0"], [0.1, 1.0, 1.6, 2.4], [route])
+    for record in play_stop(few + plan):
+        assert record.result == "whole", record
+
+
+def test_stream_that_may_be_resumed_is_served_late_in_a_stop() -> None:
+    """Guards the other side: what can go on elsewhere begins here."""
+    usual = plannedstops.make_plan(["d6.0"], [-8.0] * 6, ["stream"])
+    late = plannedstops.make_plan(["d6.0"], [1.6, 2.4], ["stream"])
+    for record in play_stop(usual + late)[len(usual) :]:
+        assert record.result == "cut", record
+        assert record.ended_at > plannedstops.LAST_SIXTH_S
