Leave no silent target in a stop for a send that the stop cuts

Cause: after 1.2 s of silence, a request that may be repeated goes on at another free target. What is no stream begins anew there. In a stop the new send was cut at the end, where the first target would have answered in time.

Change: in a stop, such a request leaves its target only if the usual time of its route is known and left, or if the target is gone.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -533,6 +533,13 @@
             or self.crashes.find_refusal(state.fingerprint) is not None
         ):
             return False
+        if (
+            self._stop_deadline.is_set
+            and not state.route.is_stream
+            and not self._has_time_to_run(state)
+        ):
+            # It would begin anew and be cut, where this target may be nearly done.
+            return False
         traits = state.traits
         queued = self.make_queued_request(state, now)
         state.traits = traits
--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -144,7 +144,7 @@
         assert record.retry_after
 
 
-@pytest.mark.parametrize("route", ["once", "stream", "unique"])
+@pytest.mark.parametrize("route", ["once", "free", "stream", "unique"])
 def test_request_whose_time_is_not_known_is_served_in_a_stop(route: str) -> None:
     """Guards the other side: requests are served as long as that may be in time."""
     few = plannedstops.make_plan(["d6.0"], [-8.0] * 3, [route], kept=[False])
@@ -160,3 +160,18 @@
     for record in play_stop(usual + late)[len(usual) :]:
         assert record.result == "cut", record
         assert record.ended_at > plannedstops.LAST_SIXTH_S
+
+
+def test_request_that_leaves_a_silent_target_in_a_stop_has_time_to_begin_anew() -> None:
+    """Guards against a stop that cuts what the target that was left would have ended.
+
+    Where the time is known to be enough, the request goes on elsewhere as at all times.
+    """
+    slow = plannedstops.make_plan(["d4.0"], [0.5, 1.6, 2.4], ["free"])
+    usual = plannedstops.make_plan(["d0.5"], [-2.0] * 6, ["free"])
+    for record in play_stop(slow):
+        assert record.result == "whole", record
+        assert len(record.passed_at) == 1
+    hanging = plannedstops.make_plan(["hang"], [0.5, 1.6], ["free"])
+    for record in play_stop(usual + hanging)[len(usual) :]:
+        assert len(record.passed_at) == 2
