Answer requests that were read behind another one in a stop

Cause: from 2.2 s on each response closed its connection, and with it the requests that had been read behind it were dropped without an answer. Whether a response closes was settled when its request began, so one that began before 2.2 s left a connection open that the stop then closed without a word.

Change: a response in a stop closes its connection unless another request was read on it, as of when the response begins. The stop waits for such requests.

A test passes a callable in place of a bool to the responder.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -728,7 +728,7 @@
         self.admission.withdraw()
         await asyncio.sleep(DRAIN_ACCEPT_S - NOT_READY_LEAD_S)
         self.frontend.refuses_requests = True
-        while self.frontend.active_requests and loop.time() < ends_at + ANSWER_S:
+        while not self.frontend.is_idle and loop.time() < ends_at + ANSWER_S:
             await asyncio.sleep(0.02)
         await self.stop()
 
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -5,11 +5,12 @@
 
 While the entry drains, the callers' keep-alive connections stay open until the process
 ends: aiohttp's own way of closing them leaves an idle connection open that nobody
-reads. Each response asks the caller to close the connection, and late requests are
-refused as not run.
+reads. Each response asks the caller to close the connection, unless another request
+was read on it already, and late requests are refused as not run.
 """
 
 import asyncio
+import collections.abc
 import socket
 import struct
 import typing
@@ -39,7 +40,7 @@
     def __init__(
         self,
         request: aiohttp.web.BaseRequest,
-        closes_connection: bool,
+        closes_connection: collections.abc.Callable[[], bool],
         account: responsebuffers.BufferAccount,
     ) -> None:
         self._request = request
@@ -66,7 +67,7 @@
             resp.headers.add(name, value)
         if length is not None:
             resp.content_length = length
-        if self._closes_connection:
+        if self._closes_connection():
             resp.force_close()
         self.response = resp
         self.is_started = True
@@ -127,6 +128,28 @@
         transport.abort()
 
 
+class CallerConnection(aiohttp.web.RequestHandler):
+    """A caller's connection that tells whether requests wait behind the present one.
+
+    aiohttp drops them if the connection closes after the response.
+    """
+
+    __slots__ = ()
+
+    @property
+    def has_further_request(self) -> bool:
+        """Whether the head of another request was read."""
+        return bool(self._messages)
+
+
+class CallerServer(aiohttp.web.Server):
+    """Makes the connections of callers."""
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
 class Frontend:
     """Accepts callers' requests and passes them to the forwarder."""
 
@@ -144,7 +167,7 @@
         self._forwarder = forwarder
         self._header_codec = header_codec
         self._get_max_body_bytes = get_max_body_bytes
-        self._server = aiohttp.web.Server(
+        self._server = CallerServer(
             self._handle,
             handler_cancellation=True,
             access_log=None,
@@ -160,6 +183,14 @@
         self.active_requests = 0
         self.port = 0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request that was read is without its response."""
+        return not self.active_requests and not any(
+            typing.cast("CallerConnection", conn).has_further_request
+            for conn in self._server.connections
+        )
+
     async def start(self, host: str, port: int) -> None:
         """Start to listen; ``port`` is then the actual port."""
         self._runner = aiohttp.web.ServerRunner(
@@ -182,7 +213,9 @@
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         account = self._buffers.open_account()
-        responder = HttpResponder(request, self.is_draining, account)
+        responder = HttpResponder(
+            request, lambda: self._closes_connection(request), account
+        )
         headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
         metadata = self._header_codec.parse_request_headers(headers)
         self.active_requests += 1
@@ -212,6 +245,11 @@
             self.active_requests -= 1
         return responder.response or aiohttp.web.Response(status=500)
 
+    def _closes_connection(self, request: aiohttp.web.BaseRequest) -> bool:
+        """Return whether the response to a request is the last on its connection."""
+        conn = typing.cast("CallerConnection", request.protocol)
+        return self.is_draining and not conn.has_further_request
+
     async def _refuse(
         self,
         responder: HttpResponder,
--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -175,3 +175,50 @@
     hanging = plannedstops.make_plan(["hang"], [0.5, 1.6], ["free"])
     for record in play_stop(usual + hanging)[len(usual) :]:
         assert len(record.passed_at) == 2
+
+
+@pytest.mark.parametrize("script", ["d0.05", "d0.6"])
+@pytest.mark.parametrize("route", ["once", "unique"])
+def test_request_behind_another_one_on_its_connection_is_answered_in_a_stop(
+    route: str, script: str
+) -> None:
+    """Guards against requests that are read, and dropped as the first one's end closes.
+
+    Each of the two gets its own answer at any time of the stop.
+    """
+    times = [0.25 * n for n in range(28)]
+    plan = plannedstops.make_plan(
+        [script], times, [route], [plannedstops.Body.PIPELINED], kept=[False]
+    )
+    keeper = plannedstops.StopRecord("/free/d9.0/keep", -0.5)
+    for record in play_stop([keeper, *plan])[1:]:
+        is_early = record.begins_at < 1.9
+        assert record.result in (["whole"] if is_early else ["whole", "503"]), record
+
+
+def test_response_in_a_stop_asks_the_caller_to_close_when_it_begins() -> None:
+    """Guards against kept connections that are closed without a word."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        async def respond_slowly(
+            target: df.ScriptedTarget,
+            request: df.ReceivedRequest,
+            writer: asyncio.StreamWriter,
+        ) -> bool:
+            await asyncio.sleep(3.0)
+            return await df.respond_with_name(target, request, writer)
+
+        await fleet.add_target("t1", "plain", respond_slowly)
+        await fleet.settle()
+        conn = await fleet.connect()
+        loop = asyncio.get_running_loop()
+        sending = loop.create_task(fleet.send_request("/once/a", conn=conn))
+        await fleet.settle(0.1)
+        draining = loop.create_task(fleet.entries.pop().drain())
+        response = await sending
+        assert response.status == 200
+        assert response.headers["connection"] == "close"
+        conn[1].transport.abort()
+        await draining
+
+    df.run_scenario(scenario)
--- a/test/test_direct_slowreaders.py
+++ b/test/test_direct_slowreaders.py
@@ -150,7 +150,7 @@
 
     async def abort() -> None:
         account = responsebuffers.ResponseBuffers().open_account()
-        frontend.HttpResponder(request, False, account).abort()
+        frontend.HttpResponder(request, lambda: False, account).abort()
 
     asyncio.run(abort())
     request.transport.close.assert_called_once()
