End a stop only once the responses are with the kernel

What a slow caller had not taken was lost with it, and the response ended early.

Change: the stop waits, as for running requests, until nothing that was written to callers is unsent.

Not shown with a process: which size leaves bytes in it depends on the kernel's buffers.

--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -141,6 +141,12 @@
         """Whether the head of another request was read."""
         return bool(self._messages)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no other request was read, and all that was written is sent."""
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return not unsent and not self.has_further_request
+
 
 class CallerServer(aiohttp.web.Server):
     """Makes the connections of callers."""
@@ -185,9 +191,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request that was read is without its response."""
-        return not self.active_requests and not any(
-            typing.cast("CallerConnection", conn).has_further_request
+        """Whether all requests that were read were sent their whole responses.
+
+        What a process has not handed to the kernel when it ends is lost.
+        """
+        return not self.active_requests and all(
+            typing.cast("CallerConnection", conn).is_idle
             for conn in self._server.connections
         )
 
--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -222,3 +222,56 @@
         await draining
 
     df.run_scenario(scenario)
+
+
+def test_stop_waits_until_slow_callers_were_sent_their_responses() -> None:
+    """Guards against responses whose last bytes end with the process."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        node = fleet.entries[0]
+
+        def count_unsent() -> int:
+            transports = [c.transport for c in node.frontend._server.connections]
+            return sum(t.get_write_buffer_size() for t in transports if t is not None)
+
+        async def respond_until_held_back(
+            target: df.ScriptedTarget,
+            request: df.ReceivedRequest,
+            writer: asyncio.StreamWriter,
+        ) -> bool:
+            writer.write(df.make_stream_head(request.attempt_id))
+            number = 0
+            while not count_unsent():
+                number += 1
+                event = f"id: {number}\ndata: {'x' * 4096}\n\n".encode()
+                writer.write(df.encode_chunk(event))
+                await asyncio.sleep(0.001)
+            writer.write(df.encode_chunk(b""))
+            return True
+
+        await fleet.add_target("t1", "engines", respond_until_held_back)
+        await fleet.settle()
+        reader, writer = await fleet.connect()
+        transport = typing.cast("asyncio.Transport", writer.transport)
+        transport.pause_reading()
+        writer.write(
+            b"POST /stream/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+            b"Authorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n"
+        )
+        await fleet.settle(3.0)
+        assert count_unsent()
+        assert not node.frontend.active_requests
+        loop = asyncio.get_running_loop()
+        draining = loop.create_task(fleet.entries.pop().drain())
+        await fleet.settle(4.0)
+        assert not draining.done()
+        transport.resume_reading()
+        body = bytearray()
+        while not body.endswith(b"\r\n0\r\n\r\n"):
+            body += await reader.read(65536)
+        writer.transport.abort()
+        began_at = loop.time()
+        await draining
+        assert loop.time() - began_at < 0.5
+
+    df.run_scenario(scenario)
