Count the times of a stop from when its signal came

Cause: the loop gets to a signal after the callbacks of its present turn.

Change: the handler notes the time, and the stop's times count from then. Only the readiness check fails from when the stop begins, as the balancer asks then.

Result: 2 new tests, of interfaces that are new. A process that gets no processor time still learns late of its signal.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -63,7 +63,8 @@
 STALE_CONFIG_AGE_S: typing.Final = 2.5
 NOT_READY_LEAD_S: typing.Final = 2.2  # two of the balancer's checks fail by then
 # After SIGTERM; later requests are refused. The users count what is sent later than 3 s
-# after it and cut at the end; a busy process handles the signal some tenths late.
+# after it and cut at the end. Without processor time, a process learns of the signal
+# some tenths late.
 DRAIN_ACCEPT_S: typing.Final = 2.6
 # Before the platform kills the process, what still runs is answered.
 KILL_MARGIN_S: typing.Final = 0.7
@@ -713,10 +714,15 @@
         self.admission.refresh(now, entries, self.targets.list_targets())
         self.admission.write_metrics(now, self.metrics)
 
-    async def drain(self) -> None:
-        """Fail the readiness check, finish requests in flight, and stop."""
+    async def drain(self, late_s: float = 0.0) -> None:
+        """Fail the readiness check, finish requests in flight, and stop.
+
+        The process was asked to ``late_s`` seconds ago. The balancer's checks fail from
+        now on; all other times count from then.
+        """
         loop = asyncio.get_running_loop()
-        ends_at = loop.time() + self._cfg.bounds.drain_s - KILL_MARGIN_S
+        asked_at = loop.time() - late_s
+        ends_at = asked_at + self._cfg.bounds.drain_s - KILL_MARGIN_S
         self.is_draining = True
         self._stop_deadline.set(ends_at)
         loguru.logger.info(
@@ -726,7 +732,7 @@
         self.frontend.is_draining = True
         self.limits.withdraw()
         self.admission.withdraw()
-        await asyncio.sleep(DRAIN_ACCEPT_S - NOT_READY_LEAD_S)
+        await asyncio.sleep(asked_at + DRAIN_ACCEPT_S - loop.time())
         self.frontend.refuses_requests = True
         while not self.frontend.is_idle and loop.time() < ends_at + ANSWER_S:
             await asyncio.sleep(0.02)
--- a/sardinesaddle/direct/noderole.py
+++ b/sardinesaddle/direct/noderole.py
@@ -20,8 +20,11 @@
         """Start to listen and to work."""
 
     @abc.abstractmethod
-    async def drain(self) -> None:
-        """Finish what is running, and stop."""
+    async def drain(self, late_s: float = 0.0) -> None:
+        """Finish what is running, and stop.
+
+        The process was asked to ``late_s`` seconds ago.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -403,7 +403,7 @@
         sources = sorted(self._report_tasks)[:RANK_LIST_SOURCES]
         return 1 <= state.rank <= backupleader.BACKUP_COUNT and host in sources
 
-    async def drain(self) -> None:
+    async def drain(self, late_s: float = 0.0) -> None:
         """Stop at once; no process depends on a single sidecar for long."""
         self.is_draining = True
         await self.stop()
--- a/sardinesaddle/direct/start.py
+++ b/sardinesaddle/direct/start.py
@@ -11,6 +11,8 @@
 import os
 import signal
 import sys
+import time
+import types
 import typing
 
 import loguru
@@ -30,6 +32,35 @@
 SETTINGS_POLL_S: typing.Final = 2.0  # the file may change without SIGHUP
 
 
+class StopSignal:
+    """Tells that a signal asked the process to stop, and how long ago.
+
+    The loop gets to a signal after the callbacks of its present turn, which take some
+    tenths of a second in a burst of requests. Python notes it between two instructions.
+    """
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+        self._noted_at: float | None = None  # of time.monotonic
+
+    def listen(self, loop: asyncio.AbstractEventLoop, number: signal.Signals) -> None:
+        """Handle a signal; the first one counts."""
+        loop.add_signal_handler(number, self._event.set)
+        # The loop is woken up as before; its own handler does nothing.
+        signal.signal(number, self._note)
+        signal.siginterrupt(number, False)
+
+    def _note(self, number: int, frame: types.FrameType | None) -> None:
+        """Note the time, amid any other code."""
+        if self._noted_at is None:
+            self._noted_at = time.monotonic()
+
+    async def wait(self) -> float:
+        """Wait for a signal; return the seconds since it came."""
+        await self._event.wait()
+        return 0.0 if self._noted_at is None else time.monotonic() - self._noted_at
+
+
 def make_role(name: str) -> noderole.Role | settings.SettingsFault:
     """Return the role of a name; its module is imported only now."""
     if name == "entry":
@@ -99,9 +130,9 @@
     sink = nodelog.start_logging(role_name, cfg.log_lines_per_s)
     sink.attach(loop)
     loop.set_exception_handler(supervision.log_unhandled)
-    stopping, reload_requested = asyncio.Event(), asyncio.Event()
+    stop_signal, reload_requested = StopSignal(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        stop_signal.listen(loop, number)
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     wired = role.build()
     loguru.logger.info("event=start name={} place={}", cfg.name, cfg.place)
@@ -117,9 +148,9 @@
             lambda: watch_settings(role, path, reload_requested, loaded_data),
         )
     )
-    await stopping.wait()
-    loguru.logger.info("event=sigterm")
-    await wired.node.drain()
+    late_s = await stop_signal.wait()
+    loguru.logger.info("event=sigterm late_ms={:.0f}", late_s * 1000)
+    await wired.node.drain(late_s)
     watcher.cancel()
     await status_server.stop()
     await wired.close_clients()
--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -6,36 +6,47 @@
 
 import asyncio
 import collections.abc
+import signal
+import time
 import typing
 
 import pytest
+import uvloop
 
+from sardinesaddle.direct import start
 from test import directfleet as df
 from test import plannedstops
 
 SEND_TIMES: typing.Final = (-0.5, 0.5, 1.5, 2.4)
 ENDS_AT_S: typing.Final = 7.3  # after SIGTERM
+ACCEPTED_UNTIL_S: typing.Final = 2.6  # after SIGTERM
+BUSY_S: typing.Final = 0.3
 AT_MOST_ONCE: typing.Final = ("once", "unique")
 
 
 def play_stop(
     plan: collections.abc.Iterable[plannedstops.StopRecord],
-    slots: int = 2000,
-    prepare: collections.abc.Callable[[df.Fleet], typing.Any] | None = None,
+    signal_delay_s: float = 0.0,
 ) -> list[plannedstops.StopRecord]:
-    """Play a planned stop on the virtual clock; return the records of the requests."""
+    """Play a planned stop on the virtual clock; return the records of the requests.
+
+    The entry handles its signal ``signal_delay_s`` after SIGTERM.
+    """
     records = []
 
     async def scenario(fleet: df.Fleet) -> None:
         stop = plannedstops.PlannedStop(fleet, plan)
-        await plannedstops.prepare(fleet, stop, slots)
-        if prepare is not None:
-            await prepare(fleet)
+        await plannedstops.prepare(fleet, stop)
         node = fleet.entries.pop()
         loop = asyncio.get_running_loop()
         draining: list[asyncio.Task[None]] = []
+
+        async def drain() -> None:
+            await asyncio.sleep(signal_delay_s)
+            await node.drain(signal_delay_s)
+
         records.extend(
-            await stop.play(lambda: draining.append(loop.create_task(node.drain())))
+            await stop.play(lambda: draining.append(loop.create_task(drain())))
         )
         await draining[0]
 
@@ -275,3 +286,40 @@
         assert loop.time() - began_at < 0.5
 
     df.run_scenario(scenario)
+
+
+def test_lateness_of_a_signal_is_known() -> None:
+    """Guards against a stop that counts from when a busy loop gets to the signal."""
+
+    async def run() -> float:
+        stop_signal = start.StopSignal()
+        loop = asyncio.get_running_loop()
+        stop_signal.listen(loop, signal.SIGUSR1)
+
+        def keep_loop_busy() -> None:
+            signal.raise_signal(signal.SIGUSR1)
+            time.sleep(BUSY_S / 2)
+            signal.raise_signal(signal.SIGUSR1)
+            time.sleep(BUSY_S / 2)
+
+        loop.call_soon(keep_loop_busy)
+        try:
+            return await stop_signal.wait()
+        finally:
+            loop.remove_signal_handler(signal.SIGUSR1)
+
+    assert BUSY_S <= uvloop.run(run()) < BUSY_S + 1.0
+    assert BUSY_S <= asyncio.run(run()) < BUSY_S + 1.0
+
+
+def test_stop_whose_signal_is_handled_late_ends_in_time() -> None:
+    """Guards against requests that are accepted too late, and cut by the kill."""
+    late_s = 0.3
+    times = [0.1, 1.0, 2.1, 2.4, 2.8, 4.0]
+    plan = plannedstops.make_plan(["hang"], times, ["once"])
+    for record in play_stop(plan, signal_delay_s=late_s):
+        if record.begins_at <= ACCEPTED_UNTIL_S:
+            assert record.result == "504", record
+            assert ENDS_AT_S - 0.15 <= record.ended_at <= ENDS_AT_S + 0.05, record
+        else:
+            assert record.result in ("503", "unsent"), record
