--- a/test/test_direct_planned_stops.py
+++ b/test/test_direct_planned_stops.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import pathlib
 import signal
 import time
 import typing
@@ -15,12 +16,14 @@
 
 from sardinesaddle.direct import start
 from test import directfleet as df
-from test import plannedstops
+from test import plannedstops, processfleet
 
 SEND_TIMES: typing.Final = (-0.5, 0.5, 1.5, 2.4)
 ENDS_AT_S: typing.Final = 7.3  # after SIGTERM
 ACCEPTED_UNTIL_S: typing.Final = 2.6  # after SIGTERM
 BUSY_S: typing.Final = 0.3
+# The rest are streams that a stop cuts, and what is sent after it.
+ANSWERED_SHARE: typing.Final = 0.8
 AT_MOST_ONCE: typing.Final = ("once", "unique")
 
 
@@ -323,3 +326,77 @@
             assert ENDS_AT_S - 0.15 <= record.ended_at <= ENDS_AT_S + 0.05, record
         else:
             assert record.result in ("503", "unsent"), record
+
+
+def make_full_plan() -> list[plannedstops.StopRecord]:
+    """Return requests of all kinds, sent throughout a stop."""
+    times = [-0.8 + 0.8 * n for n in range(11)]
+    scripts = ["d0.05", "d1.5", "d5.5", "d9.0", "hang", "wait", "q2.0d1.0", "q4.0d5.0"]
+    body = plannedstops.Body
+    bodies = (body.CHUNKED, body.SLOW, body.PIPELINED)
+    plan = [
+        *plannedstops.make_plan(scripts, times, kept=[False]),
+        *plannedstops.make_plan(["p1.5"], times, ["stream", "unique"], kept=[False]),
+        *plannedstops.make_plan(["d0.05", "d3.0"], times, bodies=bodies, kept=[False]),
+    ]
+    for record in plan[::2]:
+        record.is_kept = True
+    return plan
+
+
+def check_records(records: list[plannedstops.StopRecord]) -> None:
+    """Check that no promise was broken, and that all that could be answered was."""
+    answered = sum(record.is_complete for record in records)
+    assert answered > ANSWERED_SHARE * len(records)
+    for record in records:
+        assert not record.is_lost, record
+        is_stream = record.path.startswith(("/stream/", "/unique/"))
+        if record.is_unanswered:
+            assert is_stream, record
+            assert record.status == 200, record
+        if record.status in plannedstops.PROMISES and not record.path.startswith(
+            ("/free/", "/stream/")
+        ):
+            assert not record.may_have_run, record
+        if record.path.startswith(("/once/", "/unique/")):
+            assert len(record.passed_at) - len(record.refused_at) <= 1, record
+        if record.passed_at:
+            assert record.sent_at <= plannedstops.EXCUSED_S, record
+        assert record.ended_at < plannedstops.GRACE_S or not record.passed_at, record
+
+
+@pytest.mark.parametrize("disturbances", ["none", "signals", "two entries"])
+def test_planned_stop_of_a_process_leaves_no_request_unanswered(
+    tmp_path: pathlib.Path, disturbances: str
+) -> None:
+    """Guards against requests that a stop cuts, of any kind, sent at any time of it.
+
+    Once SIGTERM comes again and SIGHUP twice, once two entries stop at the same time.
+    """
+    entry_count = 2 if disturbances == "two entries" else 1
+    plan = make_full_plan()
+    for number, record in enumerate(plan):
+        record.entry = number // 2 % entry_count
+
+    async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        stop = plannedstops.PlannedStop(fleet, plan)
+        await plannedstops.prepare(fleet, stop)
+        loop = asyncio.get_running_loop()
+
+        def stop_entries() -> None:
+            for index, process in enumerate(fleet.processes):
+                fleet.stop_gracefully(index)
+                kill = process.signal_if_running
+                loop.call_later(plannedstops.GRACE_S, kill, signal.SIGKILL)
+            if disturbances == "signals":
+                send = fleet.processes[0].signal_if_running
+                loop.call_later(1.0, send, signal.SIGTERM)
+                loop.call_later(2.0, send, signal.SIGHUP)
+                loop.call_later(4.0, send, signal.SIGHUP)
+
+        check_records(await stop.play(stop_entries))
+        for index, process in enumerate(fleet.processes):
+            await process.wait_for_exit(plannedstops.GRACE_S)
+            assert not process.find_unhandled_error(), fleet.read_log(index)
+
+    processfleet.run_scenario(tmp_path, scenario, entry_count)
