Let responses end until 0.5 s before the kill

Cause: the server went on for 0.2 s while it cancelled what ran at the end of a stop, so that responses ended until 7.5 s after SIGTERM. Since the rest is answered 0.7 s before the kill, they ended until 7.3 s only.

Change: the rest is answered 0.5 s before the kill.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -67,7 +67,7 @@
 # some tenths late.
 DRAIN_ACCEPT_S: typing.Final = 2.6
 # Before the platform kills the process, what still runs is answered.
-KILL_MARGIN_S: typing.Final = 0.7
+KILL_MARGIN_S: typing.Final = 0.5
 ANSWER_S: typing.Final = 0.2  # to send these answers
 
 
