--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -5,7 +5,7 @@
 that is allowed. A request that may run at most once is retried only if the target
 stated that it did not run it. The entry responds "not run" (503) only if nothing was
 sent or every target stated that it did not run the request. If the outcome is
-unknown, it responds 502 or 504.
+unknown, it responds 502 or 504. So it does when it stops, to all that still runs.
 
 A request whose content has crashed several targets, at any entry, is refused; see
 ``crashledger``.
@@ -35,8 +35,10 @@
     requestscheduler,
     requeststate,
     responserelay,
+    responsetimes,
     retrybudget,
     returntimes,
+    stopdeadline,
     targetlimits,
     targetpool,
     targetstate,
@@ -62,6 +64,9 @@
 CONTAINED_SPREAD_S: typing.Final = 0.5  # over which callers return to the group
 MAX_LOGGED_PARTS: typing.Final = 8  # of a prompt
 MIN_REMAINING_S: typing.Final = 0.02  # with less time left no target can respond
+# From a target's deadline to the end of this process: the target's statement that a
+# request which waited in its queue was not run must still reach the caller.
+STOP_LEAD_S: typing.Final = 0.1
 
 
 class Forwarder:
@@ -78,10 +83,12 @@
         rng: random.Random,
         crashes: crashdetector.CrashDetector,
         limits: targetlimits.TargetLimits,
+        stop_deadline: stopdeadline.StopDeadline,
         on_target_leaving: collections.abc.Callable[[str, str], None],
         on_target_response: collections.abc.Callable[[targetstate.Target, float], None],
     ) -> None:
         self._entry_state = entry_state
+        self._stop_deadline = stop_deadline
         self._on_target_response = on_target_response
         self._on_target_leaving = on_target_leaving
         self._limits = limits
@@ -95,6 +102,7 @@
         self.scheduler = requestscheduler.RequestScheduler(entry_state, targets, rng)
         self._retry_budgets: dict[str, retrybudget.RetryBudget] = {}
         self._return_times = returntimes.ReturnTimes()
+        self._response_times = responsetimes.ResponseTimes()
 
     def set_bounds(self, bounds: entrystate.RequestBounds) -> None:
         """Apply new bounds; what was spent of the retry budgets still counts."""
@@ -119,7 +127,7 @@
         budget.on_request(loop.time())
         budget.on_entry_count(loop.time(), self._entry_state.count_entries())
         try:
-            async with asyncio.timeout_at(state.deadline):
+            async with self._stop_deadline.timeout_at(state.deadline):
                 refusal = await self._attempt_all(state, responder)
         except TimeoutError:
             is_outcome_unknown = state.may_have_run
@@ -128,8 +136,11 @@
                 if is_outcome_unknown
                 else requeststate.STATUS_NOT_RUN
             )
+            is_stopped = loop.time() < state.deadline
             refusal = requeststate.Refusal(
-                status, "timeout", requeststate.RETRY_AFTER_SHORT_S
+                status,
+                "stopped" if is_stopped else "timeout",
+                requeststate.RETRY_AFTER_SHORT_S,
             )
         except asyncio.CancelledError:
             self._log(req, state, "caller_left", 0)
@@ -213,7 +224,17 @@
         last_error: requeststate.TargetError | None = None
         while True:
             refusal = self.crashes.find_refusal(state.fingerprint)
-            target = None if refusal else await self._find_target(state)
+            is_too_late = refusal is None and self._would_be_cut(state)
+            target = None
+            if refusal is None and not is_too_late:
+                target = await self._find_target(state)
+                is_too_late = self._would_be_cut(state)
+            if is_too_late:
+                if target is not None:
+                    self._end_attempt(state, target)
+                return await self._finish_without_response(
+                    state, responder, last_error, "stopping"
+                )
             if refusal is None and target is not None:
                 # Another entry may have reported crashes while the request waited.
                 refusal = self.crashes.begin_run(state.fingerprint)
@@ -354,6 +375,37 @@
         is_open = self._targets.has_open_group(now, state.service, suspicion.group)
         return suspicion.group if is_open else ""
 
+    def _find_target_deadline(self, state: requeststate.RequestState) -> float:
+        """Return until when targets may work on a request.
+
+        A stream has the whole time of this process: at its deadline, a target has
+        nothing to state about a stream that has begun.
+        """
+        lead_s = 0.0 if state.route.is_stream else STOP_LEAD_S
+        return min(state.deadline, self._stop_deadline.at - lead_s)
+
+    def _would_be_cut(self, state: requeststate.RequestState) -> bool:
+        """Return whether the end of this process would cut a request that is sent now.
+
+        That is so if most of the recent responses of its route took longer than the
+        time that is left. Such a request is better begun at another entry: not run, it
+        may be sent there; cut, it is lost or begins anew. A stream that may be resumed
+        goes on there.
+        """
+        if not self._stop_deadline.is_set or state.may_have_run:
+            return False
+        if state.route.is_stream and state.may_run_twice:
+            return False
+        return self._has_time_to_run(state) is False
+
+    def _has_time_to_run(self, state: requeststate.RequestState) -> bool | None:
+        """Return whether a response fits in before this process ends; None: unknown."""
+        usual_s = self._response_times.find_usual(state.route.name)
+        if usual_s is None:
+            return None
+        now = asyncio.get_running_loop().time()
+        return now + usual_s <= self._stop_deadline.at - STOP_LEAD_S
+
     async def _find_target(
         self, state: requeststate.RequestState
     ) -> targetstate.Target | None:
@@ -384,7 +436,7 @@
             compute_priority(state.route, state.account),
             waiting_since,
             due_at,
-            min(expires_at, state.deadline - MIN_REMAINING_S),
+            min(expires_at, self._find_target_deadline(state) - MIN_REMAINING_S),
             state.tried_targets,
             suspicion.crash_count,
             group,
@@ -437,7 +489,9 @@
         if state.may_have_run and not state.may_run_twice:
             return False
         now = asyncio.get_running_loop().time()
-        if state.deadline - now < MIN_REMAINING_S:
+        if self._find_target_deadline(state) - now < MIN_REMAINING_S:
+            return False
+        if self._would_be_cut(state):
             return False
         if not self._get_retry_budget(state.service).try_spend(now):
             return False
@@ -477,11 +531,18 @@
         if (
             self._count_attempts(state) >= state.route.max_attempts
             or not state.may_run_twice
-            or state.deadline - now < MIN_REMAINING_S
+            or self._find_target_deadline(state) - now < MIN_REMAINING_S
             or not self._get_retry_budget(state.service).may_spend(now)
             or self.crashes.find_refusal(state.fingerprint) is not None
         ):
             return False
+        if (
+            self._stop_deadline.is_set
+            and not state.route.is_stream
+            and not self._has_time_to_run(state)
+        ):
+            # It would begin anew and be cut, where this target may be nearly done.
+            return False
         traits = state.traits
         queued = self.make_queued_request(state, now)
         state.traits = traits
@@ -550,11 +611,14 @@
             if not state.send_count:
                 self.crashes.on_first_send(state.fingerprint)
             sent = self.crashes.on_sent(target, state.fingerprint, conn)
+            is_resumed = responder.is_started
             try:
                 observer = ExchangeObserver(self, state, target, sent, timing)
                 result = await self._exchange(
                     state, target, exchange, responder, observer
                 )
+                if not is_resumed and isinstance(result, requeststate.Completed):
+                    self._record_response_time(state, result, now() - timing.began_at)
                 return result
             finally:
                 if exchange.finish(now()):
@@ -564,6 +628,16 @@
         finally:
             self._end_attempt(state, target, timing.make_outcome(now(), result))
 
+    def _record_response_time(
+        self,
+        state: requeststate.RequestState,
+        result: requeststate.Completed,
+        seconds: float,
+    ) -> None:
+        """Record how long a target took for a whole response."""
+        if result.is_success:
+            self._response_times.record(state.route.name, seconds)
+
     def _end_attempt(
         self,
         state: requeststate.RequestState,
@@ -713,7 +787,7 @@
         now = asyncio.get_running_loop().time()
         metadata = headercodec.UpstreamMetadata(
             target=target.target_id,
-            remaining_s=state.deadline - now,
+            remaining_s=self._find_target_deadline(state) - now,
             account=None if state.account is None else state.account.name,
             last_event_id=state.last_event,
             priority=compute_priority(state.route, state.account),
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -5,11 +5,12 @@
 
 While the entry drains, the callers' keep-alive connections stay open until the process
 ends: aiohttp's own way of closing them leaves an idle connection open that nobody
-reads. Each response asks the caller to close the connection, and late requests are
-refused as not run.
+reads. Each response asks the caller to close the connection, unless another request
+was read on it already, and late requests are refused as not run.
 """
 
 import asyncio
+import collections.abc
 import socket
 import struct
 import typing
@@ -22,6 +23,7 @@
     headercodec,
     requeststate,
     responsebuffers,
+    stopdeadline,
 )
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
@@ -38,7 +40,7 @@
     def __init__(
         self,
         request: aiohttp.web.BaseRequest,
-        closes_connection: bool,
+        closes_connection: collections.abc.Callable[[], bool],
         account: responsebuffers.BufferAccount,
     ) -> None:
         self._request = request
@@ -65,7 +67,7 @@
             resp.headers.add(name, value)
         if length is not None:
             resp.content_length = length
-        if self._closes_connection:
+        if self._closes_connection():
             resp.force_close()
         self.response = resp
         self.is_started = True
@@ -126,6 +128,34 @@
         transport.abort()
 
 
+class CallerConnection(aiohttp.web.RequestHandler):
+    """A caller's connection that tells whether requests wait behind the present one.
+
+    aiohttp drops them if the connection closes after the response.
+    """
+
+    __slots__ = ()
+
+    @property
+    def has_further_request(self) -> bool:
+        """Whether the head of another request was read."""
+        return bool(self._messages)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no other request was read, and all that was written is sent."""
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return not unsent and not self.has_further_request
+
+
+class CallerServer(aiohttp.web.Server):
+    """Makes the connections of callers."""
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
 class Frontend:
     """Accepts callers' requests and passes them to the forwarder."""
 
@@ -136,12 +166,14 @@
         get_max_body_bytes: typing.Callable[[], int],
         idle_timeout_s: float,
         buffers: responsebuffers.ResponseBuffers,
+        stop_deadline: stopdeadline.StopDeadline,
     ) -> None:
         self._buffers = buffers
+        self._stop_deadline = stop_deadline
         self._forwarder = forwarder
         self._header_codec = header_codec
         self._get_max_body_bytes = get_max_body_bytes
-        self._server = aiohttp.web.Server(
+        self._server = CallerServer(
             self._handle,
             handler_cancellation=True,
             access_log=None,
@@ -157,6 +189,17 @@
         self.active_requests = 0
         self.port = 0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether all requests that were read were sent their whole responses.
+
+        What a process has not handed to the kernel when it ends is lost.
+        """
+        return not self.active_requests and all(
+            typing.cast("CallerConnection", conn).is_idle
+            for conn in self._server.connections
+        )
+
     async def start(self, host: str, port: int) -> None:
         """Start to listen; ``port`` is then the actual port."""
         self._runner = aiohttp.web.ServerRunner(
@@ -179,13 +222,21 @@
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         account = self._buffers.open_account()
-        responder = HttpResponder(request, self.is_draining, account)
+        responder = HttpResponder(
+            request, lambda: self._closes_connection(request), account
+        )
         headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
         metadata = self._header_codec.parse_request_headers(headers)
         self.active_requests += 1
         try:
-            body = await self._read_body(request)
-            if self.refuses_requests:
+            body: bytes | None = None
+            is_stopped = False
+            try:
+                async with self._stop_deadline.timeout_at(None):
+                    body = await self._read_body(request)
+            except TimeoutError:
+                is_stopped = True
+            if is_stopped or self.refuses_requests:
                 await self._refuse(responder, metadata, requeststate.STATUS_NOT_RUN)
             elif body is None:
                 await self._refuse(responder, metadata, STATUS_TOO_LARGE)
@@ -203,6 +254,11 @@
             self.active_requests -= 1
         return responder.response or aiohttp.web.Response(status=500)
 
+    def _closes_connection(self, request: aiohttp.web.BaseRequest) -> bool:
+        """Return whether the response to a request is the last on its connection."""
+        conn = typing.cast("CallerConnection", request.protocol)
+        return self.is_draining and not conn.has_further_request
+
     async def _refuse(
         self,
         responder: HttpResponder,
