Let streams go on after the last event that their caller has

The entry passed a caller's Last-Event-Id on but did not take it as the event that the caller has. A target that started anew wrote events once more that the caller had, and they were relayed. Since the first event must be 0 or 1 if no event was relayed, so a target that went on after the caller's event was malformed, and the caller got 502: streams that a caller resumes at another entry failed.

The last event of the caller is now where the state of the request starts.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -186,6 +186,7 @@
             fingerprint,
             deadline,
             traits,
+            last_event=req.metadata.last_event_id,
         )
 
     def _get_retry_budget(self, service: str) -> retrybudget.RetryBudget:
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -104,8 +104,9 @@
     the request. ``may_have_run`` is set while a target may run or have
     run the request. ``crash_count`` is how many targets had crashed under the
     ``fingerprint`` when the present attempt began. ``last_event`` is the number of the
-    last stream event that was relayed to the caller. ``attempt_log`` lists target and
-    reason of each failed attempt. ``refused_count`` is how many sends were not run.
+    last stream event that the caller has, from an earlier response of which it states
+    that or from this one. ``attempt_log`` lists target and reason of each failed
+    attempt. ``refused_count`` is how many sends were not run.
     ``left_target`` is the target that the request left though it may have gone on, an
     empty string for none.
     """
