Accept only heads of responses that any reader reads alike

A report of another operator: a target stopped in the middle of its head, and callers got 200 with an empty or short body. h11 is lenient with heads: after a line with CR LF a blank line with LF alone ends the head, so that the field that frames the body was read as body, or not at all; folded lines hide a field; any version and any status up to 999 pass. A control character let the entry respond with 500, and values that are not ASCII reached callers encoded twice.

A head is now read once, strictly, in responsehead.py, from the bytes that h11 frames: one kind of line ends, no folding, HTTP/1.0 or 1.1, status 100 to 599, no control characters, UTF-8. Anything else is malformed: nothing is sent, and the request is retried where that is allowed.

--- /dev/null
+++ b/sardinesaddle/direct/responsehead.py
@@ -0,0 +1,52 @@
+"""Reads the head of a response, in the one form that all readers take alike.
+
+h11 frames a response and is lenient with its head, as the standard permits: lines and
+heads may end with LF or CR LF in any mixture, folded lines are joined, and any version
+and most control characters pass. Another reader, or the target that wrote the head, may
+find its end elsewhere, and with it another framing or other fields. A head is accepted
+only if
+
+- its lines, the blank one included, all end with CR LF, or all with LF,
+- its version is 1.0 or 1.1, and its status from 100 to 599,
+- each line has a name without blanks, a colon and a value without control characters,
+- it is UTF-8, in which values are also written to callers.
+
+Anything else is a fault of the target.
+"""
+
+import re
+import typing
+
+_MAX_SHOWN_BYTES: typing.Final = 40  # of what is malformed, for the log
+_STATUS_LINE: typing.Final = rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*+)?"
+_FIELD_LINE: typing.Final = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++:[\t -~\x80-\xff]*+"
+# All lines that are well-formed, and the blank one if they are all.
+_HEAD: typing.Final = re.compile(
+    rb"(?:" + _STATUS_LINE + rb"(\r?\n)(?:" + _FIELD_LINE + rb"\1)*+(\1)?)?"
+)
+# The first blank line, as h11 finds it.
+_END: typing.Final = re.compile(rb"\n\r?\n")
+_FIELD: typing.Final = re.compile(r"\n([^:\n]++):[ \t]*([^\r\n]*)")
+
+Fields = list[tuple[str, str]]
+
+
+def find_end(data: bytearray) -> int:
+    """Return where the head at the start of the data ends, 0 if it is not complete."""
+    end = _END.search(data)
+    return 0 if end is None else end.end()
+
+
+def read_fields(head: bytes) -> Fields | str:
+    """Return the fields of a head, names in lower case; if it is malformed, why."""
+    matched = _HEAD.match(head)
+    assert matched is not None
+    if matched.group(2) is None or matched.end() != len(head):
+        shown = head[matched.end() :][:_MAX_SHOWN_BYTES]
+        return f"a head with another form at {shown!r}"
+    try:
+        text = head.decode()
+    except UnicodeDecodeError as exc:
+        shown = head[exc.start :][:_MAX_SHOWN_BYTES]
+        return f"a head that is not UTF-8 at {shown!r}"
+    return [(name.lower(), value.rstrip(" \t")) for name, value in _FIELD.findall(text)]
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -25,7 +25,7 @@
 
 import h11
 
-from sardinesaddle.direct import responsebuffers
+from sardinesaddle.direct import responsebuffers, responsehead
 
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
@@ -228,6 +228,7 @@
         self._attempt_id = attempt_id
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
+        self._head = bytearray()  # what was received of the next head, and after it
         self._body = b""
         self._body_bytes = 0
         self._has_length = False
@@ -259,14 +260,19 @@
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
+            if not isinstance(event, h11.InformationalResponse | h11.Response):
                 return self._make_failure(
                     FailureKind.MALFORMED, f"unexpected {event!r:.60}"
                 )
-            headers = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
-            head = ResponseHead(event.status_code, headers)
+            end = responsehead.find_end(self._head)
+            fields = responsehead.read_fields(bytes(self._head[:end]))
+            if isinstance(fields, str):
+                return self._make_failure(FailureKind.MALFORMED, fields)
+            if isinstance(event, h11.InformationalResponse):
+                del self._head[:end]
+                continue
+            self._head.clear()
+            head = ResponseHead(event.status_code, fields)
             if head.get(self._echo_header) is None:
                 # Once it is written again, nothing tells for which request it was.
                 self._is_reusable = False
@@ -311,6 +317,7 @@
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._encode_request(self._h11)
         if rest:
+            self._head += rest
             self._h11.receive_data(rest)
         return None
 
@@ -384,6 +391,8 @@
                     return self._make_failure(
                         FailureKind.CLOSED, "closed before the response"
                     )
+            if self._h11.their_state is h11.SEND_RESPONSE:
+                self._head += data
             self._h11.receive_data(data)
 
     def _make_failure(self, kind: FailureKind, detail: str) -> Failure:
--- /dev/null
+++ b/test/test_direct_heads.py
@@ -0,0 +1,112 @@
+"""Tests of heads of responses that two readers could take differently."""
+
+import asyncio
+import typing
+
+import pytest
+
+from test import directfleet as df
+
+# "@" stands for the id of the attempt.
+ID: typing.Final = b"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\n"
+SIGNED: typing.Final = ID + b"Server-Stamp: s\r\n"
+SIZED: typing.Final = b"Content-Length: 4\r\n\r\nbody"
+CHUNKED: typing.Final = b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+
+SOUND: typing.Final = {
+    "sized": SIGNED + SIZED,
+    "chunked": SIGNED + CHUNKED,
+    "unframed": SIGNED + b"\r\nbody",
+    "line_feeds": (SIGNED + b"Content-Length: 4\r\n\r\n").replace(b"\r\n", b"\n")
+    + b"body",
+    "without_reason": SIGNED.replace(b" OK", b"") + SIZED,
+    "http_1_0": SIGNED.replace(b"1.1", b"1.0") + SIZED,
+    "no_space": SIGNED + b"A:b\r\n" + SIZED,
+    "empty_value": SIGNED + b"A:\r\n" + SIZED,
+    "utf8_value": SIGNED + "A: \u00e9\r\n".encode() + SIZED,
+    "after_1xx": b"HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + SIGNED + SIZED,
+}
+# Heads that are not of the one form that every reader takes alike.
+FORMS: typing.Final = {
+    "line_feed_ends_the_head": SIGNED + b"\n" + SIZED,
+    "line_feed_ends_it_early": SIGNED + b"\n",
+    "line_feed_in_one_line": SIGNED + b"A: b\nC: d\r\n" + SIZED,
+    "cr_lf_among_line_feeds": SIGNED.replace(b"\r\n", b"\n") + SIZED,
+    "folded_line": SIGNED + b"A: b\r\n c\r\n" + SIZED,
+    "folded_id": b"HTTP/1.1 200 OK\r\nAttempt-Id:\r\n @\r\nServer-Stamp: s\r\n" + SIZED,
+    "folded_length": SIGNED + b"A: b\r\n " + SIZED,
+    "control_character": SIGNED + b"A: b\x01c\r\n" + SIZED,
+    "nul": SIGNED + b"A: b\0c\r\n" + SIZED,
+    "bare_cr": SIGNED + b"A: b\rC: d\r\n" + SIZED,
+    "blank_before_colon": SIGNED + b"A : b\r\n" + SIZED,
+    "without_name": SIGNED + b": b\r\n" + SIZED,
+    "not_utf8": SIGNED + b"A: \xe9\r\n" + SIZED,
+    "status_600": SIGNED.replace(b"200", b"600") + SIZED,
+    "status_099": SIGNED.replace(b"200", b"099") + SIZED,
+    "http_2_0": SIGNED.replace(b"1.1", b"2.0") + SIZED,
+    "http_0_9": SIGNED.replace(b"1.1", b"0.9") + SIZED,
+    "blank_line_first": b"\r\n" + SIGNED + SIZED,
+    "1xx_by_line_feeds": b"HTTP/1.1 100 C\r\n\n" + SIGNED + SIZED,
+    "switches_protocols": b"HTTP/1.1 101 S\r\nUpgrade: x\r\n\r\n" + SIGNED + SIZED,
+}
+
+
+def make_responder(written: bytes, is_closed: bool = True) -> df.Responder:
+    """Return a responder that writes bytes, and then closes the connection or not."""
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(written.replace(b"@", request.attempt_id.encode()))
+        return not is_closed
+
+    return respond
+
+
+@pytest.mark.parametrize("written", SOUND.values(), ids=SOUND)
+def test_response_with_a_sound_head_is_relayed(written: bytes) -> None:
+    """Guards against failures for what engines may write."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", make_responder(written))
+        await fleet.settle()
+        for path in ("/once/a", "/free/a"):
+            resp = await fleet.send_request(path)
+            assert (resp.status, resp.is_complete) == (200, True)
+            assert (resp.headers["server-stamp"], resp.body) == ("s", b"body")
+            assert resp.headers.get("a", "\u00e9") in ("b", "", "\u00e9")
+
+    df.run_scenario(scenario)
+
+
+async def check_malformed(fleet: df.Fleet, written: bytes, service: str) -> None:
+    """Check that a response reaches no caller, and that only sound targets are tried.
+
+    A request that may run once ends there, with a status that promises nothing; one
+    that may be repeated is served by another target.
+    """
+    paths = {"plain": ("/once/a", "/free/a"), "engines": ("/unique/a", "/stream/a")}
+    bad = await fleet.add_target("t1", service, make_responder(written))
+    await fleet.settle()
+    resp = await fleet.send_request(paths[service][0])
+    assert (resp.status, resp.body, len(bad.requests)) == (502, b"", 1)
+    resp = await fleet.send_request(paths[service][1])
+    assert (resp.status, resp.body) == (502, b"")
+    if service == "plain":
+        await fleet.add_target("t2", service)
+        await fleet.settle()
+        for _ in range(4):
+            resp = await fleet.send_request(paths[service][1])
+            assert (resp.status, resp.is_complete, resp.body) == (200, True, b"t2")
+
+
+@pytest.mark.parametrize("written", FORMS.values(), ids=FORMS)
+def test_head_of_another_form_is_malformed(written: bytes) -> None:
+    """Guards against heads that end, or have fields, elsewhere for another reader."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await check_malformed(fleet, written, "plain")
+
+    df.run_scenario(scenario)
