--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -24,6 +24,7 @@
     "no_space": SIGNED + b"A:b\r\n" + SIZED,
     "empty_value": SIGNED + b"A:\r\n" + SIZED,
     "utf8_value": SIGNED + "A: \u00e9\r\n".encode() + SIZED,
+    "coding_in_capitals": SIGNED + CHUNKED.replace(b"chunked", b"Chunked"),
     "after_1xx": b"HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + SIGNED + SIZED,
 }
 # Heads that are not of the one form that every reader takes alike.
@@ -50,6 +51,39 @@
     "switches_protocols": b"HTTP/1.1 101 S\r\nUpgrade: x\r\n\r\n" + SIGNED + SIZED,
 }
 
+CODING: typing.Final = b"Transfer-Encoding: chunked\r\n"
+LARGE: typing.Final = b"493e0\r\n" + b"x" * 300_000 + b"\r\n0\r\n\r\n"
+# Statements of how long the body is that readers could take differently.
+FRAMINGS: typing.Final = {
+    "length_and_chunks": SIGNED + b"Content-Length: 4\r\n" + CHUNKED,
+    "shorter_length_and_chunks": SIGNED + b"Content-Length: 2\r\n" + CHUNKED,
+    "length_and_large_chunks": SIGNED
+    + b"Content-Length: 270000\r\n"
+    + CODING
+    + b"\r\n"
+    + LARGE,
+    "larger_length_and_chunks": SIGNED
+    + b"Content-Length: 400000\r\n"
+    + CODING
+    + b"\r\n"
+    + LARGE,
+    "chunks_by_http_1_0": SIGNED.replace(b"1.1", b"1.0") + CHUNKED,
+    "two_lengths": SIGNED + b"Content-Length: 3\r\n" + SIZED,
+    "same_length_twice": SIGNED + b"content-length: 4\r\n" + SIZED,
+    "list_of_lengths": SIGNED + b"Content-Length: 4, 4\r\n\r\nbody",
+    "length_with_sign": SIGNED + b"Content-Length: +4\r\n\r\nbody",
+    "length_with_zeros": SIGNED + b"Content-Length: 010\r\n\r\nbody567890",
+    "empty_length": SIGNED + b"Content-Length:\r\n\r\nbody",
+    "chunked_twice": SIGNED + CODING + CHUNKED,
+    "coded_chunks": SIGNED + CHUNKED.replace(b"chunked", b"gzip, chunked"),
+    "identity": SIGNED + b"Transfer-Encoding: identity\r\n" + SIZED,
+    "empty_coding": SIGNED + b"Transfer-Encoding:\r\n" + SIZED,
+    "204_with_length": SIGNED.replace(b"200", b"204") + SIZED,
+    "204_with_chunks": SIGNED.replace(b"200", b"204") + CHUNKED,
+    "1xx_with_length": b"HTTP/1.1 103 H\r\nContent-Length: 4\r\n\r\n" + SIGNED + SIZED,
+    "1xx_with_chunks": b"HTTP/1.1 103 H\r\n" + CODING + b"\r\n" + SIGNED + SIZED,
+}
+
 
 def make_responder(written: bytes, is_closed: bool = True) -> df.Responder:
     """Return a responder that writes bytes, and then closes the connection or not."""
@@ -110,3 +144,13 @@
         await check_malformed(fleet, written, "plain")
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("written", FRAMINGS.values(), ids=FRAMINGS)
+def test_head_with_two_framings_is_malformed(written: bytes) -> None:
+    """Guards against a part of a body that a caller takes for the whole."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await check_malformed(fleet, written, "plain")
+
+    df.run_scenario(scenario)
