Accept only responses whose fields any reader takes alike

Which of two values of a field counted here was chance: the entry took the first id, passed both on, and a caller may take the last; a response with the ids of two attempts was relayed, as were two signatures, an empty one, one that Connection names as the connection's own, and two content types. An underscore in a name may stand for a hyphen at the other side.

The fields on which an entry decides, or by which a caller reads the body, now occur once at most; headercodec.find_ambiguity is asked where the head becomes fields, for any status. Other fields may come as often as they like. Fields that Connection names are not passed on. is_event_stream no longer counts types itself.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -542,7 +542,7 @@
                 return result
             exchange = upstream.Exchange(
                 conn,
-                self._header_codec.attempt_id_header,
+                self._header_codec,
                 state.req.metadata.attempt_id,
             )
             if not state.send_count:
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -4,9 +4,16 @@
 """
 
 import abc
+import collections.abc
 import dataclasses
+import typing
 
 Headers = list[tuple[str, str]]
+CONNECTION: typing.Final = "connection"
+# By these a caller reads the body of a response; names are in lower case.
+BODY_HEADERS: typing.Final = frozenset(
+    {"content-type", "content-encoding", "content-length", "transfer-encoding"}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +79,8 @@
 
     # Name of the header with the attempt id, which targets echo.
     attempt_id_header: str
+    # Names in lower case of those that a response has once at most.
+    single_response_headers: frozenset[str]
 
     @abc.abstractmethod
     def parse_request_headers(self, headers: Headers) -> RequestMetadata:
@@ -86,3 +95,39 @@
     @abc.abstractmethod
     def parse_response_headers(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return the values in a target's response; header names are in lower case."""
+
+
+def list_connection_options(headers: Headers) -> set[str]:
+    """Return the options of a connection, and the headers that it names as its own.
+
+    The names of ``headers`` must be in lower case.
+    """
+    values = [value for name, value in headers if name == CONNECTION]
+    return {option.strip().lower() for v in values for option in v.split(",")}
+
+
+def find_ambiguity(
+    headers: Headers,
+    single: collections.abc.Set[str],
+    known: collections.abc.Set[str],
+) -> str:
+    """Return how two readers may take headers differently, or an empty string.
+
+    One may take the first of several values, another the last; one may drop a header
+    that ``Connection`` names; one may take an underscore in a name for a hyphen. That
+    matters for the ``known`` headers; of these, the ``single`` ones must not be
+    repeated. All names must be in lower case.
+    """
+    seen = set()
+    for name, value in headers:
+        if name in single:
+            if name in seen:
+                return f"header {name} occurs twice"
+            seen.add(name)
+        elif name == CONNECTION:
+            named = known & list_connection_options([(name, value)])
+            if named:
+                return f"header {min(named)} is named as the connection's own"
+        elif "_" in name and name.replace("_", "-") in known:
+            return f"header {name!r:.40} has an underscore"
+    return ""
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -365,12 +365,13 @@
 
 
 def is_event_stream(head: upstream.ResponseHead) -> bool:
-    """Return whether the one media type of a response is that of event streams."""
-    types = [value for name, value in head.headers if name == "content-type"]
-    media_type = types[0].partition(";")[0].strip().lower() if types else ""
-    return len(types) == 1 and media_type == EVENT_STREAM
+    """Return whether the media type of a response is that of event streams."""
+    media_type = (head.get("content-type") or "").partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM
 
 
 def list_response_headers(head: upstream.ResponseHead) -> headercodec.Headers:
     """Return the headers of a response that are relayed to the caller."""
-    return [(n, v) for n, v in head.headers if n not in HOP_BY_HOP_HEADERS]
+    options = headercodec.list_connection_options(head.headers)
+    dropped = HOP_BY_HOP_HEADERS | options if options else HOP_BY_HOP_HEADERS
+    return [(n, v) for n, v in head.headers if n not in dropped]
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -25,7 +25,7 @@
 
 import h11
 
-from sardinesaddle.direct import responsebuffers, responsehead
+from sardinesaddle.direct import headercodec, responsebuffers, responsehead
 
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
@@ -63,7 +63,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of a response; header names are in lower case."""
+    """Status and headers of a response; header names are in lower case.
+
+    Those of ``HeaderCodec.single_response_headers`` occur once at most.
+    """
 
     status: int
     headers: list[tuple[str, str]]
@@ -222,9 +225,15 @@
 class Exchange:
     """One request on a connection and the response to it."""
 
-    def __init__(self, conn: Connection, echo_header: str, attempt_id: str) -> None:
+    def __init__(
+        self,
+        conn: Connection,
+        header_codec: headercodec.HeaderCodec,
+        attempt_id: str,
+    ) -> None:
         self._conn = conn
-        self._echo_header = echo_header
+        self._echo_header = header_codec.attempt_id_header
+        self._single_headers = header_codec.single_response_headers
         self._attempt_id = attempt_id
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
@@ -272,6 +281,9 @@
                 del self._head[:end]
                 continue
             self._head.clear()
+            single = self._single_headers
+            if fault := headercodec.find_ambiguity(fields, single, single):
+                return self._make_failure(FailureKind.MALFORMED, fault)
             head = ResponseHead(event.status_code, fields)
             if head.get(self._echo_header) is None:
                 # Once it is written again, nothing tells for which request it was.
@@ -323,8 +335,7 @@
 
     def _read_keep_alive(self, head: ResponseHead) -> None:
         """Read from the headers whether and how long the connection may be kept."""
-        connection_options = (head.get("connection") or "").lower()
-        if "close" in connection_options:
+        if "close" in headercodec.list_connection_options(head.headers):
             self._is_reusable = False
         for part in (head.get("keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -82,6 +82,9 @@
     """Converts between the platform's headers and request metadata."""
 
     attempt_id_header = ATTEMPT_ID
+    single_response_headers = headercodec.BODY_HEADERS | {
+        name.lower() for name in (ATTEMPT_ID, SIGNATURE, NOT_RUN)
+    }
 
     def parse_request_headers(
         self, headers: headercodec.Headers
@@ -139,7 +142,7 @@
         return headercodec.ResponseMetadata(
             was_not_run=NOT_RUN.lower() in present or status == STATUS_MISDIRECTED,
             is_wrong_target=status == STATUS_MISDIRECTED,
-            is_signed=SIGNATURE.lower() in present,
+            is_signed=any(name == SIGNATURE.lower() and v for name, v in headers),
             is_leaving=any(
                 name == LEAVING.lower() and value.strip() == IS_LEAVING
                 for name, value in headers
--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -25,6 +25,11 @@
     "empty_value": SIGNED + b"A:\r\n" + SIZED,
     "utf8_value": SIGNED + "A: \u00e9\r\n".encode() + SIZED,
     "coding_in_capitals": SIGNED + CHUNKED.replace(b"chunked", b"Chunked"),
+    "unknown_fields_twice": SIGNED
+    + b"B: b\r\nB: b\r\nConnection: C\r\nC: c\r\n"
+    + SIZED,
+    "trailers": SIGNED
+    + CHUNKED.replace(b"0\r\n\r\n", b"0\r\nServer-Stamp: t\r\nA: t\r\n\r\n"),
     "after_1xx": b"HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + SIGNED + SIZED,
 }
 # Heads that are not of the one form that every reader takes alike.
@@ -84,6 +89,26 @@
     "1xx_with_chunks": b"HTTP/1.1 103 H\r\n" + CODING + b"\r\n" + SIGNED + SIZED,
 }
 
+# Fields on which an entry decides, or by which a caller reads the body.
+AMBIGUOUS: typing.Final = {
+    "two_ids": ID + b"attempt-id: other\r\nServer-Stamp: s\r\n" + SIZED,
+    "two_ids_own_last": b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nAttempt-Id: @\r\n"
+    b"Server-Stamp: s\r\n" + SIZED,
+    "same_id_twice": ID + b"Attempt-Id: @\r\nServer-Stamp: s\r\n" + SIZED,
+    "id_with_underscore": SIGNED + b"Attempt_Id: other\r\n" + SIZED,
+    "two_signatures": SIGNED + b"Server-Stamp: t\r\n" + SIZED,
+    "empty_signature": ID + b"Server-Stamp:\r\n" + SIZED,
+    "signature_for_the_connection": SIGNED
+    + b"Connection: close, server-stamp\r\n"
+    + SIZED,
+    "length_for_the_connection": SIGNED + b"Connection: Content-Length\r\n" + SIZED,
+    "two_types": SIGNED + b"Content-Type: a/b\r\nContent-Type: c/d\r\n" + SIZED,
+    "empty_encoding": SIGNED + b"Content-Encoding:\r\n" + SIZED,
+    "identity_encoding": SIGNED + b"Content-Encoding: identity\r\n" + SIZED,
+    "signature_in_a_trailer": ID
+    + CHUNKED.replace(b"0\r\n\r\n", b"0\r\nServer-Stamp: s\r\n\r\n"),
+}
+
 
 def make_responder(written: bytes, is_closed: bool = True) -> df.Responder:
     """Return a responder that writes bytes, and then closes the connection or not."""
@@ -110,6 +135,7 @@
             resp = await fleet.send_request(path)
             assert (resp.status, resp.is_complete) == (200, True)
             assert (resp.headers["server-stamp"], resp.body) == ("s", b"body")
+            assert "c" not in resp.headers
             assert resp.headers.get("a", "\u00e9") in ("b", "", "\u00e9")
 
     df.run_scenario(scenario)
@@ -154,3 +180,24 @@
         await check_malformed(fleet, written, "plain")
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("written", AMBIGUOUS.values(), ids=AMBIGUOUS)
+def test_head_with_an_ambiguous_field_is_malformed(written: bytes) -> None:
+    """Guards against another response, or another reading of it, for the caller."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await check_malformed(fleet, written, "plain")
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("field", [b"Server-Stamp: t\r\n", b"Attempt-Id: other\r\n"])
+def test_error_with_an_ambiguous_field_is_not_relayed(field: bytes) -> None:
+    """Guards against a failure that bears two signatures, or is another request's."""
+    written = (SIGNED + field + SIZED).replace(b"200", b"404")
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await check_malformed(fleet, written, "plain")
+
+    df.run_scenario(scenario)
