Believe no statement of not run that contradicts itself

A response with Not-Executed counted as one of a request that was not run, whatever its status and the value: a request that may run once was sent to a second target after a success, a redirect, an engine's 500 or its 504 at the deadline, and its caller got 503, all of which promise that it did not run.

The statement counts with a status of 4xx or 503, and not with the values 0, false and no. Otherwise the response is malformed: the request may have run, and nothing that the target states of itself in that head is recorded.

--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -60,6 +60,8 @@
     long the target wants nothing from this entry, None if it did not ask for that, and
     ``invalid_rest`` what it states instead of a number. ``cold_left_s`` is for how long
     the target is still cold, and ``invalid_cold`` what it states instead of a number.
+    ``fault`` is why the response contradicts itself, an empty string if it does not;
+    with a fault nothing that it states counts.
     """
 
     was_not_run: bool
@@ -72,6 +74,7 @@
     invalid_rest: str | None = None
     cold_left_s: float | None = None
     invalid_cold: str | None = None
+    fault: str = ""
 
 
 class HeaderCodec(abc.ABC):
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -145,6 +145,11 @@
         if isinstance(head, upstream.Failure):
             return head
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
+        if metadata.fault:
+            # The request may have run, and what it says of itself may be wrong, too.
+            return upstream.Failure(
+                upstream.FailureKind.MALFORMED, True, metadata.fault
+            )
         self._observer.on_head(metadata)
         if metadata.was_not_run:
             await self._discard_body()
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -39,6 +39,10 @@
 
 STATUS_MISDIRECTED: typing.Final = 421
 STATUS_UNAVAILABLE: typing.Final = 503
+# Statuses of targets that do not run a request; others contradict ``NOT_RUN``.
+NOT_RUN_STATUSES: typing.Final = frozenset({*range(400, 500), STATUS_UNAVAILABLE})
+# Values with which a reader may take ``NOT_RUN`` for its opposite.
+NEGATIONS: typing.Final = frozenset({"0", "false", "no"})
 # Larger limits are read as this one, which no target reaches.
 MAX_RATE_LIMIT: typing.Final = 1e6
 
@@ -128,7 +132,12 @@
         self, status: int, headers: headercodec.Headers
     ) -> headercodec.ResponseMetadata:
         """Return the metadata in a target's response; names must be in lower case."""
-        present = {name for name, _ in headers}
+        denials = [value.lower() for name, value in headers if name == NOT_RUN.lower()]
+        fault = ""
+        if denials and status not in NOT_RUN_STATUSES:
+            fault = f"{NOT_RUN} beside status {status}"
+        elif not NEGATIONS.isdisjoint(denials):
+            fault = f"{NOT_RUN} with the value {denials[0]!r:.40}"
         limits = [value for name, value in headers if name == RATE_LIMIT.lower()]
         numbers = [parse_decimal(value) for value in limits]
         valid = [min(n, MAX_RATE_LIMIT) for n in numbers if n is not None]
@@ -140,7 +149,7 @@
         valid_colds = [n for n in map(parse_decimal, colds) if n is not None]
         valid_rests = [n for n in map(parse_decimal, rests) if n is not None]
         return headercodec.ResponseMetadata(
-            was_not_run=NOT_RUN.lower() in present or status == STATUS_MISDIRECTED,
+            was_not_run=not fault and (bool(denials) or status == STATUS_MISDIRECTED),
             is_wrong_target=status == STATUS_MISDIRECTED,
             is_signed=any(name == SIGNATURE.lower() and v for name, v in headers),
             is_leaving=any(
@@ -153,4 +162,5 @@
             invalid_rest=",".join(rests) if len(valid_rests) < len(rests) else None,
             cold_left_s=max(valid_colds) / 1000.0 if valid_colds else None,
             invalid_cold=",".join(colds) if len(valid_colds) < len(colds) else None,
+            fault=fault,
         )
--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -109,6 +109,27 @@
     + CHUNKED.replace(b"0\r\n\r\n", b"0\r\nServer-Stamp: s\r\n\r\n"),
 }
 
+STATED: typing.Final = b"Not-Executed: 1\r\n"
+REFUSAL: typing.Final = b"HTTP/1.1 503 X\r\nAttempt-Id: @\r\n"
+# What may be read as a statement that the request was not run, or not.
+CONTRADICTORY: typing.Final = {
+    **{
+        f"status_{status}": SIGNED.replace(b"200", b"%d" % status) + STATED + SIZED
+        for status in (200, 206, 302, 500, 502, 504)
+    },
+    "status_204": SIGNED.replace(b"200", b"204") + STATED + b"\r\n",
+    "value_0": REFUSAL + b"Not-Executed: 0\r\n" + SIZED,
+    "value_false": REFUSAL + b"Not-Executed: False\r\n" + SIZED,
+    "two_values": REFUSAL + STATED + b"Not-Executed: 0\r\n" + SIZED,
+    "for_the_connection": REFUSAL + b"Connection: not-executed\r\n" + STATED + SIZED,
+    "underscore": REFUSAL + b"Not_Executed: 1\r\n" + SIZED,
+    "two_ids": REFUSAL + b"Attempt-Id: other\r\n" + STATED + SIZED,
+    "trailer": REFUSAL + CHUNKED.replace(b"0\r\n\r\n", b"0\r\n" + STATED + b"\r\n"),
+    "value_0_beside_421": REFUSAL.replace(b"503", b"421")
+    + b"Not-Executed: 0\r\n"
+    + SIZED,
+}
+
 
 def make_responder(written: bytes, is_closed: bool = True) -> df.Responder:
     """Return a responder that writes bytes, and then closes the connection or not."""
@@ -201,3 +222,41 @@
         await check_malformed(fleet, written, "plain")
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("service", ["plain", "engines"])
+@pytest.mark.parametrize("written", CONTRADICTORY.values(), ids=CONTRADICTORY)
+def test_contradictory_statement_of_not_run_counts_as_may_have_run(
+    written: bytes, service: str
+) -> None:
+    """Guards against a second run, or a 503, of a request that may have run."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await check_malformed(fleet, written, service)
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [b"400", b"408", b"421", b"429", b"503"])
+@pytest.mark.parametrize("framing", [SIZED, CHUNKED, b"\r\n", b"\r\nbody"])
+@pytest.mark.parametrize("value", [b"1", b"", b"true"])
+def test_statement_of_not_run_is_believed(
+    status: bytes, framing: bytes, value: bytes
+) -> None:
+    """Guards against requests that are given up though no target ran them."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        stated = STATED.replace(b"1", value)
+        written = REFUSAL.replace(b"503", status) + stated + framing
+        first = await fleet.add_target("t1", "plain", make_responder(written))
+        await fleet.settle()
+        resp = await fleet.send_request("/once/a")
+        assert resp.status == 503
+        await fleet.add_target("t2", "plain")
+        await fleet.settle()
+        for _ in range(3):
+            resp = await fleet.send_request("/once/a")
+            assert (resp.status, resp.body) == (200, b"t2")
+        assert first.requests
+
+    df.run_scenario(scenario)
