Take no success for whole that ends right after its head

Such a body ends with the connection, so nothing in it tells that the rest is missing; an engine that means an empty body can say so.

A success without length and chunks whose body is empty is now broken off, as such streams were. Failures are relayed, as their status is what they say. A part of such a body still cannot be told from the whole of a shorter one while the target runs.

Test: six cases (200, 202 and 206 by HTTP/1.0 and 1.1) fail on the code before. 20 cases of responses without a body pass on both.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -11,7 +11,8 @@
 
 A response that nothing but the end of its connection bounds is complete only if its
 target still runs, as the end of a process looks the same. Such a stream is also broken
-off if it ends within an event or before the first one.
+off if it ends within an event or before the first one, and another success if it ends
+right after its head: a target that stops there looks the same.
 """
 
 import abc
@@ -212,6 +213,10 @@
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
+                is_success = 200 <= head.status < 300
+                if is_success and self._exchange.is_unframed and not body:
+                    kind = upstream.FailureKind.CLOSED
+                    return upstream.Failure(kind, True, "closed right after its head")
                 if failure := await self._find_broken_end():
                     return failure
                 is_complete = True
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -35,6 +35,7 @@
 IDLE_TIMEOUT_SHARE: typing.Final = 0.5  # of the idle timeout that a target states
 DEFAULT_IDLE_S: typing.Final = 2.0  # for targets that state no idle timeout
 MAX_IDLE_PER_TARGET: typing.Final = 8
+STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 
 
 class FailureKind(enum.Enum):
@@ -289,9 +290,7 @@
                 # Once it is written again, nothing tells for which request it was.
                 self._is_reusable = False
             if self._is_own_response(head):
-                self._has_length = head.get("content-length") is not None
-                is_chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
-                self.is_unframed = not self._has_length and not is_chunked
+                self._read_framing(head)
                 self._read_keep_alive(head)
                 return head
             skipped = await self._skip_response()
@@ -333,6 +332,17 @@
             self._h11.receive_data(rest)
         return None
 
+    def _read_framing(self, head: ResponseHead) -> None:
+        """Read from the headers what bounds the body."""
+        assert self._request is not None
+        self._has_length = head.get("content-length") is not None
+        self.is_unframed = (
+            not self._has_length
+            and head.get("transfer-encoding") is None
+            and head.status not in STATUSES_WITHOUT_BODY
+            and self._request.method != b"HEAD"
+        )
+
     def _read_keep_alive(self, head: ResponseHead) -> None:
         """Read from the headers whether and how long the connection may be kept."""
         if "close" in headercodec.list_connection_options(head.headers):
--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -6,6 +6,7 @@
 import pytest
 
 from test import directfleet as df
+from test import test_direct_unframed
 
 # "@" stands for the id of the attempt.
 ID: typing.Final = b"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\n"
@@ -260,3 +261,54 @@
         assert first.requests
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("status", [b"200", b"202", b"206"])
+def test_success_that_ends_right_after_its_head_is_incomplete(
+    version: bytes, status: bytes
+) -> None:
+    """Guards against an empty body, marked as whole, of a target that broke off."""
+    head = SIGNED.replace(b"200", status).replace(b"1.1", version)
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await check_malformed(fleet, head + b"\r\n", "plain")
+        received, _ = await test_direct_unframed.send_http_1_0(fleet, "/once/a")
+        assert received.split()[1] == b"502" or received.endswith(b"t2")
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "framing"),
+    [
+        ("POST", b"204", b""),
+        ("POST", b"204", b"Content-Length: 0\r\n"),
+        ("POST", b"304", b""),
+        ("POST", b"304", b"Content-Length: 4\r\n"),
+        ("POST", b"200", b"Content-Length: 0\r\n"),
+        ("POST", b"404", b""),
+        ("POST", b"500", b""),
+        ("HEAD", b"200", b""),
+        ("HEAD", b"200", b"Content-Length: 4\r\n"),
+        ("HEAD", b"200", CODING),
+    ],
+)
+@pytest.mark.parametrize("is_closed", [True, False])
+def test_response_that_has_no_body_is_complete(
+    method: str, status: bytes, framing: bytes, is_closed: bool
+) -> None:
+    """Guards against failures for responses whose body is empty by their status."""
+    is_kept = not is_closed and (method == "HEAD" or status < b"4")
+    written = SIGNED.replace(b"200", status) + framing + b"\r\n"
+
+    async def scenario(fleet: df.Fleet) -> None:
+        respond = make_responder(written, not is_kept)
+        await fleet.add_target("t1", "plain", respond)
+        await fleet.settle()
+        for _ in range(2):
+            resp = await fleet.send_request("/once/a", method=method, body=b"")
+            assert (resp.status, resp.is_complete) == (int(status), True)
+            assert (resp.headers["server-stamp"], resp.body) == ("s", b"")
+
+    df.run_scenario(scenario)
