Let no idle time that a target states fail its response

Keep-Alive with a digit outside ASCII, or with more than 4,300 digits, raised in the parsing, so the caller of a whole response got 500. The first of two fields counted. A pattern now reads one to nine digits, and the shortest of several times counts.

Test: three of nine cases fail on the code before.

--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -21,6 +21,7 @@
 import asyncio
 import dataclasses
 import enum
+import re
 import typing
 
 import h11
@@ -36,6 +37,10 @@
 DEFAULT_IDLE_S: typing.Final = 2.0  # for targets that state no idle timeout
 MAX_IDLE_PER_TARGET: typing.Final = 8
 STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
+# In a value of Keep-Alive: whole seconds.
+_IDLE_TIMEOUT: typing.Final = re.compile(
+    r"(?:^|,)[ \t]*timeout=([0-9]{1,9})[ \t]*(?=,|$)", re.IGNORECASE
+)
 
 
 class FailureKind(enum.Enum):
@@ -347,10 +352,14 @@
         """Read from the headers whether and how long the connection may be kept."""
         if "close" in headercodec.list_connection_options(head.headers):
             self._is_reusable = False
-        for part in (head.get("keep-alive") or "").split(","):
-            name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self._idle_limit_s = int(value) * IDLE_TIMEOUT_SHARE
+        timeouts = [
+            float(seconds)
+            for name, value in head.headers
+            if name == "keep-alive"
+            for seconds in _IDLE_TIMEOUT.findall(value)
+        ]
+        if timeouts:
+            self._idle_limit_s = min(timeouts) * IDLE_TIMEOUT_SHARE
 
     @property
     def has_buffer_bound(self) -> bool:
--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -312,3 +312,47 @@
             assert (resp.headers["server-stamp"], resp.body) == ("s", b"")
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "timeout=\u00b2",
+        "timeout=" + "9" * 5000,
+        "timeout=soon",
+        "timeout",
+        "timeout=-1",
+        "max=3",
+        "=",
+        "",
+    ],
+)
+def test_idle_time_that_is_no_number_is_ignored(value: str) -> None:
+    """Guards against a failed request for a field that says nothing of its response."""
+    field = b"Keep-Alive: " + value.encode() + b"\r\n"
+
+    async def scenario(fleet: df.Fleet) -> None:
+        respond = make_responder(SIGNED + field + SIZED, is_closed=False)
+        await fleet.add_target("t1", "plain", respond)
+        await fleet.settle()
+        for path in ("/once/a", "/free/a", "/free/b"):
+            resp = await fleet.send_request(path)
+            assert (resp.status, resp.body) == (200, b"body")
+
+    df.run_scenario(scenario)
+
+
+def test_the_shorter_of_two_idle_times_counts() -> None:
+    """Guards against requests on connections that a target closes meanwhile."""
+    fields = b"Keep-Alive: timeout=100\r\nKeep-Alive: max=9, timeout=1\r\n"
+
+    async def scenario(fleet: df.Fleet) -> None:
+        respond = make_responder(SIGNED + fields + SIZED, is_closed=False)
+        target = await fleet.add_target("t1", "plain", respond)
+        await fleet.settle()
+        for _ in range(2):
+            await fleet.send_request("/free/a")
+            await fleet.settle(0.8)
+        assert [request.connection_number for request in target.requests] == [1, 2]
+
+    df.run_scenario(scenario)
