Refuse requests that entry and target could take differently

Of two values of a field the entry took the last and passed both on, and a target may take the first: with two ids the target ran the request under the one, and the entry waited for the other and responded 502. Two deadlines, keys, models, token counts and prompts were taken likewise. A field that Connection names was decided on and then dropped: without its id, model or token counts the target got another request than the entry admitted, without a host the entry failed with 500. A name with an underscore passed where the entry sets the field with a hyphen: Expect_Instance, Request_Priority, Deadline_Ms.

Such a request is refused with 400 before it is sent anywhere, its connection is closed, and request_malformed logs the reason. It is asked of the fields on which the entry or the target decides; others may come as often as they like, and those that the entry sets are dropped as before.

--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -25,6 +25,7 @@
 )
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
+STATUS_MALFORMED: typing.Final = 400
 STATUS_TOO_LARGE: typing.Final = 413
 RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)  # linger for 0 s
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
@@ -179,14 +180,22 @@
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         account = self._buffers.open_account()
-        responder = HttpResponder(request, self.is_draining, account)
         headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
         metadata = self._header_codec.parse_request_headers(headers)
+        closes_connection = self.is_draining or bool(metadata.fault)
+        responder = HttpResponder(request, closes_connection, account)
         self.active_requests += 1
         try:
             body = await self._read_body(request)
             if self.refuses_requests:
                 await self._refuse(responder, metadata, requeststate.STATUS_NOT_RUN)
+            elif metadata.fault:
+                loguru.logger.warning(
+                    "event=request_malformed id={} reason={!r:.160}",
+                    metadata.attempt_id,
+                    metadata.fault,
+                )
+                await self._refuse(responder, metadata, STATUS_MALFORMED)
             elif body is None:
                 await self._refuse(responder, metadata, STATUS_TOO_LARGE)
             else:
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -23,7 +23,8 @@
     ``output_tokens_hint`` is the caller's estimate of the number of output tokens,
     ``max_output_tokens`` their limit. ``last_event_id`` is the last event of a stream
     that the caller received. ``prompt_parts`` identifies the parts of the prompt that
-    the request shares with others, in order.
+    the request shares with others, in order. ``fault`` is why the headers could be
+    taken differently by a target, an empty string if they could not.
     """
 
     attempt_id: str
@@ -34,6 +35,7 @@
     output_tokens_hint: int | None
     last_event_id: int | None
     prompt_parts: tuple[str, ...] = ()
+    fault: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -27,6 +27,10 @@
 # The parts of the prompt in order, as "ID:TOKENS,..." with hexadecimal ids. The last
 # one is the request's or its session's own; requests share the others.
 PROMPT_PARTS: typing.Final = "Prompt-Prefix"
+# The model that a request is for.
+MODEL: typing.Final = "Model"
+# The version of the weights that a request is for; other targets respond with 421.
+EXPECTED_VERSION: typing.Final = "Expect-Version"
 # Requests a second that the target takes from all entries together.
 RATE_LIMIT: typing.Final = "Server-Limit"
 # "1" in each response of a target that leaves.
@@ -54,6 +58,26 @@
 _SET_BY_ENTRY: typing.Final = frozenset(
     {"authorization", "deadline-ms", "expect-instance", "tenant", "request-priority"}
 )
+# A caller's request has these once at most: the entry or the target decides on them.
+_SINGLE_REQUEST_HEADERS: typing.Final = frozenset(
+    name.lower()
+    for name in (
+        ATTEMPT_ID,
+        DEADLINE,
+        LAST_EVENT,
+        LENGTH_HINT,
+        TOKENS,
+        PROMPT_PARTS,
+        MODEL,
+        EXPECTED_VERSION,
+        "Authorization",
+        "Host",
+        "Content-Type",
+        "Content-Length",
+        "Transfer-Encoding",
+    )
+)
+_KNOWN_REQUEST_HEADERS: typing.Final = _SINGLE_REQUEST_HEADERS | _SET_BY_ENTRY
 
 
 def parse_number(text: str | None) -> int | None:
@@ -94,13 +118,15 @@
         self, headers: headercodec.Headers
     ) -> headercodec.RequestMetadata:
         """Return the metadata in a caller's headers; invalid values are ignored."""
-        values = {name.lower(): value for name, value in headers}
+        lowered = [(name.lower(), value) for name, value in headers]
+        values = dict(lowered)
         scheme, _, key = values.get("authorization", "").partition(" ")
         has_key = scheme.lower() == "bearer" and bool(key.strip())
         prompt, _, output = values.get(TOKENS.lower(), "").partition(",")
+        ids = [value for name, value in lowered if name == ATTEMPT_ID.lower()]
         deadline_ms = parse_number(values.get(DEADLINE.lower()))
         return headercodec.RequestMetadata(
-            attempt_id=values.get(ATTEMPT_ID.lower(), ""),
+            attempt_id=ids[0] if len(ids) == 1 else "",
             timeout_s=None if deadline_ms is None else deadline_ms / 1000.0,
             api_key=key.strip() if has_key else None,
             prompt_tokens=parse_number(prompt) or 0,
@@ -108,6 +134,9 @@
             output_tokens_hint=parse_number(values.get(LENGTH_HINT.lower())),
             last_event_id=parse_number(values.get(LAST_EVENT.lower())),
             prompt_parts=parse_prompt_parts(values.get(PROMPT_PARTS.lower(), "")),
+            fault=headercodec.find_ambiguity(
+                lowered, _SINGLE_REQUEST_HEADERS, _KNOWN_REQUEST_HEADERS
+            ),
         )
 
     def make_upstream_headers(
--- a/test/test_direct_requestheads.py
+++ b/test/test_direct_requestheads.py
@@ -1,5 +1,7 @@
 """Tests of what the entry takes from the heads of requests, and what it passes on."""
 
+import asyncio
+
 import pytest
 
 from sardinesaddle.platform import headers
@@ -35,3 +37,156 @@
         assert sent[headers.LAST_EVENT.lower()] == str(RESUMED_AFTER)
 
     df.run_scenario(scenario)
+
+
+FIRST = b"POST /once/a HTTP/1.1\r\n"
+HOST = b"Host: h.example\r\n"
+OWN = b"Attempt-Id: a1\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer key-a\r\n"
+HEAD = FIRST + HOST + OWN
+SIZED = b"Content-Length: 4\r\n\r\nbody"
+CHUNKS = b"4\r\nbody\r\n0\r\n\r\n"
+PROMPT = (
+    b"Model: m\r\nToken-Usage: 14,80\r\nPrompt-Prefix: ab:1,cd:2\r\nLength-Hint: 7\r\n"
+)
+
+
+async def send(fleet: df.Fleet, data: bytes, entry_index: int = 0) -> tuple[int, bytes]:
+    """Send bytes; return the status of the first response and its body.
+
+    The status is 0 if the connection ends without a response.
+    """
+    reader, writer = await fleet.connect(entry_index)
+    writer.write(data)
+    received = b""
+    try:
+        async with asyncio.timeout(5.0):
+            while b"\r\n\r\n" not in received or received.endswith(b"\r\n\r\n"):
+                part = await reader.read(65536)
+                if not part:
+                    break
+                received += part
+                if b"Content-Length: 0" in received:
+                    break
+    except (TimeoutError, OSError):
+        pass
+    writer.transport.abort()
+    head, _, body = received.partition(b"\r\n\r\n")
+    return int(head.split()[1]) if head else 0, body
+
+
+# Heads that two readers could take differently.
+AMBIGUOUS = {
+    "two_ids": HEAD + b"Attempt-Id: a2\r\n" + SIZED,
+    "same_id_twice": HEAD + b"attempt-id: a1\r\n" + SIZED,
+    "id_with_underscore": HEAD + b"Attempt_Id: a2\r\n" + SIZED,
+    "id_for_the_connection": HEAD + b"Connection: close, attempt-id\r\n" + SIZED,
+    "two_deadlines": HEAD + b"Deadline-Ms: 9000\r\n" + SIZED,
+    "deadline_with_underscore": HEAD + b"Deadline_Ms: 9000\r\n" + SIZED,
+    "two_keys": HEAD.replace(b"key-a", b"key-b")
+    + b"Authorization: Bearer key-a\r\n"
+    + SIZED,
+    "target_with_underscore": HEAD + b"Expect_Instance: t9\r\n" + SIZED,
+    "priority_with_underscore": HEAD + b"Request_Priority: 0\r\n" + SIZED,
+    "two_models": HEAD + PROMPT + b"Model: n\r\n" + SIZED,
+    "two_token_counts": HEAD + PROMPT + b"Token-Usage: 1,1\r\n" + SIZED,
+    "two_prompts": HEAD + PROMPT + b"Prompt-Prefix: ef:3\r\n" + SIZED,
+    "two_hints": HEAD + PROMPT + b"Length-Hint: 8\r\n" + SIZED,
+    "two_last_events": HEAD + b"Last-Event-Id: 1\r\nLast-Event-Id: 2\r\n" + SIZED,
+    "two_versions": HEAD + b"Expect-Version: 1\r\nExpect-Version: 2\r\n" + SIZED,
+    "prompt_for_the_connection": HEAD + PROMPT + b"Connection: Model\r\n" + SIZED,
+    "host_for_the_connection": HEAD + b"Connection: host\r\n" + SIZED,
+    "two_types": HEAD + b"Content-Type: a/b\r\nContent-Type: c/d\r\n" + SIZED,
+    "two_hosts": HEAD + b"Host: other.example\r\n" + SIZED,
+    "same_host_twice": HEAD + HOST + SIZED,
+    "no_host": FIRST + OWN + SIZED,
+    "two_lengths": HEAD + b"Content-Length: 5\r\n" + SIZED,
+    "same_length_twice": HEAD + b"Content-Length: 4\r\n" + SIZED,
+    "list_of_lengths": HEAD + SIZED.replace(b"4", b"4, 4"),
+    "length_with_sign": HEAD + SIZED.replace(b"4", b"+4"),
+    "length_and_chunks": HEAD
+    + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + CHUNKS,
+    "chunked_twice": HEAD + b"Transfer-Encoding: chunked\r\n" * 2 + b"\r\n" + CHUNKS,
+    "folded_line": HEAD + b"A: b\r\n c\r\n" + SIZED,
+    "blank_before_colon": HEAD + b"A : b\r\n" + SIZED,
+    "nul": HEAD + b"A: b\0c\r\n" + SIZED,
+    "bare_cr": HEAD + b"A: b\rC: d\r\n" + SIZED,
+    "bare_lf": HEAD + b"A: b\nC: d\r\n" + SIZED,
+    "control_character": HEAD + b"A: b\x01c\r\n" + SIZED,
+}
+
+
+async def check_refused(fleet: df.Fleet, data: bytes) -> None:
+    """Check that a request gets 400 at once, runs nowhere, and spoils no other."""
+    target = await fleet.add_target("t1", "plain")
+    await fleet.settle()
+    status, _ = await send(fleet, data)
+    await fleet.settle(1.0)
+    assert status == 400
+    assert not target.requests
+    assert (await send(fleet, HEAD + SIZED)) == (200, b"t1")
+
+
+@pytest.mark.parametrize("data", AMBIGUOUS.values(), ids=AMBIGUOUS)
+def test_request_that_readers_take_differently_is_refused(data: bytes) -> None:
+    """Guards against a run of another request than the one that was decided on."""
+    df.run_scenario(lambda fleet: check_refused(fleet, data))
+
+
+PROPER = {
+    "sized": HEAD + SIZED,
+    "chunked": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+    "chunked_in_capitals": HEAD + b"TRANSFER-ENCODING: Chunked\r\n\r\n" + CHUNKS,
+    "prompt": HEAD + PROMPT + SIZED,
+    "names_in_capitals": (HEAD + PROMPT)
+    .upper()
+    .replace(b"/ONCE/A", b"/once/a")
+    .replace(b"BEARER KEY-A", b"bearer key-a")
+    .replace(b"H.EXAMPLE", b"h.example")
+    + SIZED,
+    "unknown_fields_twice": HEAD
+    + b"A: b\r\nA: c\r\nA_B: d\r\nX_Attempt-Id: x\r\n"
+    + SIZED,
+    "cookies": HEAD
+    + b"Cookie: a=b\r\nCookie: c=d\r\nAccept: */*\r\nAccept: a/b\r\n"
+    + SIZED,
+    "field_of_the_connection": HEAD + b"Connection: close, A\r\nA: b\r\n" + SIZED,
+    "connection_twice": HEAD
+    + b"Connection: keep-alive\r\nConnection: TE\r\nTE: trailers\r\n"
+    + SIZED,
+    "fields_that_the_entry_sets": HEAD + b"Tenant: bob\r\nTenant: eve\r\nTENANT: x\r\n"
+    b"Expect-Instance: t9\r\nRequest-Priority: 0\r\nRequest-Priority: 1\r\n" + SIZED,
+    "host_with_port": FIRST + b"Host: h.example:80\r\n" + OWN + SIZED,
+    "upgrade": HEAD + b"Connection: Upgrade\r\nUpgrade: h2c\r\n" + SIZED,
+    "trailers": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nAttempt-Id: t\r\n"
+    b"Tenant: eve\r\n\r\n",
+    "blank_line_first": b"\r\n" + HEAD + SIZED,
+    "http_1_0": HEAD.replace(b"HTTP/1.1", b"HTTP/1.0") + SIZED,
+}
+
+
+@pytest.mark.parametrize("data", PROPER.values(), ids=PROPER)
+def test_proper_request_runs_as_it_was_sent(data: bytes) -> None:
+    """Guards against refusals of what callers may send, and fields that they set."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        assert (await send(fleet, data)) == (200, b"t1")
+        request = target.requests[0]
+        assert (request.method, request.path) == ("POST", "/once/a")
+        assert request.body == b"body"
+        sent = request.headers
+        assert (sent["tenant"], sent["expect-instance"]) == ("alice", "t1")
+        assert (sent["request-priority"], sent["content-length"]) == ("5", "4")
+        assert sent["attempt-id"].lower() == "a1"
+        assert "authorization" not in sent
+        for name in ("connection", "upgrade", "te", "transfer-encoding"):
+            assert name not in sent
+        if b"A: c" in data:
+            assert (sent["a"], sent["a_b"]) == ("c", "d")
+        if b"close, A" in data:
+            assert "a" not in sent
+
+    df.run_scenario(scenario)
