Pass on header values of any encoding, and read numbers and keys strictly

The entry decoded values as Latin-1 and h11 encoded them as ASCII: a field with any other byte, which HTTP allows, failed the request with 500. A number of more than 4,300 digits did so, too. A no-break space before or after a key counted as a blank, so a key that no configuration holds was admitted.

Values are now decoded so that each byte can be restored, and are passed on unchanged. A field on which entry or target decides must be UTF-8, else the request is refused with 400. Numbers have one to 18 digits. Only spaces and tabs surround values.

Test: 12 of 24 cases fail on the code before (three values, three known fields, an id, a long deadline, three long numbers, a key behind a Latin-1 no-break space); all pass now.

--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -180,7 +180,10 @@
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         account = self._buffers.open_account()
-        headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
+        headers = [
+            (name.decode(), headercodec.decode_value(value))
+            for name, value in request.raw_headers
+        ]
         metadata = self._header_codec.parse_request_headers(headers)
         closes_connection = self.is_draining or bool(metadata.fault)
         responder = HttpResponder(request, closes_connection, account)
--- a/sardinesaddle/direct/headercodec.py
+++ b/sardinesaddle/direct/headercodec.py
@@ -102,6 +102,28 @@
         """Return the values in a target's response; header names are in lower case."""
 
 
+def decode_value(value: bytes) -> str:
+    """Return the value of a header as text, from which ``encode_value`` restores it.
+
+    Values may have any bytes; those that are not UTF-8 become lone surrogates.
+    """
+    return value.decode(errors="surrogateescape")
+
+
+def encode_value(value: str) -> bytes:
+    """Return the bytes of the value of a header."""
+    return value.encode(errors="surrogateescape")
+
+
+def is_utf8(value: str) -> bool:
+    """Return whether the bytes of the value of a header are UTF-8."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def list_connection_options(headers: Headers) -> set[str]:
     """Return the options of a connection, and the headers that it names as its own.
 
@@ -118,16 +140,18 @@
 ) -> str:
     """Return how two readers may take headers differently, or an empty string.
 
-    One may take the first of several values, another the last; one may drop a header
-    that ``Connection`` names; one may take an underscore in a name for a hyphen. That
-    matters for the ``known`` headers; of these, the ``single`` ones must not be
-    repeated. All names must be in lower case.
+    One may take the first of several values, another the last, or read bytes in
+    another encoding; one may drop a header that ``Connection`` names; one may take an
+    underscore in a name for a hyphen. That matters for the ``known`` headers; of these,
+    the ``single`` ones must not be repeated. All names must be in lower case.
     """
     seen = set()
     for name, value in headers:
         if name in single:
             if name in seen:
                 return f"header {name} occurs twice"
+            if not value.isascii() and not is_utf8(value):
+                return f"header {name} is not UTF-8"
             seen.add(name)
         elif name == CONNECTION:
             named = known & list_connection_options([(name, value)])
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -257,7 +257,8 @@
         self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Write the whole request to the connection."""
-        self._request = h11.Request(method=method, target=path, headers=headers)
+        encoded = [(n.encode(), headercodec.encode_value(v)) for n, v in headers]
+        self._request = h11.Request(method=method, target=path, headers=encoded)
         self._body = body
         self._conn.write(self._encode_request(self._h11))
 
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -1,5 +1,6 @@
 """Reads and writes the platform's HTTP headers."""
 
+import re
 import typing
 
 from sardinesaddle.direct import headercodec
@@ -80,15 +81,20 @@
 _KNOWN_REQUEST_HEADERS: typing.Final = _SINGLE_REQUEST_HEADERS | _SET_BY_ENTRY
 
 
+# What surrounds values. Other blanks, such as the no-break space, belong to them.
+_BLANKS: typing.Final = " \t"
+_NUMBER: typing.Final = re.compile("[0-9]{1,18}")
+
+
 def parse_number(text: str | None) -> int | None:
-    """Parse a non-negative integer; return None if the text is anything else."""
-    text = (text or "").strip()
-    return int(text) if text.isdigit() and text.isascii() else None
+    """Parse an integer of up to 18 digits; return None if the text is anything else."""
+    text = (text or "").strip(_BLANKS)
+    return int(text) if _NUMBER.fullmatch(text) else None
 
 
 def parse_decimal(text: str) -> float | None:
     """Parse a non-negative decimal number; return None if the text is anything else."""
-    text = text.strip()
+    text = text.strip(_BLANKS)
     digits = text.replace(".", "", 1)
     return float(text) if digits.isdigit() and digits.isascii() else None
 
@@ -121,14 +127,14 @@
         lowered = [(name.lower(), value) for name, value in headers]
         values = dict(lowered)
         scheme, _, key = values.get("authorization", "").partition(" ")
-        has_key = scheme.lower() == "bearer" and bool(key.strip())
+        has_key = scheme.lower() == "bearer" and bool(key.strip(_BLANKS))
         prompt, _, output = values.get(TOKENS.lower(), "").partition(",")
         ids = [value for name, value in lowered if name == ATTEMPT_ID.lower()]
         deadline_ms = parse_number(values.get(DEADLINE.lower()))
         return headercodec.RequestMetadata(
             attempt_id=ids[0] if len(ids) == 1 else "",
             timeout_s=None if deadline_ms is None else deadline_ms / 1000.0,
-            api_key=key.strip() if has_key else None,
+            api_key=key.strip(_BLANKS) if has_key else None,
             prompt_tokens=parse_number(prompt) or 0,
             max_output_tokens=parse_number(output) or 0,
             output_tokens_hint=parse_number(values.get(LENGTH_HINT.lower())),
--- a/test/test_direct_requestheads.py
+++ b/test/test_direct_requestheads.py
@@ -1,6 +1,8 @@
 """Tests of what the entry takes from the heads of requests, and what it passes on."""
 
 import asyncio
+import contextlib
+import re
 
 import pytest
 
@@ -74,6 +76,41 @@
     return int(head.split()[1]) if head else 0, body
 
 
+class RawTarget(df.ScriptedTarget):
+    """A target that keeps the bytes of requests and reads no text of them.
+
+    It responds to each with its name, and closes the connection.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.received: list[bytes] = []
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve the one request of a connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            data = await reader.readuntil(b"\r\n\r\n")
+            self.received.append(data)
+            attempt_id = re.search(rb"\r\n(Attempt-Id: [^\r]*)\r\n", data)
+            assert attempt_id is not None
+            head = df.make_response_head(200, df.SIGNATURE_HEADER).rstrip(b"\r\n")
+            writer.write(
+                head + b"\r\n" + attempt_id[1] + b"\r\n\r\n" + self.name.encode()
+            )
+        writer.close()
+
+
+async def add_raw_target(fleet: df.Fleet, name: str) -> RawTarget:
+    """Start a raw target and register it."""
+    target = RawTarget(name)
+    await target.start()
+    fleet.targets[name] = target
+    fleet.register(name, "plain")
+    return target
+
+
 # Heads that two readers could take differently.
 AMBIGUOUS = {
     "two_ids": HEAD + b"Attempt-Id: a2\r\n" + SIZED,
@@ -190,3 +227,97 @@
             assert "a" not in sent
 
     df.run_scenario(scenario)
+
+
+TEXTS = {"utf8": "caf\u00e9".encode(), "latin1": b"caf\xe9", "bytes": b"\xa0\x80\xff"}
+
+
+@pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS)
+def test_text_that_is_not_ascii_is_passed_on_unchanged(text: bytes) -> None:
+    """Guards against failures for fields that mean nothing to the entry."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await add_raw_target(fleet, "t1")
+        await fleet.settle()
+        status, _ = await send(fleet, HEAD + b"A: " + text + b"\r\n" + SIZED)
+        assert status == 200
+        assert b"\r\nA: " + text + b"\r\n" in target.received[0]
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("name", [b"Attempt-Id", b"Authorization", b"Model"])
+def test_known_field_that_is_not_utf8_is_refused(name: bytes) -> None:
+    """Guards against another reading of an id, a key or a model at the target."""
+    head = b"\r\n".join(
+        line for line in HEAD.split(b"\r\n") if not line.startswith(name)
+    )
+    data = head + name + b": Bearer key-a\xe9\r\n" + SIZED
+    df.run_scenario(lambda fleet: check_refused(fleet, data))
+
+
+def test_id_of_any_text_is_echoed_to_its_caller() -> None:
+    """Guards against an id that the entry reads in another encoding than its target."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain")
+        await add_raw_target(fleet, "t2")
+        fleet.store.delete("servers/t1")
+        await fleet.settle()
+        data = HEAD.replace(b"a1", "\u00e9\u20ac".encode()) + SIZED
+        assert (await send(fleet, data)) == (200, b"t2")
+
+    df.run_scenario(scenario)
+
+
+# Values that a lenient reader takes for the one that is meant.
+MISREAD = {
+    "no_break_space_before_key": (b"Bearer key-a", b"Bearer \xc2\xa0key-a"),
+    "no_break_space_after_key": (b"Bearer key-a", b"Bearer key-a\xc2\x85"),
+    "latin1_space_before_key": (b"Bearer key-a", b"Bearer \xa0key-a"),
+    "tab_before_key": (b"Bearer key-a", b"Bearer\tkey-a"),
+    "list_of_keys": (b"Bearer key-a", b"Bearer key-a, Bearer key-b"),
+}
+
+
+@pytest.mark.parametrize("change", MISREAD.values(), ids=MISREAD)
+def test_key_is_compared_as_it_was_sent(change: tuple[bytes, bytes]) -> None:
+    """Guards against a run for a key that no configuration holds."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        assert (await send(fleet, HEAD.replace(*change) + SIZED))[0] in (400, 401)
+        assert not target.requests
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "deadline",
+    [b"9" * 5000, b"9" * 20, b"soon", b"", b"-1", b"+5", b"1e3", b"\xc2\xb2", b"4_0"],
+)
+def test_deadline_that_is_no_number_leaves_the_routes_limit(deadline: bytes) -> None:
+    """Guards against failures, and against a limit that target and entry read apart."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        data = HEAD.replace(b"4000", deadline) + PROMPT + SIZED
+        assert (await send(fleet, data)) == (200, b"t1")
+        assert 3900 <= int(target.requests[0].headers["deadline-ms"]) <= 4000
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("field", [b"Token-Usage", b"Length-Hint", b"Last-Event-Id"])
+def test_number_of_any_length_fails_no_request(field: bytes) -> None:
+    """Guards against failures for numbers that no conversion takes."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        data = HEAD + field + b": " + b"9" * 5000 + b"\r\n" + SIZED
+        assert (await send(fleet, data)) == (200, b"t1")
+
+    df.run_scenario(scenario)
