Give a request whose deadline is 0 no more time

A Deadline-Ms of 0 counted as none, so the target was handed the route's whole limit. It is a deadline like any other; such a request ends with 503 or 504 at once.

Test: fails on the code before.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -167,7 +167,9 @@
                     )
                 return requeststate.Refusal(401, "unknown_key")
         caller_timeout_s = req.metadata.timeout_s
-        limit_s = min(route.timeout_s, caller_timeout_s or route.timeout_s)
+        limit_s = route.timeout_s
+        if caller_timeout_s is not None:
+            limit_s = min(limit_s, caller_timeout_s)
         service = catalog.pick_service(route, rng.random())
         content_id = requeststate.compute_content_id(
             req.path, "" if account is None else account.name, req.body
--- a/test/test_direct_requestheads.py
+++ b/test/test_direct_requestheads.py
@@ -321,3 +321,17 @@
         assert (await send(fleet, data)) == (200, b"t1")
 
     df.run_scenario(scenario)
+
+
+def test_request_whose_deadline_has_passed_is_given_no_time() -> None:
+    """Guards against a target that works for the route's limit on a deadline of 0."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        data = HEAD.replace(b"4000", b"0") + SIZED
+        assert (await send(fleet, data))[0] in (503, 504)
+        sent = [int(r.headers["deadline-ms"]) for r in target.requests]
+        assert all(left_ms <= 1 for left_ms in sent)
+
+    df.run_scenario(scenario)
