--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -185,18 +185,19 @@
             for name, value in request.raw_headers
         ]
         metadata = self._header_codec.parse_request_headers(headers)
-        closes_connection = self.is_draining or bool(metadata.fault)
+        fault = metadata.fault or find_fault(request)
+        closes_connection = self.is_draining or bool(fault)
         responder = HttpResponder(request, closes_connection, account)
         self.active_requests += 1
         try:
             body = await self._read_body(request)
             if self.refuses_requests:
                 await self._refuse(responder, metadata, requeststate.STATUS_NOT_RUN)
-            elif metadata.fault:
+            elif fault:
                 loguru.logger.warning(
                     "event=request_malformed id={} reason={!r:.160}",
                     metadata.attempt_id,
-                    metadata.fault,
+                    fault,
                 )
                 await self._refuse(responder, metadata, STATUS_MALFORMED)
             elif body is None:
@@ -248,3 +249,23 @@
             if len(data) > limit:
                 return None
         return bytes(data)
+
+
+def find_fault(request: aiohttp.web.BaseRequest) -> str:
+    """Return what of a request line or body targets may take differently, or "".
+
+    aiohttp accepts any version, and drops all transfer codings but ``chunked``.
+    """
+    if request.version not in (aiohttp.HttpVersion10, aiohttp.HttpVersion11):
+        return f"HTTP version {request.version.major}.{request.version.minor}"
+    if request.method == "CONNECT":
+        return "method CONNECT"
+    path = request.raw_path
+    if not path.startswith("/") or "#" in path:
+        return f"{path!r:.60} is no path"
+    coding = request.headers.get("Transfer-Encoding")
+    if coding is None:
+        return ""
+    if request.version < aiohttp.HttpVersion11 or coding.strip().lower() != "chunked":
+        return f"transfer coding {coding!r:.40}"
+    return ""
--- a/test/test_direct_requestheads.py
+++ b/test/test_direct_requestheads.py
@@ -335,3 +335,32 @@
         assert all(left_ms <= 1 for left_ms in sent)
 
     df.run_scenario(scenario)
+
+
+BODY = b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKS
+# Request lines and codings of bodies that a target could take differently.
+LINES = {
+    "absolute_url": HEAD.replace(b"/once/a", b"http://h.example/once/a") + SIZED,
+    "url_of_another_host": HEAD.replace(b"/once/a", b"http://o.example/once/a") + SIZED,
+    "tunnel": HEAD.replace(b"POST /once/a", b"CONNECT h.example:80") + SIZED,
+    "tunnel_to_a_path": HEAD.replace(b"POST", b"CONNECT") + SIZED,
+    "server_as_a_whole": HEAD.replace(b"POST /once/a", b"OPTIONS *") + SIZED,
+    "fragment": HEAD.replace(b"/once/a", b"/once/a?b=c#d") + SIZED,
+    "http_2_0": HEAD.replace(b"HTTP/1.1", b"HTTP/2.0") + SIZED,
+    "http_0_9": HEAD.replace(b"HTTP/1.1", b"HTTP/0.9") + SIZED,
+    "http_1_2": HEAD.replace(b"HTTP/1.1", b"HTTP/1.2") + SIZED,
+    "path_in_utf8": HEAD.replace(b"/once/a", b"/once/\xc3\xa9") + SIZED,
+    "path_with_blank": HEAD.replace(b"/once/a", b"/once/a b") + SIZED,
+    "chunks_by_http_1_0": HEAD.replace(b"HTTP/1.1", b"HTTP/1.0") + BODY,
+    "coded_chunks": HEAD + BODY.replace(b"chunked", b"gzip, chunked"),
+    "coding_after_chunks": HEAD + BODY.replace(b"chunked", b"chunked, gzip"),
+    "unknown_coding": HEAD + BODY.replace(b"chunked", b"xchunked"),
+    "identity": HEAD + b"Transfer-Encoding: identity\r\n" + SIZED,
+    "chunks_by_line_feeds": HEAD + BODY.replace(CHUNKS, b"4\nbody\n0\n\n"),
+}
+
+
+@pytest.mark.parametrize("data", LINES.values(), ids=LINES)
+def test_request_of_another_form_is_refused(data: bytes) -> None:
+    """Guards against another path, or another body, than the caller's at a target."""
+    df.run_scenario(lambda fleet: check_refused(fleet, data))
