Let no trailer or repeated field override one in the sidecar's client

Chunks in HTTP/1.0 and other versions were read. Trailers are dropped now, repeated values joined as the standard has it, and such versions are faults.

Heads cut at each byte, lengths that differ, length beside chunks, folded lines and odd codings were faults before, too.

--- a/sardinesaddle/direct/httpclient.py
+++ b/sardinesaddle/direct/httpclient.py
@@ -91,12 +91,22 @@
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        """Store a header; the values of a repeated one are joined, trailers dropped."""
+        if self._has_head:
+            return
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        if key in self._headers:
+            text = f"{self._headers[key]}, {text}"
+        self._headers[key] = text
 
     def on_headers_complete(self) -> None:
-        """Begin with the body."""
+        """Begin with the body; chunks of HTTP/1.0 are the body for some readers."""
         self._has_head = True
+        version = self._parser.get_http_version()
+        if version not in ("1.0", "1.1") or (
+            version == "1.0" and "transfer-encoding" in self._headers
+        ):
+            self._fail(f"the framing of HTTP/{version}")
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, up to its limit."""
--- a/test/test_direct_httpclient.py
+++ b/test/test_direct_httpclient.py
@@ -233,3 +233,83 @@
                 pass
 
     run_status(scenario)
+
+
+HEAD: typing.Final = b"HTTP/1.1 200 OK\r\nX-Own: 7\r\n"
+CHUNKED: typing.Final = b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+CUT: typing.Final = {
+    "sized": WHOLE,
+    "chunked": HEAD + CHUNKED,
+    "after_1xx": b"HTTP/1.1 102 Wait\r\nX-Own: 9\r\n\r\n" + WHOLE,
+    "http_1_0": WHOLE.replace(b"1.1", b"1.0"),
+    "head_by_line_feeds": HEAD.replace(b"\r\n", b"\n") + b"Content-Length: 2\n\nab",
+}
+UNFRAMED: typing.Final = {
+    "unframed": HEAD + b"\r\n",
+    "unframed_by_http_1_0": HEAD.replace(b"1.1", b"1.0") + b"\r\n",
+    "unframed_after_1xx": b"HTTP/1.1 102 Wait\r\n\r\n" + HEAD + b"\r\n",
+}
+
+
+def check_cuts(*written: bytes) -> None:
+    """Check that responses that end with their connection are faults."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        for data in written:
+            fault = await client.request("POST", "/order", TIMEOUT_S, b"{}")
+            assert isinstance(fault, httpclient.HttpFault), data
+        response = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(response, httpclient.HttpResponse)
+        assert response.body == b"ab"
+
+    run(scenario, *[data + ScriptedServer.EOF for data in written], WHOLE)
+
+
+@pytest.mark.parametrize("written", CUT.values(), ids=CUT)
+def test_response_that_is_cut_anywhere_is_a_fault(written: bytes) -> None:
+    """Guards against an order, or a report, that counts as answered by a part."""
+    check_cuts(*[written[:cut] for cut in range(len(written))])
+
+
+@pytest.mark.parametrize("written", UNFRAMED.values(), ids=UNFRAMED)
+def test_unframed_response_that_is_cut_in_its_head_is_a_fault(
+    written: bytes,
+) -> None:
+    """Guards against an empty page of an engine that stopped within its head."""
+    check_cuts(*[written[:cut] for cut in range(len(written))])
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        HEAD + b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+        HEAD + b"Content-Length: 2, 2\r\n\r\nab",
+        HEAD + b"Content-Length: +2\r\n\r\nab",
+        HEAD + b"Content-Length: 1\r\n" + CHUNKED,
+        HEAD + CHUNKED.replace(b"chunked", b"chunked, gzip"),
+        HEAD + CHUNKED.replace(b"chunked", b"xchunked"),
+        HEAD + b"\n" + b"Content-Length: 2\r\n\r\nab",
+        HEAD + b"X-B: a\r\n b\r\nContent-Length: 2\r\n\r\nab",
+        HEAD + b"X-B : a\r\nContent-Length: 2\r\n\r\nab",
+        HEAD + b"X-B: a\0\r\nContent-Length: 2\r\n\r\nab",
+        HEAD.replace(b"1.1", b"1.0") + CHUNKED,
+        HEAD.replace(b"1.1", b"2.0") + b"Content-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + WHOLE,
+    ],
+)
+def test_response_that_readers_take_differently_is_a_fault(data: bytes) -> None:
+    """Guards against a page of which a part, or something else, was read."""
+    check_cuts(data)
+
+
+def test_trailers_and_repeated_fields_override_no_field() -> None:
+    """Guards against a statement of an engine that a later line takes back."""
+    written = HEAD + b"X-Own: 8\r\n" + CHUNKED.replace(b"0\r\n", b"0\r\nX-Own: 9\r\n")
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        response = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(response, httpclient.HttpResponse)
+        assert response.headers["x-own"] == "7, 8"
+
+    run(scenario, written)
