Play ambiguous responses to two entries as processes

The four tables of heads that are malformed and a success that ends behind its head, to two entries at once, once more in the reverse order after one was killed and started.

--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -1,12 +1,13 @@
 """Tests of heads of responses that two readers could take differently."""
 
 import asyncio
+import pathlib
 import typing
 
 import pytest
 
 from test import directfleet as df
-from test import test_direct_unframed
+from test import processfleet, test_direct_unframed
 
 # "@" stands for the id of the attempt.
 ID: typing.Final = b"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\n"
@@ -356,3 +357,35 @@
         assert [request.connection_number for request in target.requests] == [1, 2]
 
     df.run_scenario(scenario)
+
+
+def test_processes_relay_no_ambiguous_response(tmp_path: pathlib.Path) -> None:
+    """Guards against such responses at two entries at once, and after a restart."""
+
+    async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await asyncio.sleep(1.0)
+        written = [
+            *FORMS.values(),
+            *FRAMINGS.values(),
+            *AMBIGUOUS.values(),
+            *CONTRADICTORY.values(),
+            SIGNED + b"\r\n",
+        ]
+        for data in (*written, None, *reversed(written)):
+            if data is None:
+                await fleet.restart(0)
+                await asyncio.sleep(1.0)
+                continue
+            target.respond = make_responder(data)
+            target.requests.clear()
+            responses = await asyncio.gather(
+                *(fleet.send_request("/once/a", index) for index in (0, 1))
+            )
+            assert [resp.status for resp in responses] == [502, 502], data[:200]
+            assert len(target.requests) == 2, data[:200]
+        target.respond = make_responder(SOUND["sized"])
+        for index in (0, 1):
+            assert (await fleet.send_request("/once/a", index)).body == b"body"
+
+    processfleet.run_scenario(tmp_path, scenario, entry_count=2)
