Log one line for each request that aiohttp refuses

Its server now logs through a handler: request_malformed with the kind of fault, exception_unhandled for anything else.

Test: all heads that are refused and all proper ones, to two entries as processes at once and again after one was killed and started.

--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -10,10 +10,12 @@
 """
 
 import asyncio
+import logging
 import socket
 import struct
 import typing
 
+import aiohttp.http_exceptions
 import aiohttp.web
 import loguru
 
@@ -22,6 +24,7 @@
     headercodec,
     requeststate,
     responsebuffers,
+    supervision,
 )
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
@@ -127,6 +130,34 @@
         transport.abort()
 
 
+class ServerLogHandler(logging.Handler):
+    """Writes what aiohttp's server logs as one line each.
+
+    aiohttp logs the traceback of each malformed request to standard error, which no
+    rate limit bounds.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record as a line."""
+        exc = record.exc_info[1] if record.exc_info else None
+        if isinstance(exc, aiohttp.http_exceptions.HttpProcessingError):
+            # The lines below the first have the bytes, which may be a key.
+            reason = exc.message.partition("\n")[0].rstrip(":")
+            loguru.logger.warning(
+                "event=request_malformed id= reason={!r:.160}", reason
+            )
+            return
+        context = {"message": record.getMessage(), "exception": exc}
+        supervision.log_unhandled(asyncio.get_running_loop(), context)
+
+
+def make_server_logger() -> logging.Logger:
+    """Return a logger for aiohttp's server that is not part of the global ones."""
+    logger = logging.Logger(__name__, logging.WARNING)
+    logger.addHandler(ServerLogHandler())
+    return logger
+
+
 class Frontend:
     """Accepts callers' requests and passes them to the forwarder."""
 
@@ -146,6 +177,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            logger=make_server_logger(),
             keepalive_timeout=idle_timeout_s * KEEPALIVE_FACTOR,
             auto_decompress=False,
             max_line_size=64 * 1024,
--- a/test/test_direct_requestheads.py
+++ b/test/test_direct_requestheads.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+import pathlib
 import re
 
 import pytest
 
 from sardinesaddle.platform import headers
 from test import directfleet as df
-from test import test_direct_unframed
+from test import processfleet, test_direct_unframed
 
 RESUMED_AFTER = 1
 REST = b"".join(test_direct_unframed.EVENTS[RESUMED_AFTER + 1 :])
@@ -364,3 +365,31 @@
 def test_request_of_another_form_is_refused(data: bytes) -> None:
     """Guards against another path, or another body, than the caller's at a target."""
     df.run_scenario(lambda fleet: check_refused(fleet, data))
+
+
+def test_processes_run_only_proper_requests(tmp_path: pathlib.Path) -> None:
+    """Guards against such requests at two entries at once, and after a restart."""
+
+    async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        target = await fleet.add_target("t1", "plain")
+        await asyncio.sleep(1.0)
+        refused = [*AMBIGUOUS.values(), *LINES.values()]
+        for restarts in (False, True):
+            if restarts:
+                await fleet.restart(0)
+                await asyncio.sleep(1.0)
+            for data in refused:
+                pair = await asyncio.gather(*(send(fleet, data, n) for n in (0, 1)))
+                assert [status for status, _ in pair] == [400, 400], data
+            assert not target.requests
+            for data in PROPER.values():
+                pair = await asyncio.gather(*(send(fleet, data, n) for n in (0, 1)))
+                assert pair == [(200, b"t1")] * 2, data
+            target.requests.clear()
+        log = fleet.read_log(0) + fleet.read_log(1)
+        assert "event=request_malformed id=a1 reason='header deadline-ms occurs" in log
+        assert "event=request_malformed id= reason='Invalid header token'" in log
+        assert "Traceback" not in log
+        assert "key-a" not in log
+
+    processfleet.run_scenario(tmp_path, scenario, entry_count=2)
