--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -112,6 +112,14 @@
     return tuple(part_id[:MAX_PART_ID_LENGTH] for part_id in shared)
 
 
+def group_values(headers: headercodec.Headers) -> dict[str, list[str]]:
+    """Return the values of each name, in order; names must be in lower case."""
+    values: dict[str, list[str]] = {}
+    for name, value in headers:
+        values.setdefault(name, []).append(value)
+    return values
+
+
 class PlatformHeaderCodec(headercodec.HeaderCodec):
     """Converts between the platform's headers and request metadata."""
 
@@ -129,10 +137,9 @@
         scheme, _, key = values.get("authorization", "").partition(" ")
         has_key = scheme.lower() == "bearer" and bool(key.strip(_BLANKS))
         prompt, _, output = values.get(TOKENS.lower(), "").partition(",")
-        ids = [value for name, value in lowered if name == ATTEMPT_ID.lower()]
         deadline_ms = parse_number(values.get(DEADLINE.lower()))
         return headercodec.RequestMetadata(
-            attempt_id=ids[0] if len(ids) == 1 else "",
+            attempt_id=values.get(ATTEMPT_ID.lower(), ""),
             timeout_s=None if deadline_ms is None else deadline_ms / 1000.0,
             api_key=key.strip(_BLANKS) if has_key else None,
             prompt_tokens=parse_number(prompt) or 0,
@@ -167,29 +174,30 @@
         self, status: int, headers: headercodec.Headers
     ) -> headercodec.ResponseMetadata:
         """Return the metadata in a target's response; names must be in lower case."""
-        denials = [value.lower() for name, value in headers if name == NOT_RUN.lower()]
+        values = group_values(headers)
+        denials = [value.lower() for value in values.get(NOT_RUN.lower(), ())]
         fault = ""
         if denials and status not in NOT_RUN_STATUSES:
             fault = f"{NOT_RUN} beside status {status}"
         elif not NEGATIONS.isdisjoint(denials):
             fault = f"{NOT_RUN} with the value {denials[0]!r:.40}"
-        limits = [value for name, value in headers if name == RATE_LIMIT.lower()]
+        limits = values.get(RATE_LIMIT.lower(), [])
         numbers = [parse_decimal(value) for value in limits]
         valid = [min(n, MAX_RATE_LIMIT) for n in numbers if n is not None]
         is_invalid = len(valid) < len(limits)
         rests: list[str] = []
         if status == STATUS_UNAVAILABLE:
-            rests = [value for name, value in headers if name == REST.lower()]
-        colds = [value for name, value in headers if name == COLD.lower()]
+            rests = values.get(REST.lower(), [])
+        colds = values.get(COLD.lower(), [])
         valid_colds = [n for n in map(parse_decimal, colds) if n is not None]
         valid_rests = [n for n in map(parse_decimal, rests) if n is not None]
         return headercodec.ResponseMetadata(
             was_not_run=not fault and (bool(denials) or status == STATUS_MISDIRECTED),
             is_wrong_target=status == STATUS_MISDIRECTED,
-            is_signed=any(name == SIGNATURE.lower() and v for name, v in headers),
+            is_signed=any(values.get(SIGNATURE.lower(), ())),
             is_leaving=any(
-                name == LEAVING.lower() and value.strip() == IS_LEAVING
-                for name, value in headers
+                value.strip(_BLANKS) == IS_LEAVING
+                for value in values.get(LEAVING.lower(), ())
             ),
             rate_limit=min(valid, default=None),
             invalid_rate_limit=",".join(limits) if is_invalid else None,
