--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -32,6 +32,8 @@
     + SIZED,
     "trailers": SIGNED
     + CHUNKED.replace(b"0\r\n\r\n", b"0\r\nServer-Stamp: t\r\nA: t\r\n\r\n"),
+    "after_1xx_with_statements": b"HTTP/1.1 103 H\r\nNot-Executed: 1\r\n"
+    b"Attempt-Id: other\r\nServer-Stamp: t\r\n\r\n" + SIGNED + SIZED,
     "after_1xx": b"HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + SIGNED + SIZED,
 }
 # Heads that are not of the one form that every reader takes alike.
@@ -39,6 +41,8 @@
     "line_feed_ends_the_head": SIGNED + b"\n" + SIZED,
     "line_feed_ends_it_early": SIGNED + b"\n",
     "line_feed_in_one_line": SIGNED + b"A: b\nC: d\r\n" + SIZED,
+    "line_feeds_behind_the_status": SIGNED.replace(b"\r\n", b"\n\n", 1) + SIZED,
+    "no_field": b"HTTP/1.1 500 X\r\n\r\n",
     "cr_lf_among_line_feeds": SIGNED.replace(b"\r\n", b"\n") + SIZED,
     "folded_line": SIGNED + b"A: b\r\n c\r\n" + SIZED,
     "folded_id": b"HTTP/1.1 200 OK\r\nAttempt-Id:\r\n @\r\nServer-Stamp: s\r\n" + SIZED,
@@ -55,6 +59,8 @@
     "http_0_9": SIGNED.replace(b"1.1", b"0.9") + SIZED,
     "blank_line_first": b"\r\n" + SIGNED + SIZED,
     "1xx_by_line_feeds": b"HTTP/1.1 100 C\r\n\n" + SIGNED + SIZED,
+    "1xx_by_http_1_0": b"HTTP/1.0 103 H\r\n\r\n" + SIGNED + SIZED,
+    "1xx_that_closes": b"HTTP/1.1 103 H\r\nConnection: close\r\n\r\n" + SIGNED + SIZED,
     "switches_protocols": b"HTTP/1.1 101 S\r\nUpgrade: x\r\n\r\n" + SIGNED + SIZED,
 }
 
@@ -83,6 +89,8 @@
     "empty_length": SIGNED + b"Content-Length:\r\n\r\nbody",
     "chunked_twice": SIGNED + CODING + CHUNKED,
     "coded_chunks": SIGNED + CHUNKED.replace(b"chunked", b"gzip, chunked"),
+    "tab_behind_the_coding": SIGNED + CHUNKED.replace(b"chunked", b"chunked\t"),
+    "blank_behind_the_length": SIGNED + SIZED.replace(b"4", b"4 "),
     "identity": SIGNED + b"Transfer-Encoding: identity\r\n" + SIZED,
     "empty_coding": SIGNED + b"Transfer-Encoding:\r\n" + SIZED,
     "204_with_length": SIGNED.replace(b"200", b"204") + SIZED,
