--- a/test/test_direct_cutheads.py
+++ b/test/test_direct_cutheads.py
@@ -31,7 +31,7 @@
     "stream": STREAM + b"\r\n" + EVENTS,
 }
 MAX_CUTS: typing.Final = 160  # of a long response: at its first and last bytes
-KEPT_STEP: typing.Final = 3  # of the cuts on kept connections, to save time
+KEPT_STEP: typing.Final = 3  # of the cuts on kept connections, from the last one
 Ending = collections.abc.Callable[[df.ScriptedTarget, asyncio.StreamWriter], None]
 ENDS: typing.Final = (test_direct_unframed.close, test_direct_unframed.reset)
 
@@ -108,7 +108,7 @@
         cut_target = CutTarget(written, is_kept)
         await fleet.add_target("t1", service, cut_target.respond)
         await fleet.settle()
-        cuts = list_cuts(last)[:: KEPT_STEP if is_kept else 1]
+        cuts = list_cuts(last)[:: -KEPT_STEP if is_kept else 1]
         for cut in cuts:
             cut_target.cut = cut
             cut_target.end = ENDS[cut % 2]
