--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -11,10 +11,12 @@
 
 import asyncio
 import collections.abc
+import logging
 import socket
 import struct
 import typing
 
+import aiohttp.http_exceptions
 import aiohttp.web
 import loguru
 
@@ -24,9 +26,11 @@
     requeststate,
     responsebuffers,
     stopdeadline,
+    supervision,
 )
 
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
+STATUS_MALFORMED: typing.Final = 400
 STATUS_TOO_LARGE: typing.Final = 413
 RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)  # linger for 0 s
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
@@ -156,6 +160,34 @@
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
 
+class ServerLogHandler(logging.Handler):
+    """Writes what aiohttp's server logs as one line each.
+
+    aiohttp logs the traceback of each malformed request to standard error, which no
+    rate limit bounds.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record as a line."""
+        exc = record.exc_info[1] if record.exc_info else None
+        if isinstance(exc, aiohttp.http_exceptions.HttpProcessingError):
+            # The lines below the first have the bytes, which may be a key.
+            reason = exc.message.partition("\n")[0].rstrip(":")
+            loguru.logger.warning(
+                "event=request_malformed id= reason={!r:.160}", reason
+            )
+            return
+        context = {"message": record.getMessage(), "exception": exc}
+        supervision.log_unhandled(asyncio.get_running_loop(), context)
+
+
+def make_server_logger() -> logging.Logger:
+    """Return a logger for aiohttp's server that is not part of the global ones."""
+    logger = logging.Logger(__name__, logging.WARNING)
+    logger.addHandler(ServerLogHandler())
+    return logger
+
+
 class Frontend:
     """Accepts callers' requests and passes them to the forwarder."""
 
@@ -177,6 +209,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            logger=make_server_logger(),
             keepalive_timeout=idle_timeout_s * KEEPALIVE_FACTOR,
             auto_decompress=False,
             max_line_size=64 * 1024,
@@ -222,11 +255,15 @@
         loop = asyncio.get_running_loop()
         arrived_at = loop.time()
         account = self._buffers.open_account()
+        headers = [
+            (name.decode(), headercodec.decode_value(value))
+            for name, value in request.raw_headers
+        ]
+        metadata = self._header_codec.parse_request_headers(headers)
+        fault = metadata.fault or find_fault(request)
         responder = HttpResponder(
-            request, lambda: self._closes_connection(request), account
+            request, lambda: bool(fault) or self._closes_connection(request), account
         )
-        headers = [(n.decode(), v.decode("latin-1")) for n, v in request.raw_headers]
-        metadata = self._header_codec.parse_request_headers(headers)
         self.active_requests += 1
         try:
             body: bytes | None = None
@@ -238,6 +275,13 @@
                 is_stopped = True
             if is_stopped or self.refuses_requests:
                 await self._refuse(responder, metadata, requeststate.STATUS_NOT_RUN)
+            elif fault:
+                loguru.logger.warning(
+                    "event=request_malformed id={} reason={!r:.160}",
+                    metadata.attempt_id,
+                    fault,
+                )
+                await self._refuse(responder, metadata, STATUS_MALFORMED)
             elif body is None:
                 await self._refuse(responder, metadata, STATUS_TOO_LARGE)
             else:
@@ -292,3 +336,23 @@
             if len(data) > limit:
                 return None
         return bytes(data)
+
+
+def find_fault(request: aiohttp.web.BaseRequest) -> str:
+    """Return what of a request line or body targets may take differently, or "".
+
+    aiohttp accepts any version, and drops all transfer codings but ``chunked``.
+    """
+    if request.version not in (aiohttp.HttpVersion10, aiohttp.HttpVersion11):
+        return f"HTTP version {request.version.major}.{request.version.minor}"
+    if request.method == "CONNECT":
+        return "method CONNECT"
+    path = request.raw_path
+    if not path.startswith("/") or "#" in path:
+        return f"{path!r:.60} is no path"
+    coding = request.headers.get("Transfer-Encoding")
+    if coding is None:
+        return ""
+    if request.version < aiohttp.HttpVersion11 or coding.strip().lower() != "chunked":
+        return f"transfer coding {coding!r:.40}"
+    return ""
--- a/sardinesaddle/direct/httpclient.py
+++ b/sardinesaddle/direct/httpclient.py
@@ -94,7 +94,7 @@
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header, but not a trailer or a header of a further response."""
+        """Store a header; the values of a repeated one are joined, trailers dropped."""
         if self._has_head:
             return
         key, text = name.decode("latin-1").lower(), value.decode("latin-1")
@@ -102,10 +102,14 @@
         self._headers[key] = text if known is None else f"{known}, {text}"
 
     def on_headers_complete(self) -> None:
-        """Begin with the body; of other encodings readers find different ends."""
+        """Begin with the body; of other framings readers find different ends."""
         self._has_head = True
-        encoding = self._headers.get("transfer-encoding", "chunked").strip().lower()
-        if encoding != "chunked":
+        version = self._parser.get_http_version()
+        encoding = self._headers.get("transfer-encoding")
+        is_chunked = encoding is not None and encoding.strip().lower() == "chunked"
+        if version not in ("1.0", "1.1") or (version == "1.0" and is_chunked):
+            self._fail(f"the framing of HTTP/{version}")
+        elif encoding is not None and not is_chunked:
             self._fail(f"transfer encoding {encoding!r:.60}")
 
     def on_body(self, data: bytes) -> None:
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -11,7 +11,8 @@
 
 A response that nothing but the end of its connection bounds is complete only if its
 target still runs, as the end of a process looks the same. Such a stream is also broken
-off if it ends within an event or before the first one.
+off if it ends within an event or before the first one, and another success if it ends
+right after its head: a target that stops there looks the same.
 """
 
 import abc
@@ -145,6 +146,11 @@
         if isinstance(head, upstream.Failure):
             return head
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
+        if metadata.fault:
+            # The request may have run, and what it says of itself may be wrong, too.
+            return upstream.Failure(
+                upstream.FailureKind.MALFORMED, True, metadata.fault
+            )
         self._observer.on_head(metadata)
         if metadata.was_not_run:
             await self._discard_body()
@@ -207,6 +213,10 @@
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
+                is_success = 200 <= head.status < 300
+                if is_success and self._exchange.is_unframed and not body:
+                    kind = upstream.FailureKind.CLOSED
+                    return upstream.Failure(kind, True, "closed right after its head")
                 if failure := await self._find_broken_end():
                     return failure
                 is_complete = True
@@ -373,12 +383,13 @@
 
 
 def is_event_stream(head: upstream.ResponseHead) -> bool:
-    """Return whether the one media type of a response is that of event streams."""
-    types = [value for name, value in head.headers if name == "content-type"]
-    media_type = types[0].partition(";")[0].strip().lower() if types else ""
-    return len(types) == 1 and media_type == EVENT_STREAM
+    """Return whether the media type of a response is that of event streams."""
+    media_type = (head.get("content-type") or "").partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM
 
 
 def list_response_headers(head: upstream.ResponseHead) -> headercodec.Headers:
     """Return the headers of a response that are relayed to the caller."""
-    return [(n, v) for n, v in head.headers if n not in HOP_BY_HOP_HEADERS]
+    options = headercodec.list_connection_options(head.headers)
+    dropped = HOP_BY_HOP_HEADERS | options if options else HOP_BY_HOP_HEADERS
+    return [(n, v) for n, v in head.headers if n not in dropped]
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -21,11 +21,12 @@
 import asyncio
 import dataclasses
 import enum
+import re
 import typing
 
 import h11
 
-from sardinesaddle.direct import responsebuffers
+from sardinesaddle.direct import headercodec, responsebuffers, responsehead
 
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
@@ -35,6 +36,11 @@
 IDLE_TIMEOUT_SHARE: typing.Final = 0.5  # of the idle timeout that a target states
 DEFAULT_IDLE_S: typing.Final = 2.0  # for targets that state no idle timeout
 MAX_IDLE_PER_TARGET: typing.Final = 8
+STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
+# In a value of Keep-Alive: whole seconds.
+_IDLE_TIMEOUT: typing.Final = re.compile(
+    r"(?:^|,)[ \t]*timeout=([0-9]{1,9})[ \t]*(?=,|$)", re.IGNORECASE
+)
 
 
 class FailureKind(enum.Enum):
@@ -63,7 +69,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of a response; header names are in lower case."""
+    """Status and headers of a response; header names are in lower case.
+
+    Those of ``HeaderCodec.single_response_headers`` occur once at most.
+    """
 
     status: int
     headers: list[tuple[str, str]]
@@ -222,12 +231,19 @@
 class Exchange:
     """One request on a connection and the response to it."""
 
-    def __init__(self, conn: Connection, echo_header: str, attempt_id: str) -> None:
+    def __init__(
+        self,
+        conn: Connection,
+        header_codec: headercodec.HeaderCodec,
+        attempt_id: str,
+    ) -> None:
         self._conn = conn
-        self._echo_header = echo_header
+        self._echo_header = header_codec.attempt_id_header
+        self._single_headers = header_codec.single_response_headers
         self._attempt_id = attempt_id
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
+        self._head = bytearray()  # what was received of the next head, and after it
         self._body = b""
         self._body_bytes = 0
         self._has_length = False
@@ -241,7 +257,8 @@
         self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Write the whole request to the connection."""
-        self._request = h11.Request(method=method, target=path, headers=headers)
+        encoded = [(n.encode(), headercodec.encode_value(v)) for n, v in headers]
+        self._request = h11.Request(method=method, target=path, headers=encoded)
         self._body = body
         self._conn.write(self._encode_request(self._h11))
 
@@ -259,21 +276,27 @@
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
+            if not isinstance(event, h11.InformationalResponse | h11.Response):
                 return self._make_failure(
                     FailureKind.MALFORMED, f"unexpected {event!r:.60}"
                 )
-            headers = [(n.decode(), v.decode("latin-1")) for n, v in event.headers]
-            head = ResponseHead(event.status_code, headers)
+            end = responsehead.find_end(self._head)
+            fields = responsehead.read_fields(bytes(self._head[:end]))
+            if isinstance(fields, str):
+                return self._make_failure(FailureKind.MALFORMED, fields)
+            if isinstance(event, h11.InformationalResponse):
+                del self._head[:end]
+                continue
+            self._head.clear()
+            single = self._single_headers
+            if fault := headercodec.find_ambiguity(fields, single, single):
+                return self._make_failure(FailureKind.MALFORMED, fault)
+            head = ResponseHead(event.status_code, fields)
             if head.get(self._echo_header) is None:
                 # Once it is written again, nothing tells for which request it was.
                 self._is_reusable = False
             if self._is_own_response(head):
-                self._has_length = head.get("content-length") is not None
-                is_chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
-                self.is_unframed = not self._has_length and not is_chunked
+                self._read_framing(head)
                 self._read_keep_alive(head)
                 return head
             skipped = await self._skip_response()
@@ -311,18 +334,33 @@
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._encode_request(self._h11)
         if rest:
+            self._head += rest
             self._h11.receive_data(rest)
         return None
 
+    def _read_framing(self, head: ResponseHead) -> None:
+        """Read from the headers what bounds the body."""
+        assert self._request is not None
+        self._has_length = head.get("content-length") is not None
+        self.is_unframed = (
+            not self._has_length
+            and head.get("transfer-encoding") is None
+            and head.status not in STATUSES_WITHOUT_BODY
+            and self._request.method != b"HEAD"
+        )
+
     def _read_keep_alive(self, head: ResponseHead) -> None:
         """Read from the headers whether and how long the connection may be kept."""
-        connection_options = (head.get("connection") or "").lower()
-        if "close" in connection_options:
+        if "close" in headercodec.list_connection_options(head.headers):
             self._is_reusable = False
-        for part in (head.get("keep-alive") or "").split(","):
-            name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self._idle_limit_s = int(value) * IDLE_TIMEOUT_SHARE
+        timeouts = [
+            float(seconds)
+            for name, value in head.headers
+            if name == "keep-alive"
+            for seconds in _IDLE_TIMEOUT.findall(value)
+        ]
+        if timeouts:
+            self._idle_limit_s = min(timeouts) * IDLE_TIMEOUT_SHARE
 
     @property
     def has_buffer_bound(self) -> bool:
@@ -384,6 +422,8 @@
                     return self._make_failure(
                         FailureKind.CLOSED, "closed before the response"
                     )
+            if self._h11.their_state is h11.SEND_RESPONSE:
+                self._head += data
             self._h11.receive_data(data)
 
     def _make_failure(self, kind: FailureKind, detail: str) -> Failure:
