Give other work its turn while a target's response is parsed

Report of another operator: an engine wrote bytes that were no answer, without end, and the requests of other clients on that machine ended with it.

Cause: the entry holds up to 256 KiB of a response, h11 parses it in Python, and nothing is awaited while pieces are left. 256 KiB of chunks of a byte took 0.46 s in one step; with their turn at the relay, one such response kept the event loop for up to 4 s. Timers of asyncio.timeout, one for each piece, were kept until the loop went on: 137 MB more with 20 refusals in tiny chunks. Nothing had to be without end for that.

Change: after 64 pieces since it last waited for bytes, a connection waits in a queue of the entry, from which one goes on every 2 ms (parserturns.py). Events, and 512 bytes of a stream, count as a piece; a stream is read 8 KiB at a time. Small chunks that are there are returned together. What was received and not parsed yet does not count as silence.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -17,6 +17,7 @@
 import abc
 import asyncio
 import collections.abc
+import functools
 import math
 import typing
 
@@ -33,6 +34,9 @@
 UNREAD: typing.Final = (
     "unread"  # reason: the target cut off what the caller left unread
 )
+# Of a stream, read at a time; so many bytes of its lines take as long as a chunk.
+STREAM_READ_BYTES: typing.Final = 8 * 1024
+STREAM_PIECE_BYTES: typing.Final = 512
 EVENT_STREAM: typing.Final = "text/event-stream"
 MAX_FIRST_ID: typing.Final = 1  # targets count the events of a stream from 0 or 1
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
@@ -277,8 +281,9 @@
         parser = sse.EventParser()
         has_events = False
         last_event_at = 0.0
+        read = functools.partial(self._exchange.read_body, STREAM_READ_BYTES)
         while True:
-            data = await self._read(self._exchange.read_body)
+            data = await self._read(read)
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
@@ -294,6 +299,7 @@
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
             received = parser.feed(data)
+            self._exchange.count_pieces(len(received) + len(data) // STREAM_PIECE_BYTES)
             self._state.traits.progress.events += len(received)
             self._exchange.hold(parser.buffered_bytes)
             if received:
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -25,7 +25,7 @@
 
 import h11
 
-from sardinesaddle.direct import responsebuffers
+from sardinesaddle.direct import parserturns, responsebuffers
 
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
@@ -35,6 +35,8 @@
 IDLE_TIMEOUT_SHARE: typing.Final = 0.5  # of the idle timeout that a target states
 DEFAULT_IDLE_S: typing.Final = 2.0  # for targets that state no idle timeout
 MAX_IDLE_PER_TARGET: typing.Final = 8
+HEAD_READ_BYTES: typing.Final = 8 * 1024  # given to h11 at a time
+JOINED_BYTES: typing.Final = 4 * 1024  # of small chunks that are returned together
 
 
 class FailureKind(enum.Enum):
@@ -91,8 +93,13 @@
     what ``receive`` returned last counts until the next call.
     """
 
-    def __init__(self, buffers: responsebuffers.ResponseBuffers | None = None) -> None:
+    def __init__(
+        self,
+        buffers: responsebuffers.ResponseBuffers | None = None,
+        turns: parserturns.ParserTurns | None = None,
+    ) -> None:
         self.buffers = buffers or responsebuffers.ResponseBuffers()
+        self.turns = turns or parserturns.ParserTurns()
         self._account = self.buffers.open_account()
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -137,15 +144,16 @@
         """
         held = len(self._buffer) + self._received_bytes + self._relayed_bytes
         self._account.set_held(held)
+        may_read = self._account.may_read or not (self._buffer or self._received_bytes)
+        if may_read != self._is_paused:
+            return
         if self._transport is None or self.is_closed or self._transport.is_closing():
             return
-        may_read = self._account.may_read or not (self._buffer or self._received_bytes)
-        if may_read and self._is_paused:
-            self._is_paused = False
+        self._is_paused = not may_read
+        if may_read:
             self.buffers.paused -= 1
             self._transport.resume_reading()
-        elif not may_read and not self._is_paused:
-            self._is_paused = True
+        else:
             self.buffers.count_pause()
             self._transport.pause_reading()
 
@@ -194,8 +202,7 @@
                 self._waiter = None
         data = bytes(self._buffer)
         self._buffer.clear()
-        self._received_bytes = len(data)
-        self._update_reading()
+        self._received_bytes = len(data)  # held as before, so reading goes on or not
         return data
 
     @property
@@ -227,6 +234,12 @@
         self._echo_header = echo_header
         self._attempt_id = attempt_id
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._unparsed = memoryview(b"")  # received, and not given to h11 yet
+        self._needs_data = False  # whether all that was received is parsed
+        self._read_bytes = HEAD_READ_BYTES  # given to h11 at a time
+        self._parsed_pieces = 0  # since the last wait for bytes or for a turn
+        # What came after the body that was returned last.
+        self._next: typing.Any = None
         self._request: h11.Request | None = None
         self._body = b""
         self._body_bytes = 0
@@ -332,30 +345,87 @@
     @property
     def has_news(self) -> bool:
         """Whether the next read returns at once."""
-        return self._conn.has_unread or self._conn.is_closed
+        return not self._needs_data or self._conn.has_unread or self._conn.is_closed
+
+    def count_pieces(self, count: int) -> None:
+        """Count pieces of the body that took as long as pieces of its framing."""
+        self._parsed_pieces += count
 
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
         self._conn.hold(relayed_bytes)
 
-    async def read_body(self) -> bytes | EndOfBody | Failure:
-        """Return the next bytes of the body, ``END_OF_BODY`` or a failure."""
+    async def read_body(
+        self, max_bytes: int = responsebuffers.RESPONSE_BYTES
+    ) -> bytes | EndOfBody | Failure:
+        """Return the next bytes of the body, ``END_OF_BODY`` or a failure.
+
+        These are at most ``max_bytes`` and ``JOINED_BYTES`` more. Small chunks that
+        are there are returned together.
+        """
+        self._read_bytes = max_bytes
         event = await self._next_event()
-        if isinstance(event, Failure):
-            return event
-        if isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > MAX_UNSIZED_BODY_BYTES and not self._has_length:
-                return self._make_failure(FailureKind.MALFORMED, "response without end")
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._is_complete = True
-            return END_OF_BODY
-        return self._make_failure(FailureKind.MALFORMED, f"unexpected {event!r:.60}")
+        if not isinstance(event, h11.Data):
+            if isinstance(event, Failure):
+                return event
+            if isinstance(event, h11.EndOfMessage):
+                self._is_complete = True
+                return END_OF_BODY
+            return self._make_failure(
+                FailureKind.MALFORMED, f"unexpected {event!r:.60}"
+            )
+        data = bytes(event.data)
+        # Does not wait, so a reading that is cancelled loses nothing.
+        while (
+            len(data) < JOINED_BYTES
+            and self._parsed_pieces < parserturns.PIECES_PER_TURN
+        ):
+            event = self._parse()
+            if not isinstance(event, h11.Data):
+                self._next = event
+                break
+            data += event.data
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_UNSIZED_BODY_BYTES and not self._has_length:
+            return self._make_failure(FailureKind.MALFORMED, "response without end")
+        return data
 
     async def _next_event(self) -> typing.Any:
         """Return h11's next event or a failure, receiving bytes as needed."""
         while True:
+            if self._next is not None:
+                event, self._next = self._next, None
+                return event
+            if self._parsed_pieces >= parserturns.PIECES_PER_TURN:
+                await self._conn.turns.wait()
+                self._parsed_pieces = 0
+            if not self._needs_data:
+                event = self._parse()
+                if event is not None:
+                    return event
+            if not self._conn.has_unread:
+                self._parsed_pieces = 0
+            data = await self._conn.receive()
+            if data is None:
+                if self._conn.was_reset:
+                    return self._make_failure(FailureKind.RESET, "connection reset")
+                data = b""
+                if self._conn.was_aborted:
+                    return self._make_failure(FailureKind.CLOSED, "target is gone")
+                if self._h11.their_state is h11.SEND_RESPONSE:
+                    return self._make_failure(
+                        FailureKind.CLOSED, "closed before the response"
+                    )
+            self._needs_data = False
+            if len(data) <= self._read_bytes:
+                self._h11.receive_data(data)
+            else:
+                self._unparsed = memoryview(data)
+
+    def _parse(self) -> typing.Any:
+        """Return h11's next event or a failure; None if it needs more bytes."""
+        while True:
+            self._parsed_pieces += 1
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -363,28 +433,21 @@
                 if self._conn.is_closed:
                     kind = FailureKind.CLOSED
                 return self._make_failure(kind, str(exc))
-            if event is h11.PAUSED:
-                return self._make_failure(
-                    FailureKind.MALFORMED, "response is already complete"
-                )
             if event is not h11.NEED_DATA:
-                if isinstance(event, h11.ConnectionClosed):
+                if event is h11.PAUSED:
                     return self._make_failure(
-                        FailureKind.CLOSED, "closed before the response"
+                        FailureKind.MALFORMED, "response is already complete"
                     )
-                return event
-            data = await self._conn.receive()
-            if data is None:
-                if self._conn.was_reset:
-                    return self._make_failure(FailureKind.RESET, "connection reset")
-                data = b""
-                if self._conn.was_aborted:
-                    return self._make_failure(FailureKind.CLOSED, "target is gone")
-                if self._h11.their_state is h11.SEND_RESPONSE:
+                if isinstance(event, h11.ConnectionClosed):
                     return self._make_failure(
                         FailureKind.CLOSED, "closed before the response"
                     )
-            self._h11.receive_data(data)
+                return event
+            if not self._unparsed:
+                self._needs_data = True
+                return None
+            self._h11.receive_data(bytes(self._unparsed[: self._read_bytes]))
+            self._unparsed = self._unparsed[self._read_bytes :]
 
     def _make_failure(self, kind: FailureKind, detail: str) -> Failure:
         """Return a failure and mark the connection as not reusable."""
@@ -399,6 +462,7 @@
             self._is_complete
             and self._is_reusable
             and not rest
+            and not self._unparsed
             and not was_closed
             and not self._conn.is_closed
             and not self._conn.has_unread
@@ -421,6 +485,7 @@
 
     def __init__(self, buffers: responsebuffers.ResponseBuffers | None = None) -> None:
         self._buffers = buffers or responsebuffers.ResponseBuffers()
+        self._turns = parserturns.ParserTurns()
         self._idle: dict[PoolKey, list[Connection]] = {}
         self.opened = 0
         self.reused = 0
@@ -463,7 +528,7 @@
         try:
             async with asyncio.timeout(connect_timeout_s):
                 _, conn = await loop.create_connection(
-                    lambda: Connection(self._buffers), key[0], key[1]
+                    lambda: Connection(self._buffers, self._turns), key[0], key[1]
                 )
         except (TimeoutError, OSError) as exc:
             kind = FailureKind.CONNECT
