Cut off a response whose bytes belong to no answer

Cause: comments, blank lines, framing and chunk extensions in a stream had no bound but 64 MiB and the deadline of the caller, as only the body of a response without a length was counted. A comment without end held a place at an engine and 2.4 s of processor time.

Change: one bound, MAX_UNUSED_BYTES, on what was received since the relay last used a part of the response: its head, a part of a body, an event. What it holds of an unfinished event is not counted. It takes the place of the bound on skipped responses. Streams that bring events may carry any amount of comments and framing between them. 256 bytes of a stream instead of 512 count as a piece, since floods of comments took two thirds of the processor.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -36,7 +36,7 @@
 )
 # Of a stream, read at a time; so many bytes of its lines take as long as a chunk.
 STREAM_READ_BYTES: typing.Final = 8 * 1024
-STREAM_PIECE_BYTES: typing.Final = 512
+STREAM_PIECE_BYTES: typing.Final = 256
 EVENT_STREAM: typing.Final = "text/event-stream"
 MAX_FIRST_ID: typing.Final = 1  # targets count the events of a stream from 0 or 1
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
@@ -216,6 +216,7 @@
                 is_complete = True
             else:
                 body += data
+                self._exchange.mark_used()
                 self._exchange.hold(len(body))
         if self._responder.is_started:
             # The head of an earlier target's stream was sent; only a stream can follow.
@@ -257,6 +258,7 @@
                 return requeststate.Completed(head.status)
             if isinstance(data, upstream.Failure):
                 return data
+            self._exchange.mark_used()
             await self._write(data)
 
     async def _find_broken_end(self) -> upstream.Failure | None:
@@ -303,6 +305,7 @@
             self._state.traits.progress.events += len(received)
             self._exchange.hold(parser.buffered_bytes)
             if received:
+                self._exchange.mark_used()
                 now = asyncio.get_running_loop().time()
                 if has_events:
                     self._observer.on_event_gap(now - last_event_at)
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -29,7 +29,8 @@
 
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
-MAX_SKIPPED_BYTES: typing.Final = 256 * 1024  # of the bodies of such responses
+# That nothing comes of for the caller: framing, comments, responses to other attempts.
+MAX_UNUSED_BYTES: typing.Final = 256 * 1024
 # Of a response that states no length, and may be without end.
 MAX_UNSIZED_BODY_BYTES: typing.Final = 64 * 1024 * 1024
 IDLE_TIMEOUT_SHARE: typing.Final = 0.5  # of the idle timeout that a target states
@@ -243,6 +244,8 @@
         self._request: h11.Request | None = None
         self._body = b""
         self._body_bytes = 0
+        self._unused_bytes = 0  # received since the relay last used a part
+        self._relayed_bytes = 0  # that the relay holds
         self._has_length = False
         # Whether the response ends with its connection, as nothing else bounds it.
         self.is_unframed = False
@@ -288,6 +291,7 @@
                 is_chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
                 self.is_unframed = not self._has_length and not is_chunked
                 self._read_keep_alive(head)
+                self.mark_used()
                 return head
             skipped = await self._skip_response()
             if skipped is not None:
@@ -308,18 +312,12 @@
 
     async def _skip_response(self) -> Failure | None:
         """Read the response to another request and reset the parser after it."""
-        skipped_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
             if isinstance(event, h11.EndOfMessage):
                 break
-            skipped_bytes += len(event.data)
-            if skipped_bytes > MAX_SKIPPED_BYTES:
-                return self._make_failure(
-                    FailureKind.MALFORMED, "long response to another attempt"
-                )
         rest, _ = self._h11.trailing_data
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._encode_request(self._h11)
@@ -353,8 +351,13 @@
 
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
+        self._relayed_bytes = relayed_bytes
         self._conn.hold(relayed_bytes)
 
+    def mark_used(self) -> None:
+        """Record that the relay used what was received up to now, or holds it."""
+        self._unused_bytes = 0
+
     async def read_body(
         self, max_bytes: int = responsebuffers.RESPONSE_BYTES
     ) -> bytes | EndOfBody | Failure:
@@ -403,6 +406,10 @@
                 event = self._parse()
                 if event is not None:
                     return event
+            if self._unused_bytes > MAX_UNUSED_BYTES + self._relayed_bytes:
+                return self._make_failure(
+                    FailureKind.MALFORMED, "only bytes that belong to no answer"
+                )
             if not self._conn.has_unread:
                 self._parsed_pieces = 0
             data = await self._conn.receive()
@@ -417,6 +424,7 @@
                         FailureKind.CLOSED, "closed before the response"
                     )
             self._needs_data = False
+            self._unused_bytes += len(data)
             if len(data) <= self._read_bytes:
                 self._h11.receive_data(data)
             else:
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -107,6 +107,92 @@
     df.run_scenario(scenario)
 
 
+UNUSED: typing.Final = {
+    "comments": ENDLESS["comments"][1],
+    "comment in small chunks": 2999
+    * (df.encode_chunk(b":") + 2 * df.encode_chunk(b"\n")),
+    "blank lines": df.encode_chunk(99_999 * b"\n"),
+    "chunk extensions": 999 * (b"1;" + 40 * b"x" + b"\r\n\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/unique/a"])
+@pytest.mark.parametrize("kind", list(UNUSED))
+def test_bytes_of_a_stream_that_are_no_event_are_cut_off(kind: str, path: str) -> None:
+    """Guards against bytes that nothing but the deadline or 64 MiB ends."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        endless = EndlessTarget(ENDLESS["event"][0], UNUSED[kind])
+        await fleet.add_target("endless", "engines", endless.respond)
+        await fleet.settle()
+        response = await fleet.send_request(path)
+        assert not response.body
+        await fleet.settle()
+        assert endless.sent_bytes < SENT_WITHOUT_BOUND
+        assert max(endless.closed_after_s) < 3.0
+
+    df.run_scenario(scenario)
+
+
+def test_stream_with_more_framing_and_comments_than_events_is_relayed() -> None:
+    """Guards against a bound that ends a stream which still brings events."""
+    event_count = 60
+    written = b"".join(
+        df.encode_chunk(8000 * b":" + b"\n\n")
+        + b"".join(
+            df.encode_chunk(df.make_sse_event(number)[start : start + 2])
+            for start in range(0, len(df.make_sse_event(number)), 2)
+        )
+        for number in range(1, event_count + 1)
+    )
+    assert len(written) > upstream.MAX_UNUSED_BYTES
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(df.make_stream_head(request.attempt_id) + written)
+        writer.write(df.encode_chunk(b""))
+        return True
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "engines", respond)
+        await fleet.settle()
+        response = await fleet.send_request("/stream/a")
+        events = [df.make_sse_event(number + 1) for number in range(event_count)]
+        assert response.is_complete
+        assert response.body == b"".join(events)
+
+    df.run_scenario(scenario)
+
+
+def test_body_in_chunks_of_a_byte_is_relayed() -> None:
+    """Guards against a bound on framing that ends a response that brings bytes."""
+    body = bytes(range(256)) * 200
+    written = b"".join(df.encode_chunk(bytes([byte])) for byte in body)
+    assert len(written) > upstream.MAX_UNUSED_BYTES
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        own = (headers.ATTEMPT_ID, request.attempt_id)
+        writer.write(make_head(200, own, df.SIGNATURE_HEADER) + written)
+        writer.write(df.encode_chunk(b""))
+        return True
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", respond)
+        await fleet.settle()
+        response = await fleet.send_request("/once/a")
+        assert response.is_complete
+        assert response.body == body
+
+    df.run_scenario(scenario)
+
+
 @pytest.mark.parametrize("kind", ["garbage", "other attempt", "refusal", "unsigned"])
 def test_request_is_sent_to_another_target_after_bytes_without_end(kind: str) -> None:
     async def scenario(fleet: df.Fleet) -> None:
