Bound a chunked response that states a length as well

Cause: a response with Content-Length is bounded by it, and so exempt from the bound on bodies.

The case 'body with both lengths' of test_direct_endless fails on the code before for a response that is no stream, and passes now. Whether such a response should be accepted at all is not decided here.

--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -287,9 +287,10 @@
                 # Once it is written again, nothing tells for which request it was.
                 self._is_reusable = False
             if self._is_own_response(head):
-                self._has_length = head.get("content-length") is not None
                 is_chunked = "chunked" in (head.get("transfer-encoding") or "").lower()
-                self.is_unframed = not self._has_length and not is_chunked
+                has_length = head.get("content-length") is not None
+                self._has_length = has_length and not is_chunked  # chunks go first
+                self.is_unframed = not has_length and not is_chunked
                 self._read_keep_alive(head)
                 self.mark_used()
                 return head
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -70,6 +70,15 @@
     "unsigned": (make_head(200, OWN_ATTEMPT), CHUNK),
     "error": (make_head(500, OWN_ATTEMPT), CHUNK),
     "body": (make_head(200, OWN_ATTEMPT, df.SIGNATURE_HEADER), CHUNK),
+    "body with both lengths": (
+        make_head(
+            200,
+            OWN_ATTEMPT,
+            df.SIGNATURE_HEADER,
+            ("Content-Length", str(SENT_WITHOUT_BOUND)),
+        ),
+        CHUNK,
+    ),
     "chunk extension": (
         make_head(200, OWN_ATTEMPT, df.SIGNATURE_HEADER) + b"4;",
         FILLER,
