Do not wait for the body of a refusal that trickles in

Cause: the body of a refusal is read up to 64 KiB so that its connection can be reused, with a limit on the silence between two pieces but none on the whole. At a byte every 10 ms or every half second the request waited until its deadline, although it was known from the head that it had not run and could go on elsewhere.

Change: the body has 0.1 s; then the connection is closed, and the request goes on.

Each of the 4 cases of the new test (a second engine free, requests that may be repeated or not, both paces) fails on the code before: no response within 0.62 s.

--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -26,6 +26,8 @@
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
 MAX_REFUSAL_BYTES: typing.Final = 64 * 1024  # of the body of a refusal
+# Until its end. It comes with the head, and the first token is due after 0.62 s.
+REFUSAL_TIMEOUT_S: typing.Final = 0.1
 # Engines cut off a response that stays unread for some seconds. One that breaks off
 # after so long a pause of its caller was cut off, which is no fault of its target.
 UNREAD_S: typing.Final = 1.0
@@ -151,7 +153,7 @@
         metadata = self._header_codec.parse_response_headers(head.status, head.headers)
         self._observer.on_head(metadata)
         if metadata.was_not_run:
-            await self._discard_body()
+            await read_with_timeout(self._discard_body(), REFUSAL_TIMEOUT_S)
             reason = MISPLACED if metadata.is_wrong_target else f"refused_{head.status}"
             return requeststate.Refusal(
                 requeststate.STATUS_NOT_RUN, reason, requeststate.RETRY_AFTER_SHORT_S
@@ -189,13 +191,11 @@
     async def _discard_body(self) -> None:
         """Read and drop the body of a refusal, so that the connection can be reused.
 
-        The connection is not kept after a longer body.
+        The connection is not kept after a body that is longer or takes longer.
         """
         read_bytes = 0
         while read_bytes <= MAX_REFUSAL_BYTES:
-            data = await read_with_timeout(
-                self._exchange.read_body(), SILENCE_TIMEOUT_S
-            )
+            data = await self._exchange.read_body()
             if isinstance(data, upstream.Failure | upstream.EndOfBody):
                 return
             read_bytes += len(data)
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -13,6 +13,9 @@
 CHUNKED: typing.Final = ("Transfer-Encoding", "chunked")
 OTHER_ATTEMPT: typing.Final = (headers.ATTEMPT_ID, "another")
 PAUSE_S: typing.Final = 0.01  # between two pieces, since the clock is virtual
+# The first token is due after 0.62 s, at the second engine.
+MAX_REFUSED_S: typing.Final = 0.62
+TRICKLE_S: typing.Final = 2.5  # longer than an engine may be silent
 MAX_BODY_BYTES: typing.Final = 1024 * 1024  # in these tests
 # More than any bound, and less than a target sends until the caller's deadline.
 SENT_WITHOUT_BOUND: typing.Final = 8 * 1024 * 1024
@@ -227,3 +230,57 @@
         assert endless.sent_bytes < SENT_WITHOUT_BOUND
 
     df.run_scenario(scenario)
+
+
+class TricklingTarget:
+    """Sends a beginning, then a piece at a time, and an ending if there is one."""
+
+    def __init__(
+        self, beginning: bytes, piece: bytes, period_s: float, ending: bytes = b""
+    ) -> None:
+        self._beginning = beginning
+        self._piece = piece
+        self._period_s = period_s
+        self._ending = ending
+
+    async def respond(
+        self,
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Send the pieces, for 2.5 s if there is an ending."""
+        attempt_id = request.attempt_id.encode()
+        writer.write(self._beginning.replace(b"ID", attempt_id))
+        began_at = asyncio.get_running_loop().time()
+        while (
+            not self._ending or asyncio.get_running_loop().time() - began_at < TRICKLE_S
+        ):
+            await asyncio.sleep(self._period_s)
+            writer.write(self._piece)
+        writer.write(self._ending.replace(b"ID", attempt_id))
+        return True
+
+
+@pytest.mark.parametrize("period_s", [0.01, 0.5])
+@pytest.mark.parametrize("path", ["/once/a", "/free/a"])
+def test_refused_request_does_not_wait_for_the_body_of_its_refusal(
+    path: str, period_s: float
+) -> None:
+    """Guards against a known outcome that is withheld while the body trickles in."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        trickling = TricklingTarget(
+            ENDLESS["refusal"][0], df.encode_chunk(b"x"), period_s
+        )
+        target = await fleet.add_target("trickling", "plain", trickling.respond)
+        await fleet.settle()
+        began_at = asyncio.get_running_loop().time()
+        first = asyncio.create_task(fleet.send_request(path))
+        await fleet.settle(0.05)
+        assert target.requests
+        await fleet.add_target("other", "plain")
+        assert (await first).status == 200
+        assert (await first).finished_at - began_at < MAX_REFUSED_S
+
+    df.run_scenario(scenario)
