Keep skipping a response to another attempt after a pause

Cause: the reading of a head is cancelled after 1.2 s without its end, to look whether the request may leave its engine, and begun again. A response to another attempt that was being skipped was forgotten with it: what was left of it was taken for the request's own and ended it as malformed, and the count of skipped responses began anew, so that it bounded nothing.

Change: the exchange keeps both. Requests that may run once were not affected, as their reading is not cancelled.

The new test fails on the code before for a request that may be repeated (502).

--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -247,6 +247,9 @@
         self._unused_bytes = 0  # received since the relay last used a part
         self._relayed_bytes = 0  # that the relay holds
         self._has_length = False
+        # Kept here, since a reading of the head may be cancelled and begun again.
+        self._head_count = 0
+        self._is_skipping = False  # whether a response to another attempt is read
         # Whether the response ends with its connection, as nothing else bounds it.
         self.is_unframed = False
         self._is_complete = False
@@ -271,10 +274,13 @@
 
     async def read_head(self) -> ResponseHead | Failure:
         """Return the head of the response to this request, skipping others."""
-        for _ in range(MAX_SKIPPED_RESPONSES):
+        while self._head_count < MAX_SKIPPED_RESPONSES:
+            if self._is_skipping and (failure := await self._skip_response()):
+                return failure
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
+            self._head_count += 1
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
@@ -294,9 +300,7 @@
                 self._read_keep_alive(head)
                 self.mark_used()
                 return head
-            skipped = await self._skip_response()
-            if skipped is not None:
-                return skipped
+            self._is_skipping = True
         return self._make_failure(
             FailureKind.MALFORMED, "too many responses to other attempts"
         )
@@ -319,6 +323,7 @@
                 return event
             if isinstance(event, h11.EndOfMessage):
                 break
+        self._is_skipping = False
         rest, _ = self._h11.trailing_data
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._encode_request(self._h11)
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -284,3 +284,20 @@
         assert (await first).finished_at - began_at < MAX_REFUSED_S
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("path", ["/once/a", "/free/a"])
+def test_response_after_a_slow_one_to_another_attempt_is_relayed(path: str) -> None:
+    """Guards against taking the rest of a skipped response for the request's own."""
+    skipped = make_head(200, OTHER_ATTEMPT, df.SIGNATURE_HEADER)
+    own = df.make_response("ID", b"done")
+
+    async def scenario(fleet: df.Fleet) -> None:
+        piece = df.encode_chunk(b"x")
+        trickling = TricklingTarget(skipped, piece, 0.5, df.encode_chunk(b"") + own)
+        await fleet.add_target("trickling", "plain", trickling.respond)
+        await fleet.settle()
+        response = await fleet.send_request(path)
+        assert (response.status, response.body) == (200, b"done")
+
+    df.run_scenario(scenario)
