Bound what a sidecar reads of a page beside its body

Cause: the HTTP client counted the bytes of heads and of the body. Trailers, chunk extensions and the framing of tiny chunks were neither, and only the time limit of the call ended them: names of trailers are kept, and the value of one is copied at each read.

Change: all bytes that are not the body count against the bound of the head.

5 of the 7 cases of the new test fail on the code before; heads and 1xx responses were bounded and pass on both.

--- a/sardinesaddle/direct/httpclient.py
+++ b/sardinesaddle/direct/httpclient.py
@@ -14,7 +14,8 @@
 
 import httptools
 
-MAX_HEAD_BYTES: typing.Final = 64 * 1024
+# Of a response without its body: head, informational responses, chunks, trailers.
+MAX_FRAMING_BYTES: typing.Final = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +48,7 @@
         self._done: asyncio.Future[HttpResponse | HttpFault] | None = None
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self._head_bytes = 0
+        self._received_bytes = 0
         self._has_head = False
         self.is_closed = False
         self.was_used = False
@@ -63,15 +64,14 @@
         if self._done is None:
             self.close()
             return
-        if not self._has_head:
-            self._head_bytes += len(data)
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(f"{type(exc).__name__}: {exc}")
             return
-        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
-            self._fail(f"a head of over {MAX_HEAD_BYTES} bytes")
+        if self._received_bytes - len(self._body) > MAX_FRAMING_BYTES:
+            self._fail(f"over {MAX_FRAMING_BYTES} bytes of head and framing")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request; without a length the end of the connection completes it."""
@@ -79,7 +79,7 @@
         is_framed = self._headers.keys() & {"content-length", "transfer-encoding"}
         if exc is None and self._has_head and not is_framed:
             self.on_message_complete()
-        is_unanswered = self._head_bytes == 0
+        is_unanswered = self._received_bytes == 0
         reason = f"connection closed: {exc}" if exc else "connection closed"
         self._finish(HttpFault(reason, is_unanswered))
 
@@ -131,7 +131,7 @@
         """Send an encoded request and return its response."""
         assert self._transport is not None
         self._headers, self._body = {}, bytearray()
-        self._head_bytes, self._has_head = 0, False
+        self._received_bytes, self._has_head = 0, False
         self._done = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         try:
--- a/test/test_direct_httpclient.py
+++ b/test/test_direct_httpclient.py
@@ -64,13 +64,14 @@
         [ScriptedServer, httpclient.HttpClient], collections.abc.Awaitable[None]
     ],
     *script: bytes | None,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> None:
     """Run a scenario with a client of a server that follows a script."""
 
     async def run_scenario() -> None:
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         server = ScriptedServer(*script)
-        client = httpclient.HttpClient(await server.start(), MAX_BODY_BYTES)
+        client = httpclient.HttpClient(await server.start(), max_body_bytes)
         await scenario(server, client)
         client.close()
         server.stop()
@@ -102,6 +103,32 @@
     run(scenario, data, WHOLE)
 
 
+CHUNKED: typing.Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# What is no body: parts of which a server may write any number.
+ENDLESS: typing.Final = {
+    "head lines": b"HTTP/1.1 200 OK\r\n" + 9999 * b"A: bcdef\r\n",
+    "informational": 9999 * b"HTTP/1.1 102 Wait\r\n\r\n",
+    "chunk extension": CHUNKED + b"1;" + 99_999 * b"a",
+    "chunk extensions": CHUNKED + 9999 * b"1;abcdef\r\nx\r\n",
+    "tiny chunks": CHUNKED + 19_999 * b"1\r\nx\r\n",
+    "trailer": CHUNKED + b"0\r\nA: " + 99_999 * b"b",
+    "trailers": CHUNKED + b"0\r\n" + b"".join(b"A%d: b\r\n" % n for n in range(9999)),
+}
+
+
+@pytest.mark.parametrize("data", ENDLESS.values(), ids=ENDLESS)
+def test_framing_without_end_is_a_fault_at_once(data: bytes) -> None:
+    """Guards against trailers that are kept, and parsed, until the timeout."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        began_at = asyncio.get_running_loop().time()
+        fault = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(fault, httpclient.HttpFault)
+        assert asyncio.get_running_loop().time() - began_at < TIMEOUT_S
+
+    run(scenario, data, max_body_bytes=len(data))
+
+
 @pytest.mark.parametrize(
     "data",
     [
