Count the pieces of a response over time, and large ones by their bytes

Cause: a connection that waited for bytes now and then had its 64 pieces again each time, and the bytes of large chunks were not counted. 20 trickles of a comment each ms took 4.0 s of processor time in 4.1 s; beside 20 large bodies for fast readers others took 127 ms at the median.

Change: a connection gets 640 pieces a second, saved up to a turn; beyond that it waits for its turn. 4 KiB of a body count as a piece. In a stream the bytes that were read as events or comments count instead of all that came, so that a large event is not slowed down.

The new test fails on the code before.

--- a/sardinesaddle/direct/parserturns.py
+++ b/sardinesaddle/direct/parserturns.py
@@ -2,9 +2,10 @@
 
 A target may send a response as pieces of a byte: chunks, events, comments. They take
 far longer to parse than to send, so that one connection could keep the event loop from
-all other work. A connection therefore parses ``PIECES_PER_TURN`` pieces after each wait
-for bytes. If more are there, it waits for its turn. Of all that wait one goes on at a
-time, between other work, and after ``SAVED_TURNS`` only one every ``TURN_PERIOD_S``.
+all other work. A connection therefore parses ``PIECES_PER_TURN`` pieces, and later as
+many as ``PIECES_PER_S`` allows. If there are more, it waits for its turn. Of all that
+wait one goes on at a time, between other work, and after ``SAVED_TURNS`` only one every
+``TURN_PERIOD_S``. Large pieces count as one for each ``PIECE_BYTES``.
 """
 
 import asyncio
@@ -13,6 +14,9 @@
 
 # A piece takes some 10 us, so a turn is a small part of the 25 ms between tokens.
 PIECES_PER_TURN: typing.Final = 64
+# Of each connection. An event every 25 ms in ten chunks needs less.
+PIECES_PER_S: typing.Final = 640
+PIECE_BYTES: typing.Final = 4 * 1024  # a turn holds what may be buffered of a response
 TURN_PERIOD_S: typing.Final = 0.002  # leaves most of the loop's time to others
 # A hundred streams go on at once with what arrived while the process was stopped.
 SAVED_TURNS: typing.Final = 100
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -36,9 +36,8 @@
 UNREAD: typing.Final = (
     "unread"  # reason: the target cut off what the caller left unread
 )
-# Of a stream, read at a time; so many bytes of its lines take as long as a chunk.
-STREAM_READ_BYTES: typing.Final = 8 * 1024
-STREAM_PIECE_BYTES: typing.Final = 256
+STREAM_READ_BYTES: typing.Final = 8 * 1024  # of a stream, at a time
+STREAM_PIECE_BYTES: typing.Final = 256  # of events or comments take as long as a chunk
 EVENT_STREAM: typing.Final = "text/event-stream"
 MAX_FIRST_ID: typing.Final = 1  # targets count the events of a stream from 0 or 1
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
@@ -178,6 +177,8 @@
         ],
     ) -> Read | upstream.Failure:
         """Return what is read; a failure if the request leaves its silent target."""
+        if self._silence_timeout_s is None:
+            return await read()
         while True:
             result = await read_with_timeout(read(), self._silence_timeout_s)
             if not isinstance(result, upstream.Failure):
@@ -300,8 +301,12 @@
                 await self._start_stream(head)
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
+            unread_bytes = parser.buffered_bytes + len(data)
             received = parser.feed(data)
-            self._exchange.count_pieces(len(received) + len(data) // STREAM_PIECE_BYTES)
+            read_bytes = unread_bytes - parser.buffered_bytes
+            self._exchange.count_pieces(
+                len(received) + read_bytes // STREAM_PIECE_BYTES
+            )
             self._state.traits.progress.events += len(received)
             self._exchange.hold(parser.buffered_bytes)
             if received:
@@ -357,11 +362,9 @@
 
 async def read_with_timeout(
     reading: collections.abc.Coroutine[typing.Any, typing.Any, Read],
-    timeout_s: float | None,
+    timeout_s: float,
 ) -> Read | upstream.Failure:
-    """Return what is read, or a failure after ``timeout_s`` (None: no limit)."""
-    if timeout_s is None:
-        return await reading
+    """Return what is read, or a failure after ``timeout_s``."""
     scope = asyncio.timeout(timeout_s)
     try:
         async with scope:
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -238,7 +238,8 @@
         self._unparsed = memoryview(b"")  # received, and not given to h11 yet
         self._needs_data = False  # whether all that was received is parsed
         self._read_bytes = HEAD_READ_BYTES  # given to h11 at a time
-        self._parsed_pieces = 0  # since the last wait for bytes or for a turn
+        self._parsed_pieces = 0  # that count against the next turn
+        self._regained_at = 0.0  # the event loop's time
         # What came after the body that was returned last.
         self._next: typing.Any = None
         self._request: h11.Request | None = None
@@ -357,8 +358,9 @@
 
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
-        self._relayed_bytes = relayed_bytes
-        self._conn.hold(relayed_bytes)
+        if relayed_bytes != self._relayed_bytes:
+            self._relayed_bytes = relayed_bytes
+            self._conn.hold(relayed_bytes)
 
     def mark_used(self) -> None:
         """Record that the relay used what was received up to now, or holds it."""
@@ -394,6 +396,7 @@
                 self._next = event
                 break
             data += event.data
+        self._parsed_pieces += len(data) // parserturns.PIECE_BYTES
         self._body_bytes += len(data)
         if self._body_bytes > MAX_UNSIZED_BODY_BYTES and not self._has_length:
             return self._make_failure(FailureKind.MALFORMED, "response without end")
@@ -416,8 +419,8 @@
                 return self._make_failure(
                     FailureKind.MALFORMED, "only bytes that belong to no answer"
                 )
-            if not self._conn.has_unread:
-                self._parsed_pieces = 0
+            if self._parsed_pieces > parserturns.PIECES_PER_TURN // 2:
+                self._regain_pieces()
             data = await self._conn.receive()
             if data is None:
                 if self._conn.was_reset:
@@ -436,6 +439,13 @@
             else:
                 self._unparsed = memoryview(data)
 
+    def _regain_pieces(self) -> None:
+        """Deduct the pieces that were due since the last call."""
+        now = asyncio.get_running_loop().time()
+        due = int((now - self._regained_at) * parserturns.PIECES_PER_S)
+        self._parsed_pieces = max(self._parsed_pieces - due, 0)
+        self._regained_at = now
+
     def _parse(self) -> typing.Any:
         """Return h11's next event or a failure; None if it needs more bytes."""
         while True:
--- a/test/test_direct_floods.py
+++ b/test/test_direct_floods.py
@@ -168,3 +168,40 @@
         assert loop.time() - began_at < paced_s / 2
 
     loopdriver.LoopDriver(is_clock_virtual=True).run(run())
+
+
+def test_pieces_that_come_a_few_at_a_time_take_turns() -> None:
+    """Guards against a flood that is never counted, as it waits for bytes now and then.
+
+    An entry that relayed 20 such floods had no time left.
+    """
+    feed_count = 1280
+    fed_pieces = parserturns.PIECES_PER_TURN // 2
+    period_s = parserturns.TURN_PERIOD_S / 4
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        conn = upstream.Connection()
+        exchange = upstream.Exchange(conn, headers.ATTEMPT_ID, "ID")
+        exchange.send("GET", "/", [("Host", "h")], b"")
+        conn.data_received(BODY_HEAD)
+        assert isinstance(await exchange.read_head(), upstream.ResponseHead)
+
+        async def feed() -> None:
+            for _ in range(feed_count):
+                conn.data_received(fed_pieces * TINY)
+                await asyncio.sleep(period_s)
+            conn.data_received(df.encode_chunk(b""))
+
+        began_at = loop.time()
+        feeding = asyncio.create_task(feed())
+        body_bytes = 0
+        while isinstance(data := await exchange.read_body(), bytes):
+            body_bytes += len(data)
+            exchange.mark_used()
+        assert isinstance(data, upstream.EndOfBody)
+        assert body_bytes == feed_count * fed_pieces
+        assert loop.time() - began_at > 1.4 * feed_count * period_s
+        await feeding
+
+    loopdriver.LoopDriver(is_clock_virtual=True).run(run())
