Bound what responses hold unfinished, in total

Cause: an event that never ends is held up to 1 MiB and a body up to 256 KiB before any of it is relayed. These bytes pass the total bound on slow readers, since nobody can read them, and without `pressure` there is no total bound at all. 200 engines that wrote such an event at once took an entry to 223 MB; the target for control is 128 MB, the smallest entry has 300 MB.

Change: all that relays hold until an event or a small body is whole is counted. Above 32 MiB, a quarter of the target, each response may hold 64 KiB: a longer event fails as an oversized one does, a longer body is relayed from then on.

Both cases of the new test fail on the code before.

--- a/sardinesaddle/direct/responsebuffers.py
+++ b/sardinesaddle/direct/responsebuffers.py
@@ -17,6 +17,9 @@
 READ_BYTES: typing.Final = 64 * 1024
 # Ten thousand slow responses exceed the total by 40 MB at most.
 SMALL_READ_BYTES: typing.Final = 4 * 1024
+# Of unfinished events and small bodies: a quarter of the 128 MB that an entry may take.
+UNFINISHED_TOTAL_BYTES: typing.Final = 32 * 1024 * 1024
+UNFINISHED_BYTES: typing.Final = 64 * 1024  # of each response above that total
 DEFAULT_SHARE: typing.Final = 0.25  # of the entry's memory; the rest is for all else
 CGROUP_LIMIT: typing.Final = pathlib.Path("/sys/fs/cgroup/memory.max")
 
@@ -24,13 +27,15 @@
 class ResponseBuffers:
     """What all responses of an entry hold; ``total_bytes`` is infinite for no bound.
 
-    ``paused`` is the number of connections of which reading is paused now.
+    ``paused`` is the number of connections of which reading is paused now,
+    ``unfinished_bytes`` what the relays hold until an event or a small body is whole.
     """
 
     def __init__(self, total_bytes: float = math.inf) -> None:
         self.total_bytes = total_bytes
         self.held_bytes = 0
         self.paused = 0
+        self.unfinished_bytes = 0
         self._peak_bytes = 0
         self._pause_count = 0
         self.scratch = memoryview(bytearray(READ_BYTES))
@@ -45,6 +50,13 @@
         """Whether the responses hold the total bound."""
         return self.held_bytes >= self.total_bytes
 
+    def may_hold(self, unfinished_bytes: int) -> bool:
+        """Return whether a relay may hold so much until an event or body is whole."""
+        return (
+            unfinished_bytes <= UNFINISHED_BYTES
+            or self.unfinished_bytes <= UNFINISHED_TOTAL_BYTES
+        )
+
     def get_read_buffer(self) -> memoryview:
         """Return the buffer for a read, which must be emptied at once."""
         return self.scratch[: SMALL_READ_BYTES if self.is_full else READ_BYTES]
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -207,7 +207,11 @@
         """Relay a response that is not a stream, buffered if it is small."""
         body = bytearray()
         is_complete = False
-        while not is_complete and len(body) <= MAX_BUFFERED_BYTES:
+        while (
+            not is_complete
+            and len(body) <= MAX_BUFFERED_BYTES
+            and self._exchange.may_hold(len(body))
+        ):
             data = await self._read(self._exchange.read_body)
             if isinstance(data, upstream.Failure):
                 return data
@@ -284,6 +288,7 @@
         parser = sse.EventParser()
         has_events = False
         last_event_at = 0.0
+        unfinished_bytes = 0
         read = functools.partial(self._exchange.read_body, STREAM_READ_BYTES)
         while True:
             data = await self._read(read)
@@ -301,14 +306,15 @@
                 await self._start_stream(head)
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
-            unread_bytes = parser.buffered_bytes + len(data)
+            read_bytes = unfinished_bytes + len(data)
             received = parser.feed(data)
-            read_bytes = unread_bytes - parser.buffered_bytes
+            unfinished_bytes = parser.buffered_bytes
+            read_bytes -= unfinished_bytes
             self._exchange.count_pieces(
                 len(received) + read_bytes // STREAM_PIECE_BYTES
             )
             self._state.traits.progress.events += len(received)
-            self._exchange.hold(parser.buffered_bytes)
+            self._exchange.hold(unfinished_bytes)
             if received:
                 self._exchange.mark_used()
                 now = asyncio.get_running_loop().time()
@@ -318,7 +324,7 @@
                     has_events = True
                     self._observer.on_begun()
                 last_event_at = now
-            if parser.is_oversized:
+            if parser.is_oversized or not self._exchange.may_hold(unfinished_bytes):
                 kind = upstream.FailureKind.MALFORMED
                 return upstream.Failure(kind, True, "event exceeds the size limit")
             failure = await self._send_events(head, received)
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -160,12 +160,14 @@
 
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
+        self.buffers.unfinished_bytes += relayed_bytes - self._relayed_bytes
         self._relayed_bytes = relayed_bytes
         self._account.set_held(len(self._buffer) + self._received_bytes + relayed_bytes)
 
     def release(self) -> None:
         """Count that nothing of the last response is held, since it has ended."""
-        self._received_bytes = self._relayed_bytes = 0
+        self.hold(0)
+        self._received_bytes = 0
         self._update_reading()
 
     def eof_received(self) -> bool:
@@ -362,6 +364,10 @@
             self._relayed_bytes = relayed_bytes
             self._conn.hold(relayed_bytes)
 
+    def may_hold(self, unfinished_bytes: int) -> bool:
+        """Return whether the relay may hold so much until an event or body is whole."""
+        return self._conn.buffers.may_hold(unfinished_bytes)
+
     def mark_used(self) -> None:
         """Record that the relay used what was received up to now, or holds it."""
         self._unused_bytes = 0
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sardinesaddle.direct import engine, upstream
+from sardinesaddle.direct import engine, responsebuffers, upstream
 from sardinesaddle.platform import engines, headers
 from test import directfleet as df
 
@@ -301,3 +301,39 @@
         assert (response.status, response.body) == (200, b"done")
 
     df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", ["event", "body"])
+def test_what_many_responses_hold_unfinished_is_bounded_in_total(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against engines that fill an entry together, each within its own bound."""
+    total_bytes = 256 * 1024
+    monkeypatch.setattr(
+        responsebuffers, "UNFINISHED_TOTAL_BYTES", total_bytes, raising=False
+    )
+    request_count = 8
+
+    async def scenario(fleet: df.Fleet) -> None:
+        beginning, repeated = ENDLESS[kind]
+        if kind == "body":
+            beginning = beginning.replace(b" 200 ", b" 404 ")
+        for name in ("t1", "t2"):
+            endless = EndlessTarget(beginning, repeated)
+            await fleet.add_target(name, "engines", endless.respond)
+        await fleet.settle()
+        buffers = fleet.entries[0].buffers
+        floods = [
+            asyncio.create_task(fleet.send_request("/unique/a"))
+            for _ in range(request_count)
+        ]
+        most_bytes = 0
+        while not all(task.done() for task in floods):
+            await fleet.settle(PAUSE_S / 2)
+            most_bytes = max(most_bytes, buffers.held_bytes)
+        # Each may hold a small part, and what was read at once.
+        assert most_bytes <= total_bytes + request_count * 3 * len(FILLER)
+        await fleet.settle()
+        assert not buffers.held_bytes
+
+    df.run_scenario(scenario)
