Cut off callers of the status server that do not read

Change: a request that comes before the response to the one before is sent closes the connection. Probes and scrapers send one at a time.

The new test fails on the code before.

--- a/sardinesaddle/direct/statusserver.py
+++ b/sardinesaddle/direct/statusserver.py
@@ -1,7 +1,8 @@
 """HTTP server of the readiness check and of ``/metrics``.
 
 It answers GET requests one after the other and parses them with httptools, so that a
-sidecar needs no web framework.
+sidecar needs no web framework. A caller that sends a request before it has read the
+response to the one before is cut off: responses it never reads would fill the memory.
 """
 
 import abc
@@ -48,6 +49,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._path = b""
         self._request_bytes = 0
+        self._read_count = 0  # requests that the last read has brought
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -64,6 +66,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of requests."""
         self._request_bytes += len(data)
+        self._read_count = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -86,6 +89,13 @@
         """Send the response."""
         assert self._transport is not None
         self._request_bytes = 0
+        self._read_count += 1
+        if self._transport.is_closing():
+            return
+        if self._read_count > 1 or self._transport.get_write_buffer_size():
+            loguru.logger.warning("event=bad_status_request reason='pipelined'")
+            self.close()
+            return
         is_kept = self._parser.should_keep_alive()
         path, _, query = self._path.decode("latin-1").partition("?")
         status, head, body = self._server.respond(path, query)
--- a/test/test_direct_httpclient.py
+++ b/test/test_direct_httpclient.py
@@ -245,6 +245,24 @@
     run_status(scenario)
 
 
+def test_status_server_cuts_off_a_caller_that_does_not_read() -> None:
+    """Guards against responses without end that wait for such a caller in memory."""
+
+    async def scenario(
+        node: ReadyNode, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(999 * b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n")
+        received = b""
+        try:
+            while data := await reader.read(65536):
+                received += data
+        except ConnectionResetError:
+            pass
+        assert received.count(b"HTTP/1.1 200") <= 1
+
+    run_status(scenario)
+
+
 @pytest.mark.parametrize(
     "data", [b"nonsense\r\n\r\n", b"GET /" + 20_000 * b"x", b"", b"GET /readyz"]
 )
