--- a/sardinesaddle/direct/parserturns.py
+++ b/sardinesaddle/direct/parserturns.py
@@ -17,7 +17,8 @@
 # Of each connection. An event every 25 ms in ten chunks needs less.
 PIECES_PER_S: typing.Final = 640
 PIECE_BYTES: typing.Final = 4 * 1024  # a turn holds what may be buffered of a response
-TURN_PERIOD_S: typing.Final = 0.002  # leaves most of the loop's time to others
+# Turns of large pieces then take what an entry's link of 1,000 Mbit/s carries.
+TURN_PERIOD_S: typing.Final = 0.002
 # A hundred streams go on at once with what arrived while the process was stopped.
 SAVED_TURNS: typing.Final = 100
 
--- a/test/test_direct_floods.py
+++ b/test/test_direct_floods.py
@@ -67,6 +67,7 @@
     """Guards against a connection that keeps the event loop from all other requests."""
 
     async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        loop = asyncio.get_running_loop()
         flooding = floodingengine.FloodingEngine(*FLOODS[kind])
         fleet.targets["flooding"] = df.ScriptedTarget("flooding")
         fleet.targets["flooding"].port = flooding.port
@@ -74,6 +75,7 @@
         await fleet.add_target("sound", "plain")
         await asyncio.sleep(1.0)
         latencies: list[float] = []
+        worst_lag_s = 0.0  # of the test's own event loop
         async with asyncio.TaskGroup() as tasks:
             floods = [
                 tasks.create_task(
@@ -83,13 +85,16 @@
             ]
             for _ in range(int(FLOOD_S / PERIOD_S)):
                 tasks.create_task(measure_others(fleet, latencies))
+                due_at = loop.time() + PERIOD_S
                 await asyncio.sleep(PERIOD_S)
+                worst_lag_s = max(worst_lag_s, loop.time() - due_at)
         flooding.stop()
         del fleet.targets["flooding"]
         assert not any(task.result().status == 200 for task in floods) or (
             kind == "small events"
         )
-        assert max(latencies) < MAX_LATENCY_S
+        worst = sorted(latencies)[-3:]
+        assert worst[-1] < MAX_LATENCY_S, f"{worst} s, test's lag {worst_lag_s} s"
 
     processfleet.run_scenario(tmp_path, scenario)
 
