--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -18,6 +18,7 @@
 import abc
 import asyncio
 import collections.abc
+import functools
 import math
 import typing
 
@@ -26,6 +27,8 @@
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
 MAX_REFUSAL_BYTES: typing.Final = 64 * 1024  # of the body of a refusal
+# Until its end. It comes with the head, and the first token is due after 0.62 s.
+REFUSAL_TIMEOUT_S: typing.Final = 0.1
 # Engines cut off a response that stays unread for some seconds. One that breaks off
 # after so long a pause of its caller was cut off, which is no fault of its target.
 UNREAD_S: typing.Final = 1.0
@@ -34,6 +37,8 @@
 UNREAD: typing.Final = (
     "unread"  # reason: the target cut off what the caller left unread
 )
+STREAM_READ_BYTES: typing.Final = 8 * 1024  # of a stream, at a time
+STREAM_PIECE_BYTES: typing.Final = 256  # of events or comments take as long as a chunk
 EVENT_STREAM: typing.Final = "text/event-stream"
 MAX_FIRST_ID: typing.Final = 1  # targets count the events of a stream from 0 or 1
 MISPLACED: typing.Final = "misplaced"  # reason: another target is at the address
@@ -153,7 +158,7 @@
             )
         self._observer.on_head(metadata)
         if metadata.was_not_run:
-            await self._discard_body()
+            await read_with_timeout(self._discard_body(), REFUSAL_TIMEOUT_S)
             reason = MISPLACED if metadata.is_wrong_target else f"refused_{head.status}"
             return requeststate.Refusal(
                 requeststate.STATUS_NOT_RUN, reason, requeststate.RETRY_AFTER_SHORT_S
@@ -178,6 +183,8 @@
         ],
     ) -> Read | upstream.Failure:
         """Return what is read; a failure if the request leaves its silent target."""
+        if self._silence_timeout_s is None:
+            return await read()
         while True:
             result = await read_with_timeout(read(), self._silence_timeout_s)
             if not isinstance(result, upstream.Failure):
@@ -191,13 +198,11 @@
     async def _discard_body(self) -> None:
         """Read and drop the body of a refusal, so that the connection can be reused.
 
-        The connection is not kept after a longer body.
+        The connection is not kept after a body that is longer or takes longer.
         """
         read_bytes = 0
         while read_bytes <= MAX_REFUSAL_BYTES:
-            data = await read_with_timeout(
-                self._exchange.read_body(), SILENCE_TIMEOUT_S
-            )
+            data = await self._exchange.read_body()
             if isinstance(data, upstream.Failure | upstream.EndOfBody):
                 return
             read_bytes += len(data)
@@ -208,7 +213,11 @@
         """Relay a response that is not a stream, buffered if it is small."""
         body = bytearray()
         is_complete = False
-        while not is_complete and len(body) <= MAX_BUFFERED_BYTES:
+        while (
+            not is_complete
+            and len(body) <= MAX_BUFFERED_BYTES
+            and self._exchange.may_hold(len(body))
+        ):
             data = await self._read(self._exchange.read_body)
             if isinstance(data, upstream.Failure):
                 return data
@@ -222,6 +231,7 @@
                 is_complete = True
             else:
                 body += data
+                self._exchange.mark_used()
                 self._exchange.hold(len(body))
         if self._responder.is_started:
             # The head of an earlier target's stream was sent; only a stream can follow.
@@ -263,6 +273,7 @@
                 return requeststate.Completed(head.status)
             if isinstance(data, upstream.Failure):
                 return data
+            self._exchange.mark_used()
             await self._write(data)
 
     async def _find_broken_end(self) -> upstream.Failure | None:
@@ -287,8 +298,10 @@
         parser = sse.EventParser()
         has_events = False
         last_event_at = 0.0
+        unfinished_bytes = 0
+        read = functools.partial(self._exchange.read_body, STREAM_READ_BYTES)
         while True:
-            data = await self._read(self._exchange.read_body)
+            data = await self._read(read)
             if isinstance(data, upstream.Failure):
                 return data
             if isinstance(data, upstream.EndOfBody):
@@ -303,10 +316,17 @@
                 await self._start_stream(head)
                 await self._responder.finish()
                 return requeststate.Completed(head.status)
+            read_bytes = unfinished_bytes + len(data)
             received = parser.feed(data)
+            unfinished_bytes = parser.buffered_bytes
+            read_bytes -= unfinished_bytes
+            self._exchange.count_pieces(
+                len(received) + read_bytes // STREAM_PIECE_BYTES
+            )
             self._state.traits.progress.events += len(received)
-            self._exchange.hold(parser.buffered_bytes)
+            self._exchange.hold(unfinished_bytes)
             if received:
+                self._exchange.mark_used()
                 now = asyncio.get_running_loop().time()
                 if has_events:
                     self._observer.on_event_gap(now - last_event_at)
@@ -314,7 +334,7 @@
                     has_events = True
                     self._observer.on_begun()
                 last_event_at = now
-            if parser.is_oversized:
+            if parser.is_oversized or not self._exchange.may_hold(unfinished_bytes):
                 kind = upstream.FailureKind.MALFORMED
                 return upstream.Failure(kind, True, "event exceeds the size limit")
             failure = await self._send_events(head, received)
@@ -366,11 +386,9 @@
 
 async def read_with_timeout(
     reading: collections.abc.Coroutine[typing.Any, typing.Any, Read],
-    timeout_s: float | None,
+    timeout_s: float,
 ) -> Read | upstream.Failure:
-    """Return what is read, or a failure after ``timeout_s`` (None: no limit)."""
-    if timeout_s is None:
-        return await reading
+    """Return what is read, or a failure after ``timeout_s``."""
     scope = asyncio.timeout(timeout_s)
     try:
         async with scope:
--- a/sardinesaddle/direct/upstream.py
+++ b/sardinesaddle/direct/upstream.py
@@ -26,11 +26,17 @@
 
 import h11
 
-from sardinesaddle.direct import headercodec, responsebuffers, responsehead
+from sardinesaddle.direct import (
+    headercodec,
+    parserturns,
+    responsebuffers,
+    responsehead,
+)
 
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 MAX_SKIPPED_RESPONSES: typing.Final = 4  # then the connection is closed
-MAX_SKIPPED_BYTES: typing.Final = 256 * 1024  # of the bodies of such responses
+# That nothing comes of for the caller: framing, comments, responses to other attempts.
+MAX_UNUSED_BYTES: typing.Final = 256 * 1024
 # Of a response that states no length, and may be without end.
 MAX_UNSIZED_BODY_BYTES: typing.Final = 64 * 1024 * 1024
 IDLE_TIMEOUT_SHARE: typing.Final = 0.5  # of the idle timeout that a target states
@@ -41,6 +47,8 @@
 _IDLE_TIMEOUT: typing.Final = re.compile(
     r"(?:^|,)[ \t]*timeout=([0-9]{1,9})[ \t]*(?=,|$)", re.IGNORECASE
 )
+HEAD_READ_BYTES: typing.Final = 8 * 1024  # given to h11 at a time
+JOINED_BYTES: typing.Final = 4 * 1024  # of small chunks that are returned together
 
 
 class FailureKind(enum.Enum):
@@ -100,8 +108,13 @@
     what ``receive`` returned last counts until the next call.
     """
 
-    def __init__(self, buffers: responsebuffers.ResponseBuffers | None = None) -> None:
+    def __init__(
+        self,
+        buffers: responsebuffers.ResponseBuffers | None = None,
+        turns: parserturns.ParserTurns | None = None,
+    ) -> None:
         self.buffers = buffers or responsebuffers.ResponseBuffers()
+        self.turns = turns or parserturns.ParserTurns()
         self._account = self.buffers.open_account()
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -146,26 +159,29 @@
         """
         held = len(self._buffer) + self._received_bytes + self._relayed_bytes
         self._account.set_held(held)
+        may_read = self._account.may_read or not (self._buffer or self._received_bytes)
+        if may_read != self._is_paused:
+            return
         if self._transport is None or self.is_closed or self._transport.is_closing():
             return
-        may_read = self._account.may_read or not (self._buffer or self._received_bytes)
-        if may_read and self._is_paused:
-            self._is_paused = False
+        self._is_paused = not may_read
+        if may_read:
             self.buffers.paused -= 1
             self._transport.resume_reading()
-        elif not may_read and not self._is_paused:
-            self._is_paused = True
+        else:
             self.buffers.count_pause()
             self._transport.pause_reading()
 
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
+        self.buffers.unfinished_bytes += relayed_bytes - self._relayed_bytes
         self._relayed_bytes = relayed_bytes
         self._account.set_held(len(self._buffer) + self._received_bytes + relayed_bytes)
 
     def release(self) -> None:
         """Count that nothing of the last response is held, since it has ended."""
-        self._received_bytes = self._relayed_bytes = 0
+        self.hold(0)
+        self._received_bytes = 0
         self._update_reading()
 
     def eof_received(self) -> bool:
@@ -203,8 +219,7 @@
                 self._waiter = None
         data = bytes(self._buffer)
         self._buffer.clear()
-        self._received_bytes = len(data)
-        self._update_reading()
+        self._received_bytes = len(data)  # held as before, so reading goes on or not
         return data
 
     @property
@@ -242,11 +257,23 @@
         self._single_headers = header_codec.single_response_headers
         self._attempt_id = attempt_id
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._unparsed = memoryview(b"")  # received, and not given to h11 yet
+        self._needs_data = False  # whether all that was received is parsed
+        self._read_bytes = HEAD_READ_BYTES  # given to h11 at a time
+        self._parsed_pieces = 0  # that count against the next turn
+        self._regained_at = 0.0  # the event loop's time
+        # What came after the body that was returned last.
+        self._next: typing.Any = None
         self._request: h11.Request | None = None
         self._head = bytearray()  # what was received of the next head, and after it
         self._body = b""
         self._body_bytes = 0
+        self._unused_bytes = 0  # received since the relay last used a part
+        self._relayed_bytes = 0  # that the relay holds
         self._has_length = False
+        # Kept here, since a reading of the head may be cancelled and begun again.
+        self._head_count = 0
+        self._is_skipping = False  # whether a response to another attempt is read
         # Whether the response ends with its connection, as nothing else bounds it.
         self.is_unframed = False
         self._is_complete = False
@@ -272,10 +299,13 @@
 
     async def read_head(self) -> ResponseHead | Failure:
         """Return the head of the response to this request, skipping others."""
-        for _ in range(MAX_SKIPPED_RESPONSES):
+        while self._head_count < MAX_SKIPPED_RESPONSES:
+            if self._is_skipping and (failure := await self._skip_response()):
+                return failure
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
+            self._head_count += 1
             if not isinstance(event, h11.InformationalResponse | h11.Response):
                 return self._make_failure(
                     FailureKind.MALFORMED, f"unexpected {event!r:.60}"
@@ -298,10 +328,9 @@
             if self._is_own_response(head):
                 self._read_framing(head)
                 self._read_keep_alive(head)
+                self.mark_used()
                 return head
-            skipped = await self._skip_response()
-            if skipped is not None:
-                return skipped
+            self._is_skipping = True
         return self._make_failure(
             FailureKind.MALFORMED, "too many responses to other attempts"
         )
@@ -318,24 +347,18 @@
 
     async def _skip_response(self) -> Failure | None:
         """Read the response to another request and reset the parser after it."""
-        skipped_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, Failure):
                 return event
             if isinstance(event, h11.EndOfMessage):
                 break
-            skipped_bytes += len(event.data)
-            if skipped_bytes > MAX_SKIPPED_BYTES:
-                return self._make_failure(
-                    FailureKind.MALFORMED, "long response to another attempt"
-                )
+        self._is_skipping = False
         rest, _ = self._h11.trailing_data
         self._h11 = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._encode_request(self._h11)
         if rest:
-            self._head += rest
-            self._h11.receive_data(rest)
+            self._give_parser(rest)
         return None
 
     def _read_framing(self, head: ResponseHead) -> None:
@@ -370,47 +393,81 @@
     @property
     def has_news(self) -> bool:
         """Whether the next read returns at once."""
-        return self._conn.has_unread or self._conn.is_closed
+        return not self._needs_data or self._conn.has_unread or self._conn.is_closed
+
+    def count_pieces(self, count: int) -> None:
+        """Count pieces of the body that took as long as pieces of its framing."""
+        self._parsed_pieces += count
 
     def hold(self, relayed_bytes: int) -> None:
         """Count bytes of the response that the relay holds."""
-        self._conn.hold(relayed_bytes)
+        if relayed_bytes != self._relayed_bytes:
+            self._relayed_bytes = relayed_bytes
+            self._conn.hold(relayed_bytes)
+
+    def may_hold(self, unfinished_bytes: int) -> bool:
+        """Return whether the relay may hold so much until an event or body is whole."""
+        return self._conn.buffers.may_hold(unfinished_bytes)
+
+    def mark_used(self) -> None:
+        """Record that the relay used what was received up to now, or holds it."""
+        self._unused_bytes = 0
+
+    async def read_body(
+        self, max_bytes: int = responsebuffers.RESPONSE_BYTES
+    ) -> bytes | EndOfBody | Failure:
+        """Return the next bytes of the body, ``END_OF_BODY`` or a failure.
 
-    async def read_body(self) -> bytes | EndOfBody | Failure:
-        """Return the next bytes of the body, ``END_OF_BODY`` or a failure."""
+        These are at most ``max_bytes`` and ``JOINED_BYTES`` more. Small chunks that
+        are there are returned together.
+        """
+        self._read_bytes = max_bytes
         event = await self._next_event()
-        if isinstance(event, Failure):
-            return event
-        if isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > MAX_UNSIZED_BODY_BYTES and not self._has_length:
-                return self._make_failure(FailureKind.MALFORMED, "response without end")
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._is_complete = True
-            return END_OF_BODY
-        return self._make_failure(FailureKind.MALFORMED, f"unexpected {event!r:.60}")
+        if not isinstance(event, h11.Data):
+            if isinstance(event, Failure):
+                return event
+            if isinstance(event, h11.EndOfMessage):
+                self._is_complete = True
+                return END_OF_BODY
+            return self._make_failure(
+                FailureKind.MALFORMED, f"unexpected {event!r:.60}"
+            )
+        data = bytes(event.data)
+        # Does not wait, so a reading that is cancelled loses nothing.
+        while (
+            len(data) < JOINED_BYTES
+            and self._parsed_pieces < parserturns.PIECES_PER_TURN
+        ):
+            event = self._parse()
+            if not isinstance(event, h11.Data):
+                self._next = event
+                break
+            data += event.data
+        self._parsed_pieces += len(data) // parserturns.PIECE_BYTES
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_UNSIZED_BODY_BYTES and not self._has_length:
+            return self._make_failure(FailureKind.MALFORMED, "response without end")
+        return data
 
     async def _next_event(self) -> typing.Any:
         """Return h11's next event or a failure, receiving bytes as needed."""
         while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as exc:
-                kind = FailureKind.MALFORMED
-                if self._conn.is_closed:
-                    kind = FailureKind.CLOSED
-                return self._make_failure(kind, str(exc))
-            if event is h11.PAUSED:
+            if self._next is not None:
+                event, self._next = self._next, None
+                return event
+            if self._parsed_pieces >= parserturns.PIECES_PER_TURN:
+                await self._conn.turns.wait()
+                self._parsed_pieces = 0
+            if not self._needs_data:
+                event = self._parse()
+                if event is not None:
+                    return event
+            if self._unused_bytes > MAX_UNUSED_BYTES + self._relayed_bytes:
                 return self._make_failure(
-                    FailureKind.MALFORMED, "response is already complete"
+                    FailureKind.MALFORMED, "only bytes that belong to no answer"
                 )
-            if event is not h11.NEED_DATA:
-                if isinstance(event, h11.ConnectionClosed):
-                    return self._make_failure(
-                        FailureKind.CLOSED, "closed before the response"
-                    )
-                return event
+            if self._parsed_pieces > parserturns.PIECES_PER_TURN // 2:
+                self._regain_pieces()
             data = await self._conn.receive()
             if data is None:
                 if self._conn.was_reset:
@@ -422,9 +479,52 @@
                     return self._make_failure(
                         FailureKind.CLOSED, "closed before the response"
                     )
-            if self._h11.their_state is h11.SEND_RESPONSE:
-                self._head += data
-            self._h11.receive_data(data)
+            self._needs_data = False
+            self._unused_bytes += len(data)
+            if len(data) <= self._read_bytes:
+                self._give_parser(data)
+            else:
+                self._unparsed = memoryview(data)
+
+    def _give_parser(self, data: bytes) -> None:
+        """Pass bytes to h11, and keep those that may belong to a head."""
+        if self._h11.their_state is h11.SEND_RESPONSE:
+            self._head += data
+        self._h11.receive_data(data)
+
+    def _regain_pieces(self) -> None:
+        """Deduct the pieces that were due since the last call."""
+        now = asyncio.get_running_loop().time()
+        due = int((now - self._regained_at) * parserturns.PIECES_PER_S)
+        self._parsed_pieces = max(self._parsed_pieces - due, 0)
+        self._regained_at = now
+
+    def _parse(self) -> typing.Any:
+        """Return h11's next event or a failure; None if it needs more bytes."""
+        while True:
+            self._parsed_pieces += 1
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                kind = FailureKind.MALFORMED
+                if self._conn.is_closed:
+                    kind = FailureKind.CLOSED
+                return self._make_failure(kind, str(exc))
+            if event is not h11.NEED_DATA:
+                if event is h11.PAUSED:
+                    return self._make_failure(
+                        FailureKind.MALFORMED, "response is already complete"
+                    )
+                if isinstance(event, h11.ConnectionClosed):
+                    return self._make_failure(
+                        FailureKind.CLOSED, "closed before the response"
+                    )
+                return event
+            if not self._unparsed:
+                self._needs_data = True
+                return None
+            self._give_parser(bytes(self._unparsed[: self._read_bytes]))
+            self._unparsed = self._unparsed[self._read_bytes :]
 
     def _make_failure(self, kind: FailureKind, detail: str) -> Failure:
         """Return a failure and mark the connection as not reusable."""
@@ -439,6 +539,7 @@
             self._is_complete
             and self._is_reusable
             and not rest
+            and not self._unparsed
             and not was_closed
             and not self._conn.is_closed
             and not self._conn.has_unread
@@ -461,6 +562,7 @@
 
     def __init__(self, buffers: responsebuffers.ResponseBuffers | None = None) -> None:
         self._buffers = buffers or responsebuffers.ResponseBuffers()
+        self._turns = parserturns.ParserTurns()
         self._idle: dict[PoolKey, list[Connection]] = {}
         self.opened = 0
         self.reused = 0
@@ -503,7 +605,7 @@
         try:
             async with asyncio.timeout(connect_timeout_s):
                 _, conn = await loop.create_connection(
-                    lambda: Connection(self._buffers), key[0], key[1]
+                    lambda: Connection(self._buffers, self._turns), key[0], key[1]
                 )
         except (TimeoutError, OSError) as exc:
             kind = FailureKind.CONNECT
--- a/test/test_direct_httpclient.py
+++ b/test/test_direct_httpclient.py
@@ -71,13 +71,14 @@
         [ScriptedServer, httpclient.HttpClient], collections.abc.Awaitable[None]
     ],
     *script: bytes | None,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> None:
     """Run a scenario with a client of a server that follows a script."""
 
     async def run_scenario() -> None:
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         server = ScriptedServer(*script)
-        client = httpclient.HttpClient(await server.start(), MAX_BODY_BYTES)
+        client = httpclient.HttpClient(await server.start(), max_body_bytes)
         await scenario(server, client)
         client.close()
         server.stop()
@@ -109,6 +110,32 @@
     run(scenario, data, WHOLE)
 
 
+CHUNKED: typing.Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# What is no body: parts of which a server may write any number.
+ENDLESS: typing.Final = {
+    "head lines": b"HTTP/1.1 200 OK\r\n" + 9999 * b"A: bcdef\r\n",
+    "informational": 9999 * b"HTTP/1.1 102 Wait\r\n\r\n",
+    "chunk extension": CHUNKED + b"1;" + 99_999 * b"a",
+    "chunk extensions": CHUNKED + 9999 * b"1;abcdef\r\nx\r\n",
+    "tiny chunks": CHUNKED + 19_999 * b"1\r\nx\r\n",
+    "trailer": CHUNKED + b"0\r\nA: " + 99_999 * b"b",
+    "trailers": CHUNKED + b"0\r\n" + b"".join(b"A%d: b\r\n" % n for n in range(9999)),
+}
+
+
+@pytest.mark.parametrize("data", ENDLESS.values(), ids=ENDLESS)
+def test_framing_without_end_is_a_fault_at_once(data: bytes) -> None:
+    """Guards against trailers that are kept, and parsed, until the timeout."""
+
+    async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
+        began_at = asyncio.get_running_loop().time()
+        fault = await client.request("GET", "/report", TIMEOUT_S)
+        assert isinstance(fault, httpclient.HttpFault)
+        assert asyncio.get_running_loop().time() - began_at < TIMEOUT_S
+
+    run(scenario, data, max_body_bytes=len(data))
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -316,6 +343,24 @@
     run_status(scenario)
 
 
+def test_status_server_cuts_off_a_caller_that_does_not_read() -> None:
+    """Guards against responses without end that wait for such a caller in memory."""
+
+    async def scenario(
+        node: ReadyNode, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(999 * b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n")
+        received = b""
+        try:
+            while data := await reader.read(65536):
+                received += data
+        except ConnectionResetError:
+            pass
+        assert received.count(b"HTTP/1.1 200") <= 1
+
+    run_status(scenario)
+
+
 @pytest.mark.parametrize(
     "data", [b"nonsense\r\n\r\n", b"GET /" + 20_000 * b"x", b"", b"GET /readyz"]
 )
@@ -334,10 +379,10 @@
 
 
 HEAD: typing.Final = b"HTTP/1.1 200 OK\r\nX-Own: 7\r\n"
-CHUNKED: typing.Final = b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+CHUNKED_BODY: typing.Final = b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
 CUT: typing.Final = {
     "sized": WHOLE,
-    "chunked": HEAD + CHUNKED,
+    "chunked": HEAD + CHUNKED_BODY,
     "after_1xx": b"HTTP/1.1 102 Wait\r\nX-Own: 9\r\n\r\n" + WHOLE,
     "http_1_0": WHOLE.replace(b"1.1", b"1.0"),
     "head_by_line_feeds": HEAD.replace(b"\r\n", b"\n") + b"Content-Length: 2\n\nab",
@@ -384,14 +429,14 @@
         HEAD + b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
         HEAD + b"Content-Length: 2, 2\r\n\r\nab",
         HEAD + b"Content-Length: +2\r\n\r\nab",
-        HEAD + b"Content-Length: 1\r\n" + CHUNKED,
-        HEAD + CHUNKED.replace(b"chunked", b"chunked, gzip"),
-        HEAD + CHUNKED.replace(b"chunked", b"xchunked"),
+        HEAD + b"Content-Length: 1\r\n" + CHUNKED_BODY,
+        HEAD + CHUNKED_BODY.replace(b"chunked", b"chunked, gzip"),
+        HEAD + CHUNKED_BODY.replace(b"chunked", b"xchunked"),
         HEAD + b"\n" + b"Content-Length: 2\r\n\r\nab",
         HEAD + b"X-B: a\r\n b\r\nContent-Length: 2\r\n\r\nab",
         HEAD + b"X-B : a\r\nContent-Length: 2\r\n\r\nab",
         HEAD + b"X-B: a\0\r\nContent-Length: 2\r\n\r\nab",
-        HEAD.replace(b"1.1", b"1.0") + CHUNKED,
+        HEAD.replace(b"1.1", b"1.0") + CHUNKED_BODY,
         HEAD.replace(b"1.1", b"2.0") + b"Content-Length: 2\r\n\r\nab",
         b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + WHOLE,
     ],
@@ -403,7 +448,9 @@
 
 def test_trailers_and_repeated_fields_override_no_field() -> None:
     """Guards against a statement of an engine that a later line takes back."""
-    written = HEAD + b"X-Own: 8\r\n" + CHUNKED.replace(b"0\r\n", b"0\r\nX-Own: 9\r\n")
+    written = (
+        HEAD + b"X-Own: 8\r\n" + CHUNKED_BODY.replace(b"0\r\n", b"0\r\nX-Own: 9\r\n")
+    )
 
     async def scenario(server: ScriptedServer, client: httpclient.HttpClient) -> None:
         response = await client.request("GET", "/report", TIMEOUT_S)
