--- a/test/test_direct_events.py
+++ b/test/test_direct_events.py
@@ -8,7 +8,7 @@
 
 from sardinesaddle.platform import headers
 from test import directfleet as df
-from test import processfleet
+from test import processfleet, test_direct_garbage
 
 SOUND: typing.Final = df.make_sse_event(1)
 STRAY: typing.Final = b"data: stray\n\n"
@@ -88,6 +88,40 @@
     df.run_scenario(scenario)
 
 
+@pytest.mark.parametrize("last", [1, 2, 4])
+def test_caller_resumes_its_stream_after_any_event(last: int) -> None:
+    """Guards against a failure of callers that come back after a broken connection."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "engines", test_direct_garbage.respond_whole)
+        await fleet.settle()
+        fields = ((headers.LAST_EVENT, str(last)),)
+        resp = await fleet.send_request("/stream/a", extra_headers=fields)
+        assert (resp.status, resp.is_complete) == (200, True)
+        rest = range(last + 1, test_direct_garbage.EVENTS + 1)
+        assert resp.body == b"".join(map(df.make_sse_event, rest))
+
+    df.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("first", [1, 2, 4])
+def test_target_that_begins_elsewhere_than_the_caller_asked_is_not_relayed(
+    first: int,
+) -> None:
+    """Guards against a gap, or an event twice, after the last that a caller has."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        body = df.make_sse_event(first) + df.make_sse_event(first + 1)
+        respond = make_responder(body, (EVENT_STREAM,))
+        await fleet.add_target("t1", "engines", respond)
+        await fleet.settle()
+        fields = ((headers.LAST_EVENT, "2"),)
+        resp = await fleet.send_request("/stream/a", extra_headers=fields)
+        assert resp.body in (b"", df.make_sse_event(3))
+
+    df.run_scenario(scenario)
+
+
 def test_processes_relay_no_event_that_a_caller_reads_differently(
     tmp_path: pathlib.Path,
 ) -> None:
