--- a/test/brokenstreams.py
+++ b/test/brokenstreams.py
@@ -435,6 +435,8 @@
     st.builds(Bending, st.just(()), st.tuples(BYTE_EDITS)),
     st.builds(Bending, st.just(()), st.tuples(BYTE_EDITS, BYTE_EDITS)),
 )
+# A stream that stops between events, as that of an engine that crashes may.
+STOPS: typing.Final = st.builds(Bending, st.tuples(_make_edits("stop")))
 CUTS: typing.Final = st.lists(st.integers(0, 400), max_size=4)
 
 
