--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -30,6 +30,7 @@
     crashledger,
     entrystate,
     headercodec,
+    httpexchange,
     nodemetrics,
     requestqueue,
     requestscheduler,
@@ -605,7 +606,7 @@
                 conn.abort()
                 result = refuse_not_run("unavailable")
                 return result
-            exchange = upstream.Exchange(
+            exchange = httpexchange.Exchange(
                 conn,
                 self._header_codec,
                 state.req.metadata.attempt_id,
@@ -663,7 +664,7 @@
         self,
         state: requeststate.RequestState,
         target: targetstate.Target,
-        exchange: upstream.Exchange,
+        exchange: httpexchange.Exchange,
         responder: requeststate.Responder,
         observer: "ExchangeObserver",
     ) -> responserelay.Outcome:
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -22,7 +22,14 @@
 import math
 import typing
 
-from sardinesaddle.direct import headercodec, requeststate, sse, targetstate, upstream
+from sardinesaddle.direct import (
+    headercodec,
+    httpexchange,
+    requeststate,
+    sse,
+    targetstate,
+    upstream,
+)
 
 SILENCE_TIMEOUT_S: typing.Final = 1.2  # callers give up on a silent stream after 2 s
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024  # up to this size responses are buffered
@@ -104,7 +111,7 @@
     def __init__(
         self,
         state: requeststate.RequestState,
-        exchange: upstream.Exchange,
+        exchange: httpexchange.Exchange,
         responder: requeststate.Responder,
         header_codec: headercodec.HeaderCodec,
         observer: RelayObserver,
@@ -203,12 +210,12 @@
         read_bytes = 0
         while read_bytes <= MAX_REFUSAL_BYTES:
             data = await self._exchange.read_body()
-            if isinstance(data, upstream.Failure | upstream.EndOfBody):
+            if isinstance(data, upstream.Failure | httpexchange.EndOfBody):
                 return
             read_bytes += len(data)
 
     async def _relay_buffered(
-        self, target: targetstate.Target, head: upstream.ResponseHead
+        self, target: targetstate.Target, head: httpexchange.ResponseHead
     ) -> Outcome:
         """Relay a response that is not a stream, buffered if it is small."""
         body = bytearray()
@@ -221,7 +228,7 @@
             data = await self._read(self._exchange.read_body)
             if isinstance(data, upstream.Failure):
                 return data
-            if isinstance(data, upstream.EndOfBody):
+            if isinstance(data, httpexchange.EndOfBody):
                 is_success = 200 <= head.status < 300
                 if is_success and self._exchange.is_unframed and not body:
                     kind = upstream.FailureKind.CLOSED
@@ -254,7 +261,7 @@
         return await self._relay_large(head, headers, bytes(body))
 
     async def _relay_large(
-        self, head: upstream.ResponseHead, headers: headercodec.Headers, body: bytes
+        self, head: httpexchange.ResponseHead, headers: headercodec.Headers, body: bytes
     ) -> Outcome:
         """Relay a large response as it arrives, after the bytes read so far."""
         length = head.get("content-length")
@@ -266,7 +273,7 @@
         self._exchange.hold(0)
         while True:
             data = await self._exchange.read_body()
-            if isinstance(data, upstream.EndOfBody):
+            if isinstance(data, httpexchange.EndOfBody):
                 if failure := await self._find_broken_end():
                     return failure
                 await self._responder.finish()
@@ -293,7 +300,7 @@
         kind = upstream.FailureKind.CLOSED
         return upstream.Failure(kind, True, "target ended with its response")
 
-    async def _relay_stream(self, head: upstream.ResponseHead) -> Outcome:
+    async def _relay_stream(self, head: httpexchange.ResponseHead) -> Outcome:
         """Relay the complete events of a stream as they arrive."""
         parser = sse.EventParser()
         has_events = False
@@ -304,7 +311,7 @@
             data = await self._read(read)
             if isinstance(data, upstream.Failure):
                 return data
-            if isinstance(data, upstream.EndOfBody):
+            if isinstance(data, httpexchange.EndOfBody):
                 is_empty = not has_events and not self._responder.is_started
                 if parser.has_incomplete_event or (
                     is_empty and self._exchange.is_unframed
@@ -344,14 +351,14 @@
             if failure is not None:
                 return failure
 
-    async def _start_stream(self, head: upstream.ResponseHead) -> None:
+    async def _start_stream(self, head: httpexchange.ResponseHead) -> None:
         """Send the head of the stream unless an earlier target's was sent."""
         if not self._responder.is_started:
             self._observer.on_first_event()
             await self._responder.start(head.status, list_response_headers(head), None)
 
     async def _send_events(
-        self, head: upstream.ResponseHead, received: list[sse.Event]
+        self, head: httpexchange.ResponseHead, received: list[sse.Event]
     ) -> upstream.Failure | None:
         """Send the events that the caller lacks.
 
@@ -400,13 +407,13 @@
         return upstream.Failure(upstream.FailureKind.TIMED_OUT, True, detail)
 
 
-def is_event_stream(head: upstream.ResponseHead) -> bool:
+def is_event_stream(head: httpexchange.ResponseHead) -> bool:
     """Return whether the media type of a response is that of event streams."""
     media_type = (head.get("content-type") or "").partition(";")[0]
     return media_type.strip().lower() == EVENT_STREAM
 
 
-def list_response_headers(head: upstream.ResponseHead) -> headercodec.Headers:
+def list_response_headers(head: httpexchange.ResponseHead) -> headercodec.Headers:
     """Return the headers of a response that are relayed to the caller."""
     options = headercodec.list_connection_options(head.headers)
     dropped = HOP_BY_HOP_HEADERS | options if options else HOP_BY_HOP_HEADERS
--- a/test/test_direct_endless.py
+++ b/test/test_direct_endless.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sardinesaddle.direct import engine, responsebuffers, upstream
+from sardinesaddle.direct import engine, httpexchange, responsebuffers
 from sardinesaddle.platform import engines, headers
 from test import directfleet as df
 
@@ -102,7 +102,7 @@
 def test_bytes_without_end_are_cut_off(
     kind: str, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(upstream, "MAX_UNSIZED_BODY_BYTES", MAX_BODY_BYTES)
+    monkeypatch.setattr(httpexchange, "MAX_UNSIZED_BODY_BYTES", MAX_BODY_BYTES)
 
     async def scenario(fleet: df.Fleet) -> None:
         endless = EndlessTarget(*ENDLESS[kind])
@@ -157,7 +157,7 @@
         )
         for number in range(1, event_count + 1)
     )
-    assert len(written) > upstream.MAX_UNUSED_BYTES
+    assert len(written) > httpexchange.MAX_UNUSED_BYTES
 
     async def respond(
         target: df.ScriptedTarget,
@@ -183,7 +183,7 @@
     """Guards against a bound on framing that ends a response that brings bytes."""
     body = bytes(range(256)) * 200
     written = b"".join(df.encode_chunk(bytes([byte])) for byte in body)
-    assert len(written) > upstream.MAX_UNUSED_BYTES
+    assert len(written) > httpexchange.MAX_UNUSED_BYTES
 
     async def respond(
         target: df.ScriptedTarget,
--- a/test/test_direct_floods.py
+++ b/test/test_direct_floods.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sardinesaddle.direct import parserturns, upstream
+from sardinesaddle.direct import httpexchange, parserturns, upstream
 from sardinesaddle.platform import headers
 from sardinesaddle.standins import loopdriver
 from test import directfleet as df
@@ -117,17 +117,17 @@
                 ticks += 1
 
         conn = upstream.Connection()
-        exchange = upstream.Exchange(conn, headers.PlatformHeaderCodec(), "ID")
+        exchange = httpexchange.Exchange(conn, headers.PlatformHeaderCodec(), "ID")
         exchange.send("GET", "/", [("Host", "h")], b"")
         conn.data_received(head + PIECE_COUNT * TINY + df.encode_chunk(b""))
         if head is OTHER_HEAD:
             conn.data_received(BODY_HEAD + df.encode_chunk(b""))
         ticker = asyncio.create_task(tick())
-        assert isinstance(await exchange.read_head(), upstream.ResponseHead)
+        assert isinstance(await exchange.read_head(), httpexchange.ResponseHead)
         body = b""
         while isinstance(data := await exchange.read_body(), bytes):
             body += data
-        assert isinstance(data, upstream.EndOfBody)
+        assert isinstance(data, httpexchange.EndOfBody)
         assert body == (PIECE_COUNT * b"x" if head is BODY_HEAD else b"")
         assert ticks >= PIECE_COUNT // parserturns.PIECES_PER_TURN
         ticker.cancel()
@@ -191,10 +191,10 @@
     async def run() -> None:
         loop = asyncio.get_running_loop()
         conn = upstream.Connection()
-        exchange = upstream.Exchange(conn, headers.PlatformHeaderCodec(), "ID")
+        exchange = httpexchange.Exchange(conn, headers.PlatformHeaderCodec(), "ID")
         exchange.send("GET", "/", [("Host", "h")], b"")
         conn.data_received(BODY_HEAD)
-        assert isinstance(await exchange.read_head(), upstream.ResponseHead)
+        assert isinstance(await exchange.read_head(), httpexchange.ResponseHead)
 
         async def feed() -> None:
             for _ in range(feed_count):
@@ -208,7 +208,7 @@
         while isinstance(data := await exchange.read_body(), bytes):
             body_bytes += len(data)
             exchange.mark_used()
-        assert isinstance(data, upstream.EndOfBody)
+        assert isinstance(data, httpexchange.EndOfBody)
         assert body_bytes == feed_count * fed_pieces
         assert loop.time() - began_at > 1.4 * feed_count * period_s
         await feeding
--- a/test/test_direct_headfuzz.py
+++ b/test/test_direct_headfuzz.py
@@ -8,7 +8,7 @@
 import httptools
 import pytest
 
-from sardinesaddle.direct import headercodec, upstream
+from sardinesaddle.direct import headercodec, httpexchange, upstream
 from sardinesaddle.platform import headers
 from test import test_direct_heads as heads
 
@@ -100,7 +100,7 @@
 
     async def read_whole() -> Reading | str:
         codec = headers.PlatformHeaderCodec()
-        exchange = upstream.Exchange(BytesConnection(parts), codec, "a1")
+        exchange = httpexchange.Exchange(BytesConnection(parts), codec, "a1")
         exchange.send("POST", "/a", [("Host", "h")], b"")
         head = await exchange.read_head()
         if isinstance(head, upstream.Failure):
@@ -108,7 +108,7 @@
         body = b""
         while isinstance(part := await exchange.read_body(), bytes):
             body += part
-        is_complete = part is upstream.END_OF_BODY and not exchange.is_unframed
+        is_complete = part is httpexchange.END_OF_BODY and not exchange.is_unframed
         return head.status, head.headers, body, is_complete
 
     return loop.run_until_complete(read_whole())
