--- a/review/8/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-cd "$(dirname "$0")/../.." && exec python3 review/8/case.py
