Show that whole answers of an engine that left without notice are cut (case 8)

Cause: that the store no longer lists a target counts as a sign that its process has ended; each answer of it that ends with its connection is then a break.

The case: the requests now follow a SIGHUP of the entries, planned work, so that both parts of LOST speak of it; an engine's entry is removed while streams run there.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -16,6 +17,7 @@
 PARTS, GAP_MS = 16, 100  # an answer takes 1.5 s
 REMOVED_AFTER_S = 0.5  # from the requests to the removal of the engine's entry
 # It serves on for drain_ms (2 s) after that, and a little longer, and then exits.
+# All answers have ended by then.
 EXITS_AFTER_S = ps.BOUNDS["drain_ms"] / 1000 + 0.5
 ALLOWED_CLOSES = 3
 ROUTES = [
@@ -25,14 +27,28 @@
 ]
 
 
-async def send_kept(fleet: ps.Fleet, number: int, kind: str) -> ps.Answer:
+def reload_entries(fleet: ps.Fleet) -> None:
+    """Change the entries' settings files and send SIGHUP, as planned work."""
+    for number, process in enumerate(fleet.entries):
+        path = fleet.directory / f"entry-{number}.boot"
+        text = path.read_text()
+        changed = text.replace('"repeat_allowance": 90', '"repeat_allowance": 91')
+        if changed == text:
+            raise ps.CannotRun("the settings have no repeat_allowance")
+        path.write_text(changed)
+        process.send(signal.SIGHUP)
+
+
+async def send_kept(
+    fleet: ps.Fleet, number: int, kind: str, may_send: asyncio.Event
+) -> ps.Answer:
     """Send a first request and then, on the same connection, the one that counts."""
     front = fleet.fronts[number % len(fleet.fronts)]
     conn = await asyncio.open_connection(*front)
     first = await ps.send(front, "/safe/first?chunked=1", f"first-{kind}-{number}", conn=conn)
     if first.status != 200:
         raise ps.CannotRun(f"the first request got {first.status}")
-    await asyncio.sleep(0.3)
+    await may_send.wait()
     path = f"/{kind}/a?parts={PARTS}&gap={GAP_MS}" + ("&stream=1" if kind == "stream" else "")
     answer = await ps.send(front, path, f"{kind}-{number}", conn=conn)
     conn[1].transport.abort()
@@ -45,13 +61,19 @@
     for name in ENGINES:
         await fleet.start_engine(name, STANDINS / "engine.py", SERVICE)
     await asyncio.sleep(1.0)
+    may_send = asyncio.Event()
     tasks = {
-        f"{kind}-{number}": asyncio.create_task(send_kept(fleet, number, kind))
+        f"{kind}-{number}": asyncio.create_task(send_kept(fleet, number, kind, may_send))
         for number in range(REQUESTS)
         for kind in ("stream", "unsafe")
     }
+    await asyncio.sleep(0.5)
+    reload_entries(fleet)
+    record.add("the entries' settings have changed; SIGHUP")
+    await asyncio.sleep(0.3)
+    may_send.set()
     record.add(f"sent {len(tasks)} requests, each on a connection that was used before")
-    await asyncio.sleep(0.3 + REMOVED_AFTER_S)
+    await asyncio.sleep(REMOVED_AFTER_S)
     leaving = fleet.find_engine_of("stream-0")
     if has_trouble:
         fleet.store.delete(f"servers/{leaving}")
