Show that whole answers of an engine that leaves unannounced are cut, with four engines

Case 8, now with one of four engines in place of one of three, which stays inside the largest share of scale_in in the site.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,7 +12,7 @@
 import platform_standin as ps  # noqa: E402
 
 SERVICE = "catalogo-archivo"
-ENGINES = ("i-one", "i-two", "i-three")
+ENGINES = ("i-one", "i-two", "i-three", "i-four")
 REQUESTS = 36  # of each kind
 PARTS, GAP_MS = 16, 100  # an answer takes 1.5 s
 REMOVED_AFTER_S = 0.5  # from the requests to the removal of the engine's entry
