Ask the process at the address of an unlisted target which one it is

Cause: TargetRegistry recorded the removal as evidence that the process had ended, and CrashDetector.has_ended believed any evidence, whatever the probe had just shown.

Ruled out: dropping the evidence, since an accepted connection may be to another process (MIXED instead of LOST); breaking exchanges off at the removal was not what happened, all events had arrived.

Change: on a removal and at the end of such a response the process at the address is asked which one it is, by the start in an engine's state or the id of a health check. Only the target itself completes a response. A removal counts as a crash only if the target also accepts no connection, and a registration that comes back takes it back.

--- a/sardinesaddle/direct/catalog.py
+++ b/sardinesaddle/direct/catalog.py
@@ -95,6 +95,7 @@
 
     Its targets are cold for ``cold_s`` seconds after their start, and may turn cold
     again. A cold target sustains ``cold_rate`` requests a second, 0 for any rate.
+    ``health_path`` is that of their health checks, empty if it is not stated.
     """
 
     name: str
@@ -102,6 +103,7 @@
     engine: EngineModel | None
     cold_s: float = 0.0
     cold_rate: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sardinesaddle/direct/configholder.py
+++ b/sardinesaddle/direct/configholder.py
@@ -28,6 +28,10 @@
         """The version in force; 0 for none."""
         return 0 if self.catalog is None else self.catalog.version
 
+    def find_service(self, name: str) -> catalog.Service | None:
+        """Return a service of the configuration in force, or None."""
+        return None if self.catalog is None else self.catalog.services.get(name)
+
     def offer(self, value: bytes | None, rev: int, source: str) -> bool:
         """Put a value in force if it is valid and newer; return whether it is valid.
 
--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -10,7 +10,16 @@
   entry connects to the target once more to find that out.
 - Another incarnation has taken its address or its identifier, as its registration or a
   misdirected request shows. Connections are accepted again then.
-- The store no longer lists it, although it did not state that it would leave.
+- The store no longer lists it, although it did not state that it would leave, and it
+  accepts no connection.
+
+Some targets leave without notice: the store no longer lists them, and they serve on for
+a while. So the process at the address of an unlisted target is asked which one it is,
+see ``targetidentity``. If it is the target, that serves on, and its end counts against
+nobody. If another process has the address, the target has ended. If the process does
+not state in time which one it is, nothing is recorded, and a response that only the end
+of its connection bounds counts as broken off: a whole response that is lost does less
+harm than a part of one that is taken for the whole.
 
 The crash then counts against the contents of all unresolved exchanges with the target.
 That includes exchanges that were cancelled because their caller had left. A response of
@@ -39,6 +48,7 @@
     freshness,
     nodemetrics,
     partprobes,
+    targetidentity,
     targetstate,
     upstream,
 )
@@ -52,7 +62,7 @@
 
 
 class Evidence(enum.Enum):
-    """What showed that a target ended."""
+    """What showed that a target ended; ``UNREGISTERED`` ones may come back."""
 
     REFUSED = "refused"
     REPLACED = "replaced"
@@ -97,7 +107,9 @@
 
     ``evidence`` shows since ``found_at`` that the target has ended; it is None while
     the target may run, and ``group`` is its lock-step group then. ``is_leaving`` is set
-    if it had stated that it would leave.
+    if it had stated that it would leave, or serves on though it ``is_unlisted``, that
+    is, though the store no longer lists it. ``look`` finds out whether it runs, since
+    ``look_began_at`` of the event loop's time.
     """
 
     running: set[SentRequest] = dataclasses.field(default_factory=set)
@@ -106,12 +118,24 @@
     group: str = ""
     found_at: float = freshness.NEVER
     is_leaving: bool = False
+    is_unlisted: bool = False
     probe: asyncio.Task[bool] | None = None
+    look: asyncio.Task[bool] | None = None
+    look_began_at: float = freshness.NEVER
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the target's process is known to have ended for good."""
+        return self.evidence not in (None, Evidence.UNREGISTERED)
 
     def is_needed(self, oldest: float) -> bool:
         """Return whether this holds more than what was found before ``oldest``."""
         return bool(
-            self.running or self.unresolved or self.probe or self.found_at >= oldest
+            self.running
+            or self.unresolved
+            or self.probe
+            or self.look
+            or self.found_at >= oldest
         )
 
 
@@ -119,7 +143,8 @@
     """Tells the ledger of an entry which targets crashed under which requests.
 
     ``on_recorded`` is called after a crash was recorded. ``compute_turn`` returns the
-    turn of this entry to probe a suspect, see ``partprobes``.
+    turn of this entry to probe a suspect, see ``partprobes``. ``find_service`` returns
+    the service with a name, None if the configuration has none.
     """
 
     def __init__(
@@ -131,7 +156,11 @@
         on_recorded: collections.abc.Callable[[], None],
         left: departures.Departures,
         compute_turn: collections.abc.Callable[[str], int],
+        identifier: targetidentity.TargetIdentifier,
+        find_service: collections.abc.Callable[[str], catalog.Service | None],
     ) -> None:
+        self._identifier = identifier
+        self._find_service = find_service
         self._ledger = ledger
         self._probes = partprobes.PartProbes()
         self._compute_turn = compute_turn
@@ -274,7 +303,7 @@
         Call this after a broken exchange, or if the target is silent.
         """
         exchanges = self._get_exchanges(target.registration.incarnation)
-        if exchanges.evidence is not None:
+        if exchanges.has_ended:
             return False
         if exchanges.probe is None:
             loop = asyncio.get_running_loop()
@@ -286,9 +315,62 @@
         incarnation = target.registration.incarnation
         if self._departures.is_leaving(incarnation):
             return False
+        if self._get_exchanges(incarnation).is_unlisted:
+            return not await self._look(target)
         await self.probe(target)
         return self._get_exchanges(incarnation).evidence is not None
 
+    async def _look(self, target: targetstate.Target) -> bool:
+        """Return whether a target that the store no longer lists runs now.
+
+        Those who ask at the same time share an answer, which is not older than that.
+        """
+        exchanges = self._get_exchanges(target.registration.incarnation)
+        asked_at = asyncio.get_running_loop().time()
+        while exchanges.look is not None and exchanges.look_began_at < asked_at:
+            await asyncio.shield(exchanges.look)
+        return await asyncio.shield(self._start_look(target, exchanges))
+
+    def _start_look(
+        self, target: targetstate.Target, exchanges: TargetExchanges
+    ) -> asyncio.Task[bool]:
+        """Start to find out whether a target runs, unless that is under way."""
+        if exchanges.look is None:
+            loop = asyncio.get_running_loop()
+            exchanges.look_began_at = loop.time()
+            exchanges.look = loop.create_task(self._run_look(target, exchanges))
+        return exchanges.look
+
+    async def _run_look(
+        self, target: targetstate.Target, exchanges: TargetExchanges
+    ) -> bool:
+        """Connect to an unlisted target and ask who it is; return whether it runs."""
+        registration = target.registration
+        try:
+            if not await self.probe(target):
+                if exchanges.is_unlisted and not exchanges.has_ended:
+                    self.on_target_ended(target, Evidence.UNREGISTERED)
+                return False
+            service = self._find_service(registration.service)
+            occupant = await self._identifier.identify(
+                registration, service, PROBE_TIMEOUT_S
+            )
+        finally:
+            exchanges.look = None
+        loguru.logger.info(
+            "event=target_identified target={} occupant={} running={} unresolved={}",
+            registration.incarnation,
+            occupant.value,
+            len(exchanges.running),
+            len(exchanges.unresolved),
+        )
+        if occupant is targetidentity.Occupant.OTHER:
+            self.on_target_ended(target, Evidence.REPLACED)
+        elif occupant is targetidentity.Occupant.TARGET and exchanges.is_unlisted:
+            exchanges.evidence = None
+            exchanges.is_leaving = True
+        return occupant is targetidentity.Occupant.TARGET
+
     async def _run_probe(
         self, target: targetstate.Target, exchanges: TargetExchanges
     ) -> bool:
@@ -325,19 +407,43 @@
         is only unlisted may still respond.
         """
         incarnation = target.registration.incarnation
+        exchanges = self._update_exchanges(target)
+        if not exchanges.has_ended:
+            exchanges.evidence = evidence
+        self._record_crash(incarnation, exchanges, exchanges.evidence or evidence)
+        if evidence is Evidence.REPLACED:
+            for sent in exchanges.running:
+                sent.was_aborted = True
+                sent.conn.abort()
+
+    def _update_exchanges(self, target: targetstate.Target) -> TargetExchanges:
+        """Return the exchanges with a target that may have ended, updated."""
+        incarnation = target.registration.incarnation
         exchanges = self._get_exchanges(incarnation)
         exchanges.is_leaving |= (
             target.registration.state is catalog.TargetState.DRAINING
             or self._departures.is_leaving(incarnation)
         )
-        exchanges.evidence = exchanges.evidence or evidence
         exchanges.group = target.group or exchanges.group
         exchanges.found_at = self._clock.read()
-        self._record_crash(incarnation, exchanges, exchanges.evidence)
-        if evidence is Evidence.REPLACED:
-            for sent in exchanges.running:
-                sent.was_aborted = True
-                sent.conn.abort()
+        return exchanges
+
+    def on_target_unlisted(self, target: targetstate.Target) -> None:
+        """Record that the store no longer lists a target; find out if that matters."""
+        exchanges = self._update_exchanges(target)
+        exchanges.is_unlisted = True
+        if not exchanges.is_leaving and (exchanges.running or exchanges.unresolved):
+            self._start_look(target, exchanges)
+
+    def on_target_listed(self, incarnation: str) -> None:
+        """Record that the store lists an incarnation, perhaps once more."""
+        exchanges = self._exchanges.get(incarnation)
+        if exchanges is None or not exchanges.is_unlisted:
+            return
+        exchanges.is_unlisted = False
+        exchanges.is_leaving = self._departures.is_leaving(incarnation)
+        if not exchanges.has_ended:
+            exchanges.evidence = None
 
     def _record_crash(
         self, incarnation: str, exchanges: TargetExchanges, evidence: Evidence
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -42,6 +42,7 @@
     storedecoder,
     storewatcher,
     supervision,
+    targetidentity,
     targetlimits,
     targetpool,
     targetregistry,
@@ -84,6 +85,7 @@
         header_codec: headercodec.HeaderCodec,
         clock: freshness.SuspendAwareClock,
         rng: random.Random,
+        identifier: targetidentity.TargetIdentifier,
     ) -> None:
         self._cfg = cfg
         self._store_decoder = store_decoder
@@ -135,6 +137,8 @@
             self._peers.announce,
             self.departures,
             self._compute_probe_turn,
+            identifier,
+            self._config.find_service,
         )
         self._registry = targetregistry.TargetRegistry(
             store_decoder,
--- a/sardinesaddle/direct/entryrole.py
+++ b/sardinesaddle/direct/entryrole.py
@@ -7,7 +7,7 @@
 
 from sardinesaddle import settings
 from sardinesaddle.direct import entrynode, freshness, noderole, nodesettings
-from sardinesaddle.platform import catalogformat, contracts, headers, store
+from sardinesaddle.platform import catalogformat, contracts, headers, identity, store
 
 
 def make_session() -> aiohttp.ClientSession:
@@ -50,6 +50,7 @@
             headers.PlatformHeaderCodec(),
             freshness.BootTimeClock(),
             random.Random(),
+            identity.PlatformIdentifier(),
         )
         return noderole.WiredNode(
             self._node, self._node.metrics, session.close, self._cfg.ready
--- a/sardinesaddle/direct/httpclient.py
+++ b/sardinesaddle/direct/httpclient.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import typing
 
@@ -164,20 +165,29 @@
 
 
 class HttpClient:
-    """A client of the server at an address; ``max_body_bytes`` bounds responses."""
+    """A client of the server at an address; ``max_body_bytes`` bounds responses.
 
-    def __init__(self, address: str, max_body_bytes: int) -> None:
+    ``fields`` are further headers of all its requests.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        max_body_bytes: int,
+        fields: collections.abc.Iterable[tuple[str, str]] = (),
+    ) -> None:
         self._address = address
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._max_body_bytes = max_body_bytes
+        self._fields = "".join(f"{name}: {value}\r\n" for name, value in fields)
         self._idle: list[Connection] = []
 
     async def request(
         self, method: str, path: str, timeout_s: float, body: bytes = b""
     ) -> HttpResponse | HttpFault:
         """Send a request, with a JSON body if there is one; return its response."""
-        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n{self._fields}"
         if body:
             head += "Content-Type: application/json\r\n"
             head += f"Content-Length: {len(body)}\r\n"
--- a/sardinesaddle/direct/targetregistry.py
+++ b/sardinesaddle/direct/targetregistry.py
@@ -133,6 +133,7 @@
         if registration.state is catalog.TargetState.DRAINING:
             self._departures.on_leaving(now, incarnation)
         if self._departures.may_serve(incarnation, listed):
+            self._crashes.on_target_listed(incarnation)
             for replaced in self._targets.find_replaced(now, registration, created):
                 self._crashes.on_target_ended(replaced, crashdetector.Evidence.REPLACED)
                 self._departures.on_removed(
@@ -184,7 +185,7 @@
             outcome = "lapsed"
         else:
             self._targets.remove(target_id)
-            self._crashes.on_target_ended(target, crashdetector.Evidence.UNREGISTERED)
+            self._crashes.on_target_unlisted(target)
             outcome = "gone"
         self._departures.on_removed(
             loop_now,
@@ -202,7 +203,7 @@
     def remove_expired(self, now: float) -> None:
         """Remove the targets that did not register again in time."""
         for target in self._targets.remove_expired(now):
-            self._crashes.on_target_ended(target, crashdetector.Evidence.UNREGISTERED)
+            self._crashes.on_target_unlisted(target)
             loguru.logger.info(
                 "event=target_gone target={} source=lapse", target.target_id
             )
--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -20,6 +20,7 @@
 SECONDS_PER_MS: typing.Final = 1e-3
 # An identifier is sent in a header and names connections and log lines.
 TARGET_ID_PATTERN: typing.Final = re.compile(r"[!-.0-~]{1,200}")
+PATH_PATTERN: typing.Final = re.compile(r"/[!-~]{0,1000}")
 MAX_SLOTS: typing.Final = 65536
 MAX_MS: typing.Final = 1 << 53  # larger numbers of milliseconds are no times
 MAX_PORT: typing.Final = 65535
@@ -103,6 +104,8 @@
     # Decoded by ``decode_number``, so that a wrong value does not refuse all the rest.
     cold_s: typing.Any = 0.0
     cold_per_s: typing.Any = 0.0
+    # Decoded by ``decode_path``.
+    health_path: typing.Any = ""
 
 
 class WireAccount(msgspec.Struct, frozen=True):
@@ -290,9 +293,15 @@
         engine,
         decode_number(wire.name, "cold_s", wire.cold_s),
         decode_number(wire.name, "cold_per_s", wire.cold_per_s),
+        decode_path(wire.health_path),
     )
 
 
+def decode_path(value: object) -> str:
+    """Return the path of a request, empty if it is none."""
+    return value if isinstance(value, str) and PATH_PATTERN.fullmatch(value) else ""
+
+
 def decode_number(service: str, field: str, value: object) -> float:
     """Return a non-negative number of a service, 0 with a log line for all else."""
     is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
--- a/sardinesaddle/platform/headers.py
+++ b/sardinesaddle/platform/headers.py
@@ -11,6 +11,8 @@
 DEADLINE: typing.Final = "Deadline-Ms"
 # The intended target; any other target at the address responds with 421.
 EXPECTED_TARGET: typing.Final = "Expect-Instance"
+# The target that responds to a health check.
+TARGET: typing.Final = "Instance-Id"
 # The client account; only the entry sets it.
 ACCOUNT: typing.Final = "Tenant"
 # Present in a response if the target did not run the request.
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -22,7 +22,7 @@
     replica,
     storewatcher,
 )
-from sardinesaddle.platform import catalogformat, headers
+from sardinesaddle.platform import catalogformat, headers, identity
 from sardinesaddle.standins import loopdriver
 from test import freeports
 
@@ -31,6 +31,7 @@
 ]
 STREAMING_PREFIXES: typing.Final = ("/stream/", "/unique/")  # of the routes below
 SIGNATURE_HEADER: typing.Final = (headers.SIGNATURE, "signed")
+HEALTH_PATH: typing.Final = "/healthz"
 
 
 class LoopClock(freshness.SuspendAwareClock):
@@ -302,8 +303,9 @@
 class ScriptedTarget:
     """A target whose ``respond`` callback handles each request.
 
-    ``requests`` holds all received requests. ``port`` is fixed by the first ``start``
-    and reused by later ones.
+    ``requests`` holds all received requests but health checks, to which the target
+    responds with its name unless ``is_anonymous`` is set. ``port`` is fixed by the
+    first ``start`` and reused by later ones.
     """
 
     def __init__(self, name: str, respond: Responder = respond_with_name) -> None:
@@ -311,6 +313,7 @@
         self.respond = respond
         self.requests: list[ReceivedRequest] = []
         self.connection_count = 0
+        self.is_anonymous = False
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -360,6 +363,10 @@
                 request = await self._read_request(reader, state, connection_number)
                 if request is None:
                     break
+                if request.path == HEALTH_PATH:
+                    self._write_health(writer)
+                    state = h11.Connection(h11.SERVER)
+                    continue
                 self.requests.append(request)
                 keeps_connection = await self._run_responder(request, reader, writer)
                 if not keeps_connection:
@@ -370,6 +377,13 @@
         self._writers.discard(writer)
         writer.close()
 
+    def _write_health(self, writer: asyncio.StreamWriter) -> None:
+        """Respond to a health check."""
+        fields = [("Content-Length", "0")]
+        if not self.is_anonymous:
+            fields.append((headers.TARGET, self.name))
+        writer.write(make_response_head(200, *fields))
+
     async def _run_responder(
         self,
         request: ReceivedRequest,
@@ -477,7 +491,9 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": "plain"}, {"name": "engines"}],
+        "services": [
+            {"name": name, "health_path": HEALTH_PATH} for name in ("plain", "engines")
+        ],
         "tenants": [{"name": "alice", "api_keys": list(keys)}],
     }
 
@@ -570,6 +586,7 @@
             headers.PlatformHeaderCodec(),
             clock,
             random.Random(self._started_count),
+            identity.PlatformIdentifier(),
         )
         await node.start()
         self.entries.append(node)
