Keep the rest that a target asked for while it is not listed

Cause: TargetRests.forget dropped the rest of an incarnation once the store no longer listed it. A registration that lapses comes back under the same incarnation, and requests were then sent in the time for which the target wanted none. No run of the users showed it; it was found by going through what else reads the removal of a registration.

Change: a rest is dropped once it is over.

Measured: test_target_that_is_listed_again_rests_on failed before (2 requests at the target, 1 is due) and passes now, with the other tests of rests.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -660,7 +660,7 @@
             self._registry.remove_expired(now)
             registered = self.targets.list_incarnations()
             self.departures.forget(now, registered)
-            self.targets.rests.forget(now, registered)
+            self.targets.rests.forget(now)
             self.crash_ledger.entry_count = self.count_entries()
             self._crashes.expire()
             self.pool.close_expired(now, self.targets.list_keys())
--- a/sardinesaddle/direct/targetrests.py
+++ b/sardinesaddle/direct/targetrests.py
@@ -10,7 +10,8 @@
 still in trouble refuses that one and rests again.
 
 Other entries are not told. The target asked this one, and tells the others itself if
-they send too much. The next incarnation rests from nothing.
+they send too much. The next incarnation rests from nothing. A rest outlasts the
+registration, which may come back for the same incarnation.
 
 Times are the event loop's. It does not count while the host is suspended, which only
 makes a rest longer.
@@ -72,10 +73,10 @@
             if now < rest.ends_at
         }
 
-    def forget(self, now: float, registered: typing.Container[str]) -> None:
-        """Drop rests that are over, and those of incarnations that are gone."""
+    def forget(self, now: float) -> None:
+        """Drop rests that are over."""
         for incarnation, rest in list(self._rests.items()):
-            if now >= rest.ends_at + RETURN_S or incarnation not in registered:
+            if now >= rest.ends_at + RETURN_S:
                 del self._rests[incarnation]
 
 
--- a/test/test_direct_rests.py
+++ b/test/test_direct_rests.py
@@ -129,7 +129,7 @@
     assert rests.compute_wait_s(1.0, "t1") == 4.0
     rests.on_refusal(2.0, "t1", 6.0)
     assert rests.compute_wait_s(2.0, "t1") == 6.0
-    rests.forget(12.0, {"t1"})
+    rests.forget(12.0)
     assert not rests.compute_wait_s(12.0, "t1")
 
 
--- a/test/test_direct_unlistedtargets.py
+++ b/test/test_direct_unlistedtargets.py
@@ -10,7 +10,7 @@
 import pytest
 
 from sardinesaddle.direct import catalog, requeststate
-from sardinesaddle.platform import catalogformat, identity
+from sardinesaddle.platform import catalogformat, headers, identity
 from test import crashingtargets
 from test import directfleet as df
 from test import test_direct_unframed as unframed
@@ -207,3 +207,28 @@
         assert found.value == occupant
 
     df.run_scenario(scenario)
+
+
+# Guards against a rest that a target asked for ending with its registration.
+def test_target_that_is_listed_again_rests_on() -> None:
+    async def refuse(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        fields = ((headers.NOT_RUN, "1"), (headers.REST, "30"), ("Content-Length", "0"))
+        writer.write(df.make_response_head(503, *fields))
+        return True
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", refuse)
+        await fleet.settle()
+        await fleet.send_request("/once/a")
+        fleet.store.delete("servers/t1")
+        await fleet.settle(3.0)
+        fleet.register("t1", "plain")
+        await fleet.settle()
+        await fleet.send_request("/once/b")
+        assert len(target.requests) == 1
+
+    df.run_scenario(scenario)
