Count the streams of an engine of the soak under the name with which they began

Cause: an engine of the soak that crashed under a stream changed its name before the stream ended, so the count of the next incarnation fell to -1. Sidecars refuse a state with a negative count, as they must, so no entry used the engine again until the end of the run.

Change: the name is kept for the time of the stream.

Measured: test_engine_that_crashes_under_a_stream_states_no_negative_count failed before (counts -1 and 1, 0 is due).

--- a/test/soak.py
+++ b/test/soak.py
@@ -913,11 +913,12 @@
             self._executions[request.attempt_id] += 1
             self._crash(target, request)
             return False
-        self._running_streams[target.name] += 1
+        name = target.name  # the next incarnation has another one
+        self._running_streams[name] += 1
         try:
             return await self._write_events(target, request, writer)
         finally:
-            self._running_streams[target.name] -= 1
+            self._running_streams[name] -= 1
 
     async def _write_events(
         self,
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -5,12 +5,14 @@
 over; it is printed, and all other promises must hold.
 """
 
+import asyncio
 import pathlib
 import re
 import time
 
 import pytest
 
+from sardinesaddle.platform import headers
 from test import directfleet as df
 from test import limitedtargets, soak, soakcold, soakzones
 
@@ -219,6 +221,30 @@
     assert not run._may_refuse_admitted(11.0 + soak.CONTACT_S + 0.1, line)
 
 
+def test_engine_that_crashes_under_a_stream_states_no_negative_count(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Its sidecar refused such a state, so the entries never used the engine again.
+    async def scenario() -> None:
+        run = soak.SoakRun(1, SECONDS, tmp_path)
+        run._group.is_open = True
+        target = df.ScriptedTarget("engines-0", run._respond_with_stream)
+        await target.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", target.port)
+        fields = (("Host", "h"), (headers.EXPECTED_TARGET, "engines-0"))
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
+        writer.write(f"GET /stream/a HTTP/1.1\r\n{lines}\r\n".encode())
+        await reader.readline()
+        target.name += "+"
+        while run._running_streams.total() > 0:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        await target.stop()
+        assert set(run._running_streams.values()) == {0}
+
+    asyncio.run(scenario())
+
+
 def test_exception_that_nothing_handled_is_found_in_a_log(
     tmp_path: pathlib.Path,
 ) -> None:
