Count RECOVER in the soak as the users' rule does, after all faults

Why the check was wrong: it counted the requests of the whole run, with the refusals that are due while faults last (keys that nobody could confirm around outages and restores). The users' rule counts what is sent later than recovery_s after the hosts are back.

Replacement: twelve seconds after all faults are cleared, of the requests that are sent in the next three seconds at least a quarter must be served. No refusal is excused there, a connection that fails counts as a request, and so does a request without a response; the rule's condition on the time before the fault is not used. Planned runs keep the count of the whole run, and a run that serves nothing fails. The old count passed a system that stayed down at the end if it had served well before; this one does not.

Measured: test_system_that_stays_down_does_not_recover has a system that serves and three that stay down (refuse, hang, do not listen).

--- a/test/soak.py
+++ b/test/soak.py
@@ -101,6 +101,8 @@
 READ_SLACK_S: typing.Final = 0.2  # the users' bound for reading a request
 PASS_CHECKS: typing.Final = 5  # of a second each
 RECOVERY_S: typing.Final = 3.0  # the users' bound for reconnecting
+SERVICE_RECOVERY_S: typing.Final = 12.0  # the users' bound for serving again
+RECOVERED_S: typing.Final = 3.0  # after that, for which requests are counted
 CONFIG_PROPAGATION_S: typing.Final = 2.0  # the users' bound for a new version
 CONTACT_S: typing.Final = 3.0  # the users' bound for a process to learn of others
 MAX_LATE_SENDS: typing.Final = 3  # the users' bound, CONTACT_S after the third crash
@@ -439,6 +441,31 @@
         return not self.is_running
 
 
+class ServedShare:
+    """Counts which of the requests that are due are served, from a time on.
+
+    Times are the event loop's. A request that is never answered counts as sent.
+    """
+
+    __slots__ = ("counted_from", "sent", "served")
+
+    def __init__(self) -> None:
+        self.counted_from = float("inf")
+        self.sent = self.served = 0
+
+    def on_sent(self, now: float) -> None:
+        """Count a request that is sent, or for which there is no connection."""
+        self.sent += now >= self.counted_from
+
+    def on_served(self, sent_at: float) -> None:
+        """Count a whole response to a request."""
+        self.served += sent_at >= self.counted_from
+
+    def is_too_low(self) -> bool:
+        """Return whether less than a quarter is served, the users' bound."""
+        return self.served * 4 < self.sent or not self.sent
+
+
 class SoakRun(df.Fleet):
     """One run of the soak test.
 
@@ -512,6 +539,8 @@
         self._total_lag_s = 0.0  # the sum of its delays
         self._lag_due_at = float("inf")
         self.request_count = self.served_count = 0
+        # Of the callers' requests, after all faults.
+        self.recovered = ServedShare()
         # From then on the callers' requests are refused, as they should be.
         self._is_key_revoked = False
         self._are_faults_cleared = False
@@ -972,6 +1001,7 @@
                     conn = await self.connect(entry_index)
             except (OSError, TimeoutError):
                 conn = None
+                self.recovered.on_sent(asyncio.get_running_loop().time())
                 continue
             attempt_id = f"{self.rng.getrandbits(64):016x}"
             path, body, parts = returning or (
@@ -989,6 +1019,9 @@
             loop = asyncio.get_running_loop()
             sent_at = self._sent_at[attempt_id] = loop.time()
             lag_before_s = self._total_lag_s
+            is_guilty = path in POISON_PATHS or POISON_PART in parts
+            if not is_guilty:
+                self.recovered.on_sent(sent_at)
             limit_s = REQUEST_DEADLINE_MS / 1000 + RESPONSE_SLACK_S + 3.0
             response = await self.send_request(
                 path, entry_index, deadline_ms=REQUEST_DEADLINE_MS,
@@ -997,13 +1030,15 @@
             )  # fmt: skip
             # Some callers come back with the same request until it is served.
             is_back = response.status != 200 and self.rng.random() < RETURN_SHARE
-            is_guilty = path in POISON_PATHS or POISON_PART in parts
             returning = (path, body, parts) if is_back and not is_guilty else None
+            is_served = response.status == 200 and response.is_complete
+            if is_served and not is_guilty:
+                self.recovered.on_served(sent_at)
             if not self._is_key_revoked and sent_at < (
                 self._confirmed_at + KEYS_CONFIRMED_S
             ):
                 self.request_count += 1
-                self.served_count += response.status == 200 and response.is_complete
+                self.served_count += is_served
             is_excused = sent_at < process.excuse_ends_at
             self._update_lag()
             lag_s = self._total_lag_s - lag_before_s
@@ -1552,10 +1587,12 @@
         # Evacuations go on, but the store responds.
         self._are_faults_cleared = True
         self.store.is_unresponsive = False
+        cleared_at = asyncio.get_running_loop().time()
         await asyncio.sleep(RECOVERY_S)
         await self._check_passes()
         for index in range(self._entry_count):
             await self._wait_until_serving(index)
+        await self._check_service(cleared_at + SERVICE_RECOVERY_S)
         self._version += 1
         self._is_key_revoked = True
         self._put_config(self._version, "key-b")
@@ -1564,6 +1601,16 @@
             for key, status in (("key-a", 401), ("key-b", 200)):
                 await self._check_key(index, key, status)
 
+    async def _check_service(self, counted_from: float) -> None:
+        """Check that a quarter of the requests sent from a time on is served."""
+        loop = asyncio.get_running_loop()
+        self.recovered.counted_from = max(counted_from, loop.time())
+        ends_at = self.recovered.counted_from + RECOVERED_S
+        await asyncio.sleep(ends_at - loop.time())
+        if self.recovered.is_too_low():
+            share = f"{self.recovered.served} of {self.recovered.sent} served"
+            self._record_violation("RECOVER", share)
+
     async def _check_key(self, index: int, key: str, status: int) -> None:
         """Check that an entry answers a key as the newest configuration says.
 
@@ -1621,7 +1668,8 @@
             self._record_violation(
                 "MAP", f"passes {self._group.mixed_passes[:5]} mixed maps"
             )
-        if self.served_count * 4 < self.request_count:
+        share = self.served_count / max(self.request_count, 1)
+        if not self.served_count or (self.is_planned and share < 0.25):
             self._record_violation(
                 "RECOVER", f"{self.served_count} of {self.request_count} served"
             )
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -221,6 +221,58 @@
     assert not run._may_refuse_admitted(11.0 + soak.CONTACT_S + 0.1, line)
 
 
+def make_responder(status: int) -> df.Responder:
+    """Return a responder with a status to all; 0 responds nothing."""
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        while not status:
+            await asyncio.sleep(1.0)
+        body = f"ran {request.attempt_id}".encode()
+        writer.write(df.make_response(request.attempt_id, body, status))
+        return True
+
+    return respond
+
+
+# A system that stays down after the faults fails, however well it served before.
+@pytest.mark.parametrize(
+    ("status", "is_listening", "is_recovered"),
+    [(200, True, True), (503, True, False), (0, True, False), (200, False, False)],
+)
+def test_system_that_stays_down_does_not_recover(
+    status: int,
+    is_listening: bool,
+    is_recovered: bool,
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(soak, "RECOVERED_S", 1.0)
+    monkeypatch.setattr(soak, "make_entry_host", lambda index: "127.0.0.1")
+
+    async def scenario() -> None:
+        run = soak.SoakRun(1, SECONDS, tmp_path, entry_count=1)
+        run.is_planned = True  # so that no request is poisonous
+        run.request_count = run.served_count = 1000
+        run._entry_processes = [soak.NodeProcess("entry", 0, tmp_path, {})]
+        entry = df.ScriptedTarget("entry", make_responder(status))
+        await entry.start()
+        run.ports = [entry.port]
+        if not is_listening:
+            await entry.stop()
+        callers = asyncio.create_task(run._send_requests(0))
+        await run._check_service(asyncio.get_running_loop().time() + 0.2)
+        callers.cancel()
+        await entry.stop()
+        promises = {violation.partition(" ")[0] for violation in run.violations}
+        assert ("RECOVER" in promises) is not is_recovered
+
+    asyncio.run(scenario())
+
+
 def test_engine_that_crashes_under_a_stream_states_no_negative_count(
     tmp_path: pathlib.Path,
 ) -> None:
