Read large groups in turn, and pass their maps on through relays

Cause: the groups of 96 ranks never got an expert map. The leader asked 95 ranks at once; their replies have 1,591 bytes each, 0.40 s on its link of 3 Mbit/s, where each call has 0.3 s. One missing reply means no round. The map itself, 7,754 bytes encoded, would then have taken 2.0 s of the link for 95 ranks.

Ruled out: missing ranks in the lists of hosts, since the same leader gives a map to a simulated group of 96 with fast links.

Change: large calls go eight at a time, each with its time limit to itself. Arming stays direct, and each rank is still read by the leader itself, so a relay that is late is an order that is late, which the protocol of the switch bears.

--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -20,6 +20,7 @@
     mapswitch,
     messages,
     nodemetrics,
+    orderrelay,
     rankagent,
     rpc,
 )
@@ -29,6 +30,9 @@
 RANKS_PER_IDLE_POLL: typing.Final = 16
 ACTIVE_POLL_S: typing.Final = 0.02  # during a switch
 CALL_TIMEOUT_S: typing.Final = 0.3
+# At a time, with demand or maps of several kilobytes. More would keep a link of
+# 3 Mbit/s busy for longer than ``CALL_TIMEOUT_S``.
+MAX_BULK_CALLS: typing.Final = 8
 # In one switch; 3 or 4 lower goodput by 0.02.
 MAX_COPIES_PER_RANK: typing.Final = 2
 # Decayed expert selections over the group; fewer do not show the demand.
@@ -106,6 +110,7 @@
         self._port = port
         self._rng = rng
         self._peers: dict[str, rpc.Peer] = {}
+        self._bulk_calls = asyncio.Semaphore(MAX_BULK_CALLS)
         self._coordinator = mapswitch.SwitchCoordinator(0)
         self._switch_plan: expertplan.MapPlan | None = None
         self._hold_started_at = 0.0
@@ -145,9 +150,7 @@
             self._coordinator.quiet_from = self._holds.quiet_from
         orders = self._coordinator.decide(loop.time(), views)
         if orders:
-            await asyncio.gather(
-                *(self._send_order(pending_order) for pending_order in orders)
-            )
+            await self._send_orders(orders)
         if self._holds is not None:
             self._holds.record_orders(loop.time(), orders)
             self._coordinator.quiet_from = self._holds.quiet_from
@@ -168,12 +171,7 @@
         )
         others = await asyncio.gather(
             *(
-                self._ask(
-                    hosts[rank],
-                    messages.ReadRank(
-                        is_idle, is_idle and rank not in self._experts_by_rank
-                    ),
-                )
+                self._read_other(hosts[rank], rank, is_idle)
                 for rank in range(1, state.size)
             )
         )
@@ -200,6 +198,13 @@
                 )
         return rank_replies
 
+    async def _read_other(
+        self, host: str, rank: int, is_idle: bool
+    ) -> messages.Reply | None:
+        """Read a rank through its sidecar, with its demand if no switch is going on."""
+        msg = messages.ReadRank(is_idle, is_idle and rank not in self._experts_by_rank)
+        return await (self._ask_in_turn(host, msg) if is_idle else self._ask(host, msg))
+
     def _get_experts(self, reply: messages.RankReply) -> list[list[int]] | None:
         """Return a rank's experts if they were read for its current map, else None."""
         epoch, version, experts = self._experts_by_rank.get(reply.rank, (0, -1, []))
@@ -208,6 +213,16 @@
         self._experts_by_rank.pop(reply.rank, None)
         return None
 
+    async def _ask_in_turn(
+        self, host: str, msg: messages.Request
+    ) -> messages.Reply | None:
+        """Call another rank's sidecar once few other large calls are in progress.
+
+        Each call has its time limit to itself, so a large group does not exceed it.
+        """
+        async with self._bulk_calls:
+            return await self._ask(host, msg)
+
     async def _ask(self, host: str, msg: messages.Request) -> messages.Reply | None:
         """Call another rank's sidecar; return None if the call fails."""
         peer = self._peers.get(host)
@@ -217,6 +232,42 @@
         reply = await peer.call(msg, CALL_TIMEOUT_S)
         return None if isinstance(reply, rpc.RpcFault) else reply
 
+    async def _send_orders(self, orders: list[mapswitch.Order]) -> None:
+        """Send orders to the ranks; those to prepare a map go through relays."""
+        own: list[mapswitch.Order] = []
+        others: list[mapswitch.Order] = []
+        for order in orders:
+            is_prepare = order.kind is mapswitch.OrderKind.PREPARE
+            (others if is_prepare and order.rank else own).append(order)
+        await asyncio.gather(
+            *(self._send_order(order) for order in own), self._send_prepares(others)
+        )
+
+    async def _send_prepares(self, orders: list[mapswitch.Order]) -> None:
+        """Send the planned map to ranks, through others each time it is sent again."""
+        if not orders or self._switch_plan is None:
+            return
+        known = self._context.get_rank_hosts()
+        hosts = [known[order.rank] for order in orders if order.rank in known]
+        self._rng.shuffle(hosts)
+        order = orders[0]
+        await asyncio.gather(
+            *(
+                self._ask_in_turn(
+                    relay,
+                    messages.OrderRank(
+                        "prepare",
+                        order.epoch,
+                        order.version,
+                        order.step,
+                        self._switch_plan.experts,
+                        relay_hosts,
+                    ),
+                )
+                for relay, relay_hosts in orderrelay.split_among_relays(hosts)
+            )
+        )
+
     async def _send_order(self, order: mapswitch.Order) -> None:
         """Send an order to a rank: directly to rank 0, else through its sidecar."""
         kind = order.kind
@@ -234,12 +285,10 @@
             self._observe_hold(kind)
             return
         host = self._context.get_rank_hosts().get(order.rank)
-        if host is None or kind.value not in ("prepare", "arm"):
+        if host is None or kind is not mapswitch.OrderKind.ARM:
             return
-        name = typing.cast("typing.Literal['prepare', 'arm']", kind.value)
         await self._ask(
-            host,
-            messages.OrderRank(name, order.epoch, order.version, order.step, experts),
+            host, messages.OrderRank("arm", order.epoch, order.version, order.step)
         )
 
     def _observe_hold(self, kind: mapswitch.OrderKind) -> None:
--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -392,7 +392,8 @@
 class OrderRank(msgspec.Struct, frozen=True, array_like=True, tag="order_rank"):
     """An order for a rank's engine, sent by the group's leader to the rank's sidecar.
 
-    ``experts`` lists the experts of the map by layer set and rank.
+    ``experts`` lists the experts of the map by layer set and rank. ``relay_hosts`` are
+    those of other ranks' sidecars that the receiver passes the order on to.
     """
 
     kind: typing.Literal["prepare", "arm"]
@@ -400,6 +401,7 @@
     version: int
     step: int
     experts: list[list[list[int]]] | None = None
+    relay_hosts: list[str] = []
 
 
 class UnavailableReply(msgspec.Struct, frozen=True, array_like=True, tag="no_reply"):
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -28,6 +28,7 @@
     nodemetrics,
     noderole,
     nodesettings,
+    orderrelay,
     rankagent,
     rpc,
     storedecoder,
@@ -104,6 +105,7 @@
             rng,
             has_backup=cfg.backup_leaders,
         )
+        self._order_relay = orderrelay.OrderRelay(self._call_sidecar)
         self._backup: backupleader.BackupLeader | None = None
         if cfg.backup_leaders and connect is not None:
             self._backup = backupleader.BackupLeader(
@@ -120,8 +122,19 @@
 
     async def handle_request(self, msg: messages.Request) -> messages.Reply | None:
         """Return the reply to a request of the group's leader."""
+        if isinstance(msg, messages.OrderRank):
+            self._order_relay.start(msg)
         return await handle_leader_request(self._rank_agent, msg)
 
+    async def _call_sidecar(
+        self, host: str, msg: messages.Request
+    ) -> messages.Reply | None:
+        """Call another sidecar on a new connection; return None if that fails."""
+        peer = rpc.Peer(host, self._cfg.node_port)
+        reply = await peer.call(msg, groupleader.CALL_TIMEOUT_S)
+        peer.close()
+        return None if isinstance(reply, rpc.RpcFault) else reply
+
     # State for the group's leader, if it runs in this process.
 
     def get_state(self) -> engine.EngineState | None:
@@ -416,6 +429,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         self._leader.close()
+        self._order_relay.close()
         if self._backup is not None:
             await self._backup.close()
         await self._server.stop()
