Read the expert counts of large groups as often as their leader asks for them

Cause: each sidecar read the counts of its engine ten times a second, while the leader of a group of 96 ranks asks for them once in half a second or less.

Change: the counts are read less often by the factor with which the leader's reads slow down, 6 for 96 ranks. Groups of up to 16 ranks are read as before.

--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -131,7 +131,7 @@
                 is_active = state.size > 1 and await self._poll_group(state)
             idle_s = IDLE_POLL_S
             if state is not None:
-                idle_s *= max(state.size / RANKS_PER_IDLE_POLL, 1.0)
+                idle_s *= compute_idle_factor(state.size)
             await asyncio.sleep(ACTIVE_POLL_S if is_active else idle_s)
 
     async def _poll_group(self, state: engine.EngineState) -> bool:
@@ -419,6 +419,11 @@
             peer.close()
 
 
+def compute_idle_factor(size: int) -> float:
+    """Return how many times less often a group is read than a small one."""
+    return max(size / RANKS_PER_IDLE_POLL, 1.0)
+
+
 def make_rank_view(reply: messages.RankReply) -> mapswitch.RankView:
     """Return the part of a reply that decides on a switch."""
     return mapswitch.RankView(
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -228,12 +228,17 @@
             await asyncio.sleep(ENGINE_READ_PERIOD_S)
 
     async def _read_demand(self) -> None:
-        """Read the engine's expert counts periodically while its group is open."""
+        """Read the engine's expert counts periodically while its group is open.
+
+        In a large group that is done as often as its leader asks for them.
+        """
         while True:
             state = self.state
+            period_s = rankagent.DEMAND_POLL_S
             if state is not None and state.is_group_open and state.size > 1:
                 await self._rank_agent.read_demand()
-            await asyncio.sleep(rankagent.DEMAND_POLL_S)
+                period_s *= groupleader.compute_idle_factor(state.size)
+            await asyncio.sleep(period_s)
 
     async def read_state(self) -> engine.EngineState | None:
         """Read the engine's state now, log transitions and return it."""
--- a/test/test_direct_largegroups.py
+++ b/test/test_direct_largegroups.py
@@ -12,14 +12,19 @@
 import pytest
 
 from sardinesaddle.direct import (
+    engine,
     groupleader,
     messages,
     nodemetrics,
+    nodesettings,
     orderrelay,
     rankagent,
     sidecarnode,
 )
+from sardinesaddle.platform import catalogformat
 from sardinesaddle.standins import loopdriver, rankgroup
+from test import directfleet as df
+from test import freeports
 from test import test_direct_maps as maps
 
 RANK_COUNT: typing.Final = 96
@@ -215,3 +220,46 @@
     assert sorted(reached) == sorted(hosts)
     most = max(len(others) for _, others in parts)
     assert max(len(parts), most) <= 2 * rank_count**0.5
+
+
+class CountingEngine(rankgroup.RankEngine):
+    """An engine that counts how often its expert counts are read."""
+
+    reads = 0
+
+    async def read_counts(self) -> engine.ExpertCounts | engine.EngineFault:
+        """Return the expert counts."""
+        self.reads += 1
+        return await super().read_counts()
+
+
+# The counts of a large group are long, and its leader asks for them less often.
+@pytest.mark.parametrize(("size", "most"), [(8, 10), (96, 2)])
+def test_expert_counts_are_read_as_often_as_the_leader_asks(
+    size: int, most: int
+) -> None:
+    async def run() -> None:
+        client = CountingEngine(rankgroup.RankGroup(size, 1), 1)
+        cfg = nodesettings.SidecarSettings(
+            name="s",
+            host="127.0.3.1",
+            place="p",
+            store="127.0.0.1:1",
+            node_ports=(freeports.find_free_port("127.0.3.1"),) * 2,
+            seeds=[],
+            target="127.0.0.1:1",
+            service="engines",
+        )
+        sidecar = sidecarnode.SidecarNode(
+            cfg,
+            client,
+            catalogformat.PlatformStoreDecoder(),
+            df.LoopClock(),
+            random.Random(1),
+        )
+        await sidecar.start()
+        await asyncio.sleep(5.0)
+        await sidecar.stop()
+        assert 5 <= client.reads <= most * 5 + 1
+
+    loopdriver.LoopDriver(is_clock_virtual=True).run(run())
