Report less often to entries that prefer other targets, if there are many entries

Cause: each sidecar reports to each entry every 0.3 s whether anything changed or not: with 36 entries and 192 sidecars 640 reports a second at an entry and 120 at a sidecar, before any request.

Change: to entries that do not have the target in their subset the period grows with the number of entries beyond 16, up to 2 s; a report states the period, and is fresh for half a second longer, as before. Entries that prefer the target get each change as before, and a group that breaks or opens is reported to all at once. Deployments of up to 16 entries are as before.

--- a/sardinesaddle/direct/messages.py
+++ b/sardinesaddle/direct/messages.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+REPORT_PERIOD_S: typing.Final = 0.3  # of sidecars to entries, unless a report states it
+
 
 class PrefixState(msgspec.Struct, frozen=True, array_like=True):
     """How complete and how recent a process's replica of a store prefix is.
@@ -292,7 +294,8 @@
     this entry, or is 0. ``is_leaving`` is set if the engine states that it leaves, and
     ``started_ms`` is the Unix time of its start, 0 if it does not state that.
     ``wants_ranks`` asks for the list of ranks, which rank 0 gets in any case.
-    ``memory`` is None if the engine does not state its memory.
+    ``memory`` is None if the engine does not state its memory. The next report follows
+    within ``period_s``.
     """
 
     sender: str
@@ -313,6 +316,7 @@
     started_ms: int = 0
     wants_ranks: bool = False
     memory: MemoryState | None = None
+    period_s: float = REPORT_PERIOD_S
 
 
 class ReportReply(msgspec.Struct, frozen=True, array_like=True, tag="report_reply"):
--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -36,7 +36,9 @@
 )
 
 ENGINE_READ_PERIOD_S: typing.Final = 0.1
-REPORT_PERIOD_S: typing.Final = 0.3  # entries ignore reports older than 0.8 s
+# Entries that prefer other targets get reports less often if there are more entries.
+ENTRIES_PER_REPORT_PERIOD: typing.Final = 16
+MAX_REPORT_PERIOD_S: typing.Final = 2.0  # until a silent host is noticed
 REPORT_TIMEOUT_S: typing.Final = 0.4
 ENTRY_TTL_S: typing.Final = 10.0  # without a listing of the entry or a reply from it
 MODEL_TTL_S: typing.Final = 10.0  # the engine model rarely changes
@@ -319,10 +321,12 @@
         loop = asyncio.get_running_loop()
         peer = rpc.Peer(host, self._cfg.node_port)
         seeds = self._cfg.list_seed_hosts()
+        wants_every_change = False
         try:
             while True:
                 reported_counts = (self._change_count, self._transition_count)
-                report = self.make_report(host)
+                period_s = self._compute_report_period_s(wants_every_change)
+                report = self.make_report(host, period_s)
                 reply = await peer.call(report, REPORT_TIMEOUT_S)
                 wants_every_change = False
                 if isinstance(reply, messages.ReportReply):
@@ -336,12 +340,24 @@
                     and loop.time() - self._last_listed[host] > ENTRY_TTL_S
                 ):
                     break
-                await self._wait_for_change(reported_counts, wants_every_change)
+                await self._wait_for_change(
+                    reported_counts, wants_every_change, period_s
+                )
         finally:
             peer.close()
 
+    def _compute_report_period_s(self, wants_every_change: bool) -> float:
+        """Return the time between reports to an entry, in seconds."""
+        factor = len(self._report_tasks) / ENTRIES_PER_REPORT_PERIOD
+        if wants_every_change or factor <= 1.0:
+            return messages.REPORT_PERIOD_S
+        return min(messages.REPORT_PERIOD_S * factor, MAX_REPORT_PERIOD_S)
+
     async def _wait_for_change(
-        self, reported_counts: tuple[int, int], wants_every_change: bool
+        self,
+        reported_counts: tuple[int, int],
+        wants_every_change: bool,
+        period_s: float,
     ) -> None:
         """Wait for a change to report, or until the next periodic report is due.
 
@@ -351,7 +367,7 @@
         await asyncio.sleep(ENGINE_READ_PERIOD_S)
         change_count, transition_count = reported_counts
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(REPORT_PERIOD_S - ENGINE_READ_PERIOD_S):
+            async with asyncio.timeout(period_s - ENGINE_READ_PERIOD_S):
                 while self._transition_count == transition_count and not (
                     wants_every_change and self._change_count != change_count
                 ):
@@ -382,8 +398,10 @@
         for other in lists.entries:
             self._start_reports(other)
 
-    def make_report(self, host: str) -> messages.Report:
-        """Return the report of the last state for an entry."""
+    def make_report(
+        self, host: str, period_s: float = messages.REPORT_PERIOD_S
+    ) -> messages.Report:
+        """Return the report of the last state for an entry; the next is due by then."""
         loop = asyncio.get_running_loop()
         state = self.state
         lists = self._membership.get(host)
@@ -411,6 +429,7 @@
             started_ms=0 if state is None else state.started_ms,
             wants_ranks=self._wants_ranks(host),
             memory=memory,
+            period_s=period_s,
         )
 
     def _wants_ranks(self, host: str) -> bool:
--- a/sardinesaddle/direct/targetstate.py
+++ b/sardinesaddle/direct/targetstate.py
@@ -12,6 +12,8 @@
 from sardinesaddle.direct import catalog, messages, replica
 
 REPORT_TTL_S: typing.Final = 0.8  # several report periods of at most 0.3 s
+# A report is used for so much longer than the period of its sender.
+REPORT_SLACK_S: typing.Final = REPORT_TTL_S - messages.REPORT_PERIOD_S
 BASE_EJECTION_S: typing.Final = 0.5  # doubles with each ejection until a success
 
 
@@ -64,8 +66,11 @@
         return "" if self.report is None else self.report.group
 
     def has_fresh_report(self, now: float) -> bool:
-        """Return whether the sidecar reported within ``REPORT_TTL_S``."""
-        return self.report is not None and now - self.reported_at < REPORT_TTL_S
+        """Return whether the sidecar's next report is not overdue."""
+        report = self.report
+        if report is None:
+            return False
+        return now - self.reported_at < report.period_s + REPORT_SLACK_S
 
     def discard_before(self, when: float) -> None:
         """Drop the sends and ends that an engine reading at ``when`` includes."""
