Wake reports to entries that prefer other targets only for transitions of the group

Cause: all report tasks of a sidecar waited for the same event, which each change of the load sets, ten times a second under load. Those for entries that only want transitions woke, found none and waited on: 36 tasks in each of 192 sidecars.

Change: transitions have an event of their own.

--- a/sardinesaddle/direct/sidecarnode.py
+++ b/sardinesaddle/direct/sidecarnode.py
@@ -91,6 +91,7 @@
         self._state_read_at = 0.0
         # Replaced whenever it is set, so that each change wakes a waiting task once.
         self._changed = asyncio.Event()
+        self._transitioned = asyncio.Event()
         self._change_count = 0
         self._transition_count = 0
         self._membership: dict[str, MembershipLists] = {}
@@ -279,21 +280,11 @@
     def _record_change(self, previous: engine.EngineState | None) -> None:
         """Wake the report tasks if load, group or reachability changed."""
         current = self.state
-        if (previous is None) != (current is None):
+        if describe_group(previous) != describe_group(current):
             self._transition_count += 1
-        elif previous is not None and current is not None:
-            if (previous.is_group_open, previous.epoch, previous.is_leaving) != (
-                current.is_group_open,
-                current.epoch,
-                current.is_leaving,
-            ):
-                self._transition_count += 1
-            elif (previous.running, previous.waiting) == (
-                current.running,
-                current.waiting,
-            ):
-                return
-        else:
+            self._transitioned.set()
+            self._transitioned = asyncio.Event()
+        elif describe_load(previous) == describe_load(current):
             return
         self._change_count += 1
         self._changed.set()
@@ -368,10 +359,12 @@
         change_count, transition_count = reported_counts
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(period_s - ENGINE_READ_PERIOD_S):
-                while self._transition_count == transition_count and not (
-                    wants_every_change and self._change_count != change_count
-                ):
-                    await self._changed.wait()
+                if wants_every_change:
+                    while self._change_count == change_count:
+                        await self._changed.wait()
+                else:
+                    while self._transition_count == transition_count:
+                        await self._transitioned.wait()
 
     def on_reply(self, host: str, epoch: int, reply: messages.ReportReply) -> None:
         """Store the lists in a reply, and start to report to the entries in it.
@@ -459,6 +452,20 @@
         await self._server.stop()
 
 
+def describe_group(
+    state: engine.EngineState | None,
+) -> tuple[bool, int, bool] | None:
+    """Return what all entries learn at once when it changes; None if unreachable."""
+    if state is None:
+        return None
+    return state.is_group_open, state.epoch, state.is_leaving
+
+
+def describe_load(state: engine.EngineState | None) -> tuple[int, int] | None:
+    """Return the load of an engine, None if it is unreachable."""
+    return None if state is None else (state.running, state.waiting)
+
+
 async def handle_leader_request(
     rank_agent: rankagent.RankAgent, msg: messages.Request
 ) -> messages.Reply | None:
