Choose relays at random only in groups that have relays

Cause: the order in which small groups get orders to prepare a map does not matter, but drawing it changed the simulation of test_direct_backupleader, in which the group shares one source of random numbers: two of its cases were held for 0.503 and 0.515 s, 0.5 s are allowed.

Measured: test_direct_backupleader and test_direct_largegroups, 50 passed.

--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -249,7 +249,8 @@
             return
         known = self._context.get_rank_hosts()
         hosts = [known[order.rank] for order in orders if order.rank in known]
-        self._rng.shuffle(hosts)
+        if len(hosts) > orderrelay.MAX_DIRECT_RANKS:
+            self._rng.shuffle(hosts)  # so that a lost relay is not chosen again
         order = orders[0]
         await asyncio.gather(
             *(
