Wait for the peer of an RPC connection only while it does not read

Cause: each reply, 64 bytes on average, was followed by a drain with a time limit of its own, though it waits only if over 64 KB are unsent.

Change: the drain is left out below that.

--- a/sardinesaddle/direct/rpc.py
+++ b/sardinesaddle/direct/rpc.py
@@ -21,6 +21,7 @@
 LENGTH_BYTES: typing.Final = 4
 # Fits a full listing of a large data centre.
 MAX_FRAME_BYTES: typing.Final = 16 * 1024 * 1024
+MAX_UNSENT_BYTES: typing.Final = 64 * 1024  # of replies, until the peer reads them
 IDLE_TIMEOUT_S: typing.Final = 30.0  # peers send a request every second or more often
 
 
@@ -102,8 +103,9 @@
                 if reply is None or writer.is_closing():
                     break
                 writer.write(make_frame(reply))
-                async with asyncio.timeout(IDLE_TIMEOUT_S):
-                    await writer.drain()
+                if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                    async with asyncio.timeout(IDLE_TIMEOUT_S):
+                        await writer.drain()
         except (TimeoutError, asyncio.IncompleteReadError, OSError):
             pass  # The peer left or is idle; it reconnects when needed.
         except (msgspec.DecodeError, RecursionError, ValueError) as exc:
