Name the check of an unlisted target after what it does

Read as a newcomer: "look" said less than "check", and two lists of orders were named after whose they were, not after how they are sent.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -108,8 +108,8 @@
     ``evidence`` shows since ``found_at`` that the target has ended; it is None while
     the target may run, and ``group`` is its lock-step group then. ``is_leaving`` is set
     if it had stated that it would leave, or serves on though it ``is_unlisted``, that
-    is, though the store no longer lists it. ``look`` finds out whether it runs, since
-    ``look_began_at`` of the event loop's time.
+    is, though the store no longer lists it. ``check`` finds out whether it runs, since
+    ``check_began_at`` of the event loop's time.
     """
 
     running: set[SentRequest] = dataclasses.field(default_factory=set)
@@ -120,8 +120,8 @@
     is_leaving: bool = False
     is_unlisted: bool = False
     probe: asyncio.Task[bool] | None = None
-    look: asyncio.Task[bool] | None = None
-    look_began_at: float = freshness.NEVER
+    check: asyncio.Task[bool] | None = None
+    check_began_at: float = freshness.NEVER
 
     @property
     def has_ended(self) -> bool:
@@ -134,7 +134,7 @@
             self.running
             or self.unresolved
             or self.probe
-            or self.look
+            or self.check
             or self.found_at >= oldest
         )
 
@@ -316,32 +316,32 @@
         if self._departures.is_leaving(incarnation):
             return False
         if self._get_exchanges(incarnation).is_unlisted:
-            return not await self._look(target)
+            return not await self._is_running(target)
         await self.probe(target)
         return self._get_exchanges(incarnation).evidence is not None
 
-    async def _look(self, target: targetstate.Target) -> bool:
+    async def _is_running(self, target: targetstate.Target) -> bool:
         """Return whether a target that the store no longer lists runs now.
 
         Those who ask at the same time share an answer, which is not older than that.
         """
         exchanges = self._get_exchanges(target.registration.incarnation)
         asked_at = asyncio.get_running_loop().time()
-        while exchanges.look is not None and exchanges.look_began_at < asked_at:
-            await asyncio.shield(exchanges.look)
-        return await asyncio.shield(self._start_look(target, exchanges))
+        while exchanges.check is not None and exchanges.check_began_at < asked_at:
+            await asyncio.shield(exchanges.check)
+        return await asyncio.shield(self._start_check(target, exchanges))
 
-    def _start_look(
+    def _start_check(
         self, target: targetstate.Target, exchanges: TargetExchanges
     ) -> asyncio.Task[bool]:
         """Start to find out whether a target runs, unless that is under way."""
-        if exchanges.look is None:
+        if exchanges.check is None:
             loop = asyncio.get_running_loop()
-            exchanges.look_began_at = loop.time()
-            exchanges.look = loop.create_task(self._run_look(target, exchanges))
-        return exchanges.look
+            exchanges.check_began_at = loop.time()
+            exchanges.check = loop.create_task(self._run_check(target, exchanges))
+        return exchanges.check
 
-    async def _run_look(
+    async def _run_check(
         self, target: targetstate.Target, exchanges: TargetExchanges
     ) -> bool:
         """Connect to an unlisted target and ask who it is; return whether it runs."""
@@ -356,7 +356,7 @@
                 registration, service, PROBE_TIMEOUT_S
             )
         finally:
-            exchanges.look = None
+            exchanges.check = None
         loguru.logger.info(
             "event=target_identified target={} occupant={} running={} unresolved={}",
             registration.incarnation,
@@ -429,11 +429,11 @@
         return exchanges
 
     def on_target_unlisted(self, target: targetstate.Target) -> None:
-        """Record that the store no longer lists a target; find out if that matters."""
+        """Record that the store no longer lists a target, and check whether it runs."""
         exchanges = self._update_exchanges(target)
         exchanges.is_unlisted = True
         if not exchanges.is_leaving and (exchanges.running or exchanges.unresolved):
-            self._start_look(target, exchanges)
+            self._start_check(target, exchanges)
 
     def on_target_listed(self, incarnation: str) -> None:
         """Record that the store lists an incarnation, perhaps once more."""
--- a/sardinesaddle/direct/groupleader.py
+++ b/sardinesaddle/direct/groupleader.py
@@ -234,13 +234,14 @@
 
     async def _send_orders(self, orders: list[mapswitch.Order]) -> None:
         """Send orders to the ranks; those to prepare a map go through relays."""
-        own: list[mapswitch.Order] = []
-        others: list[mapswitch.Order] = []
+        direct: list[mapswitch.Order] = []
+        prepares: list[mapswitch.Order] = []
         for order in orders:
             is_prepare = order.kind is mapswitch.OrderKind.PREPARE
-            (others if is_prepare and order.rank else own).append(order)
+            (prepares if is_prepare and order.rank else direct).append(order)
         await asyncio.gather(
-            *(self._send_order(order) for order in own), self._send_prepares(others)
+            *(self._send_order(order) for order in direct),
+            self._send_prepares(prepares),
         )
 
     async def _send_prepares(self, orders: list[mapswitch.Order]) -> None:
