--- a/test/test_direct_largegroups.py
+++ b/test/test_direct_largegroups.py
@@ -16,16 +16,13 @@
     groupleader,
     messages,
     nodemetrics,
-    nodesettings,
     orderrelay,
     rankagent,
     sidecarnode,
 )
-from sardinesaddle.platform import catalogformat
 from sardinesaddle.standins import loopdriver, rankgroup
-from test import directfleet as df
-from test import freeports
 from test import test_direct_maps as maps
+from test import test_direct_reports as reports
 
 RANK_COUNT: typing.Final = 96
 LINK_BYTES_PER_S: typing.Final = 3e6 / 8  # of each sidecar's host, both ways
@@ -240,23 +237,7 @@
 ) -> None:
     async def run() -> None:
         client = CountingEngine(rankgroup.RankGroup(size, 1), 1)
-        cfg = nodesettings.SidecarSettings(
-            name="s",
-            host="127.0.3.1",
-            place="p",
-            store="127.0.0.1:1",
-            node_ports=(freeports.find_free_port("127.0.3.1"),) * 2,
-            seeds=[],
-            target="127.0.0.1:1",
-            service="engines",
-        )
-        sidecar = sidecarnode.SidecarNode(
-            cfg,
-            client,
-            catalogformat.PlatformStoreDecoder(),
-            df.LoopClock(),
-            random.Random(1),
-        )
+        sidecar = reports.make_sidecar(client, [])
         await sidecar.start()
         await asyncio.sleep(5.0)
         await sidecar.stop()
--- a/test/test_direct_reports.py
+++ b/test/test_direct_reports.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sardinesaddle.direct import (
+    catalog,
     engine,
     messages,
     nodesettings,
@@ -22,6 +23,9 @@
 from test import freeports
 
 HOST: typing.Final = "127.0.3.1"
+REGISTRATION: typing.Final = catalog.TargetRegistration(
+    "t1", "engines", HOST, 1, "p", 4, catalog.TargetState.READY, 0.0
+)
 PREFERRING_SHARE: typing.Final = 6  # one of so many entries prefers the target
 SECONDS: typing.Final = 10.0
 # To the entries that prefer other targets: as many as a deployment of 16 entries has.
@@ -71,34 +75,41 @@
         return [b - a for a, b in zip(times, times[1:], strict=False)]
 
 
-async def start_sidecar(
-    entries: ReportedEntries, monkeypatch: pytest.MonkeyPatch, client: LoadedEngine
+def make_sidecar(
+    client: rankgroup.RankEngine, seeds: list[str]
 ) -> sidecarnode.SidecarNode:
-    """Start a sidecar that finds the entries, and let it find them."""
-
-    async def call(
-        peer: rpc.Peer, msg: messages.Request, timeout_s: float
-    ) -> messages.Reply | rpc.RpcFault:
-        return await entries.call(peer, msg, timeout_s)
-
-    monkeypatch.setattr(rpc.Peer, "call", call)
+    """Return a sidecar of an engine, which reports to the entries at the seeds."""
     cfg = nodesettings.SidecarSettings(
         name="s",
         host=HOST,
         place="p",
         store="127.0.0.1:1",
         node_ports=(freeports.find_free_port(HOST),) * 2,
-        seeds=[f"{entries.hosts[0]}:1"],
+        seeds=seeds,
         target="127.0.0.1:1",
         service="engines",
     )
-    sidecar = sidecarnode.SidecarNode(
+    return sidecarnode.SidecarNode(
         cfg,
         client,
         catalogformat.PlatformStoreDecoder(),
         df.LoopClock(),
         random.Random(1),
     )
+
+
+async def start_sidecar(
+    entries: ReportedEntries, monkeypatch: pytest.MonkeyPatch, client: LoadedEngine
+) -> sidecarnode.SidecarNode:
+    """Start a sidecar that finds the entries, and let it find them."""
+
+    async def call(
+        peer: rpc.Peer, msg: messages.Request, timeout_s: float
+    ) -> messages.Reply | rpc.RpcFault:
+        return await entries.call(peer, msg, timeout_s)
+
+    monkeypatch.setattr(rpc.Peer, "call", call)
+    sidecar = make_sidecar(client, [f"{entries.hosts[0]}:1"])
     await sidecar.start()
     await asyncio.sleep(2.0)
     return sidecar
@@ -158,10 +169,11 @@
         await asyncio.sleep(SECONDS)
         for host in entries.hosts:
             at, report = entries.reports[host][-2]
-            target = targetstate.Target(None, report=report, reported_at=at)  # type: ignore[arg-type]
+            target = targetstate.Target(REGISTRATION, report=report, reported_at=at)
             next_at = entries.reports[host][-1][0]
             assert target.has_fresh_report(next_at)
-            assert not target.has_fresh_report(at + report.period_s + 0.51)
+            overdue_at = at + report.period_s + targetstate.REPORT_SLACK_S
+            assert not target.has_fresh_report(overdue_at + 0.01)
         await sidecar.stop()
 
     loopdriver.LoopDriver(is_clock_virtual=True).run(run())
