Bound heads, trailers and the time for them

Callers could fill an entry's memory with heads and trailers that do not end, and keep connections with half a head for as long as they liked. max_header_bytes, header_timeout_ms and idle_timeout_ms were decoded and not used: the parser bounds a field (64 KiB) and the number of fields of a head (128), so a head could have 8 MB and a trailer any size, and the time-out for idle connections was that of the defaults.

Connections now parse what they receive 4 KiB at a time and count the bytes since the last one of a body or the last end of a head. Above max_header_bytes the head is refused with 431, a trailer with 400, and a whole head over the limit likewise with 431. A head that is not whole within header_timeout_ms gets 408 (not run), and an idle connection is closed after idle_timeout_ms and a quarter more. What waits to be parsed, heads that wait for a response, of which there are now two and what a piece brings, and the kernel's buffer of a connection that is not read are counted in the account of callers' memory.

--- a/sardinesaddle/direct/callerconnection.py
+++ b/sardinesaddle/direct/callerconnection.py
@@ -1,7 +1,10 @@
-"""Connections of callers: aiohttp's protocol, with what the entry has to know of them.
+"""Connections of callers: aiohttp's protocol, with bounds on what it leaves unbounded.
 
-The kernel's receive buffer of each connection has a fixed size, since the host's memory
-also holds what was received and not read.
+- What a caller sends is parsed a piece at a time. A head, a trailer or the framing of a
+  chunk is at most as long as the operators' limit for heads, and a head is complete
+  within their time-out.
+- Bytes that wait to be parsed, heads that wait for the response before them, and the
+  kernel's buffer of a connection that is not read are counted in ``callermemory``.
 """
 
 import collections.abc
@@ -12,24 +15,154 @@
 
 from sardinesaddle.direct import callermemory, catalog
 
+PIECE_BYTES: typing.Final = 4 * 1024  # parsed at a time
 RECEIVE_BUFFER_BYTES: typing.Final = 64 * 1024  # of the kernel, for each connection
 READ_BUFFER_BYTES: typing.Final = 16 * 1024  # of a body, until the handler reads it
+MAX_QUEUED_REQUESTS: typing.Final = 2  # behind the present one
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
+NEVER_S: typing.Final = 30 * 24 * 3600.0  # aiohttp's own idle time-out is not used
 LINGERING_S: typing.Final = 2.0  # for the rest of a body after an early response
+LINE_END: typing.Final = b"\r\n"
+REJECTIONS: typing.Final = {
+    408: "Request Timeout",
+    431: "Request Header Fields Too Large",
+}
 
 
-class CallerConnection(aiohttp.web.RequestHandler):
-    """One connection of a caller.
+class CallerConnection(aiohttp.web.RequestHandler, callermemory.Holder):
+    """One connection of a caller; times are the event loop's.
 
     ``body`` counts what was read of the present request's body, while it is read.
     """
 
-    __slots__ = ("body",)
+    __slots__ = (
+        "_body_bytes",
+        "_head_began_at",
+        "_holding",
+        "_idle_since",
+        "_is_transport_paused",
+        "_payload",
+        "_server",
+        "_unparsed",
+        "_unused_bytes",
+        "body",
+    )
 
     def __init__(self, server: "CallerServer", **kwargs: typing.Any) -> None:
         super().__init__(server, **kwargs)
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS - 1
+        self._server = server
+        self._unparsed = bytearray()
+        self._is_transport_paused = False
+        self._holding = server.memory.open(self, self)
+        self._payload: aiohttp.StreamReader = aiohttp.streams.EMPTY_PAYLOAD
+        self._body_bytes = 0  # of the payload, that were seen
+        self._unused_bytes = 0  # since the last byte of a body or end of a head
+        self._head_began_at: float | None = None
+        self._idle_since = self._loop.time()
         self.body: callermemory.Holding | None = None
 
+    # Called by the event loop and by aiohttp.
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget what was not parsed."""
+        self._drop_unparsed()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was received and what is left of earlier data.
+
+        aiohttp calls this without data to go on after a pause.
+        """
+        if self._parser is None:
+            return
+        if self._force_close or self._close:
+            self._drop_unparsed()
+            return
+        self._unparsed += data
+        self._parse()
+        self._count_held()
+
+    def _parse(self) -> None:
+        """Parse pieces until nothing is left, reading pauses or a turn is over."""
+        while True:
+            piece = bytes(self._unparsed[:PIECE_BYTES])
+            del self._unparsed[:PIECE_BYTES]
+            self._parse_piece(piece)
+            if not self._unparsed or self._reading_paused or self._buffer_paused:
+                break
+        if self._unparsed:
+            self._pause_transport_reading()
+        elif self._is_transport_paused and not (
+            self._reading_paused or self._buffer_paused
+        ):
+            self._resume_transport_reading()
+
+    def _parse_piece(self, piece: bytes) -> None:
+        """Give a piece to the parser, and see what has come of it."""
+        request_count = self._request_count
+        super().data_received(piece)
+        if self._request_count != request_count:
+            self._payload = self._messages[-1][1]
+            self._body_bytes = self._payload.total_bytes
+            self._unused_bytes = 0
+            self._head_began_at = None
+        elif self._payload.total_bytes != self._body_bytes:
+            self._body_bytes = self._payload.total_bytes
+            self._unused_bytes = 0
+        elif piece.strip(LINE_END):
+            if self._payload.is_eof() and self._head_began_at is None:
+                self._head_began_at = self._loop.time()
+            self._unused_bytes += len(piece)
+            max_bytes = self._server.get_limits().max_header_bytes
+            if self._unused_bytes > max_bytes + PIECE_BYTES:
+                self._reject(431)
+
+    def _pause_transport_reading(self) -> None:
+        """Note that the kernel now buffers what the caller sends."""
+        if not self._is_transport_paused:
+            self._is_transport_paused = True
+            super()._pause_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Read on, once all that was received is parsed."""
+        if self._unparsed:
+            self._parse()
+        if not self._unparsed and not self._reading_paused and not self._buffer_paused:
+            self._is_transport_paused = False
+            super()._resume_transport_reading()
+        self._count_held()
+
+    # What is held.
+
+    def _count_held(self) -> None:
+        """Count the bytes that wait, here or in the kernel."""
+        held_bytes = len(self._unparsed)
+        if self._is_transport_paused:
+            held_bytes += RECEIVE_BUFFER_BYTES
+        if self._messages:
+            max_bytes = self._server.get_limits().max_header_bytes
+            held_bytes += len(self._messages) * max_bytes
+        self._holding.set_held(held_bytes)
+
+    def _drop_unparsed(self) -> None:
+        """Forget what was received and not parsed."""
+        self._unparsed.clear()
+        self._holding.set_held(0)
+
+    def give_way(self) -> None:
+        """Close the connection, as what others hold leaves it no room."""
+        self._drop_unparsed()
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    # State for the server and the handler.
+
     @property
     def has_further_request(self) -> bool:
         """Whether the head of another request was read.
@@ -47,7 +180,53 @@
 
     def mark_idle(self) -> None:
         """Record that a response has ended."""
+        self._idle_since = self._loop.time()
         self.body = None
+        self._count_held()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is not closed, nor about to be."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    @property
+    def _has_request(self) -> bool:
+        """Whether a request is handled or waits."""
+        return self._current_request is not None or bool(self._messages)
+
+    def close_if_overdue(self, now: float, limits: catalog.Limits) -> None:
+        """Close the connection if it has been idle, or without a head, for too long."""
+        if self._is_transport_paused:
+            return
+        if self._head_began_at is not None:
+            if now - self._head_began_at > limits.header_timeout_s:
+                self._reject(408)
+            return
+        idle_s = now - self._idle_since
+        if not self._has_request and idle_s > limits.idle_timeout_s * KEEPALIVE_FACTOR:
+            self.force_close()
+
+    def _reject(self, status: int) -> None:
+        """Refuse a head or a trailer, and close the connection.
+
+        A request before it still gets its response.
+        """
+        self._head_began_at = None
+        self._drop_unparsed()
+        if not self._payload.is_eof():
+            if not self._has_request:
+                # The response was sent before the end of the body.
+                self.abort()
+            fault = aiohttp.web.RequestPayloadError(REJECTIONS[status])
+            self._payload.set_exception(fault)
+        elif not self._has_request:
+            if self.transport is not None:
+                head = f"HTTP/1.1 {status} {REJECTIONS[status]}\r\n"
+                head += "Connection: close\r\nContent-Length: 0\r\n\r\n"
+                self.transport.write(head.encode())
+            self.force_close()
+            return
+        self.close()
 
 
 class CallerServer(aiohttp.web.Server):
@@ -59,16 +238,20 @@
             [aiohttp.web.BaseRequest],
             collections.abc.Awaitable[aiohttp.web.StreamResponse],
         ],
+        memory: callermemory.CallerMemory,
+        get_limits: collections.abc.Callable[[], catalog.Limits],
         **kwargs: typing.Any,
     ) -> None:
         super().__init__(
             handler,
             handler_cancellation=True,
-            keepalive_timeout=catalog.Limits().idle_timeout_s * KEEPALIVE_FACTOR,
+            keepalive_timeout=NEVER_S,
             lingering_time=LINGERING_S,
             read_bufsize=READ_BUFFER_BYTES,
             **kwargs,
         )
+        self.memory = memory
+        self.get_limits = get_limits
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -78,6 +261,13 @@
         """Return the connections; some may be closed already."""
         return typing.cast("list[CallerConnection]", list(self._connections))
 
+    def close_overdue(self, now: float) -> None:
+        """Close the connections that are idle, or without a head, for too long."""
+        limits = self.get_limits()
+        for conn in self.list_connections():
+            if conn.is_open:
+                conn.close_if_overdue(now, limits)
+
 
 def open_socket(host: str, port: int) -> socket.socket:
     """Return a bound socket, whose connections have a receive buffer of a fixed size.
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -672,6 +672,7 @@
             self._refresh_admission(now)
             self.metrics.set_rests(self.targets.rests.list_resting(now))
             self._refresh_buffers()
+            self.frontend.close_overdue(now)
             self.metrics.set_state(
                 self.config_version,
                 self.compute_config_age(),
