Let callers who send chunks of a byte take turns

Twenty callers that sent bodies in chunks of a byte kept an entry from all other work: an ordinary request waited until its time was over and got 503. What one read had brought was parsed at once, some 40,000 chunks of about 1 us, for one connection after the other.

After 1,024 lines of heads and chunks a connection waits for its turn (parserturns, as for the responses of targets), and its caller is not read meanwhile. Of all that wait one goes on every 2 ms.

--- a/sardinesaddle/direct/callerconnection.py
+++ b/sardinesaddle/direct/callerconnection.py
@@ -1,21 +1,26 @@
 """Connections of callers: aiohttp's protocol, with bounds on what it leaves unbounded.
 
-- What a caller sends is parsed a piece at a time. A head, a trailer or the framing of a
-  chunk is at most as long as the operators' limit for heads, and a head is complete
-  within their time-out.
+- What a caller sends is parsed a piece at a time. After ``LINES_PER_TURN`` lines a
+  connection waits for its turn, so that chunks of a byte keep no other caller waiting.
+- A head, a trailer or the framing of a chunk is at most as long as the operators'
+  limit for heads, and a head is complete within their time-out.
 - Bytes that wait to be parsed, heads that wait for the response before them, and the
   kernel's buffer of a connection that is not read are counted in ``callermemory``.
 """
 
+import asyncio
 import collections.abc
 import socket
 import typing
 
 import aiohttp.web
 
-from sardinesaddle.direct import callermemory, catalog
+from sardinesaddle.direct import callermemory, catalog, parserturns
 
 PIECE_BYTES: typing.Final = 4 * 1024  # parsed at a time
+# Lines of heads and chunks, which take some 1 us each.
+LINES_PER_TURN: typing.Final = 1024
+LINES_PER_S: typing.Final = 640  # of each connection without waiting for turns
 RECEIVE_BUFFER_BYTES: typing.Final = 64 * 1024  # of the kernel, for each connection
 READ_BUFFER_BYTES: typing.Final = 16 * 1024  # of a body, until the handler reads it
 MAX_QUEUED_REQUESTS: typing.Final = 2  # behind the present one
@@ -41,8 +46,11 @@
         "_holding",
         "_idle_since",
         "_is_transport_paused",
+        "_line_count",
+        "_lines_counted_at",
         "_payload",
         "_server",
+        "_turn",
         "_unparsed",
         "_unused_bytes",
         "body",
@@ -59,6 +67,9 @@
         self._payload: aiohttp.StreamReader = aiohttp.streams.EMPTY_PAYLOAD
         self._body_bytes = 0  # of the payload, that were seen
         self._unused_bytes = 0  # since the last byte of a body or end of a head
+        self._line_count = 0  # that count against the next turn
+        self._lines_counted_at = 0.0
+        self._turn: asyncio.Task[None] | None = None
         self._head_began_at: float | None = None
         self._idle_since = self._loop.time()
         self.body: callermemory.Holding | None = None
@@ -81,7 +92,8 @@
             self._drop_unparsed()
             return
         self._unparsed += data
-        self._parse()
+        if self._turn is None:
+            self._parse()
         self._count_held()
 
     def _parse(self) -> None:
@@ -92,6 +104,9 @@
             self._parse_piece(piece)
             if not self._unparsed or self._reading_paused or self._buffer_paused:
                 break
+            if self._is_turn_over(piece.count(LINE_END) + 1):
+                self._turn = self._loop.create_task(self._wait_for_turn())
+                break
         if self._unparsed:
             self._pause_transport_reading()
         elif self._is_transport_paused and not (
@@ -119,6 +134,24 @@
             if self._unused_bytes > max_bytes + PIECE_BYTES:
                 self._reject(431)
 
+    def _is_turn_over(self, line_count: int) -> bool:
+        """Count parsed lines; return whether others are to go first."""
+        self._line_count += line_count
+        if self._line_count < LINES_PER_TURN:
+            return False
+        now = self._loop.time()
+        due = int((now - self._lines_counted_at) * LINES_PER_S)
+        self._lines_counted_at = now
+        self._line_count = max(self._line_count - due, 0)
+        return self._line_count >= LINES_PER_TURN
+
+    async def _wait_for_turn(self) -> None:
+        """Go on when it is this connection's turn."""
+        await self._server.turns.wait()
+        self._turn = None
+        self._line_count = 0
+        self.data_received(b"")
+
     def _pause_transport_reading(self) -> None:
         """Note that the kernel now buffers what the caller sends."""
         if not self._is_transport_paused:
@@ -127,7 +160,7 @@
 
     def _resume_transport_reading(self) -> None:
         """Read on, once all that was received is parsed."""
-        if self._unparsed:
+        if self._unparsed and self._turn is None:
             self._parse()
         if not self._unparsed and not self._reading_paused and not self._buffer_paused:
             self._is_transport_paused = False
@@ -150,6 +183,9 @@
         """Forget what was received and not parsed."""
         self._unparsed.clear()
         self._holding.set_held(0)
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
 
     def give_way(self) -> None:
         """Close the connection, as what others hold leaves it no room."""
@@ -252,6 +288,7 @@
         )
         self.memory = memory
         self.get_limits = get_limits
+        self.turns = parserturns.ParserTurns()
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
--- a/test/test_direct_crowds.py
+++ b/test/test_direct_crowds.py
@@ -166,6 +166,38 @@
         return
 
 
+def test_one_body_in_chunks_of_a_byte_is_served_in_calm(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against turns so rare that a legal request is not read in its time."""
+
+    async def scenario(fleet: processfleet.ProcessFleet) -> None:
+        await add_counting_target(fleet)
+        reader, writer = await fleet.connect()
+        began_at = asyncio.get_running_loop().time()
+        for piece in crowds.send_tiny_chunks("/once/a", TINY_BODY_BYTES):
+            writer.write(piece)
+            await writer.drain()
+        writer.write(df.encode_chunk(b""))
+        response = await reader.readuntil(b"\r\n\r\n")
+        print(f"{asyncio.get_running_loop().time() - began_at:.1f} s")
+        assert response.startswith(b"HTTP/1.1 200 "), response
+        length = str(TINY_BODY_BYTES).encode()
+        assert await reader.readexactly(len(length)) == length
+        writer.transport.abort()
+
+    crowds.run_scenario(tmp_path, scenario)
+
+
+async def add_counting_target(fleet: processfleet.ProcessFleet) -> None:
+    """Start a target that responds with the length of the request's body."""
+    target = df.ScriptedTarget("sound", crowds.respond_length)
+    await target.start()
+    fleet.targets["sound"] = target
+    crowds.register(fleet, "sound", "plain")
+    await fleet.settle(1.0)
+
+
 LARGEST_BYTES: typing.Final = 4 * 1024 * 1024  # the default ``max_body_bytes``
 SLOW_PIECES: typing.Final = 40
 SLOW_PERIOD_S: typing.Final = 0.1
@@ -199,11 +231,7 @@
     """Guards against a bound that refuses the largest request when nothing is held."""
 
     async def scenario(fleet: processfleet.ProcessFleet) -> None:
-        target = df.ScriptedTarget("sound", crowds.respond_length)
-        await target.start()
-        fleet.targets["sound"] = target
-        crowds.register(fleet, "sound", "plain")
-        await fleet.settle(1.0)
+        await add_counting_target(fleet)
         reader, writer = await fleet.connect()
         for piece in make_pieces():
             writer.write(piece)
