Close connections that stand still when there are too many

Four hundred connections with half a request line, or with nothing, took all descriptors of an entry: nobody else could connect, and the entry could open no connection to a target. Nothing bounded their number.

An entry now has at most 45 in 100 of its descriptors, beside 200 for files, open to callers; the limit is that of the kernel or of the platform (max_descriptors). A request may need a connection to a target, too, and the rest is for other entries, the store and connections that are being closed. Above that, connections are closed that have sent no head for longest, then idle ones, then those whose body or response stands still; new ones have a second for their head before that. It goes on accepting, as an entry that is ready must.

--- a/sardinesaddle/direct/callerconnection.py
+++ b/sardinesaddle/direct/callerconnection.py
@@ -6,10 +6,14 @@
   limit for heads, and a head is complete within their time-out.
 - Bytes that wait to be parsed, heads that wait for the response before them, and the
   kernel's buffer of a connection that is not read are counted in ``callermemory``.
+- Over the greatest number of connections, those are closed first that have sent no
+  head for longest, then idle ones, then those whose request or response stands still.
 """
 
 import asyncio
 import collections.abc
+import enum
+import math
 import socket
 import typing
 
@@ -27,6 +31,9 @@
 KEEPALIVE_FACTOR: typing.Final = 1.25  # of the idle time that callers may use
 NEVER_S: typing.Final = 30 * 24 * 3600.0  # aiohttp's own idle time-out is not used
 LINGERING_S: typing.Final = 2.0  # for the rest of a body after an early response
+# The users' callers give up on a connection that is not read for so long.
+FRESH_S: typing.Final = 1.0
+CLOSED_SHARE: typing.Final = 1 / 32  # of the connections, when there are too many
 LINE_END: typing.Final = b"\r\n"
 REJECTIONS: typing.Final = {
     408: "Request Timeout",
@@ -34,10 +41,21 @@
 }
 
 
+class Standstill(enum.IntEnum):
+    """What a connection waits for, in the order in which connections are closed."""
+
+    NO_HEAD = 0
+    IDLE = 1
+    UNFINISHED_BODY = 2
+    UNREAD_RESPONSE = 3
+    FRESH = 4  # it has had no time to send a head
+
+
 class CallerConnection(aiohttp.web.RequestHandler, callermemory.Holder):
     """One connection of a caller; times are the event loop's.
 
     ``body`` counts what was read of the present request's body, while it is read.
+    ``write_began_at`` is when the caller was last given bytes that it has not taken.
     """
 
     __slots__ = (
@@ -54,6 +72,7 @@
         "_unparsed",
         "_unused_bytes",
         "body",
+        "write_began_at",
     )
 
     def __init__(self, server: "CallerServer", **kwargs: typing.Any) -> None:
@@ -73,6 +92,7 @@
         self._head_began_at: float | None = None
         self._idle_since = self._loop.time()
         self.body: callermemory.Holding | None = None
+        self.write_began_at: float | None = None
 
     # Called by the event loop and by aiohttp.
 
@@ -230,6 +250,20 @@
         """Whether a request is handled or waits."""
         return self._current_request is not None or bool(self._messages)
 
+    def find_standstill(self, now: float) -> tuple[Standstill, float] | None:
+        """Return what the connection waits for and since when; None if it moves."""
+        if self._has_request:
+            if self.body is not None:
+                return Standstill.UNFINISHED_BODY, self.body.moved_at
+            if self.write_began_at is not None:
+                return Standstill.UNREAD_RESPONSE, self.write_began_at
+            return None
+        if self._request_count and self._head_began_at is None:
+            return Standstill.IDLE, self._idle_since
+        since = self._head_began_at or self._idle_since
+        is_fresh = now - since < FRESH_S
+        return Standstill.FRESH if is_fresh else Standstill.NO_HEAD, since
+
     def close_if_overdue(self, now: float, limits: catalog.Limits) -> None:
         """Close the connection if it has been idle, or without a head, for too long."""
         if self._is_transport_paused:
@@ -266,7 +300,7 @@
 
 
 class CallerServer(aiohttp.web.Server):
-    """Makes the connections of callers."""
+    """Makes the connections of callers, and bounds their number."""
 
     def __init__(
         self,
@@ -276,6 +310,7 @@
         ],
         memory: callermemory.CallerMemory,
         get_limits: collections.abc.Callable[[], catalog.Limits],
+        max_connections: int,
         **kwargs: typing.Any,
     ) -> None:
         super().__init__(
@@ -289,6 +324,8 @@
         self.memory = memory
         self.get_limits = get_limits
         self.turns = parserturns.ParserTurns()
+        self._max_connections = max_connections
+        self.closed_count = 0  # to make room for others
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -298,6 +335,36 @@
         """Return the connections; some may be closed already."""
         return typing.cast("list[CallerConnection]", list(self._connections))
 
+    def connection_made(
+        self, handler: aiohttp.web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Close others if there are too many connections now."""
+        super().connection_made(handler, transport)
+        if len(self._connections) > self._max_connections:
+            self._make_room(typing.cast("CallerConnection", handler))
+
+    def _make_room(self, newest: CallerConnection) -> None:
+        """Close connections that stand still, or else the newest one."""
+        open_conns = [conn for conn in self.list_connections() if conn.is_open]
+        excess = len(open_conns) - self._max_connections
+        if excess <= 0:
+            return
+        now = self._loop.time()
+        ranked: list[tuple[tuple[Standstill, float], CallerConnection]] = []
+        for conn in open_conns:
+            standstill = conn.find_standstill(now)
+            if conn is not newest and standstill is not None:
+                ranked.append((standstill, conn))
+        ranked.sort(key=lambda entry: entry[0])
+        # Each search looks at all connections, so it is not made for each new one.
+        count = excess + math.floor(CLOSED_SHARE * self._max_connections)
+        for _, conn in ranked[:count]:
+            conn.abort()
+        self.closed_count += len(ranked[:count])
+        if not ranked:
+            newest.abort()
+            self.closed_count += 1
+
     def close_overdue(self, now: float) -> None:
         """Close the connections that are idle, or without a head, for too long."""
         limits = self.get_limits()
--- a/sardinesaddle/direct/callermemory.py
+++ b/sardinesaddle/direct/callermemory.py
@@ -17,6 +17,7 @@
 import math
 import os
 import pathlib
+import resource
 import typing
 
 SMALL_BYTES: typing.Final = 64 * 1024
@@ -32,6 +33,11 @@
 HELD_SHARE: typing.Final = 0.5
 MIN_TOTAL_BYTES: typing.Final = 16 * 1024 * 1024
 CGROUP_LIMIT: typing.Final = pathlib.Path("/sys/fs/cgroup/memory.max")
+FILE_DESCRIPTORS: typing.Final = 200  # that the platform keeps for files
+FILE_DESCRIPTOR_SHARE: typing.Final = 0.125  # of the limit, if that is less
+# Of the other descriptors. Each request may need a connection to a target, too, and
+# some are left for other entries, the store, and connections that are being closed.
+CALLER_DESCRIPTOR_SHARE: typing.Final = 0.45
 
 
 class Holder(abc.ABC):
@@ -193,3 +199,15 @@
 def compute_default_total(limit_bytes: int) -> int:
     """Return what callers may make a process hold that may take ``limit_bytes``."""
     return max(int((limit_bytes - OWN_BYTES) * HELD_SHARE), MIN_TOTAL_BYTES)
+
+
+def compute_max_connections(stated_descriptors: int | None) -> int:
+    """Return how many connections of callers a process may have open.
+
+    ``stated_descriptors`` is what the operators state; the kernel's limit counts, too.
+    """
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if limit == resource.RLIM_INFINITY or limit > (stated_descriptors or limit):
+        limit = stated_descriptors or 2**20
+    files = min(FILE_DESCRIPTORS, int(limit * FILE_DESCRIPTOR_SHARE))
+    return max(int((limit - files) * CALLER_DESCRIPTOR_SHARE), 1)
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -179,6 +179,7 @@
             self.forwarder,
             header_codec,
             self._get_limits,
+            callermemory.compute_max_connections(cfg.max_descriptors),
             self.memory,
             self.buffers,
             self._stop_deadline,
@@ -700,6 +701,7 @@
             self.memory.count_held(),
             self.memory.given_way[True],
             self.memory.given_way[False],
+            self.frontend.closed_count,
         )
         self.metrics.set_buffers(
             buffers.held_bytes,
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -87,9 +87,12 @@
     async def write(self, data: bytes) -> None:
         """Send part of the body; cancel the request if the caller stopped reading."""
         assert self.response is not None
+        conn = get_connection(self._request)
+        loop = asyncio.get_running_loop()
         try:
             for start in range(0, len(data), responsebuffers.READ_BYTES):
                 piece = data[start : start + responsebuffers.READ_BYTES]
+                conn.write_began_at = loop.time()
                 async with asyncio.timeout(WRITE_TIMEOUT_S):
                     await self.response.write(piece)
                     self._count_unsent()
@@ -98,6 +101,8 @@
         except (TimeoutError, OSError):
             self._reset()
             raise asyncio.CancelledError from None
+        finally:
+            conn.write_began_at = None
 
     def _count_unsent(self) -> None:
         """Count the bytes that the caller has not taken yet."""
@@ -220,6 +225,7 @@
         forwarder: forward.Forwarder,
         header_codec: headercodec.HeaderCodec,
         get_limits: typing.Callable[[], catalog.Limits],
+        max_connections: int,
         memory: callermemory.CallerMemory,
         buffers: responsebuffers.ResponseBuffers,
         stop_deadline: stopdeadline.StopDeadline,
@@ -234,6 +240,7 @@
             self._handle,
             memory,
             get_limits,
+            max_connections,
             access_log=None,
             logger=make_server_logger(),
             auto_decompress=False,
@@ -278,6 +285,11 @@
         """Close connections that are idle, or without a whole head, for too long."""
         self._server.close_overdue(now)
 
+    @property
+    def closed_count(self) -> int:
+        """How many connections were closed to make room for others."""
+        return self._server.closed_count
+
     async def _handle(
         self, request: aiohttp.web.BaseRequest
     ) -> aiohttp.web.StreamResponse:
--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -82,7 +82,8 @@
     engines crash that hold more than their memory (``bounds_engine_memory``).
     ``max_buffered_bytes`` limits what the entry holds of all requests and responses;
     without it, a part of ``memory_mb`` does, which is what the process may take, in
-    units of 1,000,000 bytes, or else of the kernel's limit.
+    units of 1,000,000 bytes, or else of the kernel's limit. ``max_descriptors`` is how
+    many descriptors the process may open, None for the kernel's limit.
     """
 
     front: Address
@@ -95,6 +96,7 @@
     bounds_engine_memory: bool = False
     max_buffered_bytes: typing.Annotated[int, msgspec.Meta(ge=2**20)] | None = None
     memory_mb: typing.Annotated[int, msgspec.Meta(ge=64)] | None = None
+    max_descriptors: typing.Annotated[int, msgspec.Meta(ge=64)] | None = None
     bounds: EntryBounds = EntryBounds()
 
 
--- a/test/test_direct_callerconnection.py
+++ b/test/test_direct_callerconnection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sardinesaddle.direct import callermemory
 from test import directfleet as df
 
 MAX_HEADER_BYTES: typing.Final = 8 * 1024
@@ -19,6 +20,8 @@
     b"POST /once/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
     b"Authorization: Bearer key-a\r\n"
 )
+MAX_DESCRIPTORS: typing.Final = 64
+MAX_CONNECTIONS: typing.Final = callermemory.compute_max_connections(MAX_DESCRIPTORS)
 PERIOD_S: typing.Final = 0.3  # in which connections that are overdue are closed
 
 
@@ -110,3 +113,45 @@
         writer.transport.abort()
 
     df.run_scenario(scenario)
+
+
+def test_connections_without_a_head_are_closed_first_for_room() -> None:
+    """Guards against a full entry that takes no new callers, or cuts running ones."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", respond_late)
+        await fleet.settle()
+        running = asyncio.create_task(fleet.send_request("/once/a"))
+        await fleet.settle(0.1)
+        idle = await fleet.connect()
+        await fleet.send_request("/none/a", conn=idle)
+        stalled = await fleet.connect()
+        stalled[1].write(HEAD + b"Content-Length: 9\r\n\r\npart")
+        silent = []
+        for _ in range(MAX_CONNECTIONS - 3):
+            silent.append(await fleet.connect())
+            await fleet.settle(0.01)
+        silent[-1][1].write(b"POST /once/a HT")
+        await fleet.settle(1.5)
+        conns = [*silent, idle, stalled]
+        newer = []
+        for expected in conns:
+            closed = [conn for conn in conns if conn[0].at_eof()]
+            numbers = [conns.index(conn) for conn in closed]
+            assert numbers == list(range(conns.index(expected)))
+            newer.append(await fleet.connect())
+            await fleet.send_request("/none/a", conn=newer[-1])
+            newer[-1][1].write(HEAD + b"Content-Length: 9\r\n\r\npart")
+            await fleet.settle(0.01)
+        assert (await running).status == 200
+        assert len(target.requests) == 1
+
+    df.run_scenario(scenario, max_descriptors=MAX_DESCRIPTORS)
+
+
+async def respond_late(
+    target: df.ScriptedTarget, request: df.ReceivedRequest, writer: asyncio.StreamWriter
+) -> bool:
+    """Respond when the other connections were closed."""
+    await asyncio.sleep(3.5)
+    return await df.respond_with_name(target, request, writer)
