Take a status that is none for a failure of the target

On the product's own path an engine in trouble that answered with status 000 reached its caller as an answer: the entry wrote "HTTP/1.1 0" with the engine's body. aiohttp's client accepts any three digits, and nothing behind it looks at the range; 099, 600 and 999 went the same way. An answer whose status is not from 200 to 599 is now a failure of a target that may have run the request, so its caller gets 502 with ran=unknown. Other readers of the own path compare with the one status that they expect.

On the platform's path no such answer came through before: responsehead refuses the status of a head, and the sidecar's client takes none below 200 for an answer. The tests of malformed heads now have 000, 0, 099, 999, 2000 and 00200, for plain and for streaming routes, and those of the sidecar's client 000 and 099; all of these pass without a change.

--- a/sardinesaddle/httptarget.py
+++ b/sardinesaddle/httptarget.py
@@ -2,7 +2,8 @@
 
 The control endpoints have the format of the stand-ins. A request is sent once. The
 journal records whether any byte of it may have reached the target, so only a failure
-to connect is reported as not sent.
+to connect is reported as not sent. An answer whose status no final answer has is a
+failure of the target, which may have run the request.
 """
 
 import collections.abc
@@ -17,6 +18,8 @@
 READ_TIMEOUT_S: typing.Final = 60.0
 CONTROL_TIMEOUT_S: typing.Final = 5.0
 CHUNK_BYTES: typing.Final = 16 * 1024
+# Of an answer, by RFC 9110. aiohttp accepts any number of three digits.
+FINAL_STATUSES: typing.Final = range(200, 600)
 DROPPED_HEADERS: typing.Final = frozenset(
     {
         "connection",
@@ -86,6 +89,10 @@
                 timeout=make_timeout(None),
                 allow_redirects=False,
             ) as resp:
+                if resp.status not in FINAL_STATUSES:
+                    reason = f"status {resp.status:03}"
+                    yield external.TargetFailure(reason, was_sent=True)
+                    return
                 kept_headers = [
                     (str(name), value)
                     for name, value in resp.headers.items()
--- a/test/test_direct_heads.py
+++ b/test/test_direct_heads.py
@@ -54,7 +54,10 @@
     "without_name": SIGNED + b": b\r\n" + SIZED,
     "not_utf8": SIGNED + b"A: \xe9\r\n" + SIZED,
     "status_600": SIGNED.replace(b"200", b"600") + SIZED,
-    "status_099": SIGNED.replace(b"200", b"099") + SIZED,
+    **{
+        f"status_{status.decode()}": SIGNED.replace(b"200", status) + SIZED
+        for status in (b"000", b"0", b"099", b"999", b"2000", b"00200")
+    },
     "http_2_0": SIGNED.replace(b"1.1", b"2.0") + SIZED,
     "http_0_9": SIGNED.replace(b"1.1", b"0.9") + SIZED,
     "blank_line_first": b"\r\n" + SIGNED + SIZED,
@@ -199,6 +202,7 @@
 
     async def scenario(fleet: df.Fleet) -> None:
         await check_malformed(fleet, written, "plain")
+        await check_malformed(fleet, written, "engines")
 
     df.run_scenario(scenario)
 
--- a/test/test_direct_httpclient.py
+++ b/test/test_direct_httpclient.py
@@ -438,6 +438,8 @@
         HEAD + b"X-B: a\0\r\nContent-Length: 2\r\n\r\nab",
         HEAD.replace(b"1.1", b"1.0") + CHUNKED_BODY,
         HEAD.replace(b"1.1", b"2.0") + b"Content-Length: 2\r\n\r\nab",
+        HEAD.replace(b"200", b"000") + b"Content-Length: 2\r\n\r\nab",
+        HEAD.replace(b"200", b"099") + b"Content-Length: 2\r\n\r\nab",
         b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + WHOLE,
     ],
 )
