Bound what callers make an entry of the own path hold

Callers of the product's own path could end an entry as well: calls were counted only once their bodies had been read, so that any number of bodies of up to 1 MiB could be read at once, as could heads and trailers of 128 fields and more, and connections took all descriptors.

The entry now takes callers' connections and reads bodies as the direct path does (callerconnection, and bodyreader, which was a part of frontend). Requests may hold 128 KiB for each of max_calls together; what holds most and stands still longest is refused as overloaded while its body is read, and cut off later. aiohttp's application and its routing, which had one route, are no longer used; what it did for callers that send Expect: 100-continue is in bodyreader, so that the direct path does it, too.

--- /dev/null
+++ b/sardinesaddle/direct/bodyreader.py
@@ -0,0 +1,75 @@
+"""Reads the bodies of callers' requests within the bound on what an entry holds.
+
+A body is counted while it is read. If its part of the bound is exceeded, it may have to
+give way; it is then dropped, and its request is refused.
+"""
+
+import asyncio
+import typing
+
+import aiohttp.web
+
+from sardinesaddle.direct import callerconnection, callermemory
+
+CONTINUE: typing.Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class BodyReader(callermemory.Holder):
+    """Reads the body of a request; it may have to give way to others meanwhile.
+
+    ``holding`` counts the body, also after it was read.
+    """
+
+    def __init__(
+        self, request: aiohttp.web.BaseRequest, memory: callermemory.CallerMemory
+    ) -> None:
+        self._request = request
+        self._body = bytearray()
+        self._scope: asyncio.Timeout | None = None
+        self.has_given_up = False
+        self.holding = memory.open(self, get_connection(request))
+
+    def give_way(self) -> None:
+        """Stop reading, and drop what was read."""
+        self._body.clear()
+        self.has_given_up = True
+        if self._scope is not None and not self._scope.expired():
+            self._scope.reschedule(asyncio.get_running_loop().time())
+
+    def _is_asked_to_go_on(self) -> bool:
+        """Return whether the caller sends the body only once it is told to."""
+        expected = self._request.headers.get("Expect", "")
+        return expected.strip().lower() == "100-continue"
+
+    async def read(self, scope: asyncio.Timeout, max_bytes: int) -> bytes | None:
+        """Return the body, or None if it is over the limit.
+
+        The scope raises TimeoutError if the body has to give way.
+        """
+        self._scope = scope
+        conn = get_connection(self._request)
+        conn.body = self.holding
+        if not self._request.content.is_eof() and self._is_asked_to_go_on():
+            conn.write(CONTINUE)
+        async for data in self._request.content.iter_any():
+            if self.has_given_up:
+                # The scope has not ended this task yet.
+                continue
+            self._body += data
+            if len(self._body) > max_bytes:
+                self._body.clear()
+                return None
+            self.holding.set_held(len(self._body))
+        if self.has_given_up:
+            raise TimeoutError
+        conn.body = None
+        body = bytes(self._body)
+        self._body.clear()
+        return body
+
+
+def get_connection(
+    request: aiohttp.web.BaseRequest,
+) -> callerconnection.CallerConnection:
+    """Return the connection of a request."""
+    return typing.cast("callerconnection.CallerConnection", request.protocol)
--- a/sardinesaddle/direct/callerconnection.py
+++ b/sardinesaddle/direct/callerconnection.py
@@ -212,6 +212,11 @@
         self._drop_unparsed()
         self.abort()
 
+    def write(self, data: bytes) -> None:
+        """Send bytes that belong to no final response."""
+        if self.transport is not None:
+            self.transport.write(data)
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self.transport is not None:
@@ -378,7 +383,7 @@
 
     The kernel would let it grow to some MB for each connection.
     """
-    sock = socket.socket()
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -21,6 +21,7 @@
 import loguru
 
 from sardinesaddle.direct import (
+    bodyreader,
     callerconnection,
     callermemory,
     catalog,
@@ -87,7 +88,7 @@
     async def write(self, data: bytes) -> None:
         """Send part of the body; cancel the request if the caller stopped reading."""
         assert self.response is not None
-        conn = get_connection(self._request)
+        conn = bodyreader.get_connection(self._request)
         loop = asyncio.get_running_loop()
         try:
             for start in range(0, len(data), responsebuffers.READ_BYTES):
@@ -170,53 +171,6 @@
     return logger
 
 
-class BodyReader(callermemory.Holder):
-    """Reads the body of a request; it may have to give way to others meanwhile.
-
-    ``holding`` counts the body, also after it was read.
-    """
-
-    def __init__(
-        self, request: aiohttp.web.BaseRequest, memory: callermemory.CallerMemory
-    ) -> None:
-        self._request = request
-        self._body = bytearray()
-        self._scope: asyncio.Timeout | None = None
-        self.has_given_up = False
-        self.holding = memory.open(self, get_connection(request))
-
-    def give_way(self) -> None:
-        """Stop reading, and drop what was read."""
-        self._body.clear()
-        self.has_given_up = True
-        if self._scope is not None and not self._scope.expired():
-            self._scope.reschedule(asyncio.get_running_loop().time())
-
-    async def read(self, scope: asyncio.Timeout, max_bytes: int) -> bytes | None:
-        """Return the body, or None if it is over the limit.
-
-        The scope raises TimeoutError if the body has to give way.
-        """
-        self._scope = scope
-        conn = get_connection(self._request)
-        conn.body = self.holding
-        async for data in self._request.content.iter_any():
-            if self.has_given_up:
-                # The scope has not ended this task yet.
-                continue
-            self._body += data
-            if len(self._body) > max_bytes:
-                self._body.clear()
-                return None
-            self.holding.set_held(len(self._body))
-        if self.has_given_up:
-            raise TimeoutError
-        conn.body = None
-        body = bytes(self._body)
-        self._body.clear()
-        return body
-
-
 class Frontend:
     """Accepts callers' requests and passes them to the forwarder."""
 
@@ -296,14 +250,14 @@
         """Read a request and forward it, or refuse it."""
         arrived_at = asyncio.get_running_loop().time()
         account = self._buffers.open_account()
-        reader = BodyReader(request, self._memory)
+        reader = bodyreader.BodyReader(request, self._memory)
         headers = [
             (name.decode(), headercodec.decode_value(value))
             for name, value in request.raw_headers
         ]
         metadata = self._header_codec.parse_request_headers(headers)
         fault = metadata.fault or find_fault(request)
-        conn = get_connection(request)
+        conn = bodyreader.get_connection(request)
         responder = HttpResponder(
             request,
             lambda: bool(fault) or reader.has_given_up or self._closes_connection(conn),
@@ -350,7 +304,7 @@
         self,
         request: aiohttp.web.BaseRequest,
         req: requeststate.Request,
-        reader: BodyReader,
+        reader: bodyreader.BodyReader,
         responder: HttpResponder,
     ) -> int:
         """Read the body of a request; return the status of a refusal, or 0.
@@ -405,13 +359,6 @@
         await responder.send_whole(status, headers, b"")
 
 
-def get_connection(
-    request: aiohttp.web.BaseRequest,
-) -> callerconnection.CallerConnection:
-    """Return the connection of a request."""
-    return typing.cast("callerconnection.CallerConnection", request.protocol)
-
-
 def measure_head(request: aiohttp.web.BaseRequest) -> int:
     """Return how many bytes the head of a request has."""
     line = len(request.method) + len(request.raw_path) + len("  HTTP/1.1\r\n\r\n")
--- a/sardinesaddle/entry.py
+++ b/sardinesaddle/entry.py
@@ -38,10 +38,19 @@
     tracing,
     wire,
 )
+from sardinesaddle.direct import bodyreader, callerconnection, callermemory, catalog
 
 BODY_TIMEOUT_S: typing.Final = 10.0
 MAX_BODY_BYTES: typing.Final = 1024 * 1024
-MAX_HEADER_BYTES: typing.Final = 8190
+MAX_HEADER_BYTES: typing.Final = 8190  # of each field
+CALL_BYTES: typing.Final = 128 * 1024  # that each call may hold on average
+LIMITS: typing.Final = catalog.Limits(
+    max_header_bytes=64 * 1024,
+    max_body_bytes=MAX_BODY_BYTES,
+    header_timeout_s=10.0,
+    idle_timeout_s=60.0,
+)
+SWEEP_PERIOD_S: typing.Final = 0.25
 KEY_LIFETIME_MS: typing.Final = 24 * 3600 * 1000
 DRAIN_POLL_S: typing.Final = 0.05
 LEASE_DENIED_WAIT_S: typing.Final = 0.1
@@ -77,8 +86,14 @@
         self._rng = rng
         self._tracer = tracer
         self._started_at = loop.time()
-        self._runner: aiohttp.web.AppRunner | None = None
-        self._site: aiohttp.web.TCPSite | None = None
+        # Requests have their part of it, which is what ``max_calls`` calls may hold.
+        self._memory = callermemory.CallerMemory(
+            cfg.max_calls * CALL_BYTES / callermemory.REQUEST_SHARE
+        )
+        self._server: callerconnection.CallerServer | None = None
+        self._sweep_task: asyncio.Task[None] | None = None
+        self._runner: aiohttp.web.ServerRunner | None = None
+        self._site: aiohttp.web.SockSite | None = None
         self._is_draining = False
         self._calls: dict[str, callcontext.CallContext] = {}
         self.incarnation = incarnation
@@ -131,20 +146,22 @@
 
     async def start(self) -> None:
         """Open the HTTP port and start the background tasks."""
-        app = aiohttp.web.Application(client_max_size=MAX_BODY_BYTES)
-        app.router.add_route("*", "/{path:.*}", self._handle_request)
-        self._runner = aiohttp.web.AppRunner(
-            app,
+        self._server = callerconnection.CallerServer(
+            self._handle_request,
+            self._memory,
+            lambda: LIMITS,
+            callermemory.compute_max_connections(None),
             access_log=None,
-            handler_cancellation=True,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-            keepalive_timeout=75.0,
         )
+        self._runner = aiohttp.web.ServerRunner(self._server)
         await self._runner.setup()
         listen = self._cfg.listen
-        self._site = aiohttp.web.TCPSite(self._runner, listen.host, listen.port)
+        sock = callerconnection.open_socket(listen.host, listen.port)
+        self._site = aiohttp.web.SockSite(self._runner, sock)
         await self._site.start()
+        self._sweep_task = self._loop.create_task(self._close_overdue())
         self.port = self._runner.addresses[0][1]
         self.peers.start()
         self.sync.start()
@@ -153,6 +170,13 @@
             "event=entry_started name={} port={}", self._cfg.name, self.port
         )
 
+    async def _close_overdue(self) -> None:
+        """Close connections that are idle, or without a whole head, for too long."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            if self._server is not None:
+                self._server.close_overdue(self._loop.time())
+
     def begin_drain(self) -> None:
         """Become unhealthy; the platform's balancer then stops sending calls here."""
         if not self._is_draining:
@@ -179,8 +203,9 @@
     async def stop(self) -> None:
         """Close all connections without waiting for open calls."""
         self.sync.stop()
-        if self._lease_task is not None:
-            self._lease_task.cancel()
+        for task in (self._lease_task, self._sweep_task):
+            if task is not None:
+                task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
         self.peers.stop()
@@ -312,14 +337,15 @@
     # Callers.
 
     async def _handle_request(
-        self, request: aiohttp.web.Request
+        self, request: aiohttp.web.BaseRequest
     ) -> aiohttp.web.StreamResponse:
         """Handle one HTTP request; every caller gets exactly one final answer."""
         request_id = f"{self._cfg.name}-{secrets.token_hex(6)}"
         span = self._tracer.start("entry", request.headers.get("traceparent", ""))
         sink = httpsink.HttpSink(request, request_id)
+        reader = bodyreader.BodyReader(request, self._memory)
         try:
-            await self._process_request(request, request_id, span, sink)
+            await self._process_request(request, request_id, span, sink, reader)
         except (ConnectionError, TimeoutError):
             loguru.logger.info("event=caller_gone request={}", request_id)
         except asyncio.CancelledError:
@@ -332,6 +358,8 @@
                 errorcodes.Refusal(errorcodes.INTERNAL, errorcodes.Ran.UNKNOWN)
             )
         finally:
+            reader.holding.set_held(0)
+            bodyreader.get_connection(request).mark_idle()
             span.set_attribute("request", request_id)
             if sink.refusal is not None:
                 span.set_attribute("refusal", sink.refusal.code.name)
@@ -357,10 +385,11 @@
 
     async def _process_request(
         self,
-        request: aiohttp.web.Request,
+        request: aiohttp.web.BaseRequest,
         request_id: str,
         span: tracing.Span,
         sink: httpsink.HttpSink,
+        reader: bodyreader.BodyReader,
     ) -> None:
         """Read, filter and admit the request, then run it through the relay."""
         tab = self.sync.conf.tab
@@ -371,7 +400,7 @@
                 )
             )
             return
-        req = await self._read_request(request, request_id)
+        req = await self._read_request(request, request_id, reader)
         if isinstance(req, errorcodes.Refusal):
             await sink.refuse(req)
             return
@@ -403,7 +432,10 @@
             self._admission.release(req.account, req.service.service)
 
     async def _read_request(
-        self, request: aiohttp.web.Request, request_id: str
+        self,
+        request: aiohttp.web.BaseRequest,
+        request_id: str,
+        reader: bodyreader.BodyReader,
     ) -> callcontext.CallContext | errorcodes.Refusal:
         """Read the request body, limited in size and time.
 
@@ -415,15 +447,24 @@
                 errorcodes.OVERLOADED, not_run, "too many calls at this entry", 0.5
             )
         arrived_at = self._loop.time()
+        body: bytes | None = None
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await request.read()
-        except aiohttp.web.HTTPRequestEntityTooLarge:
-            detail = f"the limit is {MAX_BODY_BYTES} bytes"
-            return errorcodes.Refusal(errorcodes.BODY_TOO_LARGE, not_run, detail)
+            if (request.content_length or 0) <= MAX_BODY_BYTES:
+                async with asyncio.timeout(BODY_TIMEOUT_S) as scope:
+                    body = await reader.read(scope, MAX_BODY_BYTES)
+        except aiohttp.web.RequestPayloadError as exc:
+            return errorcodes.Refusal(errorcodes.BAD_REQUEST, not_run, str(exc))
         except TimeoutError:
+            if reader.has_given_up:
+                return errorcodes.Refusal(
+                    errorcodes.OVERLOADED, not_run, "other calls need the memory", 0.5
+                )
             detail = f"the body took longer than {BODY_TIMEOUT_S:g} s"
             return errorcodes.Refusal(errorcodes.BAD_REQUEST, not_run, detail)
+        if body is None:
+            detail = f"the limit is {MAX_BODY_BYTES} bytes"
+            return errorcodes.Refusal(errorcodes.BODY_TOO_LARGE, not_run, detail)
+        reader.holding.holder = bodyreader.get_connection(request)
         headers = [(str(name), value) for name, value in request.headers.items()]
         return callcontext.CallContext(
             request_id, arrived_at, request.method, request.path_qs, headers, body
--- a/sardinesaddle/httpsink.py
+++ b/sardinesaddle/httpsink.py
@@ -12,7 +12,7 @@
     refused.
     """
 
-    def __init__(self, request: aiohttp.web.Request, request_id: str) -> None:
+    def __init__(self, request: aiohttp.web.BaseRequest, request_id: str) -> None:
         self._request = request
         self._request_id = request_id
         self._stream: aiohttp.web.StreamResponse | None = None
--- a/test/crowds.py
+++ b/test/crowds.py
@@ -216,8 +216,8 @@
 class Crowd:
     """Callers that were opened together, and those that could not connect."""
 
-    def __init__(self, fleet: processfleet.ProcessFleet) -> None:
-        self._address = processfleet.make_host(0), fleet.ports[0]
+    def __init__(self, host: str, port: int) -> None:
+        self._address = host, port
         self.callers: list[CrowdCaller] = []
 
     async def open(self, kinds: collections.abc.Iterable[CrowdKind]) -> None:
@@ -255,15 +255,15 @@
             caller.close()
 
 
-def read_peak_bytes(process: soak.NodeProcess) -> int:
-    """Return the most memory that the process has taken, by the kernel."""
-    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+def read_peak_bytes(pid: int) -> int:
+    """Return the most memory that a process has taken, by the kernel."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
     return int(status.partition("VmHWM:")[2].split()[0]) * 1024
 
 
-def count_descriptors(process: soak.NodeProcess) -> int:
-    """Return how many descriptors the process has open."""
-    return len(os.listdir(f"/proc/{process.pid}/fd"))
+def count_descriptors(pid: int) -> int:
+    """Return how many descriptors a process has open."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
 
 
 @contextlib.contextmanager
@@ -312,11 +312,16 @@
     """Return what does not hold of an entry, with the figures."""
     if not process.is_running or process.pid != pid:
         return [f"the process ended with {process.exit_status}"]
+    return find_excesses(pid)
+
+
+def find_excesses(pid: int) -> list[str]:
+    """Return what a process has too much of, with the figures."""
     faults = []
-    peak_bytes = read_peak_bytes(process)
+    peak_bytes = read_peak_bytes(pid)
     if peak_bytes > MEMORY_BYTES:
         faults.append(f"memory of {peak_bytes >> 20} MiB, {MEMORY_BYTES >> 20} allowed")
-    descriptors = count_descriptors(process)
+    descriptors = count_descriptors(pid)
     if descriptors > MAX_DESCRIPTORS:
         faults.append(f"{descriptors} descriptors, {MAX_DESCRIPTORS} allowed")
     return faults
@@ -358,6 +363,11 @@
         )
 
 
+def open_crowd(fleet: processfleet.ProcessFleet) -> Crowd:
+    """Return a crowd without callers, at the first entry."""
+    return Crowd(processfleet.make_host(0), fleet.ports[0])
+
+
 def raise_own_limit(scenario: processfleet.Scenario) -> processfleet.Scenario:
     """Return the scenario with the test's own descriptors limited as before."""
 
@@ -379,7 +389,7 @@
         pid = process.pid
         await add_targets(fleet, kinds[0])
         await fleet.settle(1.0)
-        crowd = Crowd(fleet)
+        crowd = open_crowd(fleet)
         await crowd.open(kinds)
         await crowd.settle()
         faults.extend(await find_service_fault(fleet, "while the crowd stays"))
@@ -388,7 +398,7 @@
         await asyncio.sleep(SETTLED_S / 2)
         faults.extend(await find_service_fault(fleet, "after the crowd"))
         faults.extend(find_faults(process, pid))
-        print(f"peak {read_peak_bytes(process) >> 20} MiB")  # shown when a test fails
+        print(f"peak {read_peak_bytes(pid) >> 20} MiB")  # shown when a test fails
 
     run_scenario(directory, scenario)
     assert not faults, "; ".join(dict.fromkeys(faults))
--- a/test/freeports.py
+++ b/test/freeports.py
@@ -66,3 +66,14 @@
     if not _blocks:
         _blocks.append(PortBlock())
     return _blocks[0].find_free_port(host)
+
+
+def find_free_ports(host: str, count: int) -> int:
+    """Return the first of so many free ports with successive numbers."""
+    found = [find_free_port(host)]
+    while len(found) < count:
+        port = find_free_port(host)
+        if port != found[-1] + 1:
+            found.clear()
+        found.append(port)
+    return found[0]
--- a/test/test_direct_callermemory.py
+++ b/test/test_direct_callermemory.py
@@ -150,6 +150,27 @@
     df.run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("path", "response"), [("/once/a", b"100 Continue"), ("/none/a", b"404 ")]
+)
+def test_caller_that_asks_is_told_to_send_its_body(path: str, response: bytes) -> None:
+    """Guards against callers who wait, and against bodies that are not needed."""
+
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain")
+        await fleet.settle()
+        reader, writer = await fleet.connect()
+        head = HEAD.replace("Content", "Expect: 100-continue\r\nContent")
+        writer.write(head.format(path=path, key="key-a", length=4).encode())
+        assert response in await reader.readuntil(b"\r\n\r\n")
+        if path == "/once/a":
+            writer.write(b"body")
+            assert b"HTTP/1.1 200 " in await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    df.run_scenario(scenario)
+
+
 def test_body_that_is_not_whole_by_the_deadline_is_given_up() -> None:
     """Guards against a body that is waited for when nobody wants the response."""
 
--- a/test/test_direct_crowds.py
+++ b/test/test_direct_crowds.py
@@ -103,7 +103,7 @@
         process = fleet.processes[0]
         await crowds.add_targets(fleet, kind)
         await fleet.settle(1.0)
-        crowd = crowds.Crowd(fleet)
+        crowd = crowds.open_crowd(fleet)
         fleet.stop_gracefully(0)
         await crowd.open([kind])
         faults = await crowds.find_service_fault(fleet, "while the entry drains")
@@ -112,7 +112,7 @@
         while process.is_running:
             # Once the process has ended, its peak cannot be read.
             try:
-                peak_bytes = max(peak_bytes, crowds.read_peak_bytes(process))
+                peak_bytes = max(peak_bytes, crowds.read_peak_bytes(process.pid))
             except (OSError, IndexError):
                 break
             await asyncio.sleep(0.02)
@@ -139,7 +139,7 @@
             process.start()
         pid = process.pid
         await wait_until_listening(fleet)
-        crowd = crowds.Crowd(fleet)
+        crowd = crowds.open_crowd(fleet)
         await crowd.open([kind])
         await crowd.settle()
         faults = crowds.find_faults(process, pid)
