Accept any stated memory and number of descriptors

The settings of an entry refused a memory_mb or max_descriptors below 64, and with it the whole file, so that the entry would not start on a host that states less. Any positive number is accepted now; what callers may hold has a lower limit of its own.

--- a/sardinesaddle/direct/nodesettings.py
+++ b/sardinesaddle/direct/nodesettings.py
@@ -95,8 +95,8 @@
     contracts: list[str] = []
     bounds_engine_memory: bool = False
     max_buffered_bytes: typing.Annotated[int, msgspec.Meta(ge=2**20)] | None = None
-    memory_mb: typing.Annotated[int, msgspec.Meta(ge=64)] | None = None
-    max_descriptors: typing.Annotated[int, msgspec.Meta(ge=64)] | None = None
+    memory_mb: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
+    max_descriptors: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
     bounds: EntryBounds = EntryBounds()
 
 
