--- a/sardinesaddle/direct/bodyreader.py
+++ b/sardinesaddle/direct/bodyreader.py
@@ -1,7 +1,7 @@
 """Reads the bodies of callers' requests within the bound on what an entry holds.
 
-A body is counted while it is read. If its part of the bound is exceeded, it may have to
-give way; it is then dropped, and its request is refused.
+A head is counted from the start, a body while it is read. If their part of the bound is
+exceeded, they may have to give way; they are dropped, and the request is refused.
 """
 
 import asyncio
@@ -11,13 +11,15 @@
 
 from sardinesaddle.direct import callerconnection, callermemory
 
+FIELD_BYTES: typing.Final = len(": \r\n")  # of a header beside its name and value
+HEAD_COPIES: typing.Final = 3  # as bytes, as text, and in the fields that are sent on
 CONTINUE: typing.Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class BodyReader(callermemory.Holder):
     """Reads the body of a request; it may have to give way to others meanwhile.
 
-    ``holding`` counts the body, also after it was read.
+    ``holding`` counts the head and the body, also after it was read.
     """
 
     def __init__(
@@ -27,7 +29,9 @@
         self._body = bytearray()
         self._scope: asyncio.Timeout | None = None
         self.has_given_up = False
+        self.head_bytes = measure_head(request)
         self.holding = memory.open(self, get_connection(request))
+        self.holding.set_held(HEAD_COPIES * self.head_bytes)
 
     def give_way(self) -> None:
         """Stop reading, and drop what was read."""
@@ -59,7 +63,7 @@
             if len(self._body) > max_bytes:
                 self._body.clear()
                 return None
-            self.holding.set_held(len(self._body))
+            self.holding.set_held(HEAD_COPIES * self.head_bytes + len(self._body))
         if self.has_given_up:
             raise TimeoutError
         conn.body = None
@@ -73,3 +77,11 @@
 ) -> callerconnection.CallerConnection:
     """Return the connection of a request."""
     return typing.cast("callerconnection.CallerConnection", request.protocol)
+
+
+def measure_head(request: aiohttp.web.BaseRequest) -> int:
+    """Return how many bytes the head of a request has."""
+    line = len(request.method) + len(request.raw_path) + len("  HTTP/1.1\r\n\r\n")
+    return line + sum(
+        len(name) + len(value) + FIELD_BYTES for name, value in request.raw_headers
+    )
--- a/sardinesaddle/direct/callerconnection.py
+++ b/sardinesaddle/direct/callerconnection.py
@@ -112,7 +112,8 @@
             self._drop_unparsed()
             return
         self._unparsed += data
-        if self._turn is None:
+        is_paused = self._reading_paused or self._buffer_paused
+        if self._turn is None and not (data and is_paused):
             self._parse()
         self._count_held()
 
@@ -194,9 +195,10 @@
         held_bytes = len(self._unparsed)
         if self._is_transport_paused:
             held_bytes += RECEIVE_BUFFER_BYTES
-        if self._messages:
-            max_bytes = self._server.get_limits().max_header_bytes
-            held_bytes += len(self._messages) * max_bytes
+        # Without a present request, the first one is about to be handled.
+        waiting = len(self._messages) - (self._current_request is None)
+        if waiting > 0:
+            held_bytes += waiting * self._server.get_limits().max_header_bytes
         self._holding.set_held(held_bytes)
 
     def _drop_unparsed(self) -> None:
--- a/sardinesaddle/direct/callermemory.py
+++ b/sardinesaddle/direct/callermemory.py
@@ -52,8 +52,8 @@
     """The bytes that one holder has; ``moved_at`` is the event loop's time.
 
     Holdings of the same ``owner``, a connection, belong to one request. ``is_spare`` is
-    set while they only serve to send a request again. Once a holding
-    has given way, nothing more is counted in it.
+    set while they only serve to send a request again. Once a holding has given way,
+    nothing more is counted in it.
     """
 
     __slots__ = (
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -37,7 +37,6 @@
 STATUS_TOO_LARGE: typing.Final = 413
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
 BACKLOG: typing.Final = 1024  # connections that the kernel has accepted
-FIELD_BYTES: typing.Final = len(": \r\n")  # of a header beside its name and value
 RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)  # linger for 0 s
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1  # all requests have ended by then
 WRITE_BUFFER_BYTES: typing.Final = 16 * 1024  # unsent; then the caller is waited for
@@ -312,7 +311,7 @@
         What needs no body is refused before it is read.
         """
         limits = self._get_limits()
-        if measure_head(request) > limits.max_header_bytes:
+        if reader.head_bytes > limits.max_header_bytes:
             return STATUS_HEAD_TOO_LARGE
         deadline = None
         if not request.content.is_eof():
@@ -359,14 +358,6 @@
         await responder.send_whole(status, headers, b"")
 
 
-def measure_head(request: aiohttp.web.BaseRequest) -> int:
-    """Return how many bytes the head of a request has."""
-    line = len(request.method) + len(request.raw_path) + len("  HTTP/1.1\r\n\r\n")
-    return line + sum(
-        len(name) + len(value) + FIELD_BYTES for name, value in request.raw_headers
-    )
-
-
 def find_fault(request: aiohttp.web.BaseRequest) -> str:
     """Return what of a request line or body targets may take differently, or "".
 
