Drop a body once nothing can send its request again

Eighty streams with bodies of 4 MiB within 3 s filled an entry's memory, though each body was sent at once: it was kept until the stream had ended, 6.6 s later, also where the request may not be sent a second time.

A body is now dropped when the target has it and all attempts of its route are used up (unless the request left a silent target, since refusals do not count then), and when a request that may run once is answered by anything but a refusal. The others are kept as spares, as before. The number of sends is counted before the send, which may drop the body at once.

A test of its own has the four kinds of routes; a trial that counted refusals alike failed test_stream_that_left_a_silent_target_goes_on_there_if_no_other_takes_it.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -690,10 +690,10 @@
         headers = self._make_upstream_headers(state, target)
         req.holding.is_spare = False
         req.holding.mark_moved()
+        state.send_count += 1
         exchange.send(
             req.method, req.path, headers, req.body, lambda: self._on_sent(state)
         )
-        state.send_count += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
         relay = responserelay.ResponseRelay(
             state, exchange, responder, self._header_codec, observer
@@ -822,8 +822,14 @@
         return upstream_headers
 
     def _on_sent(self, state: requeststate.RequestState) -> None:
-        """Keep the body of a request that was sent only as long as there is room."""
+        """Keep the body of a request that was sent only as long as there is room.
+
+        It is dropped if the request may not be sent again in any case. One that left a
+        target may be, as refusals do not count then.
+        """
         state.req.holding.is_spare = True
+        if state.send_count >= state.route.max_attempts and not state.left_target:
+            drop_body(state)
 
     async def refuse(
         self,
@@ -898,10 +904,11 @@
 
     def give_way(self) -> None:
         """Drop a body that was sent, or end its request."""
-        self._state.req.body = b""
         if self._state.req.holding.is_spare:
-            self._state.has_body = False
-        elif not self._scope.expired():
+            drop_body(self._state)
+            return
+        self._state.req.body = b""
+        if not self._scope.expired():
             self._scope.reschedule(asyncio.get_running_loop().time())
 
 
@@ -944,6 +951,8 @@
 
     def on_head(self, metadata: headercodec.ResponseMetadata) -> None:
         """Record what the target states of itself."""
+        if not metadata.was_not_run and not self._state.may_run_twice:
+            drop_body(self._state)
         if not self._state.route.is_stream:
             self._timing.first_event_at = asyncio.get_running_loop().time()
         self._forwarder.record_statements(
@@ -979,6 +988,14 @@
         return await self._forwarder.crashes.has_ended(self._target)
 
 
+def drop_body(state: requeststate.RequestState) -> None:
+    """Drop a body that the target has, so that the request is not sent again."""
+    if state.req.holding.is_spare:
+        state.req.body = b""
+        state.req.holding.set_held(0)
+        state.has_body = False
+
+
 def compute_priority(route: catalog.Route, account: catalog.Account | None) -> int:
     """Return the priority of the account or else the route; 0 is the highest."""
     priority = route.priority
--- a/test/test_direct_callermemory.py
+++ b/test/test_direct_callermemory.py
@@ -192,6 +192,42 @@
     df.run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("path", "is_kept"),
+    [("/once/a", True), ("/free/a", True), ("/unique/a", False), ("/stream/a", True)],
+)
+def test_body_is_dropped_once_nothing_can_send_it_again(
+    path: str, is_kept: bool
+) -> None:
+    """Guards against bodies that are kept for as long as their responses last."""
+    body = 100_000 * b"x"
+    may_go_on = asyncio.Event()
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if "unique" in path or "stream" in path:
+            writer.write(df.make_stream_head(request.attempt_id))
+            writer.write(df.encode_chunk(df.make_sse_event(1)))
+        await may_go_on.wait()
+        return False
+
+    async def scenario(fleet: df.Fleet) -> None:
+        for service in ("plain", "engines"):
+            await fleet.add_target(service, service, respond)
+        await fleet.settle()
+        asking = asyncio.create_task(fleet.send_request(path, body=body))
+        await fleet.settle(0.5)
+        held_bytes = fleet.entries[0].memory.count_held()
+        assert (held_bytes >= len(body)) == is_kept
+        may_go_on.set()
+        await asking
+
+    df.run_scenario(scenario)
+
+
 def test_request_whose_body_was_dropped_goes_on_and_is_not_sent_again() -> None:
     """Guards against ending requests, or sending them without a body, for memory."""
     body = 100_000 * b"x"
