--- a/sardinesaddle/direct/bodyreader.py
+++ b/sardinesaddle/direct/bodyreader.py
@@ -1,7 +1,7 @@
 """Reads the bodies of callers' requests within the bound on what an entry holds.
 
 A head is counted from the start, a body while it is read. If their part of the bound is
-exceeded, they may have to give way; they are dropped, and the request is refused.
+exceeded, they may be evicted; they are dropped, and the request is refused.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 
 
 class BodyReader(callermemory.Holder):
-    """Reads the body of a request; it may have to give way to others meanwhile.
+    """Reads the body of a request, which may be evicted meanwhile.
 
     ``holding`` counts the head and the body, also after it was read.
     """
@@ -28,15 +28,15 @@
         self._request = request
         self._body = bytearray()
         self._scope: asyncio.Timeout | None = None
-        self.has_given_up = False
+        self.is_evicted = False
         self.head_bytes = measure_head(request)
         self.holding = memory.open(self, get_connection(request))
         self.holding.set_held(HEAD_COPIES * self.head_bytes)
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Stop reading, and drop what was read."""
         self._body.clear()
-        self.has_given_up = True
+        self.is_evicted = True
         if self._scope is not None and not self._scope.expired():
             self._scope.reschedule(asyncio.get_running_loop().time())
 
@@ -48,7 +48,7 @@
     async def read(self, scope: asyncio.Timeout, max_bytes: int) -> bytes | None:
         """Return the body, or None if it is over the limit.
 
-        The scope raises TimeoutError if the body has to give way.
+        The scope raises TimeoutError if the body is evicted.
         """
         self._scope = scope
         conn = get_connection(self._request)
@@ -56,7 +56,7 @@
         if not self._request.content.is_eof() and self._is_asked_to_go_on():
             conn.write(CONTINUE)
         async for data in self._request.content.iter_any():
-            if self.has_given_up:
+            if self.is_evicted:
                 # The scope has not ended this task yet.
                 continue
             self._body += data
@@ -64,7 +64,7 @@
                 self._body.clear()
                 return None
             self.holding.set_held(HEAD_COPIES * self.head_bytes + len(self._body))
-        if self.has_given_up:
+        if self.is_evicted:
             raise TimeoutError
         conn.body = None
         body = bytes(self._body)
--- a/sardinesaddle/direct/callerconnection.py
+++ b/sardinesaddle/direct/callerconnection.py
@@ -7,7 +7,8 @@
 - Bytes that wait to be parsed, heads that wait for the response before them, and the
   kernel's buffer of a connection that is not read are counted in ``callermemory``.
 - Over the greatest number of connections, those are closed first that have sent no
-  head for longest, then idle ones, then those whose request or response stands still.
+  head for longest, then idle ones, then those whose request or response makes no
+  progress.
 """
 
 import asyncio
@@ -41,7 +42,7 @@
 }
 
 
-class Standstill(enum.IntEnum):
+class WaitKind(enum.IntEnum):
     """What a connection waits for, in the order in which connections are closed."""
 
     NO_HEAD = 0
@@ -209,7 +210,7 @@
             self._turn.cancel()
             self._turn = None
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close the connection, as what others hold leaves it no room."""
         self._drop_unparsed()
         self.abort()
@@ -257,19 +258,19 @@
         """Whether a request is handled or waits."""
         return self._current_request is not None or bool(self._messages)
 
-    def find_standstill(self, now: float) -> tuple[Standstill, float] | None:
+    def find_wait(self, now: float) -> tuple[WaitKind, float] | None:
         """Return what the connection waits for and since when; None if it moves."""
         if self._has_request:
             if self.body is not None:
-                return Standstill.UNFINISHED_BODY, self.body.moved_at
+                return WaitKind.UNFINISHED_BODY, self.body.progressed_at
             if self.write_began_at is not None:
-                return Standstill.UNREAD_RESPONSE, self.write_began_at
+                return WaitKind.UNREAD_RESPONSE, self.write_began_at
             return None
         if self._request_count and self._head_began_at is None:
-            return Standstill.IDLE, self._idle_since
+            return WaitKind.IDLE, self._idle_since
         since = self._head_began_at or self._idle_since
         is_fresh = now - since < FRESH_S
-        return Standstill.FRESH if is_fresh else Standstill.NO_HEAD, since
+        return WaitKind.FRESH if is_fresh else WaitKind.NO_HEAD, since
 
     def close_if_overdue(self, now: float, limits: catalog.Limits) -> None:
         """Close the connection if it has been idle, or without a head, for too long."""
@@ -351,17 +352,17 @@
             self._make_room(typing.cast("CallerConnection", handler))
 
     def _make_room(self, newest: CallerConnection) -> None:
-        """Close connections that stand still, or else the newest one."""
+        """Close connections that wait for their callers, or else the newest one."""
         open_conns = [conn for conn in self.list_connections() if conn.is_open]
         excess = len(open_conns) - self._max_connections
         if excess <= 0:
             return
         now = self._loop.time()
-        ranked: list[tuple[tuple[Standstill, float], CallerConnection]] = []
+        ranked: list[tuple[tuple[WaitKind, float], CallerConnection]] = []
         for conn in open_conns:
-            standstill = conn.find_standstill(now)
-            if conn is not newest and standstill is not None:
-                ranked.append((standstill, conn))
+            wait = conn.find_wait(now)
+            if conn is not newest and wait is not None:
+                ranked.append((wait, conn))
         ranked.sort(key=lambda entry: entry[0])
         # Each search looks at all connections, so it is not made for each new one.
         count = excess + math.floor(CLOSED_SHARE * self._max_connections)
--- a/sardinesaddle/direct/callermemory.py
+++ b/sardinesaddle/direct/callermemory.py
@@ -6,10 +6,10 @@
 parts of the bound, since neither may use up what the other needs.
 
 Holdings of up to ``SMALL_BYTES`` have a part of their own, so that ordinary requests
-are served beside large ones. When a part is exceeded, its holdings give way: first
-spares, which only serve to send a request again, then those that are large and have not
-moved for long, by the product of both. The last large one stays, so that a single
-request is served whatever the bound.
+are served beside large ones. When a part is exceeded, its holdings are evicted: first
+retry copies, which only serve to send a request again, then those that are large and
+have made no progress for long, by the product of both. The last large one stays, so
+that a single request is served whatever the bound.
 """
 
 import abc
@@ -23,8 +23,7 @@
 SMALL_BYTES: typing.Final = 64 * 1024
 SMALL_SHARE: typing.Final = 0.5  # of what requests may hold
 REQUEST_SHARE: typing.Final = 0.5  # of the bound; the rest is for responses
-# Bytes after which a holder counts as moving. A caller that sends a byte now and then
-# does not move.
+# Bytes that count as progress; a byte now and then does not.
 PROGRESS_BYTES: typing.Final = 16 * 1024
 # Of the process without what callers make it hold.
 OWN_BYTES: typing.Final = 96 * 1024 * 1024
@@ -41,55 +40,55 @@
 
 
 class Holder(abc.ABC):
-    """What holds bytes for a caller and can be asked to give them up."""
+    """What holds bytes for a caller and can be asked to release them."""
 
     @abc.abstractmethod
-    def give_way(self) -> None:
-        """Let go of the bytes; they are no longer counted."""
+    def evict(self) -> None:
+        """Release the bytes; they are no longer counted."""
 
 
 class Holding:
-    """The bytes that one holder has; ``moved_at`` is the event loop's time.
+    """The bytes that one holder has; ``progressed_at`` is the event loop's time.
 
-    Holdings of the same ``owner``, a connection, belong to one request. ``is_spare`` is
-    set while they only serve to send a request again. Once a holding has given way,
-    nothing more is counted in it.
+    Holdings of the same ``owner``, a connection, belong to one request.
+    ``is_retry_copy`` is set while they only serve to send a request again. Once a
+    holding is evicted, nothing more is counted in it.
     """
 
     __slots__ = (
         "_memory",
-        "_unmoved_bytes",
-        "has_given_way",
+        "_progress_bytes",
+        "is_evicted",
         "held_bytes",
         "holder",
-        "is_spare",
-        "moved_at",
+        "is_retry_copy",
+        "progressed_at",
         "owner",
     )
 
     def __init__(self, memory: "CallerMemory", holder: Holder, owner: object) -> None:
         self._memory = memory
         self.owner = owner
-        self._unmoved_bytes = 0
+        self._progress_bytes = 0
         self.holder = holder
         self.held_bytes = 0
-        self.is_spare = False
-        self.has_given_way = False
-        self.moved_at = asyncio.get_running_loop().time()
+        self.is_retry_copy = False
+        self.is_evicted = False
+        self.progressed_at = asyncio.get_running_loop().time()
 
     def set_held(self, held_bytes: int) -> None:
-        """Count that the holder has so many bytes now; holdings may give way for it."""
-        if self.has_given_way or held_bytes == self.held_bytes:
+        """Count that the holder has so many bytes now; this may evict holdings."""
+        if self.is_evicted or held_bytes == self.held_bytes:
             return
-        self._unmoved_bytes += abs(held_bytes - self.held_bytes)
-        if self._unmoved_bytes >= PROGRESS_BYTES:
-            self.mark_moved()
+        self._progress_bytes += abs(held_bytes - self.held_bytes)
+        if self._progress_bytes >= PROGRESS_BYTES:
+            self.mark_progress()
         self._memory.change(self, held_bytes)
 
-    def mark_moved(self) -> None:
+    def mark_progress(self) -> None:
         """Record that the caller or the target has done its part just now."""
-        self._unmoved_bytes = 0
-        self.moved_at = asyncio.get_running_loop().time()
+        self._progress_bytes = 0
+        self.progressed_at = asyncio.get_running_loop().time()
 
     @property
     def is_large(self) -> bool:
@@ -100,13 +99,13 @@
 class CallerMemory:
     """What all requests of an entry hold; ``total_bytes`` bounds it with responses.
 
-    ``given_way`` counts the holdings that gave way, by whether they were spares.
+    ``evictions`` counts the evicted holdings, by whether they were retry copies.
     """
 
     def __init__(self, total_bytes: float) -> None:
         self.total_bytes = total_bytes
         self.held_bytes = {False: 0, True: 0}  # by whether the holdings are large
-        self.given_way = {False: 0, True: 0}
+        self.evictions = {False: 0, True: 0}
         self._holdings: dict[bool, set[Holding]] = {False: set(), True: set()}
 
     def count_held(self) -> int:
@@ -128,7 +127,7 @@
         return Holding(self, holder, owner)
 
     def change(self, holding: Holding, held_bytes: int) -> None:
-        """Count what a holding has; let others, or this one, give way for it."""
+        """Count what a holding has; evict others, or this one, if that is too much."""
         self._remove(holding)
         holding.held_bytes = held_bytes
         if not held_bytes:
@@ -138,14 +137,14 @@
         self.held_bytes[is_large] += held_bytes
         bound = self.get_bound(is_large)
         while self.held_bytes[is_large] > bound:
-            chosen = self._choose(is_large)
-            if chosen is None:
+            victim = self._choose_victim(is_large)
+            if victim is None:
                 break
-            self._remove(chosen)
-            chosen.held_bytes = 0
-            chosen.has_given_way = True
-            self.given_way[chosen.is_spare] += 1
-            chosen.holder.give_way()
+            self._remove(victim)
+            victim.held_bytes = 0
+            victim.is_evicted = True
+            self.evictions[victim.is_retry_copy] += 1
+            victim.holder.evict()
 
     def _remove(self, holding: Holding) -> None:
         """Count that a holding has nothing."""
@@ -153,8 +152,8 @@
             self._holdings[holding.is_large].discard(holding)
             self.held_bytes[holding.is_large] -= holding.held_bytes
 
-    def _choose(self, is_large: bool) -> Holding | None:
-        """Return the holding that gives way next; None if only one owner is left."""
+    def _choose_victim(self, is_large: bool) -> Holding | None:
+        """Return the holding to evict next; None if only one owner is left."""
         holdings = self._holdings[is_large]
         if len({id(holding.owner) for holding in holdings}) <= 1:
             return None
@@ -162,8 +161,8 @@
         return max(
             holdings,
             key=lambda holding: (
-                holding.is_spare,
-                holding.held_bytes * (now - holding.moved_at),
+                holding.is_retry_copy,
+                holding.held_bytes * (now - holding.progressed_at),
                 holding.held_bytes,
             ),
         )
@@ -172,7 +171,7 @@
 class UncountedHolder(Holder):
     """Holds bytes that no caller sent."""
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Do nothing; what is not counted is not asked."""
 
 
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -699,8 +699,8 @@
         buffers = self.buffers
         self.metrics.set_callers(
             self.memory.count_held(),
-            self.memory.given_way[True],
-            self.memory.given_way[False],
+            self.memory.evictions[True],
+            self.memory.evictions[False],
             self.frontend.closed_count,
         )
         self.metrics.set_buffers(
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -147,7 +147,7 @@
         now = asyncio.get_running_loop().time()
         reason = "stopped" if now < state.deadline else "timeout"
         status = requeststate.STATUS_TIMEOUT
-        if state.req.holding.has_given_way and state.has_body:
+        if state.req.holding.is_evicted and state.has_body:
             reason, status = "memory", requeststate.STATUS_OUTCOME_UNKNOWN
         if not state.may_have_run:
             status = requeststate.STATUS_NOT_RUN
@@ -688,8 +688,8 @@
         """Send the request on a connection and relay the response."""
         req = state.req
         headers = self._make_upstream_headers(state, target)
-        req.holding.is_spare = False
-        req.holding.mark_moved()
+        req.holding.is_retry_copy = False
+        req.holding.mark_progress()
         state.send_count += 1
         exchange.send(
             req.method, req.path, headers, req.body, lambda: self._on_sent(state)
@@ -827,7 +827,7 @@
         It is dropped if the request may not be sent again in any case. One that left a
         target may be, as refusals do not count then.
         """
-        state.req.holding.is_spare = True
+        state.req.holding.is_retry_copy = True
         if state.send_count >= state.route.max_attempts and not state.left_target:
             drop_body(state)
 
@@ -902,9 +902,9 @@
         self._state = state
         self._scope = scope
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Drop a body that was sent, or end its request."""
-        if self._state.req.holding.is_spare:
+        if self._state.req.holding.is_retry_copy:
             drop_body(self._state)
             return
         self._state.req.body = b""
@@ -990,7 +990,7 @@
 
 def drop_body(state: requeststate.RequestState) -> None:
     """Drop a body that the target has, so that the request is not sent again."""
-    if state.req.holding.is_spare:
+    if state.req.holding.is_retry_copy:
         state.req.body = b""
         state.req.holding.set_held(0)
         state.has_body = False
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -259,7 +259,7 @@
         conn = bodyreader.get_connection(request)
         responder = HttpResponder(
             request,
-            lambda: bool(fault) or reader.has_given_up or self._closes_connection(conn),
+            lambda: bool(fault) or reader.is_evicted or self._closes_connection(conn),
             account,
         )
         host = request.headers.get("Host", "").partition(":")[0]
--- a/sardinesaddle/direct/nodemetrics.py
+++ b/sardinesaddle/direct/nodemetrics.py
@@ -120,8 +120,8 @@
         self._dropped_bodies = self.make_gauge(
             "request_bodies_dropped", "Requests that cannot be sent again for memory."
         )
-        self._given_way = self.make_gauge(
-            "requests_gave_way", "Requests that were ended for memory."
+        self._evicted_requests = self.make_gauge(
+            "requests_evicted", "Requests that were ended for memory."
         )
         self._closed_connections = self.make_gauge(
             "connections_closed_for_room", "Connections closed for newer ones."
@@ -158,15 +158,15 @@
             "Length over the hint that a part of the responses exceeds, by that part.",
         )
 
-    def set_callers(self, held: int, dropped: int, gave_way: int, closed: int) -> None:
+    def set_callers(self, held: int, dropped: int, evicted: int, closed: int) -> None:
         """Set what requests hold, and how many of them made room for others so far.
 
-        Of ``dropped`` requests only the body was given up, ``gave_way`` were ended, and
+        Of ``dropped`` requests only the body was given up, ``evicted`` were ended, and
         ``closed`` connections were closed.
         """
         self._held_bytes.set({}, held)
         self._dropped_bodies.set({}, dropped)
-        self._given_way.set({}, gave_way)
+        self._evicted_requests.set({}, evicted)
         self._closed_connections.set({}, closed)
 
     def set_buffers(self, held: int, peak: int, paused: int, pauses: int) -> None:
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -23,8 +23,8 @@
 class Request:
     """A caller's request; ``arrived_at`` is the event loop's time.
 
-    ``holding`` counts the body, which is empty until it was read and once it has given
-    way to others.
+    ``holding`` counts the body, which is empty before it is read and once it is
+    dropped.
     """
 
     method: str
@@ -113,7 +113,7 @@
     ``attempt_log`` lists target and reason of each failed attempt. ``refused_count`` is
     how many sends were not run. ``left_target`` is the target that the request left
     though it may have gone on, an empty string for none. ``has_body`` is False once the
-    body has given way to others, so that the request cannot be sent again.
+    body was dropped, so that the request cannot be sent again.
     """
 
     req: Request
--- a/sardinesaddle/entry.py
+++ b/sardinesaddle/entry.py
@@ -455,7 +455,7 @@
         except aiohttp.web.RequestPayloadError as exc:
             return errorcodes.Refusal(errorcodes.BAD_REQUEST, not_run, str(exc))
         except TimeoutError:
-            if reader.has_given_up:
+            if reader.is_evicted:
                 return errorcodes.Refusal(
                     errorcodes.OVERLOADED, not_run, "other calls need the memory", 0.5
                 )
--- a/test/test_direct_callermemory.py
+++ b/test/test_direct_callermemory.py
@@ -23,8 +23,8 @@
         self.bytes = 0
         self.holding = memory.open(self, self)
 
-    def give_way(self) -> None:
-        """Let go of everything."""
+    def evict(self) -> None:
+        """Release everything."""
         assert not self.holding.held_bytes
         self.bytes = 0
 
@@ -48,11 +48,11 @@
             await asyncio.sleep(rng.expovariate(100.0))
             index = rng.randrange(len(holders))
             holder = holders[index]
-            if rng.random() < 0.2 or holder.holding.has_given_way:
+            if rng.random() < 0.2 or holder.holding.is_evicted:
                 holder.holding.set_held(0)
                 holder = holders[index] = ModelHolder(memory)
             elif rng.random() < 0.1:
-                holder.holding.is_spare = True
+                holder.holding.is_retry_copy = True
             grown = holder.bytes + int(rng.paretovariate(0.6) * 100)
             holder.bytes = min(grown, LARGEST_BYTES)
             holder.holding.set_held(holder.bytes)
@@ -65,35 +65,35 @@
                 ]
                 total = sum(h.bytes for h in part)
                 assert len(part) == 1 or total <= memory.get_bound(is_large)
-        assert sum(memory.given_way.values()) > 0
+        assert sum(memory.evictions.values()) > 0
 
     run_virtual(steps)
 
 
-def test_spares_and_then_those_that_stand_still_give_way() -> None:
-    """Guards against a crowd that stands still and keeps others from being served."""
+def test_retry_copies_and_then_what_makes_no_progress_is_evicted() -> None:
+    """Guards against stalled requests that keep others from being served."""
 
     async def steps() -> None:
         memory = callermemory.CallerMemory(TOTAL_BYTES)
         size = int(memory.get_bound(is_large=True) / 4)
-        spare, moving, still, newest = (ModelHolder(memory) for _ in range(4))
-        for holder in (spare, moving, still):
+        copy, active, stalled, newest = (ModelHolder(memory) for _ in range(4))
+        for holder in (copy, active, stalled):
             holder.bytes = size
             holder.holding.set_held(size)
-        spare.holding.is_spare = True
+        copy.holding.is_retry_copy = True
         await asyncio.sleep(1.0)
-        spare.holding.mark_moved()
-        moving.holding.mark_moved()
+        copy.holding.mark_progress()
+        active.holding.mark_progress()
         newest.bytes = 2 * size
         newest.holding.set_held(2 * size)
-        assert [h.bytes for h in (spare, moving, still)] == [0, size, size]
+        assert [h.bytes for h in (copy, active, stalled)] == [0, size, size]
         newest.bytes = 3 * size
         newest.holding.set_held(3 * size)
-        assert [h.bytes for h in (moving, still, newest)] == [size, 0, 3 * size]
+        assert [h.bytes for h in (active, stalled, newest)] == [size, 0, 3 * size]
         small = ModelHolder(memory)
         small.bytes = callermemory.SMALL_BYTES
         small.holding.set_held(small.bytes)
-        assert [h.bytes for h in (moving, newest, small)] == [
+        assert [h.bytes for h in (active, newest, small)] == [
             size,
             3 * size,
             callermemory.SMALL_BYTES,
@@ -109,13 +109,13 @@
         memory = callermemory.CallerMemory(TOTAL_BYTES)
         holder = ModelHolder(memory)
         holder.holding.set_held(callermemory.SMALL_BYTES)
-        began_at = holder.holding.moved_at
+        began_at = holder.holding.progressed_at
         for extra in range(100):
             await asyncio.sleep(1.0)
             holder.holding.set_held(callermemory.SMALL_BYTES + extra)
-        assert holder.holding.moved_at == began_at
+        assert holder.holding.progressed_at == began_at
         holder.holding.set_held(callermemory.SMALL_BYTES + callermemory.PROGRESS_BYTES)
-        assert holder.holding.moved_at == asyncio.get_running_loop().time()
+        assert holder.holding.progressed_at == asyncio.get_running_loop().time()
 
     run_virtual(steps)
 
@@ -257,7 +257,7 @@
         for holder in crowd:
             holder.bytes = int(memory.get_bound(is_large=True) / 2)
             holder.holding.set_held(holder.bytes)
-        assert memory.given_way == {False: 0, True: 2}
+        assert memory.evictions == {False: 0, True: 2}
         responses = await asyncio.gather(*asking)
         assert [response.status for response in responses] == [200, 502]
         received = [request for target in targets for request in target.requests]
