--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -359,6 +359,11 @@
         )
         log.close()
 
+    def change_settings(self) -> None:
+        """Write the settings anew with other bounds that change nothing here."""
+        path = self._fleet.folder / f"entry-{self._index}.jsonc"
+        path.write_text(path.read_text().replace("// Settings", "// New settings"))
+
     async def wait_until_ready(self, timeout_s: float = 30.0) -> bool:
         """Wait until the readiness check is passed; return whether it was."""
         deadline = time.monotonic() + timeout_s
@@ -406,9 +411,17 @@
         return all(ready)
 
     def register(
-        self, target_id: str, service: str, address: str, born: int, **other: object
+        self,
+        target_id: str,
+        service: str,
+        address: str,
+        born: int | None,
+        **other: object,
     ) -> None:
-        """Write the entry of an engine to the store, as the engine does."""
+        """Write the entry of an engine to the store, as the engine does.
+
+        Without ``born``, it is that of another writer, which lacks this field.
+        """
         value = {
             "service": service,
             "addr": address,
@@ -418,8 +431,9 @@
             "state": "ready",
             "cold_left_ms": 0,
             "seq": 1,
-            "born": born,
         }
+        if born is not None:
+            value["born"] = born
         self.store.put(f"servers/{target_id}", value | other)
 
     async def stop(self) -> None:
--- a/review/standins-3/plainengine.py
+++ b/review/standins-3/plainengine.py
@@ -32,17 +32,27 @@
         self._free = slots + queue
         self._work_s = work_s
         self._rest_s = rest_s
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start to listen."""
-        server = await asyncio.start_server(
+        self._server = await asyncio.start_server(
             self._serve, fl.ENGINE_HOST, 0, limit=1 << 20
         )
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def exit(self) -> None:
+        """End as a process does: nothing listens, and all connections close."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (head := await fl.read_head(reader)) is not None:
                 line, headers = head
@@ -53,6 +63,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
