Own path: no attempt is sent after the start of an answer

Cause: Dispatch asked whether the answer had started in _retry, but not in _retry_at_owner, which sends a keyed call again at the key's owner. An answer to such an attempt would have been appended to the one that had started. No sidecar refuses an attempt with key-elsewhere once it has sent a part of its answer, so the order is not reached today. Change: one method says whether another attempt may answer the request, and both ask it. Measured: the new case of dispatch.test gave 'send' for the last event on the code before; now it gives 'finish'. All 13 cases pass.

--- a/sardinesaddle/dispatch.py
+++ b/sardinesaddle/dispatch.py
@@ -124,10 +124,21 @@
     def _retry_at_owner(self, now: float, refusal: errorcodes.Refusal) -> Decision:
         """Send the opaque key's call again after a delay that lets its owner settle."""
         delay_s = min(refusal.retry_after_s, 1.0)
-        if now + delay_s >= self.deadline_at or self.attempts >= retries.MAX_ATTEMPTS:
+        if not self._may_send_again(now, delay_s):
             return Decision(Step.FINISH, refusal=refusal)
         return Decision(Step.SEND, delay_s)
 
+    def _may_send_again(self, now: float, delay_s: float) -> bool:
+        """Return whether another attempt may answer the request after a delay.
+
+        An answer that has started belongs to its attempt.
+        """
+        return (
+            not self.has_answer_started
+            and self.attempts < retries.MAX_ATTEMPTS
+            and now + delay_s < self.deadline_at
+        )
+
     def on_attempt_lost(self, now: float, random_sample: float) -> Decision:
         """Decide when the target's sidecar restarted or stays unreachable."""
         if self._is_idempotent and not self._is_keyed:
@@ -165,10 +176,8 @@
         """
         detail = refusal.detail if refusal else ""
         retry_after_s = refusal.retry_after_s if refusal else 0.0
-        if self.has_answer_started or self.attempts >= retries.MAX_ATTEMPTS:
-            return self._finish(code, self.ran, detail, retry_after_s)
         delay_s = retries.compute_backoff(self.attempts, random_sample)
-        if now + delay_s >= self.deadline_at:
+        if not self._may_send_again(now, delay_s):
             return self._finish(code, self.ran, detail, retry_after_s)
         if not is_budget_exempt and not self._retry_budget.try_withdraw():
             text = detail or "the last attempt failed"
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -34,8 +34,9 @@
         elif event == "deadline":
             decisions.append(format_decision(request_dispatch.on_deadline()))
         else:
+            retry_after_s = float(args[2]) if args[2:] else 0.0
             refusal = errorcodes.Refusal(
-                errorcodes.REGISTRY[args[0]], errorcodes.Ran(args[1])
+                errorcodes.REGISTRY[args[0]], errorcodes.Ran(args[1]), "", retry_after_s
             )
             decisions.append(
                 format_decision(request_dispatch.on_refused(now, refusal, 0.0))
