A response that was started belongs to its run, unless it is a stream

Cause: a large response that is no stream is passed on as it arrives. When it broke off, the request was sent to another target, as nothing asked what the caller had been sent, and the stream of that run was appended. Not a mix of connections: each of the joined responses had a second send in its log line. Change: requeststate.Started says what was started. Responder refuses a second start, ResponseRelay asks once, as soon as a head is read, whether the response may follow, and Forwarder sends nothing again after the start of a body. The caller's connection breaks; response_broken_off names the run. Why this works: all ways to another target go through _may_retry, and all ways to the caller's response through Responder.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -287,7 +287,8 @@
                 last_error = outcome
             if is_broken(outcome):
                 await self.crashes.probe(target)
-            if not self._may_retry(state, outcome):
+            if not self._may_retry(state, responder, outcome):
+                self._log_broken_off(state, target, responder, reason)
                 return await self._finish_without_response(
                     state, responder, last_error, reason, self._choose_return_s(state)
                 )
@@ -325,6 +326,26 @@
             outcome.detail,
         )
 
+    def _log_broken_off(
+        self,
+        state: requeststate.RequestState,
+        target: targetstate.Target,
+        responder: requeststate.Responder,
+        reason: str,
+    ) -> None:
+        """Log which run broke off the response that the caller has a part of."""
+        if not responder.is_started:
+            return
+        loguru.logger.warning(
+            "event=response_broken_off id={} target={} started={} last_event={}"
+            " reason={}",
+            state.req.metadata.attempt_id,
+            target.target_id,
+            responder.started.value,
+            "" if state.last_event is None else state.last_event,
+            reason,
+        )
+
     def _choose_return_s(self, state: requeststate.RequestState) -> float:
         """Return when the caller of a request that is not sent again may come back."""
         now = asyncio.get_running_loop().time()
@@ -490,9 +511,15 @@
         return outcome.kind.value
 
     def _may_retry(
-        self, state: requeststate.RequestState, outcome: responserelay.Outcome
+        self,
+        state: requeststate.RequestState,
+        responder: requeststate.Responder,
+        outcome: responserelay.Outcome,
     ) -> bool:
         """Return whether the request may be sent to another target."""
+        if responder.started is requeststate.Started.BODY:
+            # No other run can complete it.
+            return False
         if isinstance(outcome, upstream.Failure) and not outcome.was_sent:
             state.connect_failures += 1
             return state.connect_failures < MAX_CONNECT_ATTEMPTS
--- a/sardinesaddle/direct/frontend.py
+++ b/sardinesaddle/direct/frontend.py
@@ -57,16 +57,7 @@
         self._closes_connection = closes_connection
         self.response: aiohttp.web.StreamResponse | None = None
 
-    async def send_whole(
-        self, status: int, headers: headercodec.Headers, body: bytes
-    ) -> None:
-        """Send a complete response."""
-        await self.start(status, headers, len(body))
-        if body:
-            await self.write(body)
-        await self.finish()
-
-    async def start(
+    async def _send_head(
         self, status: int, headers: headercodec.Headers, length: int | None
     ) -> None:
         """Send status and headers; without a length, the body is chunked."""
@@ -79,7 +70,6 @@
         if self._closes_connection():
             resp.force_close()
         self.response = resp
-        self.is_started = True
         if self._request.transport is not None:
             self._request.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         await resp.prepare(self._request)
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -1,7 +1,13 @@
-"""A request in an entry: what the caller sent, the attempts so far, and outcomes."""
+"""A request in an entry: what the caller sent, the attempts so far, and outcomes.
+
+A response that was started belongs to the run that it was started for. Another run may
+only go on with a stream, after the last event that the caller has; ``Responder`` holds
+what was started, and refuses anything else.
+"""
 
 import abc
 import dataclasses
+import enum
 import hashlib
 import typing
 
@@ -37,22 +43,70 @@
     holding: callermemory.Holding
 
 
+class Started(enum.Enum):
+    """What the caller has been sent of a response.
+
+    ``STREAM`` may be continued by another run of the request, ``BODY`` only by the run
+    that it was started for.
+    """
+
+    NOTHING = "nothing"
+    STREAM = "stream"
+    BODY = "body"
+
+
 class Responder(abc.ABC):
-    """Sends the response to the caller; ``is_started`` once its head is sent."""
+    """Sends the response to the caller; ``started`` is what it has been sent."""
 
-    is_started = False
+    started = Started.NOTHING
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the head of a response was sent."""
+        return self.started is not Started.NOTHING
+
+    def may_follow(self, kind: Started) -> bool:
+        """Return whether a response of a kind may follow what was started."""
+        return not self.is_started or self.started is kind is Started.STREAM
 
-    @abc.abstractmethod
     async def send_whole(
         self, status: int, headers: headercodec.Headers, body: bytes
     ) -> None:
         """Send a complete response."""
+        await self.start(status, headers, len(body))
+        if body:
+            await self.write(body)
+        await self.finish()
 
-    @abc.abstractmethod
     async def start(
         self, status: int, headers: headercodec.Headers, length: int | None
     ) -> None:
-        """Send the head of a response; ``length`` is None if it is not known."""
+        """Send the head of a response; ``length`` is None if it is not known.
+
+        Raises RuntimeError if a response was started.
+        """
+        self._begin(Started.BODY)
+        await self._send_head(status, headers, length)
+
+    async def start_stream(self, status: int, headers: headercodec.Headers) -> None:
+        """Send the head of a stream, whose events follow.
+
+        Raises RuntimeError if a response was started.
+        """
+        self._begin(Started.STREAM)
+        await self._send_head(status, headers, None)
+
+    def _begin(self, kind: Started) -> None:
+        """Record what is started."""
+        if self.is_started:
+            raise RuntimeError(f"a {self.started.value} of this response was started")
+        self.started = kind
+
+    @abc.abstractmethod
+    async def _send_head(
+        self, status: int, headers: headercodec.Headers, length: int | None
+    ) -> None:
+        """Send status and headers; ``length`` is None if it is not known."""
 
     @abc.abstractmethod
     async def write(self, data: bytes) -> None:
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -174,12 +174,17 @@
         is_encoded = head.get("content-encoding") is not None
         if is_success and (is_encoded or not metadata.is_signed):
             return upstream.Failure(upstream.FailureKind.MALFORMED, True, "unsigned")
-        if is_success and self._state.route.is_stream:
-            if not is_event_stream(head):
-                # The caller would read events that were not checked.
-                return upstream.Failure(
-                    upstream.FailureKind.MALFORMED, True, "not an event stream"
-                )
+        is_stream = is_success and self._state.route.is_stream
+        if is_stream and not is_event_stream(head):
+            # The caller would read events that were not checked.
+            return upstream.Failure(
+                upstream.FailureKind.MALFORMED, True, "not an event stream"
+            )
+        kind = requeststate.Started.STREAM if is_stream else requeststate.Started.BODY
+        if not self._responder.may_follow(kind):
+            detail = f"a {kind.value} after the start of another response"
+            return upstream.Failure(upstream.FailureKind.MALFORMED, True, detail)
+        if is_stream:
             return await self._relay_stream(head)
         return await self._relay_buffered(target, head)
 
@@ -240,11 +245,6 @@
                 body += data
                 self._exchange.mark_used()
                 self._exchange.hold(len(body))
-        if self._responder.is_started:
-            # The head of an earlier target's stream was sent; only a stream can follow.
-            return upstream.Failure(
-                upstream.FailureKind.MALFORMED, True, "response is not a stream"
-            )
         headers = list_response_headers(head)
         if head.status in NOT_RUN_STATUSES:
             # The target did not state that the request was not run; it may have been.
@@ -353,9 +353,10 @@
 
     async def _start_stream(self, head: httpexchange.ResponseHead) -> None:
         """Send the head of the stream unless an earlier target's was sent."""
-        if not self._responder.is_started:
-            self._observer.on_first_event()
-            await self._responder.start(head.status, list_response_headers(head), None)
+        if self._responder.started is requeststate.Started.STREAM:
+            return
+        self._observer.on_first_event()
+        await self._responder.start_stream(head.status, list_response_headers(head))
 
     async def _send_events(
         self, head: httpexchange.ResponseHead, received: list[sse.Event]
