The end of a response waits until it is known whether its target runs

Cause: at the end of a response that only its connection bounds, an unlisted target is asked who it is, and no answer within 0.3 s counted as the end of its process. A health check of a busy target waits for a slot. Not refused connections: the target's were all accepted. Change: Sightings holds when a target was certainly at its address: its answers, as of the time at which they were asked for, and accepted connections in close succession, as an address has no listener between two processes. An end that is not known yet waits for such a sign or a statement, at most until the caller's deadline; a request that may be repeated goes on elsewhere after 0.3 s if it can. A target that is not listed is still asked first, and contacts decide only if it has no slot. Why this works: contacts need no slot, and nothing that may have been sent before the end counts as a sign of life.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -17,9 +17,14 @@
 a while. So the process at the address of an unlisted target is asked which one it is,
 see ``targetidentity``. If it is the target, that serves on, and its end counts against
 nobody. If another process has the address, the target has ended. If the process does
-not state in time which one it is, nothing is recorded, and a response that only the end
-of its connection bounds counts as broken off: a whole response that is lost does less
-harm than a part of one that is taken for the whole.
+not state which one it is, nothing is recorded.
+
+A response that only the end of its connection bounds is whole if its target did not end
+with it. That is so if the target is seen after the response ended, see ``sightings``
+and ``targetpresence``. Until then it is not known: a whole response that is lost does
+less harm than a part of one that is taken for the whole, and one that waits for its end
+does less harm than either. If processes do not state who they are, the store's list
+decides.
 
 The crash then counts against the contents of all unresolved exchanges with the target.
 That includes exchanges that were cancelled because their caller had left. A response of
@@ -48,14 +53,19 @@
     freshness,
     nodemetrics,
     partprobes,
+    sightings,
     targetidentity,
+    targetpresence,
     targetstate,
     upstream,
 )
 
+# Between contacts with a target that the store no longer lists.
+CONTACT_PERIOD_S: typing.Final = 0.5 * sightings.SUCCESSOR_DELAY_S
+# A target that is not listed, and has a slot, states who it is in that time.
+ASKED_FIRST_S: typing.Final = targetpresence.LOOK_SPACING_S - targetpresence.MIN_WAIT_S
 # Longer than the registration of a target that ended lasts, with the watch's delay.
 UNRESOLVED_S: typing.Final = 10.0
-PROBE_TIMEOUT_S: typing.Final = 0.3  # two round trips and a lost packet
 BROKEN_KINDS: typing.Final = frozenset(
     {upstream.FailureKind.CLOSED, upstream.FailureKind.RESET}
 )
@@ -88,7 +98,8 @@
 
     ``ended_at`` is when its exchange ended without a response. ``has_arrived`` is set
     if the target was there when the request was sent, ``has_begun`` once the response
-    began. Times are of a clock that counts suspension.
+    began, ``is_unframed`` if only the end of its connection bounds it. Times are of a
+    clock that counts suspension.
     """
 
     incarnation: str
@@ -97,6 +108,7 @@
     sent_at: float
     has_arrived: bool
     has_begun: bool = False
+    is_unframed: bool = False
     ended_at: float = freshness.NEVER
     was_aborted: bool = False
 
@@ -108,8 +120,7 @@
     ``evidence`` shows since ``found_at`` that the target has ended; it is None while
     the target may run, and ``group`` is its lock-step group then. ``is_leaving`` is set
     if it had stated that it would leave, or serves on though it ``is_unlisted``, that
-    is, though the store no longer lists it. ``check`` finds out whether it runs, since
-    ``check_began_at`` of the event loop's time.
+    is, though the store no longer lists it.
     """
 
     running: set[SentRequest] = dataclasses.field(default_factory=set)
@@ -119,9 +130,9 @@
     found_at: float = freshness.NEVER
     is_leaving: bool = False
     is_unlisted: bool = False
-    probe: asyncio.Task[bool] | None = None
-    check: asyncio.Task[bool] | None = None
-    check_began_at: float = freshness.NEVER
+    presence: targetpresence.Presence = dataclasses.field(
+        default_factory=targetpresence.Presence
+    )
 
     @property
     def has_ended(self) -> bool:
@@ -133,13 +144,12 @@
         return bool(
             self.running
             or self.unresolved
-            or self.probe
-            or self.check
+            or self.presence.is_sought
             or self.found_at >= oldest
         )
 
 
-class CrashDetector:
+class CrashDetector(targetpresence.PresenceListener):
     """Tells the ledger of an entry which targets crashed under which requests.
 
     ``on_recorded`` is called after a crash was recorded. ``compute_turn`` returns the
@@ -159,13 +169,15 @@
         identifier: targetidentity.TargetIdentifier,
         find_service: collections.abc.Callable[[str], catalog.Service | None],
     ) -> None:
-        self._identifier = identifier
-        self._find_service = find_service
+        self._checker = targetpresence.PresenceChecker(
+            pool, identifier, clock, entry_metrics, find_service, self
+        )
+        # One for each target that the store no longer lists and that has requests.
+        self._following: set[asyncio.Task[None]] = set()
         self._ledger = ledger
         self._probes = partprobes.PartProbes()
         self._compute_turn = compute_turn
         self._departures = left
-        self._pool = pool
         self._clock = clock
         self._metrics = entry_metrics
         self._on_recorded = on_recorded
@@ -173,6 +185,10 @@
         # When the last exchange of a content ended without a response.
         self._unanswered_at: dict[str, float] = {}
 
+    def read_clock(self) -> float:
+        """Return the time of the clock that counts suspension."""
+        return self._clock.read()
+
     def find_refusal(
         self, fingerprint: crashledger.Fingerprint
     ) -> crashledger.Refusal | None:
@@ -305,100 +321,99 @@
         exchanges = self._get_exchanges(target.registration.incarnation)
         if exchanges.has_ended:
             return False
-        if exchanges.probe is None:
-            loop = asyncio.get_running_loop()
-            exchanges.probe = loop.create_task(self._run_probe(target, exchanges))
-        return await asyncio.shield(exchanges.probe)
+        return await self._checker.probe(target, exchanges.presence)
 
-    async def has_ended(self, target: targetstate.Target) -> bool:
-        """Return whether a target's process has ended, and not because it leaves."""
-        incarnation = target.registration.incarnation
+    async def has_ended(self, target: targetstate.Target, incarnation: str) -> bool:
+        """Return whether an incarnation of a target has ended, and does not leave.
+
+        Waits until that is known: until it is seen from now on, or known to have ended.
+        """
         if self._departures.is_leaving(incarnation):
             return False
-        if self._get_exchanges(incarnation).is_unlisted:
-            return not await self._is_running(target)
-        await self.probe(target)
-        return self._get_exchanges(incarnation).evidence is not None
+        exchanges = self._get_exchanges(incarnation)
+        if not exchanges.is_unlisted:
+            await self.probe(target)
+            return exchanges.evidence is not None
+        since = self._clock.read()
+        while (has_ended := self._judge(exchanges, since)) is None:
+            if target.registration.incarnation != incarnation:
+                return True
+            asks = exchanges.is_unlisted
+            await self._checker.look(target, exchanges.presence, since, asks)
+        loguru.logger.info(
+            "event=response_end_judged target={} outcome={} listed={} waited_s={:.3f}",
+            incarnation,
+            "broken" if has_ended else "whole",
+            not exchanges.is_unlisted,
+            self._clock.read() - since,
+        )
+        return has_ended
 
-    async def _is_running(self, target: targetstate.Target) -> bool:
-        """Return whether a target that the store no longer lists runs now.
+    def _judge(self, exchanges: TargetExchanges, since: float) -> bool | None:
+        """Return whether a target has ended that was to be seen since some time.
 
-        Those who ask at the same time share an answer, which is not older than that.
+        None if that is not known yet. The end of a target that is not listed is to be
+        expected, so contacts count only if it did not state at once who it is.
         """
+        presence = exchanges.presence
+        is_seen = presence.seen.seen_at >= since
+        if exchanges.has_ended:
+            return not is_seen or exchanges.evidence is Evidence.REPLACED
+        if presence.identified_at >= since:
+            return False
+        if presence.unstated_at >= since:
+            return exchanges.is_unlisted
+        looked_s = self._clock.read() - since
+        if exchanges.is_unlisted and looked_s < ASKED_FIRST_S:
+            return None
+        return False if is_seen else None
+
+    def on_connected(self, incarnation: str, began_at: float) -> None:
+        """Record a connection to a target that was opened since ``began_at``."""
+        presence = self._get_exchanges(incarnation).presence
+        presence.seen.on_accepted(began_at, self._clock.read())
+        presence.notify()
+
+    def on_answered(self, sent: SentRequest) -> None:
+        """Record that the target itself answered a request."""
+        presence = self._get_exchanges(sent.incarnation).presence
+        presence.seen.on_answered(sent.sent_at)
+        presence.notify()
+
+    def on_refused(self, target: targetstate.Target) -> None:
+        """Record that nothing listens at a target's address: it has ended."""
+        self.on_target_ended(target, Evidence.REFUSED)
+
+    def on_replaced(self, target: targetstate.Target) -> None:
+        """Record that another process is at a target's address: it has ended."""
+        self.on_target_ended(target, Evidence.REPLACED)
+
+    def on_identified(self, target: targetstate.Target) -> None:
+        """Record that a target runs; one that is not listed serves on, and leaves."""
         exchanges = self._get_exchanges(target.registration.incarnation)
-        asked_at = asyncio.get_running_loop().time()
-        while exchanges.check is not None and exchanges.check_began_at < asked_at:
-            await asyncio.shield(exchanges.check)
-        return await asyncio.shield(self._start_check(target, exchanges))
-
-    def _start_check(
-        self, target: targetstate.Target, exchanges: TargetExchanges
-    ) -> asyncio.Task[bool]:
-        """Start to find out whether a target runs, unless that is under way."""
-        if exchanges.check is None:
-            loop = asyncio.get_running_loop()
-            exchanges.check_began_at = loop.time()
-            exchanges.check = loop.create_task(self._run_check(target, exchanges))
-        return exchanges.check
-
-    async def _run_check(
-        self, target: targetstate.Target, exchanges: TargetExchanges
-    ) -> bool:
-        """Connect to an unlisted target and ask who it is; return whether it runs."""
-        registration = target.registration
-        try:
-            if not await self.probe(target):
-                if exchanges.is_unlisted and not exchanges.has_ended:
-                    self.on_target_ended(target, Evidence.UNREGISTERED)
-                return False
-            service = self._find_service(registration.service)
-            occupant = await self._identifier.identify(
-                registration, service, PROBE_TIMEOUT_S
-            )
-        finally:
-            exchanges.check = None
-        loguru.logger.info(
-            "event=target_identified target={} occupant={} running={} unresolved={}",
-            registration.incarnation,
-            occupant.value,
-            len(exchanges.running),
-            len(exchanges.unresolved),
-        )
-        if occupant is targetidentity.Occupant.OTHER:
-            self.on_target_ended(target, Evidence.REPLACED)
-        elif occupant is targetidentity.Occupant.TARGET and exchanges.is_unlisted:
+        if exchanges.is_unlisted:
             exchanges.evidence = None
             exchanges.is_leaving = True
-        return occupant is targetidentity.Occupant.TARGET
 
-    async def _run_probe(
+    async def _follow(
         self, target: targetstate.Target, exchanges: TargetExchanges
-    ) -> bool:
-        """Connect to a target; it crashed if the connection is refused.
+    ) -> None:
+        """Find out whether a target runs that the store no longer lists.
 
-        Return whether it accepted the connection.
+        It gets no requests any more, so other contacts show it to those that wait for
+        the end of its connection, however busy it is.
         """
-        registration = target.registration
-        key = (registration.host, registration.port, registration.target_id)
-        now = asyncio.get_running_loop().time()
-        try:
-            failure = await self._pool.open_idle(key, now, PROBE_TIMEOUT_S)
-        finally:
-            exchanges.probe = None
-        outcome = "accepted" if failure is None else failure.kind.value
-        self._metrics.count_probe(outcome)
-        loguru.logger.info(
-            "event=target_probed target={} outcome={} unresolved={}",
-            registration.target_id,
-            outcome,
-            len(exchanges.unresolved),
-        )
-        if (
-            failure is not None
-            and failure.kind is upstream.FailureKind.CONNECTION_REFUSED
-        ):
-            self.on_target_ended(target, Evidence.REFUSED)
-        return failure is None
+        presence = exchanges.presence
+        if await self._checker.probe(target, presence):
+            self._checker.ask(target, presence)
+        elif exchanges.is_unlisted and not exchanges.has_ended:
+            self.on_target_ended(target, Evidence.UNREGISTERED)
+        while exchanges.running:
+            await asyncio.sleep(CONTACT_PERIOD_S)
+            if not exchanges.is_unlisted or exchanges.has_ended:
+                return
+            if any(sent.is_unframed for sent in exchanges.running):
+                await self._checker.probe(target, presence)
 
     def on_target_ended(self, target: targetstate.Target, evidence: Evidence) -> None:
         """Record that a target's process has ended.
@@ -415,6 +430,7 @@
             for sent in exchanges.running:
                 sent.was_aborted = True
                 sent.conn.abort()
+        exchanges.presence.notify()
 
     def _update_exchanges(self, target: targetstate.Target) -> TargetExchanges:
         """Return the exchanges with a target that may have ended, updated."""
@@ -433,7 +449,10 @@
         exchanges = self._update_exchanges(target)
         exchanges.is_unlisted = True
         if not exchanges.is_leaving and (exchanges.running or exchanges.unresolved):
-            self._start_check(target, exchanges)
+            loop = asyncio.get_running_loop()
+            following = loop.create_task(self._follow(target, exchanges))
+            self._following.add(following)
+            following.add_done_callback(self._following.discard)
 
     def on_target_listed(self, incarnation: str) -> None:
         """Record that the store lists an incarnation, perhaps once more."""
--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -43,6 +43,7 @@
     stopdeadline,
     targetlimits,
     targetpool,
+    targetpresence,
     targetstate,
     upstream,
 )
@@ -570,6 +571,32 @@
             return False
         return not await self.crashes.probe(target)
 
+    async def has_target_ended(
+        self,
+        state: requeststate.RequestState,
+        responder: requeststate.Responder,
+        target: targetstate.Target,
+        incarnation: str,
+    ) -> bool:
+        """Find out whether a target ended with its response.
+
+        A request that may go on at another target does not wait for long.
+        """
+        loop = asyncio.get_running_loop()
+        search = loop.create_task(self.crashes.has_ended(target, incarnation))
+        try:
+            while True:
+                await asyncio.wait([search], timeout=targetpresence.LOOK_SPACING_S)
+                if search.done():
+                    return search.result()
+                if responder.started is not requeststate.Started.BODY and (
+                    self._can_go_on_elsewhere(loop.time(), state, target)
+                ):
+                    state.left_target = target.target_id
+                    return True
+        finally:
+            search.cancel()
+
     def _can_go_on_elsewhere(
         self, now: float, state: requeststate.RequestState, target: targetstate.Target
     ) -> bool:
@@ -639,12 +666,15 @@
             is_new = not state.may_run_twice or self.crashes.needs_new_connection(
                 state.fingerprint.content_id
             )
+            began_at = self.crashes.read_clock()
             conn = await self._pool.acquire(key, now(), CONNECT_TIMEOUT_S, is_new)
             if isinstance(conn, upstream.Failure):
                 if conn.kind is upstream.FailureKind.CONNECTION_REFUSED:
                     self.crashes.on_target_ended(target, crashdetector.Evidence.REFUSED)
                 result = conn
                 return conn
+            if not conn.was_idle:
+                self.crashes.on_connected(registration.incarnation, began_at)
             if not self._targets.admission.is_available(target):
                 # Its place was evacuated while the connection was set up.
                 conn.abort()
@@ -660,7 +690,9 @@
             sent = self.crashes.on_sent(target, state.fingerprint, conn)
             is_resumed = responder.is_started
             try:
-                observer = ExchangeObserver(self, state, target, sent, timing)
+                observer = ExchangeObserver(
+                    self, state, responder, target, sent, timing
+                )
                 result = await self._exchange(
                     state, target, exchange, responder, observer
                 )
@@ -965,10 +997,12 @@
         self,
         forwarder: Forwarder,
         state: requeststate.RequestState,
+        responder: requeststate.Responder,
         target: targetstate.Target,
         sent: crashdetector.SentRequest,
         timing: AttemptTiming,
     ) -> None:
+        self._responder = responder
         self._timing = timing
         self._forwarder = forwarder
         self._state = state
@@ -978,6 +1012,8 @@
 
     def on_head(self, metadata: headercodec.ResponseMetadata) -> None:
         """Record what the target states of itself."""
+        if metadata.is_signed and not metadata.is_wrong_target:
+            self._forwarder.crashes.on_answered(self._sent)
         if not metadata.was_not_run and not self._state.may_run_twice:
             drop_body(self._state)
         if not self._state.route.is_stream:
@@ -990,6 +1026,10 @@
             metadata,
         )
 
+    def on_unframed(self) -> None:
+        """Record that the end of the response will have to be told from a crash."""
+        self._sent.is_unframed = True
+
     def on_begun(self) -> None:
         """Record that the target wrote on this prompt without a crash."""
         self._forwarder.crashes.on_begun(self._sent)
@@ -1012,7 +1052,9 @@
 
     async def has_target_ended(self) -> bool:
         """Find out whether the target's process has ended."""
-        return await self._forwarder.crashes.has_ended(self._target)
+        return await self._forwarder.has_target_ended(
+            self._state, self._responder, self._target, self._sent.incarnation
+        )
 
 
 def drop_body(state: requeststate.RequestState) -> None:
--- a/sardinesaddle/direct/responserelay.py
+++ b/sardinesaddle/direct/responserelay.py
@@ -84,6 +84,10 @@
     def on_head(self, metadata: headercodec.ResponseMetadata) -> None:
         """Handle the metadata in the head of the response."""
 
+    @abc.abstractmethod
+    def on_unframed(self) -> None:
+        """Handle that only the end of its connection bounds the response."""
+
     @abc.abstractmethod
     def on_begun(self) -> None:
         """Handle that the target wrote the first event of the stream."""
@@ -184,6 +188,8 @@
         if not self._responder.may_follow(kind):
             detail = f"a {kind.value} after the start of another response"
             return upstream.Failure(upstream.FailureKind.MALFORMED, True, detail)
+        if self._exchange.is_unframed:
+            self._observer.on_unframed()
         if is_stream:
             return await self._relay_stream(head)
         return await self._relay_buffered(target, head)
--- a/sardinesaddle/direct/targetidentity.py
+++ b/sardinesaddle/direct/targetidentity.py
@@ -14,12 +14,14 @@
 class Occupant(enum.Enum):
     """Which process has the address of a target.
 
-    ``UNKNOWN`` if that was not stated in time.
+    ``UNKNOWN`` if there was no answer in time, or a refusal for want of room: it may be
+    stated later. ``UNSTATED`` if the target cannot be asked, or does not answer that.
     """
 
     TARGET = "target"
     OTHER = "other"
     UNKNOWN = "unknown"
+    UNSTATED = "unstated"
 
 
 class TargetIdentifier(abc.ABC):
--- a/sardinesaddle/platform/identity.py
+++ b/sardinesaddle/platform/identity.py
@@ -36,11 +36,11 @@
     ) -> targetidentity.Occupant:
         """Return which process has the address of a target."""
         if service is None:
-            return targetidentity.Occupant.UNKNOWN
+            return targetidentity.Occupant.UNSTATED
         has_state = service.engine is not None and registration.started_ms > 0
         path = REPORT_PATH if has_state else service.health_path
         if not path:
-            return targetidentity.Occupant.UNKNOWN
+            return targetidentity.Occupant.UNSTATED
         address = f"{registration.host}:{registration.port}"
         fields = [(headers.EXPECTED_TARGET, registration.target_id)]
         client = httpclient.HttpClient(address, MAX_PAGE_BYTES, fields)
@@ -53,9 +53,11 @@
         if has_state:
             return compare_start(resp, registration.started_ms)
         name = resp.headers.get(headers.TARGET.lower())
-        if name is None:
+        if name is not None:
+            return make_occupant(name == registration.target_id)
+        if headers.NOT_RUN.lower() in resp.headers:
             return targetidentity.Occupant.UNKNOWN
-        return make_occupant(name == registration.target_id)
+        return targetidentity.Occupant.UNSTATED
 
 
 def compare_start(
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -304,8 +304,8 @@
     """A target whose ``respond`` callback handles each request.
 
     ``requests`` holds all received requests but health checks, to which the target
-    responds with its name unless ``is_anonymous`` is set. ``port`` is fixed by the
-    first ``start`` and reused by later ones.
+    responds with its name unless ``is_anonymous`` is set, once ``has_slot`` is set.
+    ``port`` is fixed by the first ``start`` and reused by later ones.
     """
 
     def __init__(self, name: str, respond: Responder = respond_with_name) -> None:
@@ -314,6 +314,9 @@
         self.requests: list[ReceivedRequest] = []
         self.connection_count = 0
         self.is_anonymous = False
+        self.has_slot = asyncio.Event()
+        self.has_slot.set()
+        self.health_check_count = 0
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -364,6 +367,8 @@
                 if request is None:
                     break
                 if request.path == HEALTH_PATH:
+                    self.health_check_count += 1
+                    await self.has_slot.wait()
                     self._write_health(writer)
                     state = h11.Connection(h11.SERVER)
                     continue
--- a/test/test_direct_unlistedtargets.py
+++ b/test/test_direct_unlistedtargets.py
@@ -150,6 +150,41 @@
     df.run_scenario(scenario)
 
 
+# Guards against whole responses being broken off because their target is busy: it has
+# no slot for a health check until all its requests have ended.
+@pytest.mark.parametrize("is_listed", [False, True])
+@pytest.mark.parametrize("path", UNREPEATABLE)
+def test_whole_responses_of_a_busy_target_are_delivered(
+    path: str, is_listed: bool
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        loop = asyncio.get_running_loop()
+        target = await fleet.add_target("t1", SlowTarget(path).service)
+        fleet.store.put("op/config", df.make_config(2, timeout_ms=LONG_TIMEOUT_MS))
+        await fleet.settle()
+        target.has_slot.clear()
+        tasks = []
+        for number in range(4):
+            target.respond = SlowTarget(path, PAUSE_S * (number + 1)).respond
+            sending = fleet.send_request(path, deadline_ms=LONG_TIMEOUT_MS)
+            tasks.append(asyncio.create_task(sending))
+            while len(target.requests) <= number:
+                await fleet.settle(0.001)
+        if not is_listed:
+            fleet.store.delete("servers/t1")
+        last_at = loop.time() + 4 * PAUSE_S
+        loop.call_at(last_at + 0.1, target.has_slot.set)
+        responses = await asyncio.gather(*tasks)
+        for response in responses:
+            assert (response.status, response.is_complete) == (200, True)
+            assert response.body == b"".join(SlowTarget(path).parts)
+        # Those of a target that leaves do not wait for its slots.
+        if not is_listed:
+            assert responses[0].finished_at < last_at - 2 * PAUSE_S
+
+    df.run_scenario(scenario)
+
+
 # Guards against sound content being blamed for a target that only left the store.
 @pytest.mark.parametrize(
     ("change", "crashes"),
