A request is not sent without the body that its caller sent

Cause: the copy of a body that was sent once may be evicted for room. Whether there still was one was asked when the first attempt ended; an eviction while the request then waited for a target or a connection emptied the body. A request that was evicted before its first send could be sent in the turn of the loop before its time-out. Change: while a request waits to be sent, its body is no mere copy; if it is evicted, the request ends, as not run if that is true. The body is asked for once more when the connection is there, and nothing waits from there to the send. Why this works: it is asked in the turn of the loop in which the body is written.

--- a/sardinesaddle/direct/forward.py
+++ b/sardinesaddle/direct/forward.py
@@ -66,6 +66,7 @@
 MIN_GROUP_WAIT_S: typing.Final = 0.5
 CONTAINED_SPREAD_S: typing.Final = 0.5  # over which callers return to the group
 MAX_LOGGED_PARTS: typing.Final = 8  # of a prompt
+EVICTED: typing.Final = "memory"  # reason: there is no room for the request's body
 MIN_REMAINING_S: typing.Final = 0.02  # with less time left no target can respond
 # From a target's deadline to the end of this process: the target's statement that a
 # request which waited in its queue was not run must still reach the caller.
@@ -148,8 +149,8 @@
         now = asyncio.get_running_loop().time()
         reason = "stopped" if now < state.deadline else "timeout"
         status = requeststate.STATUS_TIMEOUT
-        if state.req.holding.is_evicted and state.has_body:
-            reason, status = "memory", requeststate.STATUS_OUTCOME_UNKNOWN
+        if state.was_evicted:
+            reason, status = EVICTED, requeststate.STATUS_OUTCOME_UNKNOWN
         if not state.may_have_run:
             status = requeststate.STATUS_NOT_RUN
         return requeststate.Refusal(status, reason, requeststate.RETRY_AFTER_SHORT_S)
@@ -496,7 +497,7 @@
             if outcome.reason == responserelay.MISPLACED:
                 self._targets.on_stale_address(target)
                 self.crashes.on_target_ended(target, crashdetector.Evidence.REPLACED)
-            elif outcome.status == requeststate.STATUS_NOT_RUN:
+            elif is_not_run(outcome) and outcome.reason != EVICTED:
                 self._targets.on_capacity_refusal(now, target)
             return outcome.reason
         assert isinstance(outcome, upstream.Failure)
@@ -543,6 +544,9 @@
         if not self._get_retry_budget(state.service).try_spend(now):
             return False
         self._metrics.count_retry(state.service)
+        # From here to the next send, the body is not a mere copy.
+        state.req.holding.is_retry_copy = False
+        state.req.holding.mark_progress()
         return True
 
     def _count_attempts(self, state: requeststate.RequestState) -> int:
@@ -680,6 +684,11 @@
                 conn.abort()
                 result = refuse_not_run("unavailable")
                 return result
+            if not state.has_body:
+                # It was evicted in the meantime. Nothing waits from here to the send.
+                conn.abort()
+                result = refuse_not_run(EVICTED)
+                return result
             exchange = httpexchange.Exchange(
                 conn,
                 self._header_codec,
@@ -967,6 +976,8 @@
             drop_body(self._state)
             return
         self._state.req.body = b""
+        self._state.has_body = False
+        self._state.was_evicted = True
         if not self._scope.expired():
             self._scope.reschedule(asyncio.get_running_loop().time())
 
--- a/sardinesaddle/direct/requeststate.py
+++ b/sardinesaddle/direct/requeststate.py
@@ -167,7 +167,8 @@
     ``attempt_log`` lists target and reason of each failed attempt. ``refused_count`` is
     how many sends were not run. ``left_target`` is the target that the request left
     though it may have gone on, an empty string for none. ``has_body`` is False once the
-    body was dropped, so that the request cannot be sent again.
+    body was dropped, so that the request cannot be sent again. ``was_evicted`` is set
+    if it was dropped while the request waited to be sent, which ends it.
     """
 
     req: Request
@@ -188,6 +189,7 @@
     attempt_log: list[str] = dataclasses.field(default_factory=list)
     first_event_at: float = 0.0
     has_body: bool = True
+    was_evicted: bool = False
 
     @property
     def may_run_twice(self) -> bool:
--- a/test/test_direct_callermemory.py
+++ b/test/test_direct_callermemory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sardinesaddle.direct import callermemory
+from sardinesaddle.platform import headers
 from sardinesaddle.standins import loopdriver
 from test import directfleet as df
 
@@ -264,3 +265,98 @@
         assert [request.body for request in received] == [body, body]
 
     df.run_scenario(scenario, max_buffered_bytes=TOTAL_BYTES)
+
+
+class EvictingPool:
+    """Makes other holdings take all room while a connection is acquired."""
+
+    def __init__(self, fleet: df.Fleet, monkeypatch: pytest.MonkeyPatch) -> None:
+        self._memory = fleet.entries[0].memory
+        self._acquire = fleet.entries[0].pool.acquire
+        self.crowd = [ModelHolder(self._memory) for _ in range(2)]
+        monkeypatch.setattr(fleet.entries[0].pool, "acquire", self._acquire_and_evict)
+
+    def evict(self) -> None:
+        """Leave no room for other large holdings."""
+        for holder in self.crowd:
+            holder.bytes = int(self._memory.get_bound(is_large=True) / 2)
+            holder.holding.set_held(holder.bytes)
+
+    async def _acquire_and_evict(self, *args: typing.Any) -> typing.Any:
+        """Return a connection in the turn of the loop in which the body is evicted."""
+        conn = await self._acquire(*args)
+        await asyncio.sleep(0.05)  # without progress of the request
+        self.evict()
+        return conn
+
+
+LARGE_BODY = 100_000 * b"x"
+REST_S = 0.8  # that a target asks for
+
+
+# Guards against a request that runs without its body, which was evicted meanwhile.
+@pytest.mark.parametrize("path", ["/once/a", "/free/a", "/unique/a", "/stream/a"])
+def test_request_whose_body_is_evicted_before_its_first_send_is_not_sent(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        service = "engines" if path.startswith(df.STREAMING_PREFIXES) else "plain"
+        target = await fleet.add_target("t1", service)
+        await fleet.settle()
+        EvictingPool(fleet, monkeypatch)
+        response = await fleet.send_request(path, body=LARGE_BODY)
+        assert response.status == 503
+        assert not target.requests
+
+    df.run_scenario(scenario, max_buffered_bytes=TOTAL_BYTES)
+
+
+# Guards against the same while it waits for the second target that is to run it.
+@pytest.mark.parametrize(
+    ("path", "breaks", "status"),
+    [
+        ("/once/a", False, 503),
+        ("/unique/a", False, 503),
+        ("/free/a", True, 502),
+        ("/stream/a", True, 502),
+    ],
+)
+def test_request_whose_body_is_evicted_while_it_waits_is_not_sent_again(
+    path: str, breaks: bool, status: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if request.path.endswith("rest"):
+            fields = ((headers.NOT_RUN, "1"), (headers.REST, f"{REST_S}"))
+            writer.write(df.make_response_head(503, *fields, ("Content-Length", "0")))
+            return True
+        if target.name == "t2":
+            return await df.respond_with_name(target, request, writer)
+        await asyncio.sleep(0.1)
+        if breaks:
+            df.reset_connection(writer)
+            return False
+        df.write_refusal(writer, 503)
+        return True
+
+    async def scenario(fleet: df.Fleet) -> None:
+        service = "engines" if path.startswith(df.STREAMING_PREFIXES) else "plain"
+        second = await fleet.add_target("t2", service, respond)
+        await fleet.settle()
+        await fleet.send_request(path.rstrip("a") + "rest", disconnect_after_s=0.1)
+        first = await fleet.add_target("t1", service, respond)
+        await fleet.settle(0.1)
+        asking = asyncio.create_task(fleet.send_request(path, body=LARGE_BODY))
+        await fleet.settle(0.2)
+        # It waits for the rest of the other target to be over.
+        assert (len(first.requests), len(second.requests)) == (1, 1)
+        assert not asking.done()
+        EvictingPool(fleet, monkeypatch).evict()
+        response = await asking
+        assert response.status == status
+        assert (len(first.requests), len(second.requests)) == (1, 1)
+
+    df.run_scenario(scenario, max_buffered_bytes=TOTAL_BYTES)
--- a/test/test_direct_unframed.py
+++ b/test/test_direct_unframed.py
@@ -240,8 +240,8 @@
     df.run_scenario(scenario)
 
 
-# Guards against a part of a response taken for whole, as the next process at the address
-# accepts connections. The end of the first one gets through late, as after a partition.
+# Guards against a part of a response taken for whole, as the next process at the
+# address accepts connections. The first one's end gets through late, as after a cut.
 @pytest.mark.parametrize("path", ["/once/a", "/unique/a"])
 def test_response_of_a_target_that_was_replaced_meanwhile_does_not_look_complete(
     path: str,
