An entry of the store without born names no engine

Streams that ran at the engine were cut; an engine that was leaving got requests again until it exited, and those that ran then were lost. Cause: born had the default 0, so the entry was one of the incarnation ID@0, which replaced the engine and of whose leaving nobody knew. Change: born is required, as PROTOCOL.md has it, like the other fields. Why this works: an entry that names no incarnation ends and brings back none.

--- a/sardinesaddle/platform/catalogformat.py
+++ b/sardinesaddle/platform/catalogformat.py
@@ -145,7 +145,7 @@
 
     ``born`` is the Unix time of the target's start in milliseconds. Entries of other
     writers lack fields or have them with other types, so all are read, also those that
-    are not used.
+    are not used. None has a default: an entry that lacks one names no target.
     """
 
     service: str
@@ -156,7 +156,7 @@
     state: typing.Literal["ready", "draining"]
     cold_left_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
     seq: int
-    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)] = 0
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]
 
 
 _CONFIG_DECODER: typing.Final = strictjson.StrictDecoder(WireConfig)
--- a/test/test_direct_foreignentries.py
+++ b/test/test_direct_foreignentries.py
@@ -138,6 +138,49 @@
     df.run_scenario(scenario)
 
 
+def overwrite_without(fleet: df.Fleet, name: str, field: str) -> None:
+    """Write another writer's entry under a target's id, which lacks a field."""
+    fields = VALID | {"addr": f"127.0.0.1:{fleet.targets[name].port}"}
+    del fields[field]
+    fleet.store.put(f"servers/{name}", fields)
+
+
+# Guards against an entry without a start that is taken for another start of its target.
+@pytest.mark.parametrize("field", ["born", "seq"])
+def test_entry_that_lacks_a_field_breaks_no_request_off(field: str) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        await fleet.add_target("t1", "plain", respond_slowly)
+        fleet.register("t1", "plain", started_ms=1000)
+        await fleet.settle()
+        task = asyncio.create_task(fleet.send_request("/once/a"))
+        await fleet.settle(0.3)
+        overwrite_without(fleet, "t1", field)
+        await fleet.settle(0.3)
+        fleet.register("t1", "plain", started_ms=1000)
+        response = await task
+        assert (response.status, response.body) == (200, b"t1")
+        assert (await fleet.send_request("/once/b")).status == 200
+
+    df.run_scenario(scenario)
+
+
+# Guards against the same entry bringing a target back that leaves.
+@pytest.mark.parametrize("field", ["born", "seq"])
+def test_entry_that_lacks_a_field_brings_no_target_back_that_leaves(field: str) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", respond_if_meant)
+        fleet.register("t1", "plain", started_ms=1000)
+        await fleet.settle()
+        fleet.register("t1", "plain", "draining", started_ms=1000)
+        await fleet.settle()
+        overwrite_without(fleet, "t1", field)
+        await fleet.settle()
+        assert (await fleet.send_request("/once/a")).status == 503
+        assert not target.requests
+
+    df.run_scenario(scenario)
+
+
 def test_successor_at_the_address_of_a_target_is_used_at_once() -> None:
     """Guards against a wait for a target that has taken the address of another one."""
 
--- a/test/test_direct_oddentries.py
+++ b/test/test_direct_oddentries.py
@@ -55,7 +55,6 @@
             {k: v for k, v in foreign.VALID.items() if k != name}
         )
         for name in foreign.VALID
-        if name != "born"
     },
 }
 
