A target that is registered with another start or address may be used again

Cause: the mark that a 421 leaves on a target was never cleared, as the pool keeps one Target for an id. Change: a registration with another start or address clears it and claims the address. Why this works: a 421 tells of one start at one address; the next registration of the same ones does not clear it. Evidence: test_target_that_starts_again_after_a_421_at_its_address_is_used, two cases, fail on the code before (503) and pass now.

--- a/sardinesaddle/direct/targetpool.py
+++ b/sardinesaddle/direct/targetpool.py
@@ -282,17 +282,21 @@
             return True
         is_state_changed = known.registration.state is not registration.state
         is_address_changed = known.address != targetstate.make_address(registration)
-        if is_address_changed:
+        is_restarted = known.registration.incarnation != registration.incarnation
+        is_placed_anew = is_address_changed or is_restarted
+        if is_placed_anew:
             self._release_address(known)
-        if known.registration.incarnation != registration.incarnation:
+            # What showed that it was not there is of another start or address.
+            known.has_stale_address = False
+        if is_restarted:
             known.created = created
         known.registration = registration
         known.listed = listed
         known.removal_deadline = None
-        if is_address_changed:
+        if is_placed_anew:
             self._claim_address(known, now)
         self.admission.on_registered(now, known)
-        return is_state_changed or is_address_changed
+        return is_state_changed or is_placed_anew
 
     def _claim_address(self, target: targetstate.Target, now: float | None) -> None:
         """Use a target at its address unless a later one is registered there.
--- a/test/test_direct_foreignentries.py
+++ b/test/test_direct_foreignentries.py
@@ -199,3 +199,30 @@
         assert (resp.status, resp.body) == (200, b"t2")
 
     df.run_scenario(scenario)
+
+
+# Guards against a target that is never used again, as another one had its address.
+@pytest.mark.parametrize("is_at_new_address", [True, False])
+def test_target_that_starts_again_after_a_421_at_its_address_is_used(
+    is_at_new_address: bool,
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        target = await fleet.add_target("t1", "plain", respond_if_meant)
+        fleet.register("t1", "plain", started_ms=1000)
+        await fleet.settle()
+        target.crash()
+        other = df.ScriptedTarget("t9", respond_if_meant)
+        other.port = target.port
+        await fleet.settle(2.0)
+        await other.start()
+        assert (await fleet.send_request("/once/a")).status == 503
+        other.crash()
+        if is_at_new_address:
+            target.port = 0
+        await target.start()
+        fleet.register("t1", "plain", started_ms=5000)
+        await fleet.settle()
+        response = await fleet.send_request("/once/b")
+        assert (response.status, response.body) == (200, b"t1")
+
+    df.run_scenario(scenario)
