A target that leaves is looked at when its response ends

Cause: has_ended took a target that leaves for one that runs, without a look, as it may end right after its last response. Change: it is judged as any other target. It gets no requests any more, so the entry connects to it while responses without a length run there; the maintenance does so for all targets that leave or are not listed, in place of a task for each. Why this works: the end of the process refuses connections, and the contacts before show one that is busy. Evidence: test_response_that_the_end_of_a_leaving_target_cuts_does_not_look_whole, two cases, fail on the code before and pass now; a busy target that leaves loses no whole response in test_whole_responses_of_a_busy_target_are_delivered.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -60,7 +60,7 @@
     upstream,
 )
 
-# Between contacts with a target that the store no longer lists.
+# Between contacts with a target that gets no new requests.
 CONTACT_PERIOD_S: typing.Final = 0.5 * sightings.SUCCESSOR_DELAY_S
 # A target that is not listed, and has a slot, states who it is in that time.
 ASKED_FIRST_S: typing.Final = targetpresence.LOOK_SPACING_S - targetpresence.MIN_WAIT_S
@@ -120,9 +120,10 @@
     ``evidence`` shows since ``found_at`` that the target has ended; it is None while
     the target may run, and ``group`` is its lock-step group then. ``is_leaving`` is set
     if it had stated that it would leave, or serves on though it ``is_unlisted``, that
-    is, though the store no longer lists it.
+    is, though the store no longer lists it. ``target`` is None before the first send.
     """
 
+    target: targetstate.Target | None = None
     running: set[SentRequest] = dataclasses.field(default_factory=set)
     unresolved: list[SentRequest] = dataclasses.field(default_factory=list)
     evidence: Evidence | None = None
@@ -172,8 +173,8 @@
         self._checker = targetpresence.PresenceChecker(
             pool, identifier, clock, entry_metrics, find_service, self
         )
-        # One for each target that the store no longer lists and that has requests.
-        self._following: set[asyncio.Task[None]] = set()
+        # For targets that the store no longer lists.
+        self._looks: set[asyncio.Task[None]] = set()
         self._ledger = ledger
         self._probes = partprobes.PartProbes()
         self._compute_turn = compute_turn
@@ -278,7 +279,9 @@
         incarnation = target.registration.incarnation
         now = self._clock.read()
         sent = SentRequest(incarnation, fingerprint, conn, now, not conn.was_idle)
-        self._get_exchanges(incarnation).running.add(sent)
+        exchanges = self._get_exchanges(incarnation)
+        exchanges.target = target
+        exchanges.running.add(sent)
         return sent
 
     def on_exchange_end(self, sent: SentRequest, how: ExchangeEnd) -> None:
@@ -324,12 +327,10 @@
         return await self._checker.probe(target, exchanges.presence)
 
     async def has_ended(self, target: targetstate.Target, incarnation: str) -> bool:
-        """Return whether an incarnation of a target has ended, and does not leave.
+        """Return whether an incarnation of a target has ended by now.
 
         Waits until that is known: until it is seen from now on, or known to have ended.
         """
-        if self._departures.is_leaving(incarnation):
-            return False
         exchanges = self._get_exchanges(incarnation)
         since = self._clock.read()
         while (has_ended := self._judge(exchanges, since)) is None:
@@ -392,25 +393,36 @@
             exchanges.evidence = None
             exchanges.is_leaving = True
 
-    async def _follow(
+    async def _look_for_unlisted(
         self, target: targetstate.Target, exchanges: TargetExchanges
     ) -> None:
-        """Find out whether a target runs that the store no longer lists.
-
-        It gets no requests any more, so other contacts show it to those that wait for
-        the end of its connection, however busy it is.
-        """
-        presence = exchanges.presence
-        if await self._checker.probe(target, presence):
-            self._checker.ask(target, presence)
+        """Find out whether a target runs that the store no longer lists."""
+        if await self._checker.probe(target, exchanges.presence):
+            self._checker.ask(target, exchanges.presence)
         elif exchanges.is_unlisted and not exchanges.has_ended:
             self.on_target_ended(target, Evidence.UNREGISTERED)
-        while exchanges.running:
-            await asyncio.sleep(CONTACT_PERIOD_S)
-            if not exchanges.is_unlisted or exchanges.has_ended:
-                return
-            if any(sent.is_unframed for sent in exchanges.running):
-                await self._checker.probe(target, presence)
+
+    def contact_departing(self) -> None:
+        """Connect to targets that get no new requests and still send responses.
+
+        Contacts show those that run, however busy they are, to responses that only the
+        end of their connection bounds. Call this twice in ``CONTACT_PERIOD_S``.
+        """
+        now = self._clock.read()
+        for incarnation, exchanges in self._exchanges.items():
+            target, presence = exchanges.target, exchanges.presence
+            is_departing = exchanges.is_unlisted or (
+                self._departures.is_leaving(incarnation)
+            )
+            if (
+                is_departing
+                and target is not None
+                and target.registration.incarnation == incarnation
+                and not exchanges.has_ended
+                and now - presence.probe_began_at >= CONTACT_PERIOD_S
+                and any(sent.is_unframed for sent in exchanges.running)
+            ):
+                self._checker.start_probe(target, presence)
 
     def on_target_ended(self, target: targetstate.Target, evidence: Evidence) -> None:
         """Record that a target's process has ended.
@@ -447,9 +459,9 @@
         exchanges.is_unlisted = True
         if not exchanges.is_leaving and (exchanges.running or exchanges.unresolved):
             loop = asyncio.get_running_loop()
-            following = loop.create_task(self._follow(target, exchanges))
-            self._following.add(following)
-            following.add_done_callback(self._following.discard)
+            look = loop.create_task(self._look_for_unlisted(target, exchanges))
+            self._looks.add(look)
+            look.add_done_callback(self._looks.discard)
 
     def on_target_listed(self, incarnation: str) -> None:
         """Record that the store lists an incarnation, perhaps once more."""
--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -668,6 +668,7 @@
             self.targets.rests.forget(now)
             self.crash_ledger.entry_count = self.count_entries()
             self._crashes.expire()
+            self._crashes.contact_departing()
             self.pool.close_expired(now, self.targets.list_keys())
             self._refresh_limits(now)
             self._refresh_admission(now)
--- a/sardinesaddle/direct/targetpresence.py
+++ b/sardinesaddle/direct/targetpresence.py
@@ -115,11 +115,17 @@
         """
         while presence.probe is not None and presence.probe_began_at < since:
             await asyncio.shield(presence.probe)
+        return await asyncio.shield(self.start_probe(target, presence))
+
+    def start_probe(
+        self, target: targetstate.Target, presence: Presence
+    ) -> asyncio.Task[bool]:
+        """Begin to connect to a target, unless that is under way."""
         if presence.probe is None:
             loop = asyncio.get_running_loop()
             presence.probe_began_at = self._clock.read()
             presence.probe = loop.create_task(self._run_probe(target, presence))
-        return await asyncio.shield(presence.probe)
+        return presence.probe
 
     async def look(
         self,
--- a/test/presencemodel.py
+++ b/test/presencemodel.py
@@ -18,6 +18,7 @@
     crashdetector,
     crashledger,
     departures,
+    entrynode,
     freshness,
     nodemetrics,
     targetidentity,
@@ -66,6 +67,7 @@
     silent_questions: int = 0
     ends_at: float = math.inf
     next_at: float = math.inf
+    leaves_at: float = math.inf
     unlisted_at: float = math.inf
     suspensions: tuple[tuple[float, float], ...] = ()
     cuts: tuple[tuple[float, float], ...] = ()
@@ -113,13 +115,14 @@
         self.verdicts: list[Verdict] = []
         self.question_count = 0
         self._target = targetstate.Target(REGISTRATION)
+        self._departures = departures.Departures()
         self._detector = crashdetector.CrashDetector(
             crashledger.CrashLedger(),
             self,
             DriverClock(self._driver),
             nodemetrics.EntryMetrics("e1"),
             lambda: None,
-            departures.Departures(),
+            self._departures,
             lambda suspect: 0,
             self,
             lambda name: None,
@@ -137,6 +140,8 @@
         for began_at, ended_at in scenario.suspensions:
             loop.call_at(began_at, self._driver.pause, ENTRY)
             loop.call_at(ended_at, self._driver.resume, ENTRY)
+        if scenario.leaves_at < math.inf:
+            self._call_entry(scenario.leaves_at, self._begin_leaving)
         if scenario.unlisted_at < math.inf:
             self._call_entry(
                 scenario.unlisted_at,
@@ -149,12 +154,24 @@
 
         for exchange in scenario.exchanges:
             self._call_entry(exchange.sent_at, functools.partial(begin, exchange))
+        maintenance = self._entry.create_task(self._maintain())
         last_at = max(exchange.ends_at for exchange in scenario.exchanges)
         await asyncio.sleep(last_at + 2 * DEADLINE_S)
+        maintenance.cancel()
         assert all(task.done() for task in tasks)
         for task in tasks:
             task.result()
 
+    def _begin_leaving(self) -> None:
+        """Record that the target states that it leaves."""
+        self._departures.on_leaving(self._driver.now, REGISTRATION.incarnation)
+
+    async def _maintain(self) -> None:
+        """Do what the entry does periodically."""
+        while True:
+            await asyncio.sleep(entrynode.MAINTENANCE_PERIOD_S)
+            self._detector.contact_departing()
+
     def _call_entry(
         self, at: float, callback: collections.abc.Callable[[], object]
     ) -> None:
@@ -261,6 +278,7 @@
             # Bytes on a connection stay in order.
             await self._make_future(scenario.find_passage(begins_at), lambda: None)
             self._detector.on_answered(sent)
+            sent.is_unframed = True
         arrives_at = scenario.find_passage(ends_at + exchange.delay_s)
         await self._make_future(max(arrives_at, self._driver.now), lambda: None)
         read_at = self._driver.now
@@ -299,6 +317,7 @@
         ends_at,
         next_at,
         rng.choice((math.inf, rng.uniform(0.0, 8.0))),
+        rng.choice((math.inf, rng.uniform(0.0, 8.0))),
         make_intervals(rng),
         make_intervals(rng),
     )
--- a/test/test_direct_unlistedtargets.py
+++ b/test/test_direct_unlistedtargets.py
@@ -114,6 +114,14 @@
     await target.stop()
 
 
+async def drain_and_end(fleet: df.Fleet, target: df.ScriptedTarget) -> None:
+    """Let the process end after its target stated that it leaves."""
+    is_plain = target.requests[0].path in ("/once/a", "/free/a")
+    fleet.register("t1", "plain" if is_plain else "engines", "draining")
+    await fleet.settle(0.3)
+    await target.stop()
+
+
 async def end_before(fleet: df.Fleet, target: df.ScriptedTarget) -> None:
     """Let the process end before its registration is removed."""
     await target.stop()
@@ -150,16 +158,27 @@
     df.run_scenario(scenario)
 
 
+# Guards against the end of a target that leaves taken for the end of its response.
+@pytest.mark.parametrize("path", UNREPEATABLE)
+def test_response_that_the_end_of_a_leaving_target_cuts_does_not_look_whole(
+    path: str,
+) -> None:
+    async def scenario(fleet: df.Fleet) -> None:
+        response, _ = await send_and_change(fleet, path, drain_and_end)
+        assert response.status == 502 or not response.is_complete
+
+    df.run_scenario(scenario)
+
+
 # Guards against whole responses being broken off because their target is busy: it has
 # no slot for a health check until all its requests have ended.
-@pytest.mark.parametrize("is_listed", [False, True])
+@pytest.mark.parametrize("how", ["serves", "leaves", "leaves without notice"])
 @pytest.mark.parametrize("path", UNREPEATABLE)
-def test_whole_responses_of_a_busy_target_are_delivered(
-    path: str, is_listed: bool
-) -> None:
+def test_whole_responses_of_a_busy_target_are_delivered(path: str, how: str) -> None:
     async def scenario(fleet: df.Fleet) -> None:
         loop = asyncio.get_running_loop()
-        target = await fleet.add_target("t1", SlowTarget(path).service)
+        service = SlowTarget(path).service
+        target = await fleet.add_target("t1", service)
         fleet.store.put("op/config", df.make_config(2, timeout_ms=LONG_TIMEOUT_MS))
         await fleet.settle()
         target.has_slot.clear()
@@ -170,7 +189,9 @@
             tasks.append(asyncio.create_task(sending))
             while len(target.requests) <= number:
                 await fleet.settle(0.001)
-        if not is_listed:
+        if how == "leaves":
+            fleet.register("t1", service, "draining")
+        elif how == "leaves without notice":
             fleet.store.delete("servers/t1")
         last_at = loop.time() + 4 * PAUSE_S
         loop.call_at(last_at + 0.1, target.has_slot.set)
@@ -179,7 +200,7 @@
             assert (response.status, response.is_complete) == (200, True)
             assert response.body == b"".join(SlowTarget(path).parts)
         # Those of a target that leaves do not wait for its slots.
-        if not is_listed:
+        if how != "serves":
             assert responses[0].finished_at < last_at - 2 * PAUSE_S
 
     df.run_scenario(scenario)
