A process that cannot listen names the setting and the address

Change: listening.ListenError has the setting, the address and what to do. The process logs it in one line, listen_failed, writes it to standard error and ends with an error. Evidence: test_address_that_is_taken_is_named_with_its_setting, for front, ready, node_ports and metrics_port: a traceback before, one line now.

--- a/sardinesaddle/direct/entrynode.py
+++ b/sardinesaddle/direct/entrynode.py
@@ -30,6 +30,7 @@
     freshness,
     frontend,
     headercodec,
+    listening,
     messages,
     nodemetrics,
     noderole,
@@ -642,7 +643,9 @@
         # Parts that wait for the replies of all seeds have to know them.
         self._refresh_admission(loop.time())
         self._start_task("maintenance", self._run_maintenance)
-        await self.frontend.start(*nodesettings.split_address(self._cfg.front))
+        host, port = nodesettings.split_address(self._cfg.front)
+        with listening.name_setting("front", host, port):
+            await self.frontend.start(host, port)
 
     def _start_task(self, name: str, body: supervision.Body) -> None:
         """Start a task that runs as long as the process."""
--- a/sardinesaddle/direct/rpc.py
+++ b/sardinesaddle/direct/rpc.py
@@ -16,7 +16,7 @@
 import loguru
 import msgspec
 
-from sardinesaddle.direct import messages, supervision
+from sardinesaddle.direct import listening, messages, supervision
 
 LENGTH_BYTES: typing.Final = 4
 # Fits a full listing of a large data centre.
@@ -78,7 +78,10 @@
 
     async def start(self) -> None:
         """Start to listen; ``port`` is then the actual port."""
-        self._server = await asyncio.start_server(self._serve, self._host, self.port)
+        with listening.name_setting("node_ports", self._host, self.port):
+            self._server = await asyncio.start_server(
+                self._serve, self._host, self.port
+            )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/sardinesaddle/direct/start.py
+++ b/sardinesaddle/direct/start.py
@@ -20,6 +20,7 @@
 
 from sardinesaddle import settings
 from sardinesaddle.direct import (
+    listening,
     nodelog,
     noderole,
     nodesettings,
@@ -124,8 +125,11 @@
     path: str,
     cfg: nodesettings.NodeSettings,
     loaded_data: bytes,
-) -> None:
-    """Run a role until SIGTERM; ``loaded_data`` is the content of the settings file."""
+) -> str:
+    """Run a role until SIGTERM; return why it cannot start, or an empty string.
+
+    ``loaded_data`` is the content of the settings file.
+    """
     loop = asyncio.get_running_loop()
     sink = nodelog.start_logging(role_name, cfg.log_lines_per_s)
     sink.attach(loop)
@@ -137,11 +141,19 @@
     wired = role.build()
     loguru.logger.info("event=start name={} place={}", cfg.name, cfg.place)
     status_server = statusserver.StatusServer(wired.node, wired.metrics, sink)
-    await wired.node.start()
-    if wired.ready:
-        await status_server.listen(*nodesettings.split_address(wired.ready))
-    if cfg.metrics_port:
-        await status_server.listen(cfg.host, cfg.metrics_port)
+    try:
+        await wired.node.start()
+        if wired.ready:
+            host, port = nodesettings.split_address(wired.ready)
+            with listening.name_setting("ready", host, port):
+                await status_server.listen(host, port)
+        if cfg.metrics_port:
+            with listening.name_setting("metrics_port", cfg.host, cfg.metrics_port):
+                await status_server.listen(cfg.host, cfg.metrics_port)
+    except listening.ListenError as exc:
+        loguru.logger.error("event=listen_failed reason={!r}", str(exc))
+        sink.flush()
+        return str(exc)
     watcher = loop.create_task(
         supervision.run_restarting(
             "settings",
@@ -156,6 +168,7 @@
     await wired.close_clients()
     loguru.logger.info("event=end")
     sink.flush()
+    return ""
 
 
 def check_settings(role_name: str, path: str) -> settings.SettingsFault | None:
@@ -168,7 +181,7 @@
 
 
 def run_role(role_name: str, path: str) -> str:
-    """Run a role until SIGTERM; return an error message if its settings are invalid."""
+    """Run a role until SIGTERM; return why its settings are of no use, or ""."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     loaded_data = read_bytes(path)
     role = make_role(role_name)
@@ -177,8 +190,7 @@
     cfg = role.load_settings(path)
     if isinstance(cfg, settings.SettingsFault):
         return cfg.text
-    uvloop.run(run(role_name, role, path, cfg, loaded_data))
-    return ""
+    return uvloop.run(run(role_name, role, path, cfg, loaded_data))
 
 
 def main() -> None:
--- a/test/test_direct_process.py
+++ b/test/test_direct_process.py
@@ -7,6 +7,7 @@
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -134,6 +135,37 @@
     assert text in cfg.text
 
 
+# Guards against a traceback where an operator needs the setting and the address.
+@pytest.mark.parametrize("setting", ["front", "ready", "node_ports", "metrics_port"])
+def test_address_that_is_taken_is_named_with_its_setting(
+    tmp_path: pathlib.Path, setting: str
+) -> None:
+    path = write_settings(tmp_path)
+    cfg = nodesettings.load_entry(str(path))
+    assert isinstance(cfg, nodesettings.EntrySettings)
+    addresses = {
+        "front": cfg.front,
+        "ready": cfg.ready,
+        "node_ports": f"{HOST}:{cfg.node_port}",
+        "metrics_port": f"{HOST}:{cfg.metrics_port}",
+    }
+    host, port = nodesettings.split_address(addresses[setting])
+    with socket.create_server((host, port)):
+        process = subprocess.run(
+            [sys.executable, "-m", "sardinesaddle.main", "node", "entry", str(path)],
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+        )
+    text = f"{setting}: cannot listen on {addresses[setting]}: "
+    assert process.returncode == 1
+    assert "Traceback" not in process.stdout + process.stderr
+    lines = [line for line in process.stdout.splitlines() if "listen_failed" in line]
+    assert len(lines) == 1
+    assert text in lines[0]
+    assert text in process.stderr
+
+
 def test_unknown_role_is_rejected() -> None:
     fault = start.check_settings("leader", "x")
     assert isinstance(fault, settings.SettingsFault)
