A connection that is not accepted is no sign of life

Found while reading the judgement of ended responses; no caller has shown it. Cause: where health checks do not state who answers, a listed target was taken to run without regard to whether it accepted the connection that looks for it. Change: it must have accepted one that was opened after the end. Waiters' events are made only while somebody waits. Evidence: test_response_of_a_target_that_accepts_no_connection_does_not_look_complete, two cases, fail on the code before (200 with an end) and pass now.

--- a/sardinesaddle/direct/crashdetector.py
+++ b/sardinesaddle/direct/crashdetector.py
@@ -360,7 +360,9 @@
         if presence.identified_at >= since:
             return False
         if presence.unstated_at >= since:
-            return exchanges.is_unlisted
+            if exchanges.is_unlisted:
+                return True
+            return False if presence.accepted_at >= since else None
         looked_s = self._clock.read() - since
         if exchanges.is_unlisted and looked_s < ASKED_FIRST_S:
             return None
--- a/sardinesaddle/direct/targetpresence.py
+++ b/sardinesaddle/direct/targetpresence.py
@@ -55,7 +55,8 @@
     probe_began_at: float = freshness.NEVER
     questions: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     asked_at: float = freshness.NEVER
-    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    # None while nobody waits for a change.
+    changed: asyncio.Event | None = None
 
     @property
     def is_sought(self) -> bool:
@@ -64,8 +65,19 @@
 
     def notify(self) -> None:
         """Wake those who wait for a change."""
-        self.changed.set()
-        self.changed = asyncio.Event()
+        if self.changed is not None:
+            self.changed.set()
+            self.changed = None
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until something is found out, or for ``timeout_s``."""
+        if self.changed is None:
+            self.changed = asyncio.Event()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.changed.wait()
+        except TimeoutError:
+            return
 
 
 class PresenceListener(abc.ABC):
@@ -150,13 +162,9 @@
         if asks or presence.seen.seen_at < since:
             self._ask_if_due(target, presence, since)
         left_s = since + LOOK_SPACING_S - now
-        try:
-            async with asyncio.timeout(
-                left_s if left_s > MIN_WAIT_S else LOOK_SPACING_S
-            ):
-                await presence.changed.wait()
-        except TimeoutError:
-            return
+        await presence.wait_for_change(
+            left_s if left_s > MIN_WAIT_S else LOOK_SPACING_S
+        )
 
     def _ask_if_due(
         self, target: targetstate.Target, presence: Presence, since: float
--- a/test/test_direct_unframed.py
+++ b/test/test_direct_unframed.py
@@ -278,6 +278,41 @@
     df.run_scenario(scenario)
 
 
+# Guards against a connection that is not accepted taken for a sign of life, where
+# targets cannot be asked who they are.
+@pytest.mark.parametrize("path", ["/once/a", "/unique/a"])
+def test_response_of_a_target_that_accepts_no_connection_does_not_look_complete(
+    path: str,
+) -> None:
+    content_type = STREAM if path == "/unique/a" else "text/plain"
+
+    async def respond(
+        target: df.ScriptedTarget,
+        request: df.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(make_head(request.attempt_id, content_type) + EVENTS[0])
+        await asyncio.sleep(REUSE_S)
+        return False
+
+    async def scenario(fleet: df.Fleet) -> None:
+        config = df.make_config(2)
+        config["services"] = [{"name": "plain"}, {"name": "engines"}]
+        fleet.store.put("op/config", config)
+        service = "engines" if path == "/unique/a" else "plain"
+        target = await fleet.add_target("t1", service, respond)
+        await fleet.settle()
+        task = asyncio.create_task(fleet.send_request(path))
+        while not target.requests:
+            await fleet.settle(0.001)
+        target.fall_silent()
+        response = await task
+        assert response.status in (502, 504) or not response.is_complete
+        await target.start()
+
+    df.run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     ("path", "parts", "end"),
     [
