Tests' own targets register with every field that PROTOCOL.md asks for

Cause: these two wrote entries of their own making that lacked born, which the protocol says is always there; since then such an entry names no target. Change: one function, make_registration, makes the entry for all tests that have targets at the loopback address. No check was changed.

--- a/test/crowds.py
+++ b/test/crowds.py
@@ -284,17 +284,8 @@
 
 def register(fleet: df.Fleet, name: str, service: str) -> None:
     """Register a target with so many slots that no request of a crowd waits."""
-    registration = {
-        "service": service,
-        "addr": f"127.0.0.1:{fleet.targets[name].port}",
-        "zone": "p",
-        "version": "v1",
-        "slots": SLOTS,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 0,
-        "born": 0,
-    }
+    port = fleet.targets[name].port
+    registration = df.make_registration(service, port, slots=SLOTS)
     fleet.store.put(f"servers/{name}", registration)
 
 
--- a/test/directfleet.py
+++ b/test/directfleet.py
@@ -506,6 +506,28 @@
 ClientConnection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
+def make_registration(service: str, port: int, **changes: object) -> dict[str, object]:
+    """Return a target's entry of the store, with every field that one must have.
+
+    Args:
+        service: The target's service.
+        port: The target's port at 127.0.0.1.
+        **changes: Values of fields that differ from those here.
+    """
+    registration: dict[str, object] = {
+        "service": service,
+        "addr": f"127.0.0.1:{port}",
+        "zone": "p",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 0,
+        "born": 0,
+    }
+    return registration | changes
+
+
 class Fleet:
     """A store, entries and targets; entry N listens on 127.0.1.N, counted from 1."""
 
@@ -547,17 +569,13 @@
         place: str = "p",
     ) -> None:
         """Write a target's registration to the store."""
-        registration = {
-            "service": service,
-            "addr": f"127.0.0.1:{self.targets[name].port}",
-            "zone": place,
-            "version": "v1",
-            "slots": 4,
-            "state": state,
-            "cold_left_ms": 0,
-            "seq": 0,
-            "born": started_ms,
-        }
+        registration = make_registration(
+            service,
+            self.targets[name].port,
+            state=state,
+            born=started_ms,
+            zone=place,
+        )
         self.store.put(f"servers/{name}", registration)
 
     async def add_entry(
--- a/test/plannedstops.py
+++ b/test/plannedstops.py
@@ -347,16 +347,7 @@
         for number in range(2):
             name = f"{service}-{number}"
             await fleet.add_target(name, service, Engine(stop).respond)
-            registration = {
-                "service": service,
-                "addr": f"127.0.0.1:{fleet.targets[name].port}",
-                "zone": "p",
-                "version": "v1",
-                "slots": slots,
-                "state": "ready",
-                "cold_left_ms": 0,
-                "seq": 0,
-                "born": 0,
-            }
+            port = fleet.targets[name].port
+            registration = df.make_registration(service, port, slots=slots)
             fleet.store.put(f"servers/{name}", registration)
     await fleet.settle(0.5)
--- a/test/soak.py
+++ b/test/soak.py
@@ -645,17 +645,15 @@
 
     def _register_target(self, name: str, service: str, proxy: FaultProxy) -> None:
         """Write a target's registration, with the address of its proxy."""
-        addr = f"127.0.0.1:{proxy.port}"
         is_in_zone = self._has_zones and split_target_name(name) == soakzones.TARGET
         zone = soakzones.ZONE if is_in_zone else "p"
-        registration = {"service": service, "addr": addr, "zone": zone, "slots": 4}
-        registration |= {"version": "v1", "cold_left_ms": 0, "seq": 0}
+        registration = df.make_registration(service, proxy.port, zone=zone)
         if self._has_cold and service == "engines":
             registration["slots"] = soakcold.SLOTS
             registration["cold_left_ms"] = soakcold.COLD_S * 1000
             now = asyncio.get_running_loop().time()
             self._cold_engines.setdefault(name, soakcold.ColdEngine(now))
-        self.store.put(f"servers/{name}", {**registration, "state": "ready"})
+        self.store.put(f"servers/{name}", registration)
 
     def _put_config(self, version: int, key: str) -> None:
         """Write a version of the configuration, with one API key, to the store."""
--- a/test/test_direct_limits.py
+++ b/test/test_direct_limits.py
@@ -132,17 +132,7 @@
     async def scenario(fleet: df.Fleet) -> None:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        registration = {
-            "service": "plain",
-            "addr": f"127.0.0.1:{port}",
-            "zone": "p",
-            "version": "v1",
-            "slots": 4,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "seq": 0,
-        }
-        fleet.store.put("servers/t1", registration)
+        fleet.store.put("servers/t1", df.make_registration("plain", port))
         await fleet.settle()
         payload = b"x" * BODY_BYTES
         for number in range(3):
